--- /dev/null
+++ b/src/gateway/effect.ts
@@ -0,0 +1,121 @@
+/** Every effect that the gateway's reducer asks of its driver. Effects are data. */
+import type { CallerLimits } from './model/route.js';
+import type { ReplicaRecord } from './model/replica-record.js';
+import type { AttemptId, CallerResponse, CallId } from './model/request.js';
+import type { CollectionName, StoreCall } from './store/collection.js';
+
+/** Sends a request to a replica; ends in `attempt-ended`, always, also when aborted. */
+export interface SendAttempt {
+  readonly type: 'send-attempt';
+  readonly attempt: AttemptId;
+  readonly call: CallId;
+  readonly replica: ReplicaRecord;
+  /** Time left for the request, in milliseconds; told to the replica. */
+  readonly remainingMs: number;
+  /** Connections that this gateway may hold to the replica. */
+  readonly maxConnections: number;
+}
+
+/** Gives up an attempt: its connection is closed unless the answer comes within `withinMs`. */
+export interface AbortAttempt {
+  readonly type: 'abort-attempt';
+  readonly attempt: AttemptId;
+  readonly withinMs: number;
+}
+
+/** Closes the connections to a replica that is gone, once they are idle. */
+export interface CloseReplica {
+  readonly type: 'close-replica';
+  readonly replica: string;
+}
+
+/** Answers a caller; the call is over. */
+export interface AnswerCaller {
+  readonly type: 'answer-caller';
+  readonly call: CallId;
+  readonly response: CallerResponse;
+  /** The caller's connection is closed after the answer. */
+  readonly closeConnection: boolean;
+}
+
+/** The call is over without an answer: its caller has left. */
+export interface ForgetCall {
+  readonly type: 'forget-call';
+  readonly call: CallId;
+}
+
+/** Sets the one timer of a request, in place of any before. */
+export interface SetRequestTimer {
+  readonly type: 'set-request-timer';
+  readonly call: CallId;
+  readonly at: number;
+}
+
+/** Calls the store; ends in `page-read`, `changes-read` or `store-call-failed`. */
+export interface CallStore {
+  readonly type: 'call-store';
+  readonly call: StoreCall;
+}
+
+/** Sets the timer of a collection. */
+export interface SetCollectionTimer {
+  readonly type: 'set-collection-timer';
+  readonly collection: CollectionName;
+  readonly at: number;
+}
+
+/** Sets the timer of the stop. */
+export interface SetStopTimer {
+  readonly type: 'set-stop-timer';
+  readonly at: number;
+}
+
+/** Says whether this gateway wants new connections of callers. */
+export interface SetReadiness {
+  readonly type: 'set-readiness';
+  readonly ready: boolean;
+}
+
+/** Puts bounds on what callers send. */
+export interface ApplyLimits {
+  readonly type: 'apply-limits';
+  readonly limits: CallerLimits;
+}
+
+/** Takes no further connection of callers. */
+export interface CloseCallerPort {
+  readonly type: 'close-caller-port';
+}
+
+/** All work is done after a stop was asked for: the process may end. */
+export interface EndProcess {
+  readonly type: 'end-process';
+}
+
+/** Parts of the gateway that log; each has a fixed prefix. */
+export type GatewayLogPart = 'request' | 'replica' | 'configuration' | 'store' | 'lifecycle';
+
+/** Writes a line of the log. */
+export interface WriteLog {
+  readonly type: 'write-log';
+  readonly level: 'debug' | 'info' | 'warn' | 'error';
+  readonly part: GatewayLogPart;
+  readonly sentence: string;
+}
+
+/** All effects of the gateway. */
+export type GatewayEffect =
+  | SendAttempt
+  | AbortAttempt
+  | CloseReplica
+  | AnswerCaller
+  | ForgetCall
+  | SetRequestTimer
+  | CallStore
+  | SetCollectionTimer
+  | SetStopTimer
+  | SetReadiness
+  | ApplyLimits
+  | CloseCallerPort
+  | EndProcess
+  | WriteLog;
--- /dev/null
+++ b/src/gateway/event.ts
@@ -0,0 +1,138 @@
+/**
+ * Every event that the gateway's reducer takes. Each carries `at`, the time in milliseconds on the
+ * monotonic clock of the process; the reducer reads no other clock.
+ */
+import type { GatewayConfiguration } from './model/route.js';
+import type { ReplicaRecord } from './model/replica-record.js';
+import type { AttemptId, AttemptResult, CallerRequest, CallId } from './model/request.js';
+import type { GatewaySettings } from './settings.js';
+import type { CollectionName } from './store/collection.js';
+
+/** The process has started and its ports are open. */
+export interface Started {
+  readonly type: 'started';
+  readonly at: number;
+}
+
+/** The process is told to stop; requests in progress are finished. */
+export interface StopRequested {
+  readonly type: 'stop-requested';
+  readonly at: number;
+}
+
+/** The settings were read again. */
+export interface SettingsReloaded {
+  readonly type: 'settings-reloaded';
+  readonly at: number;
+  readonly settings: GatewaySettings;
+}
+
+/** A request of a caller has arrived whole. */
+export interface RequestReceived {
+  readonly type: 'request-received';
+  readonly at: number;
+  readonly call: CallId;
+  readonly request: CallerRequest;
+}
+
+/** The caller has closed its connection before the answer. */
+export interface CallerLeft {
+  readonly type: 'caller-left';
+  readonly at: number;
+  readonly call: CallId;
+}
+
+/** An attempt at a replica has ended. */
+export interface AttemptEnded {
+  readonly type: 'attempt-ended';
+  readonly at: number;
+  readonly attempt: AttemptId;
+  readonly result: AttemptResult;
+}
+
+/** A timer of a request has run out. */
+export interface RequestDue {
+  readonly type: 'request-due';
+  readonly at: number;
+  readonly call: CallId;
+}
+
+/** One page of a collection's list was read. */
+export interface PageRead {
+  readonly type: 'page-read';
+  readonly at: number;
+  readonly page: StorePage;
+}
+
+/** A watch of a collection has returned. */
+export interface ChangesRead {
+  readonly type: 'changes-read';
+  readonly at: number;
+  readonly changes: StoreChanges;
+}
+
+/** A call for a collection failed. */
+export interface StoreCallFailed {
+  readonly type: 'store-call-failed';
+  readonly at: number;
+  readonly collection: CollectionName;
+  /** `history-gone`: the store no longer knows the changes since the watched revision. */
+  readonly problem: 'history-gone' | 'throttled' | 'unavailable' | 'no-answer' | 'malformed';
+  /** What the client or the parser said. */
+  readonly detail: string;
+}
+
+/** A collection's pause between calls is over. */
+export interface CollectionDue {
+  readonly type: 'collection-due';
+  readonly at: number;
+  readonly collection: CollectionName;
+}
+
+/** The next step of a stop is due. */
+export interface StopDue {
+  readonly type: 'stop-due';
+  readonly at: number;
+}
+
+/** Objects of either collection, by their names. */
+export type StoreObjects =
+  | {
+      readonly collection: 'configuration';
+      readonly objects: readonly Stored<GatewayConfiguration>[];
+    }
+  | { readonly collection: 'replicas'; readonly objects: readonly Stored<ReplicaRecord>[] };
+
+/** An object of the store; `value` is absent where it is gone or could not be read. */
+export interface Stored<Value> {
+  readonly name: string;
+  readonly gone: boolean;
+  readonly value?: Value;
+}
+
+/** A page of a list. */
+export type StorePage = StoreObjects & {
+  readonly more: boolean;
+  /** Name of the last object of the page. */
+  readonly last: string;
+  /** Revision of the store at which the list stands. */
+  readonly revision: number;
+};
+
+/** What has changed since the watched revision. */
+export type StoreChanges = StoreObjects & { readonly revision: number };
+
+/** All events of the gateway. */
+export type GatewayEvent =
+  | Started
+  | StopRequested
+  | SettingsReloaded
+  | RequestReceived
+  | CallerLeft
+  | AttemptEnded
+  | RequestDue
+  | PageRead
+  | ChangesRead
+  | StoreCallFailed
+  | CollectionDue
+  | StopDue;
--- /dev/null
+++ b/src/gateway/field-reader.ts
@@ -0,0 +1,122 @@
+/**
+ * Reads fields of decoded JSON and collects a finding, with its place, for each that is missing or
+ * of the wrong type, so that all are reported together.
+ */
+import { type Either, Left, Right } from 'purify-ts/Either';
+import type { Finding } from '../table/finding.js';
+
+type Fields = Readonly<Record<string, unknown>>;
+
+const isFields = (value: unknown): value is Fields =>
+  typeof value === 'object' && value !== null && !Array.isArray(value);
+
+/** Reads the fields of one object; readers of nested objects share its findings. */
+export class FieldReader {
+  private readonly fields: Fields;
+
+  constructor(
+    value: unknown,
+    private readonly place: string,
+    readonly findings: Finding[] = [],
+  ) {
+    this.fields = isFields(value) ? value : {};
+    if (!isFields(value)) {
+      this.report('', 'is not an object');
+    }
+  }
+
+  has(name: string): boolean {
+    return this.fields[name] !== undefined && this.fields[name] !== null;
+  }
+
+  text(name: string, fallback?: string): string {
+    const value = this.fields[name];
+    if (typeof value === 'string') {
+      return value;
+    }
+    return this.missing(name, value, 'a text', fallback, '');
+  }
+
+  /** A finite number of at least `minimum`. */
+  number(name: string, minimum = 0, fallback?: number): number {
+    const value = this.fields[name];
+    if (typeof value === 'number' && Number.isFinite(value) && value >= minimum) {
+      return value;
+    }
+    return this.missing(name, value, `a number of at least ${minimum}`, fallback, minimum);
+  }
+
+  flag(name: string, fallback?: boolean): boolean {
+    const value = this.fields[name];
+    if (typeof value === 'boolean') {
+      return value;
+    }
+    return this.missing(name, value, 'true or false', fallback, false);
+  }
+
+  texts(name: string): readonly string[] {
+    return this.items(name).flatMap((item, index) => {
+      if (typeof item !== 'string') {
+        this.report(`${name}[${index}]`, 'is not a text');
+        return [];
+      }
+      return [item];
+    });
+  }
+
+  /** The objects of a list, each with its place. */
+  objects(name: string): readonly FieldReader[] {
+    return this.items(name).map(
+      (item, index) => new FieldReader(item, this.placeOf(`${name}[${index}]`), this.findings),
+    );
+  }
+
+  object(name: string): FieldReader {
+    return new FieldReader(this.fields[name], this.placeOf(name), this.findings);
+  }
+
+  /** The value of a field as it stands. */
+  raw(name: string): unknown {
+    return this.fields[name];
+  }
+
+  report(name: string, problem: string, allowed?: string): void {
+    this.findings.push({
+      severity: 'error',
+      place: this.placeOf(name),
+      problem,
+      ...(allowed !== undefined && { allowed }),
+    });
+  }
+
+  /** The value, or all findings. */
+  result<Value>(value: Value): Either<readonly Finding[], Value> {
+    return this.findings.length === 0 ? Right(value) : Left(this.findings);
+  }
+
+  private items(name: string): readonly unknown[] {
+    const value = this.fields[name];
+    if (Array.isArray(value)) {
+      return value;
+    }
+    return this.missing(name, value, 'a list', undefined, []);
+  }
+
+  private missing<Value>(
+    name: string,
+    value: unknown,
+    allowed: string,
+    fallback: Value | undefined,
+    standIn: Value,
+  ): Value {
+    if (value === undefined && fallback !== undefined) {
+      return fallback;
+    }
+    this.report(name, value === undefined ? 'is missing' : 'has the wrong type or size', allowed);
+    return standIn;
+  }
+
+  private placeOf(name: string): string {
+    return name === '' ? this.place : `${this.place}.${name}`;
+  }
+}
--- /dev/null
+++ b/src/gateway/lifecycle.ts
@@ -0,0 +1,57 @@
+/** Start, readiness and stop of a gateway. */
+import type { GatewayEffect } from './effect.js';
+import type { StopDue, StopRequested } from './event.js';
+import type { GatewayState } from './state.js';
+
+/**
+ * Time after the request to stop in which callers are still taken: the load balancer asks each
+ * second and takes a gateway out after two questions without success.
+ */
+const TAKE_CALLERS_MS = 3_200;
+
+/** Time kept back of the grace period for the end of the process, in milliseconds. */
+const END_MARGIN_MS = 500;
+
+/** How often a stop looks whether all requests are finished, in milliseconds. */
+const STOP_CHECK_MS = 100;
+
+/** Tells the load balancer when the readiness has changed. */
+export const updateReadiness = (state: GatewayState): GatewayEffect[] => {
+  const isInformed = state.inForce !== undefined && state.replicasListed;
+  const ready = isInformed && (state.phase === 'starting' || state.phase === 'serving');
+  if (ready === state.ready) {
+    return [];
+  }
+  state.ready = ready;
+  if (ready) {
+    state.phase = 'serving';
+  }
+  const sentence = ready ? 'Takes callers.' : 'Takes no new callers.';
+  return [
+    { type: 'set-readiness', ready },
+    { type: 'write-log', level: 'info', part: 'lifecycle', sentence },
+  ];
+};
+
+/** Handles `stop-requested`. */
+export const beginStop = (state: GatewayState, { at }: StopRequested): GatewayEffect[] => {
+  if (state.phase === 'stopping' || state.phase === 'ended') {
+    return [];
+  }
+  state.phase = 'stopping';
+  state.stoppingSince = at;
+  return [...updateReadiness(state), { type: 'set-stop-timer', at: at + STOP_CHECK_MS }];
+};
+
+/** Handles `stop-due`: ends the process once nothing is in progress, or when the grace is over. */
+export const continueStop = (state: GatewayState, { at }: StopDue): GatewayEffect[] => {
+  const elapsed = at - state.stoppingSince;
+  const isGraceOver = elapsed >= state.settings.bounds.graceMs - END_MARGIN_MS;
+  const isIdle = elapsed >= TAKE_CALLERS_MS && state.requests.size === 0;
+  if (isGraceOver || isIdle) {
+    state.phase = 'ended';
+    return [{ type: 'end-process' }];
+  }
+  const close: GatewayEffect[] = elapsed >= TAKE_CALLERS_MS ? [{ type: 'close-caller-port' }] : [];
+  return [...close, { type: 'set-stop-timer', at: at + STOP_CHECK_MS }];
+};
--- /dev/null
+++ b/src/gateway/model/replica-record.ts
@@ -0,0 +1,17 @@
+/** What a replica tells of itself through the store. */
+
+/** One incarnation of a replica; a restart has another `id`. */
+export interface ReplicaRecord {
+  /** Names this incarnation and no other, ever. */
+  readonly id: string;
+  readonly service: string;
+  readonly host: string;
+  readonly port: number;
+  readonly zone: string;
+  /** Requests it works on at once. */
+  readonly slots: number;
+  /** It takes no new work and will end. */
+  readonly draining: boolean;
+  /** How much longer it is slow after its start, in milliseconds, when it wrote this. */
+  readonly coldMs: number;
+}
--- /dev/null
+++ b/src/gateway/model/request.ts
@@ -0,0 +1,119 @@
+/** Requests of callers, and what they are answered, in the gateway's own terms. */
+
+/** Names a request inside this process. */
+export type CallId = number;
+
+/** Names one attempt at a replica inside this process. */
+export type AttemptId = number;
+
+/** What decides about a request; its bytes stay at the edge. */
+export interface CallerRequest {
+  /** The identifier that the caller chose; it goes to replicas and into logs. */
+  readonly requestId: string;
+  readonly host: string;
+  readonly path: string;
+  /** How long the caller waits, in milliseconds; absent where it did not say. */
+  readonly budgetMs?: number;
+}
+
+/** Why a request ends without the answer of a replica. */
+export type RefusalReason =
+  | 'no-configuration'
+  | 'no-route'
+  | 'no-request-id'
+  | 'no-replica'
+  | 'replicas-full'
+  | 'connection-failed'
+  | 'answer-lost'
+  | 'replica-failed'
+  | 'too-few-shards'
+  | 'deadline';
+
+/** A replica's answer, handed on unchanged. */
+export interface PassThrough {
+  readonly type: 'pass-through';
+  readonly answer: ReplicaAnswer;
+}
+
+/** The merged answer of a gather. */
+export interface MergedAnswer {
+  readonly type: 'merged';
+  readonly signatures: readonly string[];
+  readonly missingShards: number;
+  readonly body: Uint8Array;
+}
+
+/** The gateway's own final answer. */
+export interface Refusal {
+  readonly type: 'refusal';
+  readonly reason: RefusalReason;
+  /** Whether a replica may have run the request; if not, it never will. */
+  readonly mayHaveRun: boolean;
+  /** When to come back, in milliseconds; absent where coming back does not help. */
+  readonly retryAfterMs?: number;
+}
+
+/** The final answer to a caller. */
+export type CallerResponse = PassThrough | MergedAnswer | Refusal;
+
+/** A header as it stood on the wire. */
+export interface Header {
+  readonly name: string;
+  readonly value: string;
+}
+
+/** What a replica says of its load. */
+export interface LoadReport {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+}
+
+/** A whole answer of a replica that belongs to the request. */
+export interface ReplicaAnswer {
+  readonly status: number;
+  readonly headers: readonly Header[];
+  readonly body: Uint8Array;
+  /** The replica's signature of this answer; absent where it gave none. */
+  readonly signature?: string;
+}
+
+/** A whole answer. */
+export interface AttemptAnswered {
+  readonly type: 'answered';
+  readonly answer: ReplicaAnswer;
+  readonly load?: LoadReport;
+  /** The replica closes this connection after the answer. */
+  readonly closing: boolean;
+}
+
+/** The replica says that it did not run the request. */
+export interface AttemptRefused {
+  readonly type: 'refused';
+  /** `wrong-instance`: another incarnation has the address. */
+  readonly reason: 'full' | 'wrong-instance';
+  readonly load?: LoadReport;
+}
+
+/** How an attempt failed without an answer. */
+export type AttemptProblem =
+  | 'connect-refused'
+  | 'connect-timeout'
+  | 'no-connection'
+  | 'reset'
+  | 'timed-out'
+  | 'bad-answer'
+  | 'foreign-answer'
+  | 'cut-off'
+  | 'aborted';
+
+/** No usable answer came. */
+export interface AttemptFailed {
+  readonly type: 'failed';
+  readonly problem: AttemptProblem;
+  /** Whether bytes of the request were sent, so that it may have run. */
+  readonly mayHaveRun: boolean;
+}
+
+/** How an attempt ended. */
+export type AttemptResult = AttemptAnswered | AttemptRefused | AttemptFailed;
--- /dev/null
+++ b/src/gateway/replicas/replica.ts
@@ -0,0 +1,95 @@
+/** What this gateway knows of one incarnation of a replica. */
+import type { ReplicaRecord } from '../model/replica-record.js';
+import type { AttemptId, LoadReport } from '../model/request.js';
+
+/** Weight of a new sample in the moving average of the slowdown. */
+const SLOWDOWN_WEIGHT = 0.25;
+
+/** Largest ratio that one sample counts for. */
+const MAX_SAMPLE_RATIO = 20;
+
+/** Time in which what is known of a slowdown fades to a third, in milliseconds. */
+const SLOWDOWN_MEMORY_MS = 2_500;
+
+/** Pauses after failures in a row before a replica is tried again, in milliseconds. */
+const FIRST_EJECTION_MS = 250;
+const LONGEST_EJECTION_MS = 4_000;
+
+/** An attempt that runs at a replica. */
+export interface PendingAttempt {
+  readonly sentAt: number;
+  /** How long such an attempt usually takes, in milliseconds. */
+  readonly expectedMs: number;
+}
+
+/** A replica with what was observed of it. */
+export interface Replica {
+  record: ReplicaRecord;
+  /** When it stops being slow after its start. */
+  coldUntil: number;
+  /** When this gateway learnt that it is gone from the store; undefined while it is listed. */
+  goneAt: number | undefined;
+  /** When this gateway learnt that it drains; long ago when it was first seen draining. */
+  drainingSince: number | undefined;
+  /** Attempts that run, in the order in which they were sent. */
+  readonly pending: Map<AttemptId, PendingAttempt>;
+  /** Moving average of how much longer attempts take than usual. */
+  slowdown: number;
+  slowdownAt: number;
+  load: LoadReport | undefined;
+  loadAt: number;
+  /** Attempts that failed in a row. */
+  failures: number;
+  /** It is tried only when nothing else is left, until then. */
+  ejectedUntil: number;
+  /** When the last answer of any kind came. */
+  answeredAt: number;
+}
+
+/** Creates what is known of a replica that has just been listed. */
+export const createReplica = (record: ReplicaRecord, at: number): Replica => ({
+  record,
+  coldUntil: at + record.coldMs,
+  goneAt: undefined,
+  drainingSince: record.draining ? Number.NEGATIVE_INFINITY : undefined,
+  pending: new Map(),
+  slowdown: 1,
+  slowdownAt: at,
+  load: undefined,
+  loadAt: Number.NEGATIVE_INFINITY,
+  failures: 0,
+  ejectedUntil: Number.NEGATIVE_INFINITY,
+  answeredAt: at,
+});
+
+/** How much longer than usual an attempt is expected to take; old knowledge fades towards 1. */
+export const slowdownNow = (replica: Replica, at: number): number => {
+  const age = Math.max(0, at - replica.slowdownAt);
+  return 1 + (replica.slowdown - 1) * Math.exp(-age / SLOWDOWN_MEMORY_MS);
+};
+
+/** Notes how long an attempt took, relative to what is usual. */
+export const noteLatency = (replica: Replica, ratio: number, at: number): void => {
+  const sample = Math.min(MAX_SAMPLE_RATIO, ratio);
+  const known = slowdownNow(replica, at);
+  replica.slowdown = known + SLOWDOWN_WEIGHT * (sample - known);
+  replica.slowdownAt = at;
+  replica.failures = 0;
+  replica.ejectedUntil = Number.NEGATIVE_INFINITY;
+  replica.answeredAt = at;
+};
+
+/** Notes that an attempt failed in a way that speaks against the replica. */
+export const noteReplicaFailure = (replica: Replica, at: number): void => {
+  const pause = Math.min(LONGEST_EJECTION_MS, FIRST_EJECTION_MS * 2 ** replica.failures);
+  replica.failures += 1;
+  replica.ejectedUntil = at + pause;
+};
+
+/** Notes what the replica says of its load. */
+export const noteLoad = (replica: Replica, load: LoadReport | undefined, at: number): void => {
+  if (load !== undefined) {
+    replica.load = load;
+    replica.loadAt = at;
+  }
+};
--- /dev/null
+++ b/src/gateway/replicas/select-replica.ts
@@ -0,0 +1,106 @@
+/** Chooses the replica that is expected to answer first, at the least cost. */
+import type { Random } from '../../core/random.js';
+import { type Replica, slowdownNow } from './replica.js';
+
+/** Added to the cost of a replica in another zone of the same region, in usual latencies. */
+const OTHER_ZONE_COST = 0.35;
+
+/** Added to the cost of a replica in another region. */
+const OTHER_REGION_COST = 1;
+
+/** A replica is as much slower while it is cold. */
+const COLD_FACTOR = 1.6;
+
+/** Part of the load below the number of slots that counts: some replicas slow down when near full. */
+const PARTIAL_LOAD_COST = 0.25;
+
+/** How long a load report counts, in milliseconds. */
+const LOAD_REPORT_AGE_MS = 150;
+
+/** An attempt that has run for so many usual latencies speaks against its replica. */
+const STALL_RATIO = 2.5;
+
+/** Added for a replica that failed lately; for one that leaves; for one that the store lost. */
+const EJECTED_COST = 200;
+const LEAVING_COST = 1_000;
+
+/** Costs that differ by less are taken as equal, and one is drawn. */
+const DRAW_WIDTH = 0.1;
+
+/** From where the choice is made. */
+export interface SelectionPlace {
+  readonly zone: string;
+  readonly zoneRegions: Readonly<Record<string, string>>;
+  /** A replica that leaves may be sent work for so long, in milliseconds. */
+  readonly leavingMs: number;
+}
+
+const distanceCost = (replica: Replica, { zone, zoneRegions }: SelectionPlace): number => {
+  const other = replica.record.zone;
+  if (other === zone) {
+    return 0;
+  }
+  const isSameRegion = zoneRegions[other] === zoneRegions[zone];
+  return isSameRegion ? OTHER_ZONE_COST : OTHER_REGION_COST;
+};
+
+const stallCost = (replica: Replica, at: number): number => {
+  const oldest = replica.pending.values().next();
+  if (oldest.done === true) {
+    return 0;
+  }
+  const ratio = (at - oldest.value.sentAt) / oldest.value.expectedMs;
+  return ratio > STALL_RATIO ? ratio : 0;
+};
+
+const loadCost = (replica: Replica, at: number): number => {
+  const { load, pending, record } = replica;
+  const slots = Math.max(1, load?.slots ?? record.slots);
+  const isFresh = load !== undefined && at - replica.loadAt < LOAD_REPORT_AGE_MS;
+  const others = isFresh ? Math.max(0, load.running + load.waiting - 1) : 0;
+  const busy = Math.max(pending.size, others);
+  const waiting = Math.max(0, busy + 1 - slots);
+  return (PARTIAL_LOAD_COST * Math.min(busy, slots)) / slots + waiting / slots;
+};
+
+/** The cost of one more attempt at a replica, in usual latencies. */
+const costOf = (replica: Replica, place: SelectionPlace, at: number): number => {
+  const cold = replica.coldUntil > at ? COLD_FACTOR : 1;
+  const base = slowdownNow(replica, at) * cold * (1 + loadCost(replica, at));
+  const ejected = replica.ejectedUntil > at ? EJECTED_COST : 0;
+  const isLeaving = replica.record.draining || replica.goneAt !== undefined;
+  const leaving = isLeaving ? LEAVING_COST : 0;
+  return base + stallCost(replica, at) + distanceCost(replica, place) + ejected + leaving;
+};
+
+/**
+ * The replica to send the next attempt to; undefined when none is left.
+ *
+ * @param tried - identifiers of replicas that the request has been sent to
+ */
+export const selectReplica = (
+  replicas: readonly Replica[],
+  tried: ReadonlySet<string>,
+  place: SelectionPlace,
+  random: Random,
+  at: number,
+): Replica | undefined => {
+  let best: Replica | undefined;
+  let bestCost = Number.POSITIVE_INFINITY;
+  for (const replica of replicas) {
+    if (tried.has(replica.record.id) || isPastDrain(replica, place, at)) {
+      continue;
+    }
+    const cost = costOf(replica, place, at) + random.next() * DRAW_WIDTH;
+    if (cost < bestCost) {
+      best = replica;
+      bestCost = cost;
+    }
+  }
+  return best;
+};
+
+const isPastDrain = (replica: Replica, { leavingMs }: SelectionPlace, at: number): boolean => {
+  const since = replica.record.draining ? replica.drainingSince : replica.goneAt;
+  return since !== undefined && at - since > leavingMs;
+};
--- /dev/null
+++ b/src/gateway/requests/accept-request.ts
@@ -0,0 +1,96 @@
+/** Takes a caller's request: finds its route and sends the first attempts. */
+import type { GatewayEffect } from '../effect.js';
+import type { RequestReceived } from '../event.js';
+import type { Route } from '../model/route.js';
+import { SplitCursor, isSameSplit } from '../routing/split-cursor.js';
+import { budgetOf, type GatewayState } from '../state.js';
+import { sendAttempt } from './attempts.js';
+import { refuseCall } from './finish.js';
+import { type ActiveRequest, createLeg, type Leg } from './request-state.js';
+import { createRouteLatency, hedgeDelay } from './route-latency.js';
+import { progressRequest } from './progress.js';
+
+/** Time kept back of the objective for the way to the caller and waits for the processor. */
+const OBJECTIVE_MARGIN_MS = 13;
+
+/** The margin takes no more than this part of an objective. */
+const MAX_MARGIN_SHARE = 0.3;
+
+/** Time kept back of the caller's patience for the way back, in milliseconds. */
+const DEADLINE_MARGIN_MS = 10;
+
+const legsOf = (state: GatewayState, route: Route): readonly Leg[] => {
+  const { target } = route;
+  switch (target.type) {
+    case 'service':
+      return [createLeg(target.service)];
+    case 'gather':
+      return target.shards.map(createLeg);
+    case 'split': {
+      const known = state.splits.get(route.name);
+      const isKnown = known !== undefined && isSameSplit(known.parts, target.parts);
+      const cursor = isKnown ? known : new SplitCursor(target.parts, state.random.next());
+      state.splits.set(route.name, cursor);
+      const service = cursor.next();
+      return service === undefined ? [] : [createLeg(service)];
+    }
+  }
+};
+
+const createRequest = (
+  state: GatewayState,
+  route: Route,
+  { call, request, at }: RequestReceived,
+): ActiveRequest => {
+  const legs = legsOf(state, route);
+  const patienceMs = (request.budgetMs ?? route.timeoutMs) - DEADLINE_MARGIN_MS;
+  const margin = Math.min(OBJECTIVE_MARGIN_MS, route.objectiveMs * MAX_MARGIN_SHARE);
+  const latency = state.latencies.get(route.name) ?? createRouteLatency(route);
+  return {
+    call,
+    request,
+    route,
+    legs,
+    receivedAt: at,
+    deadlineAt: at + Math.max(1, Math.min(route.timeoutMs, patienceMs)),
+    objectiveAt: at + route.objectiveMs - margin,
+    hedgeAt: at + hedgeDelay(latency, route),
+    hedged: false,
+    answeredLegs: 0,
+    openLegs: legs.length,
+    timerAt: undefined,
+  };
+};
+
+const startRequest = (state: GatewayState, request: ActiveRequest, at: number): GatewayEffect[] => {
+  state.requests.set(request.call, request);
+  const effects: GatewayEffect[] = [];
+  for (const leg of request.legs) {
+    budgetOf(state, leg.service).countRequest(at);
+    const attempt = sendAttempt(state, request, leg, at);
+    if (attempt === undefined) {
+      leg.outcome = { type: 'unanswered' };
+      request.openLegs -= 1;
+    } else {
+      effects.push(attempt);
+    }
+  }
+  effects.push(...progressRequest(state, request, at));
+  return effects;
+};
+
+/** Handles `request-received`. */
+export const acceptRequest = (state: GatewayState, event: RequestReceived): GatewayEffect[] => {
+  const { call, request } = event;
+  if (state.inForce === undefined || !state.replicasListed) {
+    return [refuseCall(state, call, 'no-configuration', true)];
+  }
+  if (request.requestId === '') {
+    return [refuseCall(state, call, 'no-request-id', false)];
+  }
+  const route = state.inForce.table.find(request.host, request.path);
+  if (route === undefined) {
+    return [refuseCall(state, call, 'no-route', false)];
+  }
+  return startRequest(state, createRequest(state, route, event), event.at);
+};
--- /dev/null
+++ b/src/gateway/requests/attempts.ts
@@ -0,0 +1,207 @@
+/** Sends attempts to replicas and takes note of how they end. */
+import type { GatewayEffect, SendAttempt } from '../effect.js';
+import type { AttemptEnded } from '../event.js';
+import type { AttemptId, AttemptProblem } from '../model/request.js';
+import { type Replica, noteLatency, noteLoad, noteReplicaFailure } from '../replicas/replica.js';
+import { selectReplica, type SelectionPlace } from '../replicas/select-replica.js';
+import { budgetOf, type GatewayState } from '../state.js';
+import type { ActiveAttempt, ActiveRequest, Leg } from './request-state.js';
+import { addLatency, createRouteLatency, type RouteLatency } from './route-latency.js';
+
+/** Part of the time for which a leaving replica serves that is used, as a last resort. */
+const LEAVING_SHARE = 0.3;
+
+/** This gateway's part of the slack of a retry budget, in arrivals. */
+const SLACK_PART = 2;
+
+/** Connections to one replica where its service says nothing. */
+const DEFAULT_MAX_CONNECTIONS = 32;
+
+/** Gateways among which a replica's connections are divided. */
+const ASSUMED_GATEWAYS = 8;
+
+/** Tries of one leg beyond its runs: refusals and connections that failed. */
+const EXTRA_TRIES = 2;
+
+/** Problems that say nothing about the replica's health. */
+const HARMLESS_PROBLEMS: ReadonlySet<AttemptProblem> = new Set<AttemptProblem>([
+  'aborted',
+  'foreign-answer',
+  'no-connection',
+]);
+
+/** How long attempts for the route usually take. */
+export const latencyOf = (state: GatewayState, request: ActiveRequest): RouteLatency => {
+  const { route } = request;
+  const known = state.latencies.get(route.name);
+  if (known !== undefined) {
+    return known;
+  }
+  const latency = createRouteLatency(route);
+  state.latencies.set(route.name, latency);
+  return latency;
+};
+
+const placeOf = ({ settings }: GatewayState): SelectionPlace => ({
+  zone: settings.zone,
+  zoneRegions: settings.zoneRegions,
+  leavingMs: settings.bounds.drainMs * LEAVING_SHARE,
+});
+
+const maxConnectionsOf = (state: GatewayState, service: string): number => {
+  const shared = state.inForce?.configuration.services.get(service)?.maxConnections;
+  return Math.max(1, Math.floor((shared ?? DEFAULT_MAX_CONNECTIONS) / ASSUMED_GATEWAYS));
+};
+
+/** Whether the retry budget allows one more arrival; the first of a leg is free. */
+const takeBudget = (state: GatewayState, leg: Leg, at: number): boolean => {
+  if (leg.arrivals === 0) {
+    return true;
+  }
+  const { retryRatio, retryWindowMs } = state.settings.bounds;
+  const policy = { ratio: retryRatio, windowMs: retryWindowMs, slack: SLACK_PART };
+  return budgetOf(state, leg.service).take(policy, at);
+};
+
+const hasTriesLeft = (request: ActiveRequest, leg: Leg): boolean => {
+  const { maxAttempts, repeatable } = request.route;
+  const maxRuns = repeatable ? maxAttempts : 1;
+  return leg.runs < maxRuns && leg.tried.size < maxAttempts + EXTRA_TRIES;
+};
+
+/**
+ * Sends one more attempt for a leg. Returns undefined when none may be sent: no replica is left, the
+ * route's attempts are used up, or the retry budget is.
+ */
+export const sendAttempt = (
+  state: GatewayState,
+  request: ActiveRequest,
+  leg: Leg,
+  at: number,
+): SendAttempt | undefined => {
+  const remainingMs = Math.floor(request.deadlineAt - at);
+  if (!hasTriesLeft(request, leg) || remainingMs < 1) {
+    return undefined;
+  }
+  const replicas = state.replicas.of(leg.service);
+  const replica = selectReplica(replicas, leg.tried, placeOf(state), state.random, at);
+  if (replica === undefined || !takeBudget(state, leg, at)) {
+    return undefined;
+  }
+  return startAttempt(state, request, leg, replica, remainingMs, at);
+};
+
+const startAttempt = (
+  state: GatewayState,
+  request: ActiveRequest,
+  leg: Leg,
+  replica: Replica,
+  remainingMs: number,
+  at: number,
+): SendAttempt => {
+  const attempt: AttemptId = state.nextAttempt;
+  state.nextAttempt += 1;
+  const { record } = replica;
+  const { call, route } = request;
+  leg.tried.add(record.id);
+  leg.running.add(attempt);
+  leg.arrivals += 1;
+  leg.runs += 1;
+  replica.pending.set(attempt, { sentAt: at, expectedMs: latencyOf(state, request).median });
+  state.attempts.set(attempt, {
+    id: attempt,
+    call,
+    leg,
+    replica: record.id,
+    route: route.name,
+    sentAt: at,
+  });
+  const maxConnections = maxConnectionsOf(state, leg.service);
+  return { type: 'send-attempt', attempt, call, replica: record, remainingMs, maxConnections };
+};
+
+const noteAtReplica = (
+  state: GatewayState,
+  attempt: ActiveAttempt,
+  replica: Replica,
+  { result, at }: AttemptEnded,
+): void => {
+  switch (result.type) {
+    case 'answered': {
+      noteLoad(replica, result.load, at);
+      noteAnswer(state, attempt, replica, result.answer.status, at);
+      return;
+    }
+    case 'refused':
+      noteLoad(replica, result.load, at);
+      noteReplicaFailure(replica, at);
+      return;
+    case 'failed':
+      if (!HARMLESS_PROBLEMS.has(result.problem)) {
+        noteReplicaFailure(replica, at);
+      }
+  }
+};
+
+const FIRST_FAILURE_STATUS = 500;
+
+const noteAnswer = (
+  state: GatewayState,
+  attempt: ActiveAttempt,
+  replica: Replica,
+  status: number,
+  at: number,
+): void => {
+  if (status >= FIRST_FAILURE_STATUS) {
+    noteReplicaFailure(replica, at);
+    return;
+  }
+  const latency = state.latencies.get(attempt.route);
+  if (latency !== undefined) {
+    const elapsedMs = at - attempt.sentAt;
+    noteLatency(replica, elapsedMs / latency.median, at);
+    addLatency(latency, elapsedMs);
+  }
+};
+
+/** Takes an ended attempt out of the state, and notes what it says of its replica. */
+export const settleAttempt = (
+  state: GatewayState,
+  event: AttemptEnded,
+): ActiveAttempt | undefined => {
+  const attempt = state.attempts.get(event.attempt);
+  if (attempt === undefined) {
+    return undefined;
+  }
+  state.attempts.delete(attempt.id);
+  attempt.leg.running.delete(attempt.id);
+  countOutcome(attempt.leg, event);
+  const replica = state.replicas.find(attempt.replica);
+  if (replica !== undefined) {
+    replica.pending.delete(attempt.id);
+    noteAtReplica(state, attempt, replica, event);
+  }
+  return attempt;
+};
+
+/** An attempt that did not arrive, or was not run, is taken off the counts again. */
+const countOutcome = (leg: Leg, { result }: AttemptEnded): void => {
+  if (result.type === 'refused') {
+    leg.runs -= 1;
+    leg.refusedAsFull = result.reason === 'full';
+  }
+  if (result.type === 'failed' && !result.mayHaveRun) {
+    leg.runs -= 1;
+    leg.arrivals -= 1;
+  }
+};
+
+/** Gives up the attempts of a request that still run. */
+export const abortAttempts = (request: ActiveRequest, withinMs: number): GatewayEffect[] =>
+  request.legs.flatMap((leg) =>
+    [...leg.running].map((attempt): GatewayEffect => ({
+      type: 'abort-attempt',
+      attempt,
+      withinMs,
+    })),
+  );
--- /dev/null
+++ b/src/gateway/requests/progress.ts
@@ -0,0 +1,120 @@
+/** Decides what a request does next: end, hedge, or wait. */
+import type { GatewayEffect } from '../effect.js';
+import type { GatherTarget } from '../model/route.js';
+import type { GatewayState } from '../state.js';
+import { sendAttempt } from './attempts.js';
+import { finishGather, finishRequest, giveUp } from './finish.js';
+import type { ActiveRequest, Leg } from './request-state.js';
+
+/** Slack of the comparison of shares, for products such as 0.89 x 100. */
+const COVERAGE_EPSILON = 1e-9;
+
+const neededLegs = (target: GatherTarget): number =>
+  Math.max(1, Math.ceil(target.minCoverage * target.shards.length - COVERAGE_EPSILON));
+
+const canComplete = (request: ActiveRequest, needed: number): boolean =>
+  request.answeredLegs + request.openLegs >= needed;
+
+const progressGather = (
+  state: GatewayState,
+  request: ActiveRequest,
+  target: GatherTarget,
+  at: number,
+): GatewayEffect[] => {
+  const needed = neededLegs(target);
+  if (!canComplete(request, needed)) {
+    return giveUp(state, request, reasonOf(request));
+  }
+  const isEnough = request.answeredLegs >= needed;
+  const mustAnswer = request.openLegs === 0 || at >= request.objectiveAt;
+  if (isEnough && mustAnswer) {
+    return finishGather(state, request, target.maxRecords);
+  }
+  return waitOrHedge(state, request, at);
+};
+
+const reasonOf = (request: ActiveRequest): 'too-few-shards' | 'no-replica' | 'replicas-full' => {
+  if (request.legs.some((leg) => leg.refusedAsFull)) {
+    return 'replicas-full';
+  }
+  return request.legs.every((leg) => leg.tried.size === 0) ? 'no-replica' : 'too-few-shards';
+};
+
+const progressSingle = (
+  state: GatewayState,
+  request: ActiveRequest,
+  at: number,
+): GatewayEffect[] => {
+  const [leg] = request.legs;
+  if (leg === undefined) {
+    return giveUp(state, request, 'no-replica');
+  }
+  if (leg.outcome?.type === 'answered') {
+    return finishRequest(state, request, { type: 'pass-through', answer: leg.outcome.answer });
+  }
+  if (leg.outcome?.type === 'unanswered') {
+    return leg.failure === undefined
+      ? giveUp(state, request, reasonOfLeg(leg))
+      : finishRequest(state, request, { type: 'pass-through', answer: leg.failure });
+  }
+  return waitOrHedge(state, request, at);
+};
+
+const reasonOfLeg = (leg: Leg): 'no-replica' | 'replicas-full' | 'answer-lost' => {
+  if (leg.runs > 0) {
+    return 'answer-lost';
+  }
+  return leg.refusedAsFull ? 'replicas-full' : 'no-replica';
+};
+
+const hedgeLegs = (state: GatewayState, request: ActiveRequest, at: number): GatewayEffect[] => {
+  request.hedged = true;
+  if (!request.route.repeatable) {
+    return [];
+  }
+  return request.legs.flatMap((leg) => {
+    if (leg.outcome !== undefined) {
+      return [];
+    }
+    const attempt = sendAttempt(state, request, leg, at);
+    return attempt === undefined ? [] : [attempt];
+  });
+};
+
+const waitOrHedge = (state: GatewayState, request: ActiveRequest, at: number): GatewayEffect[] => {
+  if (at >= request.deadlineAt) {
+    return giveUp(state, request, 'deadline');
+  }
+  const hedges = !request.hedged && at >= request.hedgeAt ? hedgeLegs(state, request, at) : [];
+  return [...hedges, ...setTimer(request, nextDue(request, at))];
+};
+
+const setTimer = (request: ActiveRequest, dueAt: number): GatewayEffect[] => {
+  if (request.timerAt === dueAt) {
+    return [];
+  }
+  request.timerAt = dueAt;
+  return [{ type: 'set-request-timer', call: request.call, at: dueAt }];
+};
+
+const nextDue = (
+  { hedged, hedgeAt, objectiveAt, deadlineAt }: ActiveRequest,
+  at: number,
+): number => {
+  if (!hedged) {
+    return Math.min(hedgeAt, deadlineAt);
+  }
+  return at < objectiveAt ? Math.min(objectiveAt, deadlineAt) : deadlineAt;
+};
+
+/** Ends the request if that is due; otherwise hedges what is slow and sets its timer. */
+export const progressRequest = (
+  state: GatewayState,
+  request: ActiveRequest,
+  at: number,
+): GatewayEffect[] => {
+  const { target } = request.route;
+  return target.type === 'gather'
+    ? progressGather(state, request, target, at)
+    : progressSingle(state, request, at);
+};
--- /dev/null
+++ b/src/gateway/requests/request-state.ts
@@ -0,0 +1,68 @@
+/** Requests in progress: each has one leg, or one for each shard. */
+import type { Route } from '../model/route.js';
+import type { AttemptId, CallerRequest, CallId, ReplicaAnswer } from '../model/request.js';
+
+/** The part of a request that one service answers. */
+export interface Leg {
+  readonly service: string;
+  /** Identifiers of replicas that the request was sent to. */
+  readonly tried: Set<string>;
+  /** Attempts that run. */
+  readonly running: Set<AttemptId>;
+  /** Attempts that reached a replica, or may have. */
+  arrivals: number;
+  /** Attempts that a replica ran, or may have. */
+  runs: number;
+  /** What ended the leg. */
+  outcome: LegOutcome | undefined;
+  /** The last failure of a replica, passed on when nothing better comes. */
+  failure: ReplicaAnswer | undefined;
+  /** The last attempt was refused by a full replica. */
+  refusedAsFull: boolean;
+}
+
+/** How a leg ended. */
+export type LegOutcome =
+  { readonly type: 'answered'; readonly answer: ReplicaAnswer } | { readonly type: 'unanswered' };
+
+/** A request in progress. */
+export interface ActiveRequest {
+  readonly call: CallId;
+  readonly request: CallerRequest;
+  readonly route: Route;
+  readonly legs: readonly Leg[];
+  readonly receivedAt: number;
+  /** When the final answer is due, whatever has come. */
+  readonly deadlineAt: number;
+  /** When an answer must leave to be in time for the objective. */
+  readonly objectiveAt: number;
+  /** When legs without an answer get a second attempt. */
+  readonly hedgeAt: number;
+  hedged: boolean;
+  answeredLegs: number;
+  openLegs: number;
+  /** When the request's timer is due; undefined before it is first set. */
+  timerAt: number | undefined;
+}
+
+/** An attempt at a replica that has not ended. */
+export interface ActiveAttempt {
+  readonly id: AttemptId;
+  readonly call: CallId;
+  readonly leg: Leg;
+  readonly replica: string;
+  readonly route: string;
+  readonly sentAt: number;
+}
+
+/** Creates a leg without attempts. */
+export const createLeg = (service: string): Leg => ({
+  service,
+  tried: new Set(),
+  running: new Set(),
+  arrivals: 0,
+  runs: 0,
+  outcome: undefined,
+  failure: undefined,
+  refusedAsFull: false,
+});
--- /dev/null
+++ b/src/gateway/requests/take-result.ts
@@ -0,0 +1,91 @@
+/** Takes the end of an attempt: an answer ends its leg, a failure may be followed by a retry. */
+import type { GatewayEffect } from '../effect.js';
+import type { AttemptEnded, CallerLeft, RequestDue } from '../event.js';
+import type { AttemptResult, ReplicaAnswer } from '../model/request.js';
+import type { GatewayState } from '../state.js';
+import { abortAttempts, sendAttempt, settleAttempt } from './attempts.js';
+import { progressRequest } from './progress.js';
+import type { ActiveRequest, Leg } from './request-state.js';
+
+const isSuccess = ({ status }: ReplicaAnswer): boolean => status >= 200 && status < 300;
+
+const FIRST_FAILURE_STATUS = 500;
+
+/** A success counts with its signature only; a gather takes nothing but successes. */
+const isUsable = (request: ActiveRequest, answer: ReplicaAnswer): boolean => {
+  if (isSuccess(answer)) {
+    return answer.signature !== undefined;
+  }
+  return request.route.target.type !== 'gather' && answer.status < FIRST_FAILURE_STATUS;
+};
+
+const endLeg = (request: ActiveRequest, leg: Leg, answer: ReplicaAnswer | undefined): void => {
+  leg.outcome = answer === undefined ? { type: 'unanswered' } : { type: 'answered', answer };
+  request.openLegs -= 1;
+  if (answer !== undefined) {
+    request.answeredLegs += 1;
+  }
+};
+
+const retryLeg = (
+  state: GatewayState,
+  request: ActiveRequest,
+  leg: Leg,
+  at: number,
+): GatewayEffect[] => {
+  const attempt = sendAttempt(state, request, leg, at);
+  if (attempt !== undefined) {
+    return [attempt];
+  }
+  if (leg.running.size === 0) {
+    endLeg(request, leg, undefined);
+  }
+  return [];
+};
+
+const takeLegResult = (
+  state: GatewayState,
+  request: ActiveRequest,
+  leg: Leg,
+  result: AttemptResult,
+  at: number,
+): GatewayEffect[] => {
+  if (result.type === 'answered' && isUsable(request, result.answer)) {
+    endLeg(request, leg, result.answer);
+    return [];
+  }
+  if (result.type === 'answered' && result.answer.status >= FIRST_FAILURE_STATUS) {
+    leg.failure = result.answer;
+  }
+  return retryLeg(state, request, leg, at);
+};
+
+/** Handles `attempt-ended`. */
+export const takeResult = (state: GatewayState, event: AttemptEnded): GatewayEffect[] => {
+  const attempt = settleAttempt(state, event);
+  const request = attempt === undefined ? undefined : state.requests.get(attempt.call);
+  if (attempt === undefined || request === undefined || attempt.leg.outcome !== undefined) {
+    return [];
+  }
+  const effects = takeLegResult(state, request, attempt.leg, event.result, event.at);
+  if (attempt.leg.outcome === undefined) {
+    return effects;
+  }
+  return [...effects, ...progressRequest(state, request, event.at)];
+};
+
+/** Handles `request-due`. */
+export const takeRequestDue = (state: GatewayState, { call, at }: RequestDue): GatewayEffect[] => {
+  const request = state.requests.get(call);
+  return request === undefined ? [] : progressRequest(state, request, at);
+};
+
+/** Handles `caller-left`: replicas are told at once, by closing their connections. */
+export const takeCallerLeft = (state: GatewayState, { call }: CallerLeft): GatewayEffect[] => {
+  const request = state.requests.get(call);
+  if (request === undefined) {
+    return [];
+  }
+  state.requests.delete(call);
+  return [{ type: 'forget-call', call }, ...abortAttempts(request, 0)];
+};
--- /dev/null
+++ b/src/gateway/routing/route-table.ts
@@ -0,0 +1,47 @@
+/** Finds the route of a request by host and longest path prefix. */
+import type { Route } from '../model/route.js';
+
+/** The routes of one version of the configuration, arranged for look-up. */
+export class RouteTable {
+  private readonly byHost = new Map<string, Map<string, Route>>();
+
+  constructor(routes: readonly Route[]) {
+    for (const route of routes) {
+      const host = route.host.toLowerCase();
+      const prefixes = this.byHost.get(host) ?? new Map<string, Route>();
+      this.byHost.set(host, prefixes);
+      prefixes.set(route.pathPrefix, route);
+    }
+  }
+
+  /** The route of `host` whose prefix begins `path` and is longest. */
+  find(host: string, path: string): Route | undefined {
+    const prefixes = this.byHost.get(hostWithoutPort(host));
+    if (prefixes === undefined) {
+      return undefined;
+    }
+    const pathname = withoutQuery(path);
+    for (
+      let end = pathname.lastIndexOf('/');
+      end >= 0;
+      end = end === 0 ? -1 : pathname.lastIndexOf('/', end - 1)
+    ) {
+      const route = prefixes.get(pathname.slice(0, end + 1));
+      if (route !== undefined) {
+        return route;
+      }
+    }
+    return undefined;
+  }
+}
+
+const hostWithoutPort = (host: string): string => {
+  const lower = host.toLowerCase();
+  const colon = lower.lastIndexOf(':');
+  return colon > lower.lastIndexOf(']') ? lower.slice(0, colon) : lower;
+};
+
+const withoutQuery = (path: string): string => {
+  const query = path.indexOf('?');
+  return query < 0 ? path : path.slice(0, query);
+};
--- /dev/null
+++ b/src/gateway/runtime/answer-reader.ts
@@ -0,0 +1,162 @@
+/**
+ * Reads one answer of a replica and decides whether it is whole and belongs to the request. An
+ * answer that is cut off, spoilt, encoded or another request's is none.
+ */
+import type { Dispatcher } from 'undici';
+import type { AttemptProblem, AttemptResult, Header, ReplicaAnswer } from '../model/request.js';
+import type { GatewayProtocol } from '../protocol/protocol.js';
+import { findHeader } from './headers.js';
+import type { ReplicaConnection } from './replica-connection.js';
+
+/** Largest answer that is held, in bytes. */
+const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+
+/** Status by which a replica says that it is not the instance that was asked for. */
+const MISDIRECTED_STATUS = 421;
+
+const PROBLEM_OF_FAULT = {
+  none: 'reset',
+  'connect-refused': 'connect-refused',
+  'connect-timeout': 'connect-timeout',
+  'socket-error': 'reset',
+} as const;
+
+type AnswerHeaders = Readonly<Record<string, string | string[] | undefined>>;
+
+const toHeaders = (headers: AnswerHeaders): Header[] =>
+  Object.entries(headers).flatMap(([name, value]) => {
+    if (value === undefined) {
+      return [];
+    }
+    return Array.isArray(value) ? value.map((each) => ({ name, value: each })) : [{ name, value }];
+  });
+
+/** How an exchange over a connection ended. */
+export interface ExchangeEnd {
+  readonly result: AttemptResult;
+  /** The connection may be used again. */
+  readonly reusable: boolean;
+}
+
+/** Handles the answer of one request. */
+export class AnswerReader implements Dispatcher.DispatchHandler {
+  private controller: Dispatcher.DispatchController | undefined;
+  private status = 0;
+  private headers: Header[] = [];
+  private readonly chunks: Buffer[] = [];
+  private size = 0;
+  private over = false;
+  private abortReason: AttemptProblem | undefined;
+
+  constructor(
+    private readonly connection: ReplicaConnection,
+    private readonly protocol: GatewayProtocol,
+    private readonly requestId: string,
+    private readonly onEnd: (end: ExchangeEnd) => void,
+  ) {}
+
+  /** Ends the exchange and closes the connection. */
+  abort(reason: AttemptProblem): void {
+    this.abortReason ??= reason;
+    this.controller?.abort(new Error(reason));
+    this.end({ result: this.failure(reason), reusable: false });
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.controller = controller;
+    if (this.over) {
+      controller.abort(new Error('given up'));
+    }
+  }
+
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+    headers: AnswerHeaders,
+  ): void {
+    this.status = status;
+    this.headers = toHeaders(headers);
+  }
+
+  onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.size += chunk.length;
+    if (this.size > MAX_ANSWER_BYTES) {
+      this.abort('bad-answer');
+      return;
+    }
+    this.chunks.push(chunk);
+  }
+
+  onResponseEnd(): void {
+    this.end(this.readEnd());
+  }
+
+  onResponseError(): void {
+    this.end({ result: this.failure(this.problemOfError()), reusable: false });
+  }
+
+  private problemOfError(): AttemptProblem {
+    if (this.abortReason !== undefined) {
+      return this.abortReason;
+    }
+    return this.status > 0 ? 'cut-off' : PROBLEM_OF_FAULT[this.connection.fault];
+  }
+
+  private failure(problem: AttemptProblem): AttemptResult {
+    return { type: 'failed', problem, mayHaveRun: this.connection.connected };
+  }
+
+  private end(end: ExchangeEnd): void {
+    if (!this.over) {
+      this.over = true;
+      this.onEnd(end);
+    }
+  }
+
+  private readEnd(): ExchangeEnd {
+    const problem = this.problemOfAnswer();
+    if (problem !== undefined) {
+      return { result: this.failure(problem), reusable: false };
+    }
+    const closing = (findHeader(this.headers, 'connection') ?? '').toLowerCase().includes('close');
+    return { result: this.readResult(closing), reusable: !closing };
+  }
+
+  /** An answer whose end is the end of the connection is cut off when the connection was reset. */
+  private problemOfAnswer(): AttemptProblem | undefined {
+    const { headers } = this.protocol;
+    if (this.connection.fault !== 'none') {
+      return 'cut-off';
+    }
+    const echoed = findHeader(this.headers, headers.requestId);
+    if (echoed !== undefined && echoed !== this.requestId) {
+      return 'foreign-answer';
+    }
+    const encoding = findHeader(this.headers, 'content-encoding');
+    return encoding === undefined || encoding === 'identity' ? undefined : 'bad-answer';
+  }
+
+  private readResult(closing: boolean): AttemptResult {
+    const { headers, readLoad } = this.protocol;
+    const loadText = findHeader(this.headers, headers.load);
+    const load = loadText === undefined ? undefined : readLoad(loadText);
+    const known = load === undefined ? {} : { load };
+    const isWrongInstance = this.status === MISDIRECTED_STATUS;
+    if (isWrongInstance || findHeader(this.headers, headers.notExecuted) !== undefined) {
+      return { type: 'refused', reason: isWrongInstance ? 'wrong-instance' : 'full', ...known };
+    }
+    return { type: 'answered', answer: this.readAnswer(), closing, ...known };
+  }
+
+  private readAnswer(): ReplicaAnswer {
+    const signature = findHeader(this.headers, this.protocol.headers.signature);
+    const [first] = this.chunks;
+    const body = this.chunks.length === 1 && first ? first : Buffer.concat(this.chunks);
+    return {
+      status: this.status,
+      headers: this.headers,
+      body,
+      ...(signature !== undefined && { signature }),
+    };
+  }
+}
--- /dev/null
+++ b/src/gateway/runtime/format-response.ts
@@ -0,0 +1,88 @@
+/** Formats the final answers to callers. */
+import type {
+  CallerResponse,
+  Header,
+  MergedAnswer,
+  PassThrough,
+  Refusal,
+} from '../model/request.js';
+import type { HeaderNames } from '../protocol/protocol.js';
+import { endToEndHeaders } from './headers.js';
+
+/** An answer as it is sent. */
+export interface WireResponse {
+  readonly status: number;
+  readonly headers: readonly Header[];
+  readonly body: Uint8Array;
+}
+
+const OK_STATUS = 200;
+const BAD_REQUEST_STATUS = 400;
+const NOT_FOUND_STATUS = 404;
+const BAD_GATEWAY_STATUS = 502;
+const UNAVAILABLE_STATUS = 503;
+const TIMEOUT_STATUS = 504;
+
+const MS_PER_SECOND = 1_000;
+
+/** The length is set anew where the answer is sent. */
+const LENGTH_HEADER: ReadonlySet<string> = new Set(['content-length']);
+
+/** What has not run and never will is answered 503; nothing is promised otherwise. */
+const statusOf = ({ reason, mayHaveRun }: Refusal): number => {
+  if (reason === 'no-route') {
+    return NOT_FOUND_STATUS;
+  }
+  if (reason === 'no-request-id') {
+    return BAD_REQUEST_STATUS;
+  }
+  if (!mayHaveRun) {
+    return UNAVAILABLE_STATUS;
+  }
+  return reason === 'deadline' ? TIMEOUT_STATUS : BAD_GATEWAY_STATUS;
+};
+
+const formatRefusal = (refusal: Refusal): WireResponse => {
+  const { retryAfterMs, reason } = refusal;
+  const retryAfter =
+    retryAfterMs === undefined
+      ? []
+      : [{ name: 'retry-after', value: String(retryAfterMs / MS_PER_SECOND) }];
+  const body = Buffer.from(JSON.stringify({ error: reason }));
+  return {
+    status: statusOf(refusal),
+    headers: [{ name: 'content-type', value: 'application/json' }, ...retryAfter],
+    body,
+  };
+};
+
+const formatMerged = (
+  { signatures, missingShards, body }: MergedAnswer,
+  names: HeaderNames,
+): WireResponse => ({
+  status: OK_STATUS,
+  headers: [
+    { name: 'content-type', value: 'application/octet-stream' },
+    { name: names.partSignatures, value: signatures.join(', ') },
+    { name: names.missingParts, value: String(missingShards) },
+  ],
+  body,
+});
+
+const formatPassThrough = ({ answer }: PassThrough): WireResponse => ({
+  status: answer.status,
+  headers: endToEndHeaders(answer.headers, LENGTH_HEADER),
+  body: answer.body,
+});
+
+/** Formats the final answer to a caller. */
+export const formatResponse = (response: CallerResponse, names: HeaderNames): WireResponse => {
+  switch (response.type) {
+    case 'pass-through':
+      return formatPassThrough(response);
+    case 'merged':
+      return formatMerged(response, names);
+    case 'refusal':
+      return formatRefusal(response);
+  }
+};
--- /dev/null
+++ b/src/gateway/runtime/read-text.ts
@@ -0,0 +1,62 @@
+/** Makes one GET call over a client and reads its answer as text. */
+import type { Dispatcher } from 'undici';
+import type { Client } from './undici-client.js';
+
+/** A whole answer. */
+export interface TextAnswer {
+  readonly status: number;
+  readonly body: string;
+}
+
+/** The error of a call that was not answered in time. */
+export class CallTimeoutError extends Error {
+  override readonly name = 'CallTimeoutError';
+}
+
+/** Collects an answer and hands it on when it is whole. */
+class TextReader implements Dispatcher.DispatchHandler {
+  private status = 0;
+  private readonly chunks: Buffer[] = [];
+
+  constructor(
+    private readonly resolve: (answer: TextAnswer) => void,
+    private readonly reject: (error: Error) => void,
+  ) {}
+
+  /** The client tells handlers of the two kinds apart by this method. */
+  onRequestStart(): void {
+    this.status = 0;
+  }
+
+  onResponseStart(_controller: Dispatcher.DispatchController, status: number): void {
+    this.status = status;
+  }
+
+  onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.chunks.push(chunk);
+  }
+
+  onResponseEnd(): void {
+    this.resolve({ status: this.status, body: Buffer.concat(this.chunks).toString('utf8') });
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    this.reject(error);
+  }
+}
+
+/** Reads `path`; rejects when there is no whole answer within `timeoutMs`. */
+export const readText = (client: Client, path: string, timeoutMs: number): Promise<TextAnswer> =>
+  new Promise((resolve, reject) => {
+    const timer = setTimeout(
+      () => reject(new CallTimeoutError(`no answer in ${timeoutMs} ms`)),
+      timeoutMs,
+    );
+    const settled = <Value>(settle: (value: Value) => void): ((value: Value) => void) => {
+      return (value) => {
+        clearTimeout(timer);
+        settle(value);
+      };
+    };
+    client.dispatch({ method: 'GET', path }, new TextReader(settled(resolve), settled(reject)));
+  });
--- /dev/null
+++ b/src/gateway/runtime/start-gateway.ts
@@ -0,0 +1,159 @@
+/** Starts a gateway: opens its ports, builds its parts and runs the reducer over them. */
+import { randomInt } from 'node:crypto';
+import { match } from 'ts-pattern';
+import { createMonotonicClock, type MonotonicClock } from '../../runtime/monotonic-clock.js';
+import type {
+  AbortAttempt,
+  AnswerCaller,
+  GatewayEffect,
+  GatewayLogPart,
+  SendAttempt,
+  SetRequestTimer,
+} from '../effect.js';
+import type { GatewayProtocol } from '../protocol/protocol.js';
+import type { GatewaySettings } from '../settings.js';
+import { createGatewayState, type GatewayState } from '../state.js';
+import { CallerPort } from './caller-port.js';
+import { CallerRequests } from './caller-requests.js';
+import { GatewayLoop } from './gateway-loop.js';
+import { GatewayTimers } from './gateway-timers.js';
+import { ReadinessPort } from './readiness-port.js';
+import { ReplicaClient } from './replica-client.js';
+import { StoreClient } from './store-client.js';
+
+/** Bound of a drawn seed. */
+const SEED_RANGE = 0x7fff_ffff;
+
+/** Writes one line of the log. */
+export type GatewayLog = (
+  level: 'debug' | 'info' | 'warn' | 'error',
+  part: GatewayLogPart,
+  sentence: string,
+) => void;
+
+/** Effects that each request asks for. */
+type FrequentEffect = SendAttempt | AbortAttempt | AnswerCaller | SetRequestTimer;
+
+/** A gateway that runs. */
+export interface RunningGateway {
+  readonly state: GatewayState;
+  /** Resolves when the process may end. */
+  readonly ended: Promise<void>;
+  /** Finishes what is in progress and ends. */
+  stop(): void;
+  /** Takes settings that were read again. */
+  reload(settings: GatewaySettings): void;
+}
+
+/** The parts of one gateway. */
+class GatewayProcess implements RunningGateway {
+  readonly ended: Promise<void>;
+  readonly state: GatewayState;
+  private readonly clock: MonotonicClock = createMonotonicClock();
+  private readonly loop: GatewayLoop;
+  private readonly timers: GatewayTimers;
+  private readonly callers: CallerPort;
+  private readonly readiness: ReadinessPort;
+  private readonly replicas: ReplicaClient;
+  private readonly store: StoreClient;
+  private finish: () => void = () => undefined;
+
+  constructor(
+    settings: GatewaySettings,
+    protocol: GatewayProtocol,
+    private readonly log: GatewayLog,
+  ) {
+    this.state = createGatewayState(settings, randomInt(SEED_RANGE));
+    this.ended = new Promise((resolve) => {
+      this.finish = resolve;
+    });
+    const { clock } = this;
+    const sink = new GatewayLoop(this.state, (effect) => this.carryOut(effect));
+    const requests = new CallerRequests();
+    this.loop = sink;
+    this.timers = new GatewayTimers(clock, sink);
+    this.callers = new CallerPort({ protocol, requests, clock, sink });
+    this.readiness = new ReadinessPort(protocol.readinessPath);
+    this.replicas = new ReplicaClient({ protocol, requests, clock, sink });
+    this.store = new StoreClient({ address: settings.store, format: protocol.store, clock, sink });
+  }
+
+  async begin(): Promise<void> {
+    const { settings } = this.state;
+    await Promise.all([
+      this.callers.listen(settings.callers),
+      this.readiness.listen(settings.readiness),
+    ]);
+    this.loop.emit({ type: 'started', at: this.clock.now() });
+  }
+
+  stop(): void {
+    this.loop.emit({ type: 'stop-requested', at: this.clock.now() });
+  }
+
+  reload(settings: GatewaySettings): void {
+    this.loop.emit({ type: 'settings-reloaded', at: this.clock.now(), settings });
+  }
+
+  private carryOut(effect: GatewayEffect): void {
+    switch (effect.type) {
+      case 'send-attempt':
+        return this.replicas.send(effect);
+      case 'abort-attempt':
+        return this.replicas.abort(effect.attempt, effect.withinMs);
+      case 'answer-caller':
+        this.timers.cancel(effect.call);
+        return this.callers.answer(effect);
+      case 'set-request-timer':
+        return this.timers.set(effect.call, effect.at);
+      default:
+        this.carryOutRare(effect);
+    }
+  }
+
+  /** Effects that no request asks for. */
+  private carryOutRare(effect: Exclude<GatewayEffect, FrequentEffect>): void {
+    match(effect)
+      .with({ type: 'forget-call' }, ({ call }) => {
+        this.timers.cancel(call);
+        this.callers.forget(call);
+      })
+      .with({ type: 'close-replica' }, ({ replica }) => this.replicas.close(replica))
+      .with({ type: 'call-store' }, ({ call }) => this.store.call(call))
+      .with({ type: 'set-collection-timer' }, ({ collection, at }) =>
+        this.timers.set(collection, at),
+      )
+      .with({ type: 'set-stop-timer' }, ({ at }) => this.timers.set('stop', at))
+      .with({ type: 'set-readiness' }, ({ ready }) => this.readiness.setReady(ready))
+      .with({ type: 'apply-limits' }, ({ limits }) => this.callers.applyLimits(limits))
+      .with({ type: 'close-caller-port' }, () => this.callers.closePort())
+      .with({ type: 'end-process' }, () => this.end())
+      .with({ type: 'write-log' }, ({ level, part, sentence }) => this.log(level, part, sentence))
+      .exhaustive();
+  }
+
+  private end(): void {
+    this.loop.halt();
+    this.timers.close();
+    this.callers.destroy();
+    this.readiness.close();
+    this.replicas.destroy();
+    this.store.destroy();
+    this.finish();
+  }
+}
+
+/**
+ * Starts a gateway.
+ *
+ * @throws when a port cannot be opened.
+ */
+export const startGateway = async (
+  settings: GatewaySettings,
+  protocol: GatewayProtocol,
+  log: GatewayLog,
+): Promise<RunningGateway> => {
+  const gateway = new GatewayProcess(settings, protocol, log);
+  await gateway.begin();
+  return gateway;
+};
--- /dev/null
+++ b/src/gateway/settings.ts
@@ -0,0 +1,39 @@
+/** Settings of a gateway process, after checks. */
+import type { HostPort } from '../settings/node-settings.js';
+import type { LogLevel } from '../settings/log-level.js';
+
+/** Bounds that the operators of the tier promise or ask for. */
+export interface GatewayBounds {
+  /** Time for which a replica that leaves still serves, in milliseconds. */
+  readonly drainMs: number;
+  /** Time between the request to stop and the end of the process by force, in milliseconds. */
+  readonly graceMs: number;
+  /** Time within which an accepted configuration must be in force, in milliseconds. */
+  readonly configurationMs: number;
+  /** Extra arrivals at a service that each request allows, over all gateways. */
+  readonly retryRatio: number;
+  /** Sliding window of that ratio, in milliseconds. */
+  readonly retryWindowMs: number;
+  /** Extra arrivals at a service in a window besides the ratio, over all gateways. */
+  readonly retrySlack: number;
+}
+
+/** What a gateway runs with. */
+export interface GatewaySettings {
+  /** Unique over all gateways. */
+  readonly node: string;
+  readonly zone: string;
+  /** The region of each zone. */
+  readonly zoneRegions: Readonly<Record<string, string>>;
+  /** Where callers connect, over HTTP. */
+  readonly callers: HostPort;
+  /** Where the load balancer asks for readiness, over HTTP. */
+  readonly readiness: HostPort;
+  /** Where other gateways send datagrams. */
+  readonly peers: HostPort;
+  /** Gateways to ask first; may be stale. */
+  readonly seeds: readonly HostPort[];
+  readonly store: HostPort;
+  readonly bounds: GatewayBounds;
+  readonly logLevel: LogLevel;
+}
--- /dev/null
+++ b/src/gateway/state.ts
@@ -0,0 +1,78 @@
+/** The state of a gateway; the reducer owns it and updates it in place. */
+import { createRandom, type Random } from '../core/random.js';
+import { RetryBudget } from './budget/retry-budget.js';
+import type { GatewayConfiguration } from './model/route.js';
+import type { AttemptId, CallId } from './model/request.js';
+import { ReplicaDirectory } from './replicas/directory.js';
+import type { ActiveAttempt, ActiveRequest } from './requests/request-state.js';
+import type { RouteLatency } from './requests/route-latency.js';
+import type { RouteTable } from './routing/route-table.js';
+import type { SplitCursor } from './routing/split-cursor.js';
+import type { GatewaySettings } from './settings.js';
+import type { CollectionName } from './store/collection.js';
+import { type CollectionProgress, createCollectionProgress } from './store/follow-collection.js';
+
+/** Where the process stands between start and end. */
+export type LifecyclePhase = 'starting' | 'serving' | 'stopping' | 'ended';
+
+/** The configuration in force. */
+export interface ConfigurationInForce {
+  readonly configuration: GatewayConfiguration;
+  readonly table: RouteTable;
+  readonly since: number;
+}
+
+/** Everything that a gateway knows. */
+export interface GatewayState {
+  settings: GatewaySettings;
+  readonly random: Random;
+  phase: LifecyclePhase;
+  /** When the request to stop came. */
+  stoppingSince: number;
+  /** What the load balancer was told last. */
+  ready: boolean;
+  inForce: ConfigurationInForce | undefined;
+  readonly collections: Readonly<Record<CollectionName, CollectionProgress>>;
+  /** All replicas have been listed once. */
+  replicasListed: boolean;
+  readonly replicas: ReplicaDirectory;
+  readonly requests: Map<CallId, ActiveRequest>;
+  readonly attempts: Map<AttemptId, ActiveAttempt>;
+  nextAttempt: AttemptId;
+  readonly budgets: Map<string, RetryBudget>;
+  readonly latencies: Map<string, RouteLatency>;
+  readonly splits: Map<string, SplitCursor>;
+}
+
+/** Creates the state of a gateway that has just started. */
+export const createGatewayState = (settings: GatewaySettings, seed: number): GatewayState => ({
+  settings,
+  random: createRandom(seed),
+  phase: 'starting',
+  stoppingSince: Number.POSITIVE_INFINITY,
+  ready: false,
+  inForce: undefined,
+  collections: {
+    configuration: createCollectionProgress('configuration'),
+    replicas: createCollectionProgress('replicas'),
+  },
+  replicasListed: false,
+  replicas: new ReplicaDirectory(),
+  requests: new Map(),
+  attempts: new Map(),
+  nextAttempt: 1,
+  budgets: new Map(),
+  latencies: new Map(),
+  splits: new Map(),
+});
+
+/** The retry budget of a service. */
+export const budgetOf = (state: GatewayState, service: string): RetryBudget => {
+  const known = state.budgets.get(service);
+  if (known !== undefined) {
+    return known;
+  }
+  const budget = new RetryBudget(state.settings.bounds.retryWindowMs);
+  state.budgets.set(service, budget);
+  return budget;
+};
