--- a/eslint.config.js
+++ b/eslint.config.js
@@ -5,7 +5,17 @@
 const OUTSIDE_CORE = ['runtime', 'simulation', 'standins', 'cli', 'settings', 'reports'];
 
 export default tseslint.config(
-  { ignores: ['dist/**', 'target/**', 'journal/**', 'node_modules/**', 'out/**', 'coverage/**', 'spec/build/**'] },
+  {
+    ignores: [
+      'dist/**',
+      'target/**',
+      'journal/**',
+      'node_modules/**',
+      'out/**',
+      'coverage/**',
+      'spec/build/**',
+    ],
+  },
   js.configs.recommended,
   ...tseslint.configs.strict,
   {
