--- a/src/gateway/runtime/caller-requests.ts
+++ b/src/gateway/runtime/caller-requests.ts
@@ -1,8 +1,10 @@
 /** Requests of callers that have no answer yet, with their bytes. */
 import type { CallId, Header } from '../model/request.js';
+import type { HeaderNames } from '../protocol/protocol.js';
+import { endToEndHeaders, flattenHeaders } from './headers.js';
 
 /** A request as it came from its caller. */
-export interface HeldRequest {
+export interface ReceivedRequest {
   readonly method: string;
   /** Path and query, unchanged. */
   readonly path: string;
@@ -11,12 +13,29 @@
   readonly body: Buffer | null;
 }
 
+/** A request that is held until its answer. */
+export interface HeldRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly requestId: string;
+  /** What is passed on to replicas: a flat list of names and values. */
+  readonly passedHeaders: readonly string[];
+  readonly body: Buffer | null;
+}
+
 /** The requests in progress. */
 export class CallerRequests {
   private readonly held = new Map<CallId, HeldRequest>();
+  /** Headers that the gateway, or its HTTP client, sets itself. */
+  private readonly ownHeaders: ReadonlySet<string>;
+
+  constructor({ timeBudget, targetInstance }: HeaderNames) {
+    this.ownHeaders = new Set([timeBudget, targetInstance, 'content-length', 'expect']);
+  }
 
-  add(call: CallId, request: HeldRequest): void {
-    this.held.set(call, request);
+  add(call: CallId, { method, path, requestId, headers, body }: ReceivedRequest): void {
+    const passedHeaders = flattenHeaders(endToEndHeaders(headers, this.ownHeaders));
+    this.held.set(call, { method, path, requestId, passedHeaders, body });
   }
 
   find(call: CallId): HeldRequest | undefined {
--- a/src/gateway/runtime/replica-client.ts
+++ b/src/gateway/runtime/replica-client.ts
@@ -6,7 +6,6 @@
 import { AnswerReader, type ExchangeEnd } from './answer-reader.js';
 import type { CallerRequests } from './caller-requests.js';
 import type { GatewayEventSink } from './gateway-loop.js';
-import { endToEndHeaders, flattenHeaders } from './headers.js';
 import { ReplicaConnection, type WireRequest } from './replica-connection.js';
 
 /** How long after its deadline an attempt is given up, in milliseconds. */
@@ -36,18 +35,8 @@
 export class ReplicaClient {
   private readonly pools = new Map<string, Pool>();
   private readonly running = new Map<AttemptId, RunningAttempt>();
-  /** Headers of callers that the gateway sets itself. */
-  private readonly ownHeaders: ReadonlySet<string>;
-
-  constructor(private readonly context: ReplicaClientContext) {
-    const { headers } = context.protocol;
-    this.ownHeaders = new Set([
-      headers.timeBudget,
-      headers.targetInstance,
-      'content-length',
-      'expect',
-    ]);
-  }
+
+  constructor(private readonly context: ReplicaClientContext) {}
 
   send(effect: SendAttempt): void {
     const pool = this.poolOf(effect.replica.id);
@@ -134,9 +123,14 @@
     if (caller === undefined) {
       return undefined;
     }
-    const headers = flattenHeaders(endToEndHeaders(caller.headers, this.ownHeaders));
-    headers.push(protocol.headers.timeBudget, String(effect.remainingMs));
-    headers.push(protocol.headers.targetInstance, effect.replica.id);
+    const { timeBudget, targetInstance } = protocol.headers;
+    const headers = [
+      ...caller.passedHeaders,
+      timeBudget,
+      String(effect.remainingMs),
+      targetInstance,
+      effect.replica.id,
+    ];
     return { method: caller.method, path: caller.path, headers, body: caller.body };
   }
 
@@ -162,11 +156,11 @@
   }
 
   /**
-   * Bytes may follow a whole answer in the same piece: the connection is used again only after the
-   * parser has seen them and has closed it.
+   * Bytes may follow a whole answer in the same piece: the connection is used again only once the
+   * parser has seen all of the piece, and has closed the connection if there were any.
    */
   private release(pool: Pool, connection: ReplicaConnection): void {
-    setImmediate(() => {
+    queueMicrotask(() => {
       if (pool.closed || connection.isClosed) {
         connection.destroy();
       } else {
--- a/src/gateway/runtime/start-gateway.ts
+++ b/src/gateway/runtime/start-gateway.ts
@@ -41,6 +41,8 @@
   readonly ended: Promise<void>;
   /** Finishes what is in progress and ends. */
   stop(): void;
+  /** Ends at once. */
+  kill(): void;
   /** Takes settings that were read again. */
   reload(settings: GatewaySettings): void;
 }
@@ -69,7 +71,7 @@
     });
     const { clock } = this;
     const sink = new GatewayLoop(this.state, (effect) => this.carryOut(effect));
-    const requests = new CallerRequests();
+    const requests = new CallerRequests(protocol.headers);
     this.loop = sink;
     this.timers = new GatewayTimers(clock, sink);
     this.callers = new CallerPort({ protocol, requests, clock, sink });
@@ -91,6 +93,10 @@
     this.loop.emit({ type: 'stop-requested', at: this.clock.now() });
   }
 
+  kill(): void {
+    this.end();
+  }
+
   reload(settings: GatewaySettings): void {
     this.loop.emit({ type: 'settings-reloaded', at: this.clock.now(), settings });
   }
--- /dev/null
+++ b/test/gateway/merge-records.test.ts
@@ -0,0 +1,40 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { mergeRecords, RECORD_BYTES } from '../../src/gateway/requests/merge-records.js';
+
+/** The same by sorting everything. */
+const mergeBySorting = (parts: readonly Uint8Array[], maxRecords: number): Buffer => {
+  const records = parts.flatMap((part) => {
+    const bytes = Buffer.from(part);
+    const count = Math.floor(bytes.length / RECORD_BYTES);
+    return Array.from({ length: count }, (_, index) =>
+      bytes.subarray(index * RECORD_BYTES, (index + 1) * RECORD_BYTES),
+    );
+  });
+  records.sort((left, right) => right.compare(left));
+  return Buffer.concat(records.slice(0, maxRecords));
+};
+
+/** Bytes of few values, so that records share long prefixes and are often equal. */
+const part = fc
+  .array(fc.constantFrom(0, 1, 127, 128, 255), { maxLength: 12 * RECORD_BYTES })
+  .map((bytes) => Uint8Array.from(bytes));
+
+describe('the merge of records', () => {
+  it('gives what sorting all records gives', () => {
+    const property = fc.property(fc.array(part, { maxLength: 6 }), fc.nat(20), (parts, most) => {
+      expect(mergeRecords(parts, most)).toEqual(mergeBySorting(parts, most));
+    });
+    fc.assert(property, { seed: 20261202, numRuns: 500 });
+  });
+
+  it('counts equal records each and leaves out a rest shorter than a record', () => {
+    const same = Buffer.alloc(RECORD_BYTES, 7);
+    const merged = mergeRecords([Buffer.concat([same, Buffer.alloc(9, 255)]), same], 5);
+    expect(merged).toEqual(Buffer.concat([same, same]));
+  });
+
+  it('is empty without parts', () => {
+    expect(mergeRecords([], 5)).toHaveLength(0);
+  });
+});
--- /dev/null
+++ b/test/platform/gateway-fixture.ts
@@ -0,0 +1,192 @@
+/** A gateway over stand-ins of the platform, with a client for its callers. */
+import { type AddressInfo, createServer } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
+import { request as sendRequest, type IncomingHttpHeaders } from 'node:http';
+import { platformProtocol } from '../../platform/protocol.js';
+import { type RunningGateway, startGateway } from '../../src/gateway/runtime/start-gateway.js';
+import type { GatewaySettings } from '../../src/gateway/settings.js';
+import { StandInReplica, type ReplicaBehaviour } from './stand-in-replica.js';
+import { StandInStore } from './stand-in-store.js';
+
+/** An answer as a caller sees it. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: Buffer;
+  readonly elapsedMs: number;
+}
+
+/** What a caller sends. */
+export interface CallerQuery {
+  readonly id: string;
+  readonly host?: string;
+  readonly path: string;
+  readonly method?: string;
+  readonly budgetMs?: number;
+  readonly body?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly signal?: AbortSignal;
+}
+
+const freePort = async (): Promise<number> => {
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+};
+
+/** Waits until `condition` holds; throws after five seconds. */
+export const until = async (condition: () => boolean, what: string): Promise<void> => {
+  for (let tries = 0; !condition(); tries += 1) {
+    if (tries > 1_000) {
+      throw new Error(`waited in vain until ${what}`);
+    }
+    await delay(5);
+  }
+};
+
+/** Limits of a configuration. */
+export const LIMITS = {
+  max_header_bytes: 16_384,
+  max_body_bytes: 262_144,
+  header_timeout_ms: 3_000,
+  idle_timeout_ms: 15_000,
+};
+
+/** A route as the operator writes it; the rest is filled in. */
+export const routeSpec = (fields: Readonly<Record<string, unknown>>): unknown => ({
+  name: `route-${JSON.stringify(fields['path_prefix'])}`,
+  host: 'shop.example',
+  kind: 'safe',
+  timeout_ms: 2_000,
+  target_ms: 400,
+  priority: 1,
+  max_attempts: 2,
+  ...fields,
+});
+
+/** A store, replicas and a gateway in one process. */
+export class GatewayFixture {
+  readonly replicas = new Map<string, StandInReplica>();
+  private gatewayProcess: RunningGateway | undefined;
+  private version = 0;
+
+  private constructor(
+    readonly store: StandInStore,
+    readonly settings: GatewaySettings,
+  ) {}
+
+  static async create(): Promise<GatewayFixture> {
+    const store = await StandInStore.start();
+    const [callers, readiness, peers] = [await freePort(), await freePort(), await freePort()];
+    const host = '127.0.0.1';
+    return new GatewayFixture(store, {
+      node: 'front-1',
+      zone: 'bole',
+      zoneRegions: { bole: 'addis', arada: 'addis', hall: 'wales' },
+      callers: { host, port: callers },
+      readiness: { host, port: readiness },
+      peers: { host, port: peers },
+      seeds: [],
+      store: { host, port: store.port },
+      bounds: {
+        drainMs: 3_000,
+        graceMs: 6_000,
+        configurationMs: 3_000,
+        retryRatio: 0.2,
+        retryWindowMs: 10_000,
+        retrySlack: 56,
+      },
+      logLevel: 'error',
+    });
+  }
+
+  get gateway(): RunningGateway {
+    if (this.gatewayProcess === undefined) {
+      throw new Error('the gateway has not been started');
+    }
+    return this.gatewayProcess;
+  }
+
+  async startGateway(): Promise<void> {
+    this.gatewayProcess = await startGateway(this.settings, platformProtocol, () => undefined);
+  }
+
+  /** Starts the gateway and waits until it is ready. */
+  async serve(): Promise<void> {
+    await this.startGateway();
+    await until(() => this.gateway.state.ready, 'the gateway is ready');
+  }
+
+  /** Starts a replica and lists it in the store. */
+  async addReplica(
+    id: string,
+    service: string,
+    behaviour: Partial<ReplicaBehaviour> = {},
+    zone = 'bole',
+  ): Promise<StandInReplica> {
+    const replica = await StandInReplica.start(id, behaviour);
+    this.replicas.set(id, replica);
+    this.store.put('servers', id, replica.entry(service, zone));
+    return replica;
+  }
+
+  /** Writes the next version of the configuration. */
+  configure(routes: readonly unknown[], services: readonly string[]): number {
+    this.version += 3;
+    const listed = services.map((name) => ({ name, health_path: '/health', max_conns: 26 }));
+    const spec = { version: this.version, routes, services: listed, limits: LIMITS };
+    this.store.put('config', 'main', spec);
+    return this.version;
+  }
+
+  async untilInForce(version: number): Promise<void> {
+    const isInForce = (): boolean => this.gateway.state.inForce?.configuration.version === version;
+    await until(isInForce, `version ${version} is in force`);
+  }
+
+  /** Sends a request as a caller does, on a connection of its own. */
+  ask(query: CallerQuery): Promise<CallerAnswer> {
+    const began = performance.now();
+    return new Promise((resolve, reject) => {
+      const outgoing = sendRequest(
+        {
+          ...this.settings.callers,
+          method: query.method ?? 'GET',
+          path: query.path,
+          agent: false,
+          headers: {
+            host: query.host ?? 'shop.example',
+            'x-request-id': query.id,
+            'x-time-budget-ms': String(query.budgetMs ?? 2_000),
+            ...query.headers,
+          },
+          ...(query.signal && { signal: query.signal }),
+        },
+        (incoming) => {
+          const chunks: Buffer[] = [];
+          incoming.on('data', (chunk: Buffer) => chunks.push(chunk));
+          incoming.on('error', reject);
+          incoming.on('end', () => {
+            resolve({
+              status: incoming.statusCode ?? 0,
+              headers: incoming.headers,
+              body: Buffer.concat(chunks),
+              elapsedMs: performance.now() - began,
+            });
+          });
+        },
+      );
+      outgoing.on('error', reject);
+      outgoing.end(query.body);
+    });
+  }
+
+  async stop(): Promise<void> {
+    this.gatewayProcess?.kill();
+    await this.gatewayProcess?.ended;
+    await Promise.all([...this.replicas.values()].map((replica) => replica.stop()));
+    await this.store.stop();
+  }
+}
--- /dev/null
+++ b/test/platform/gateway-load.ts
@@ -0,0 +1,54 @@
+/** Drives a gateway with gathers at a fixed rate, to measure what a leg costs. Not a test. */
+import { setTimeout as delay } from 'node:timers/promises';
+import type { GatewaySettings } from '../../src/gateway/settings.js';
+import { formatHostPort } from '../../src/settings/parse-host-port.js';
+import { GatewayFixture, routeSpec } from './gateway-fixture.js';
+
+const SHARDS = 20;
+const RATE_PER_S = 14;
+
+const settingsFileOf = ({ bounds, ...settings }: GatewaySettings): string =>
+  JSON.stringify({
+    ...settings,
+    callers: formatHostPort(settings.callers),
+    readiness: formatHostPort(settings.readiness),
+    peers: formatHostPort(settings.peers),
+    store: formatHostPort(settings.store),
+    bounds: {
+      ...bounds,
+      graceSeconds: bounds.graceMs / 1_000,
+      retryWindowSeconds: bounds.retryWindowMs / 1_000,
+    },
+  });
+
+const run = async (seconds: number): Promise<void> => {
+  const fixture = await GatewayFixture.create();
+  const services = Array.from({ length: SHARDS }, (_, index) => `shard-${index}`);
+  fixture.configure(
+    [routeSpec({ path_prefix: '/all/', gather: services, top_k: 50, min_coverage: 0.9 })],
+    services,
+  );
+  for (const service of services) {
+    for (const zone of ['bole', 'arada']) {
+      await fixture.addReplica(`${service}-${zone}`, service, { workMs: 5 }, zone);
+    }
+  }
+  process.stdout.write(`${settingsFileOf(fixture.settings)}\n`);
+  const total = seconds * RATE_PER_S;
+  const elapsed: number[] = [];
+  await delay(3_000);
+  for (let index = 0; index < total; index += 1) {
+    void fixture.ask({ id: `r-${index}`, path: '/all/x' }).then(
+      (answer) => elapsed.push(answer.elapsedMs),
+      () => undefined,
+    );
+    await delay(1_000 / RATE_PER_S);
+  }
+  elapsed.sort((left, right) => left - right);
+  process.stderr.write(
+    `p50 ${elapsed[Math.floor(elapsed.length / 2)]} p99 ${elapsed[Math.floor(elapsed.length * 0.99)]}\n`,
+  );
+};
+
+await run(Number(process.argv[2] ?? '20'));
+process.exit(0);
