--- a/src/gateway/effect.ts
+++ b/src/gateway/effect.ts
@@ -10,12 +10,18 @@
   readonly attempt: AttemptId;
   readonly call: CallId;
   readonly replica: ReplicaRecord;
-  /** Time left for the request, in milliseconds; told to the replica. */
-  readonly remainingMs: number;
+  /** When the request's time is over; what is left when it is sent is told to the replica. */
+  readonly deadlineAt: number;
   /** Connections that this gateway may hold to the replica. */
   readonly maxConnections: number;
 }
 
+/** Opens a connection to a replica ahead of its first attempt. */
+export interface OpenConnection {
+  readonly type: 'open-connection';
+  readonly replica: ReplicaRecord;
+}
+
 /** Gives up an attempt: its connection is closed unless the answer comes within `withinMs`. */
 export interface AbortAttempt {
   readonly type: 'abort-attempt';
@@ -107,6 +113,7 @@
 export type GatewayEffect =
   | SendAttempt
   | AbortAttempt
+  | OpenConnection
   | CloseReplica
   | AnswerCaller
   | ForgetCall
--- a/src/gateway/model/request.ts
+++ b/src/gateway/model/request.ts
@@ -95,11 +95,14 @@
   readonly load?: LoadReport;
 }
 
-/** How an attempt failed without an answer. */
+/**
+ * How an attempt failed without an answer. `refused-connection`: a new connection was accepted and
+ * reset before any byte came over it.
+ */
 export type AttemptProblem =
   | 'connect-refused'
   | 'connect-timeout'
-  | 'no-connection'
+  | 'refused-connection'
   | 'reset'
   | 'timed-out'
   | 'bad-answer'
--- a/src/gateway/read-settings.ts
+++ b/src/gateway/read-settings.ts
@@ -53,6 +53,7 @@
 const readFields = (fields: FieldReader): GatewaySettings => ({
   node: fields.text('node'),
   zone: fields.text('zone'),
+  firstStart: fields.flag('firstStart', false),
   zoneRegions: readZoneRegions(fields),
   callers: readAddressField(fields, 'callers'),
   readiness: readAddressField(fields, 'readiness'),
--- a/src/gateway/reducer.ts
+++ b/src/gateway/reducer.ts
@@ -6,6 +6,7 @@
 import type { GatewayEffect } from './effect.js';
 import type { GatewayEvent } from './event.js';
 import { beginStop, continueStop, updateReadiness } from './lifecycle.js';
+import { preconnectReplicas } from './replicas/preconnect.js';
 import { acceptRequest } from './requests/accept-request.js';
 import { takeCallerLeft, takeRequestDue, takeResult } from './requests/take-result.js';
 import type { GatewayState } from './state.js';
@@ -19,7 +20,10 @@
 
 const dispatch = (state: GatewayState, event: GatewayEvent): GatewayEffect[] =>
   match(event)
-    .with({ type: 'started' }, () => followCollections(state))
+    .with({ type: 'started' }, ({ at }) => {
+      state.startedAt = at;
+      return followCollections(state);
+    })
     .with({ type: 'stop-requested' }, (stop) => beginStop(state, stop))
     .with({ type: 'stop-due' }, (due) => continueStop(state, due))
     .with({ type: 'settings-reloaded' }, ({ settings }) => {
@@ -30,9 +34,14 @@
     .with({ type: 'caller-left' }, (left) => takeCallerLeft(state, left))
     .with({ type: 'attempt-ended' }, (ended) => takeResult(state, ended))
     .with({ type: 'request-due' }, (due) => takeRequestDue(state, due))
-    .with({ type: 'page-read' }, (read) => [...takePage(state, read), ...updateReadiness(state)])
+    .with({ type: 'page-read' }, (read) => [
+      ...takePage(state, read),
+      ...preconnectReplicas(state),
+      ...updateReadiness(state),
+    ])
     .with({ type: 'changes-read' }, (read) => [
       ...takeChanges(state, read),
+      ...preconnectReplicas(state),
       ...updateReadiness(state),
     ])
     .with({ type: 'store-call-failed' }, (failed) => takeStoreFailure(state, failed))
--- a/src/gateway/replicas/replica.ts
+++ b/src/gateway/replicas/replica.ts
@@ -42,6 +42,8 @@
   failures: number;
   /** It is tried only when nothing else is left, until then. */
   ejectedUntil: number;
+  /** A connection was opened ahead, or was decided against. */
+  preconnected: boolean;
   /** When the last answer of any kind came. */
   answeredAt: number;
 }
@@ -59,6 +61,7 @@
   loadAt: Number.NEGATIVE_INFINITY,
   failures: 0,
   ejectedUntil: Number.NEGATIVE_INFINITY,
+  preconnected: false,
   answeredAt: at,
 });
 
--- a/src/gateway/replicas/select-replica.ts
+++ b/src/gateway/replicas/select-replica.ts
@@ -33,6 +33,8 @@
   readonly zoneRegions: Readonly<Record<string, string>>;
   /** A replica that leaves may be sent work for so long, in milliseconds. */
   readonly leavingMs: number;
+  /** Connections that this gateway may hold to one replica; attempts beyond wait for one. */
+  readonly maxConnections: number;
 }
 
 const distanceCost = (replica: Replica, { zone, zoneRegions }: SelectionPlace): number => {
@@ -53,20 +55,22 @@
   return ratio > STALL_RATIO ? ratio : 0;
 };
 
-const loadCost = (replica: Replica, at: number): number => {
+const loadCost = (replica: Replica, maxConnections: number, at: number): number => {
   const { load, pending, record } = replica;
   const slots = Math.max(1, load?.slots ?? record.slots);
   const isFresh = load !== undefined && at - replica.loadAt < LOAD_REPORT_AGE_MS;
   const others = isFresh ? Math.max(0, load.running + load.waiting - 1) : 0;
   const busy = Math.max(pending.size, others);
   const waiting = Math.max(0, busy + 1 - slots);
-  return (PARTIAL_LOAD_COST * Math.min(busy, slots)) / slots + waiting / slots;
+  const waitingHere = Math.max(0, pending.size + 1 - maxConnections);
+  const partial = (PARTIAL_LOAD_COST * Math.min(busy, slots)) / slots;
+  return partial + Math.max(waiting / slots, waitingHere / maxConnections);
 };
 
 /** The cost of one more attempt at a replica, in usual latencies. */
 const costOf = (replica: Replica, place: SelectionPlace, at: number): number => {
   const cold = replica.coldUntil > at ? COLD_FACTOR : 1;
-  const base = slowdownNow(replica, at) * cold * (1 + loadCost(replica, at));
+  const base = slowdownNow(replica, at) * cold * (1 + loadCost(replica, place.maxConnections, at));
   const ejected = replica.ejectedUntil > at ? EJECTED_COST : 0;
   const isLeaving = replica.record.draining || replica.goneAt !== undefined;
   const leaving = isLeaving ? LEAVING_COST : 0;
--- a/src/gateway/requests/accept-request.ts
+++ b/src/gateway/requests/accept-request.ts
@@ -4,11 +4,11 @@
 import type { Route } from '../model/route.js';
 import { SplitCursor, isSameSplit } from '../routing/split-cursor.js';
 import { budgetOf, type GatewayState } from '../state.js';
-import { sendAttempt } from './attempts.js';
 import { refuseCall } from './finish.js';
 import { type ActiveRequest, createLeg, type Leg } from './request-state.js';
 import { createRouteLatency, hedgeDelay } from './route-latency.js';
 import { progressRequest } from './progress.js';
+import { retryLeg } from './retry-leg.js';
 
 /** Time kept back of the objective for the way to the caller and waits for the processor. */
 const OBJECTIVE_MARGIN_MS = 13;
@@ -67,13 +67,7 @@
   const effects: GatewayEffect[] = [];
   for (const leg of request.legs) {
     budgetOf(state, leg.service).countRequest(at);
-    const attempt = sendAttempt(state, request, leg, at);
-    if (attempt === undefined) {
-      leg.outcome = { type: 'unanswered' };
-      request.openLegs -= 1;
-    } else {
-      effects.push(attempt);
-    }
+    effects.push(...retryLeg(state, request, leg, at));
   }
   effects.push(...progressRequest(state, request, at));
   return effects;
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -3,6 +3,7 @@
 import type { AttemptEnded } from '../event.js';
 import type { AttemptId, AttemptProblem } from '../model/request.js';
 import { type Replica, noteLatency, noteLoad, noteReplicaFailure } from '../replicas/replica.js';
+import { connectionShare } from '../replicas/connection-share.js';
 import { selectReplica, type SelectionPlace } from '../replicas/select-replica.js';
 import { budgetOf, type GatewayState } from '../state.js';
 import type { ActiveAttempt, ActiveRequest, Leg } from './request-state.js';
@@ -14,12 +15,6 @@
 /** This gateway's part of the slack of a retry budget, in arrivals. */
 const SLACK_PART = 2;
 
-/** Connections to one replica where its service says nothing. */
-const DEFAULT_MAX_CONNECTIONS = 32;
-
-/** Gateways among which a replica's connections are divided. */
-const ASSUMED_GATEWAYS = 8;
-
 /** Tries of one leg beyond its runs: refusals and connections that failed. */
 const EXTRA_TRIES = 2;
 
@@ -27,7 +22,7 @@
 const HARMLESS_PROBLEMS: ReadonlySet<AttemptProblem> = new Set<AttemptProblem>([
   'aborted',
   'foreign-answer',
-  'no-connection',
+  'refused-connection',
 ]);
 
 /** How long attempts for the route usually take. */
@@ -42,17 +37,13 @@
   return latency;
 };
 
-const placeOf = ({ settings }: GatewayState): SelectionPlace => ({
-  zone: settings.zone,
-  zoneRegions: settings.zoneRegions,
-  leavingMs: settings.bounds.drainMs * LEAVING_SHARE,
+const placeOf = (state: GatewayState, service: string, at: number): SelectionPlace => ({
+  zone: state.settings.zone,
+  zoneRegions: state.settings.zoneRegions,
+  leavingMs: state.settings.bounds.drainMs * LEAVING_SHARE,
+  maxConnections: connectionShare(state, service, at),
 });
 
-const maxConnectionsOf = (state: GatewayState, service: string): number => {
-  const shared = state.inForce?.configuration.services.get(service)?.maxConnections;
-  return Math.max(1, Math.floor((shared ?? DEFAULT_MAX_CONNECTIONS) / ASSUMED_GATEWAYS));
-};
-
 /** Whether the retry budget allows one more arrival; the first of a leg is free. */
 const takeBudget = (state: GatewayState, leg: Leg, at: number): boolean => {
   if (leg.arrivals === 0) {
@@ -79,16 +70,16 @@
   leg: Leg,
   at: number,
 ): SendAttempt | undefined => {
-  const remainingMs = Math.floor(request.deadlineAt - at);
-  if (!hasTriesLeft(request, leg) || remainingMs < 1) {
+  if (!hasTriesLeft(request, leg) || request.deadlineAt - at < 1) {
     return undefined;
   }
   const replicas = state.replicas.of(leg.service);
-  const replica = selectReplica(replicas, leg.tried, placeOf(state), state.random, at);
+  const place = placeOf(state, leg.service, at);
+  const replica = selectReplica(replicas, leg.tried, place, state.random, at);
   if (replica === undefined || !takeBudget(state, leg, at)) {
     return undefined;
   }
-  return startAttempt(state, request, leg, replica, remainingMs, at);
+  return startAttempt(state, request, leg, replica, place.maxConnections, at);
 };
 
 const startAttempt = (
@@ -96,13 +87,13 @@
   request: ActiveRequest,
   leg: Leg,
   replica: Replica,
-  remainingMs: number,
+  maxConnections: number,
   at: number,
 ): SendAttempt => {
   const attempt: AttemptId = state.nextAttempt;
   state.nextAttempt += 1;
   const { record } = replica;
-  const { call, route } = request;
+  const { call, route, deadlineAt } = request;
   leg.tried.add(record.id);
   leg.running.add(attempt);
   leg.arrivals += 1;
@@ -114,10 +105,10 @@
     leg,
     replica: record.id,
     route: route.name,
+    repeatable: route.repeatable,
     sentAt: at,
   });
-  const maxConnections = maxConnectionsOf(state, leg.service);
-  return { type: 'send-attempt', attempt, call, replica: record, remainingMs, maxConnections };
+  return { type: 'send-attempt', attempt, call, replica: record, deadlineAt, maxConnections };
 };
 
 const noteAtReplica = (
@@ -175,7 +166,7 @@
   }
   state.attempts.delete(attempt.id);
   attempt.leg.running.delete(attempt.id);
-  countOutcome(attempt.leg, event);
+  countOutcome(attempt.leg, attempt.repeatable, event);
   const replica = state.replicas.find(attempt.replica);
   if (replica !== undefined) {
     replica.pending.delete(attempt.id);
@@ -184,15 +175,24 @@
   return attempt;
 };
 
-/** An attempt that did not arrive, or was not run, is taken off the counts again. */
-const countOutcome = (leg: Leg, { result }: AttemptEnded): void => {
+/**
+ * An attempt that did not arrive, or was not run, is taken off the counts again. A connection that
+ * is reset before any answer on it is one too many for its replica: nothing says that the request
+ * has not run, but one that may be repeated is tried again.
+ */
+const countOutcome = (leg: Leg, repeatable: boolean, { result }: AttemptEnded): void => {
   if (result.type === 'refused') {
     leg.runs -= 1;
     leg.refusedAsFull = result.reason === 'full';
   }
-  if (result.type === 'failed' && !result.mayHaveRun) {
+  if (result.type !== 'failed') {
+    return;
+  }
+  if (!result.mayHaveRun) {
     leg.runs -= 1;
     leg.arrivals -= 1;
+  } else if (result.problem === 'refused-connection' && repeatable) {
+    leg.runs -= 1;
   }
 };
 
--- a/src/gateway/requests/request-state.ts
+++ b/src/gateway/requests/request-state.ts
@@ -19,6 +19,10 @@
   failure: ReplicaAnswer | undefined;
   /** The last attempt was refused by a full replica. */
   refusedAsFull: boolean;
+  /** Pauses so far, after all replicas refused or could not be reached. */
+  pauses: number;
+  /** When the leg tries all replicas again; undefined while it does not pause. */
+  resumeAt: number | undefined;
 }
 
 /** How a leg ended. */
@@ -37,7 +41,7 @@
   /** When an answer must leave to be in time for the objective. */
   readonly objectiveAt: number;
   /** When legs without an answer get a second attempt. */
-  readonly hedgeAt: number;
+  hedgeAt: number;
   hedged: boolean;
   answeredLegs: number;
   openLegs: number;
@@ -52,6 +56,7 @@
   readonly leg: Leg;
   readonly replica: string;
   readonly route: string;
+  readonly repeatable: boolean;
   readonly sentAt: number;
 }
 
@@ -65,4 +70,6 @@
   outcome: undefined,
   failure: undefined,
   refusedAsFull: false,
+  pauses: 0,
+  resumeAt: undefined,
 });
--- /dev/null
+++ b/src/gateway/requests/retry-leg.ts
@@ -0,0 +1,57 @@
+/** Tries a leg again after a failure: on another replica, or after a pause on all of them. */
+import type { GatewayEffect } from '../effect.js';
+import type { ReplicaAnswer } from '../model/request.js';
+import type { GatewayState } from '../state.js';
+import { sendAttempt } from './attempts.js';
+import type { ActiveRequest, Leg } from './request-state.js';
+
+/** Pauses before all replicas are tried again, in milliseconds: doubled each time. */
+const FIRST_PAUSE_MS = 30;
+const MAX_PAUSES = 6;
+
+/** A request that no replica has run is not held for longer than this part of its objective. */
+const UNTRIED_SHARE = 0.2;
+
+/** Ends a leg, with an answer or without. */
+export const endLeg = (request: ActiveRequest, leg: Leg, answer?: ReplicaAnswer): void => {
+  leg.outcome = answer === undefined ? { type: 'unanswered' } : { type: 'answered', answer };
+  leg.resumeAt = undefined;
+  request.openLegs -= 1;
+  if (answer !== undefined) {
+    request.answeredLegs += 1;
+  }
+};
+
+/** Until when the leg may pause: for long only beside others that replicas work on. */
+const latestPause = ({ legs, receivedAt, deadlineAt, route }: ActiveRequest): number =>
+  legs.length > 1 ? deadlineAt : receivedAt + route.objectiveMs * UNTRIED_SHARE;
+
+/** Pauses a leg that no replica has run; false when it has paused enough. */
+const pauseLeg = (state: GatewayState, request: ActiveRequest, leg: Leg, at: number): boolean => {
+  const resumeAt = at + FIRST_PAUSE_MS * 2 ** leg.pauses;
+  const hasReplicas = state.replicas.of(leg.service).length > 0;
+  const isWorthwhile = hasReplicas && leg.runs === 0 && leg.pauses < MAX_PAUSES;
+  if (!isWorthwhile || resumeAt >= latestPause(request)) {
+    return false;
+  }
+  leg.pauses += 1;
+  leg.resumeAt = resumeAt;
+  return true;
+};
+
+/** Sends another attempt for the leg; it pauses, or ends unanswered, when none may be sent. */
+export const retryLeg = (
+  state: GatewayState,
+  request: ActiveRequest,
+  leg: Leg,
+  at: number,
+): GatewayEffect[] => {
+  const attempt = sendAttempt(state, request, leg, at);
+  if (attempt !== undefined) {
+    return [attempt];
+  }
+  if (leg.running.size === 0 && !pauseLeg(state, request, leg, at)) {
+    endLeg(request, leg);
+  }
+  return [];
+};
--- a/src/gateway/requests/take-result.ts
+++ b/src/gateway/requests/take-result.ts
@@ -3,9 +3,10 @@
 import type { AttemptEnded, CallerLeft, RequestDue } from '../event.js';
 import type { AttemptResult, ReplicaAnswer } from '../model/request.js';
 import type { GatewayState } from '../state.js';
-import { abortAttempts, sendAttempt, settleAttempt } from './attempts.js';
+import { abortAttempts, settleAttempt } from './attempts.js';
 import { progressRequest } from './progress.js';
 import type { ActiveRequest, Leg } from './request-state.js';
+import { endLeg, retryLeg } from './retry-leg.js';
 
 const isSuccess = ({ status }: ReplicaAnswer): boolean => status >= 200 && status < 300;
 
@@ -19,30 +20,6 @@
   return request.route.target.type !== 'gather' && answer.status < FIRST_FAILURE_STATUS;
 };
 
-const endLeg = (request: ActiveRequest, leg: Leg, answer: ReplicaAnswer | undefined): void => {
-  leg.outcome = answer === undefined ? { type: 'unanswered' } : { type: 'answered', answer };
-  request.openLegs -= 1;
-  if (answer !== undefined) {
-    request.answeredLegs += 1;
-  }
-};
-
-const retryLeg = (
-  state: GatewayState,
-  request: ActiveRequest,
-  leg: Leg,
-  at: number,
-): GatewayEffect[] => {
-  const attempt = sendAttempt(state, request, leg, at);
-  if (attempt !== undefined) {
-    return [attempt];
-  }
-  if (leg.running.size === 0) {
-    endLeg(request, leg, undefined);
-  }
-  return [];
-};
-
 const takeLegResult = (
   state: GatewayState,
   request: ActiveRequest,
@@ -68,7 +45,7 @@
     return [];
   }
   const effects = takeLegResult(state, request, attempt.leg, event.result, event.at);
-  if (attempt.leg.outcome === undefined) {
+  if (attempt.leg.outcome === undefined && attempt.leg.resumeAt === undefined) {
     return effects;
   }
   return [...effects, ...progressRequest(state, request, event.at)];
--- a/src/gateway/runtime/answer-reader.ts
+++ b/src/gateway/runtime/answer-reader.ts
@@ -14,13 +14,6 @@
 /** Status by which a replica says that it is not the instance that was asked for. */
 const MISDIRECTED_STATUS = 421;
 
-const PROBLEM_OF_FAULT = {
-  none: 'reset',
-  'connect-refused': 'connect-refused',
-  'connect-timeout': 'connect-timeout',
-  'socket-error': 'reset',
-} as const;
-
 type AnswerHeaders = Readonly<Record<string, string | string[] | undefined>>;
 
 const toHeaders = (headers: AnswerHeaders): Header[] =>
@@ -75,6 +68,7 @@
     headers: AnswerHeaders,
   ): void {
     this.status = status;
+    this.connection.hasAnswered = true;
     this.headers = toHeaders(headers);
   }
 
@@ -99,11 +93,14 @@
     if (this.abortReason !== undefined) {
       return this.abortReason;
     }
-    return this.status > 0 ? 'cut-off' : PROBLEM_OF_FAULT[this.connection.fault];
+    if (this.status > 0) {
+      return 'cut-off';
+    }
+    return this.connection.hasAnswered ? 'reset' : 'refused-connection';
   }
 
   private failure(problem: AttemptProblem): AttemptResult {
-    return { type: 'failed', problem, mayHaveRun: this.connection.connected };
+    return { type: 'failed', problem, mayHaveRun: true };
   }
 
   private end(end: ExchangeEnd): void {
@@ -135,7 +132,7 @@
   /** An answer whose end is the end of the connection is cut off when the connection was reset. */
   private problemOfAnswer(): AttemptProblem | undefined {
     const { headers } = this.protocol;
-    if (this.connection.fault !== 'none') {
+    if (this.connection.isBroken) {
       return 'cut-off';
     }
     const echoed = findHeader(this.headers, headers.requestId);
--- a/src/gateway/runtime/replica-client.ts
+++ b/src/gateway/runtime/replica-client.ts
@@ -1,23 +1,18 @@
 /** Sends attempts to replicas over a small pool of connections for each. */
 import type { MonotonicClock } from '../../runtime/monotonic-clock.js';
-import type { SendAttempt } from '../effect.js';
+import type { OpenConnection, SendAttempt } from '../effect.js';
+import type { ReplicaRecord } from '../model/replica-record.js';
 import type { AttemptId, AttemptProblem, AttemptResult } from '../model/request.js';
-import type { GatewayProtocol } from '../protocol/protocol.js';
+import type { GatewayProtocol, HeaderNames } from '../protocol/protocol.js';
 import { AnswerReader, type ExchangeEnd } from './answer-reader.js';
-import type { CallerRequests } from './caller-requests.js';
+import type { CallerRequests, HeldRequest } from './caller-requests.js';
 import type { GatewayEventSink } from './gateway-loop.js';
-import { ReplicaConnection, type WireRequest } from './replica-connection.js';
+import type { ReplicaConnection, WireRequest } from './replica-connection.js';
+import { type PoolListener, ReplicaPool } from './replica-pool.js';
 
 /** How long after its deadline an attempt is given up, in milliseconds. */
 const DEADLINE_GRACE_MS = 50;
 
-/** Connections to one replica, idle ones last used last. */
-interface Pool {
-  readonly idle: ReplicaConnection[];
-  open: number;
-  closed: boolean;
-}
-
 interface RunningAttempt {
   readonly reader: AnswerReader;
   timer: NodeJS.Timeout;
@@ -31,37 +26,31 @@
   readonly sink: GatewayEventSink;
 }
 
+const formatRequest = (
+  { method, path, passedHeaders, body }: HeldRequest,
+  { replica }: SendAttempt,
+  remainingMs: number,
+  { timeBudget, targetInstance }: HeaderNames,
+): WireRequest => {
+  const ownHeaders = [timeBudget, String(remainingMs), targetInstance, replica.id];
+  return { method, path, headers: [...passedHeaders, ...ownHeaders], body };
+};
+
 /** Carries out `send-attempt`, `abort-attempt` and `close-replica`; emits `attempt-ended`. */
-export class ReplicaClient {
-  private readonly pools = new Map<string, Pool>();
+export class ReplicaClient implements PoolListener {
+  private readonly pools = new Map<string, ReplicaPool>();
   private readonly running = new Map<AttemptId, RunningAttempt>();
 
   constructor(private readonly context: ReplicaClientContext) {}
 
   send(effect: SendAttempt): void {
-    const pool = this.poolOf(effect.replica.id);
-    const wire = this.formatRequest(effect);
-    const connection = this.takeConnection(pool, effect);
-    if (connection === undefined || wire === undefined) {
-      this.endLater(effect.attempt, 'no-connection');
-      return;
-    }
-    const { protocol, requests } = this.context;
-    const requestId = requests.find(effect.call)?.requestId ?? '';
-    const reader = new AnswerReader(connection, protocol, requestId, (end) =>
-      this.finish(effect.attempt, pool, connection, end),
-    );
-    const timer = setTimeout(
-      () => reader.abort('timed-out'),
-      effect.remainingMs + DEADLINE_GRACE_MS,
-    );
-    this.running.set(effect.attempt, { reader, timer });
-    connection.send(wire, reader);
+    this.poolOf(effect.replica).submit(effect);
   }
 
   abort(attempt: AttemptId, withinMs: number): void {
     const running = this.running.get(attempt);
     if (running === undefined) {
+      this.abortWaiting(attempt);
       return;
     }
     clearTimeout(running.timer);
@@ -72,14 +61,15 @@
     }
   }
 
+  /** Opens a connection to a replica before the first attempt. */
+  preconnect({ replica }: OpenConnection): void {
+    this.poolOf(replica).preconnect();
+  }
+
   /** Closes the idle connections to a replica; the others close when their requests end. */
   close(replica: string): void {
-    const pool = this.pools.get(replica);
-    if (pool !== undefined) {
-      pool.closed = true;
-      this.pools.delete(replica);
-      pool.idle.splice(0).forEach((connection) => connection.destroy());
-    }
+    this.pools.get(replica)?.close();
+    this.pools.delete(replica);
   }
 
   /** Closes everything at once. */
@@ -88,87 +78,62 @@
     this.running.forEach(({ reader }) => reader.abort('aborted'));
   }
 
-  private poolOf(replica: string): Pool {
-    const known = this.pools.get(replica);
-    if (known !== undefined) {
-      return known;
+  onFree(effect: SendAttempt, connection: ReplicaConnection, pool: ReplicaPool): void {
+    const { protocol, requests, clock } = this.context;
+    const caller = requests.find(effect.call);
+    const remainingMs = Math.floor(effect.deadlineAt - clock.now());
+    if (caller === undefined || remainingMs < 1) {
+      pool.giveBack(connection);
+      this.emitEnd(effect.attempt, { type: 'failed', problem: 'timed-out', mayHaveRun: false });
+      return;
     }
-    const pool: Pool = { idle: [], open: 0, closed: false };
-    this.pools.set(replica, pool);
-    return pool;
+    const reader = new AnswerReader(connection, protocol, caller.requestId, (end) =>
+      this.finish(effect.attempt, pool, connection, end),
+    );
+    const timer = setTimeout(() => reader.abort('timed-out'), remainingMs + DEADLINE_GRACE_MS);
+    this.running.set(effect.attempt, { reader, timer });
+    connection.send(formatRequest(caller, effect, remainingMs, protocol.headers), reader);
   }
 
-  private takeConnection(pool: Pool, effect: SendAttempt): ReplicaConnection | undefined {
-    const idle = pool.idle.pop();
-    if (idle !== undefined) {
-      return idle;
-    }
-    if (pool.open >= effect.maxConnections) {
-      return undefined;
-    }
-    pool.open += 1;
-    const connection: ReplicaConnection = new ReplicaConnection(effect.replica, () => {
-      pool.open -= 1;
-      const index = pool.idle.indexOf(connection);
-      if (index >= 0) {
-        pool.idle.splice(index, 1);
-      }
-    });
-    return connection;
+  onUnreachable({ attempt }: SendAttempt, problem: AttemptProblem): void {
+    this.emitEnd(attempt, { type: 'failed', problem, mayHaveRun: false });
   }
 
-  private formatRequest(effect: SendAttempt): WireRequest | undefined {
-    const { protocol, requests } = this.context;
-    const caller = requests.find(effect.call);
-    if (caller === undefined) {
-      return undefined;
+  private abortWaiting(attempt: AttemptId): void {
+    for (const pool of this.pools.values()) {
+      if (pool.withdraw(attempt)) {
+        this.emitEnd(attempt, { type: 'failed', problem: 'aborted', mayHaveRun: false });
+        return;
+      }
     }
-    const { timeBudget, targetInstance } = protocol.headers;
-    const headers = [
-      ...caller.passedHeaders,
-      timeBudget,
-      String(effect.remainingMs),
-      targetInstance,
-      effect.replica.id,
-    ];
-    return { method: caller.method, path: caller.path, headers, body: caller.body };
   }
 
-  /** An exchange may end while it is being sent; its event waits for the next turn of the loop. */
-  private endLater(attempt: AttemptId, problem: AttemptProblem): void {
-    setImmediate(() => this.emitEnd(attempt, { type: 'failed', problem, mayHaveRun: false }));
+  private poolOf(replica: ReplicaRecord): ReplicaPool {
+    const known = this.pools.get(replica.id);
+    if (known !== undefined) {
+      return known;
+    }
+    const pool = new ReplicaPool({ host: replica.host, port: replica.port }, this);
+    this.pools.set(replica.id, pool);
+    return pool;
   }
 
   private finish(
     attempt: AttemptId,
-    pool: Pool,
+    pool: ReplicaPool,
     connection: ReplicaConnection,
     { result, reusable }: ExchangeEnd,
   ): void {
     clearTimeout(this.running.get(attempt)?.timer);
     this.running.delete(attempt);
-    if (!reusable || pool.closed) {
-      connection.destroy();
+    if (reusable) {
+      pool.giveBack(connection);
     } else {
-      this.release(pool, connection);
+      connection.destroy();
     }
     this.emitEnd(attempt, result);
   }
 
-  /**
-   * Bytes may follow a whole answer in the same piece: the connection is used again only once the
-   * parser has seen all of the piece, and has closed the connection if there were any.
-   */
-  private release(pool: Pool, connection: ReplicaConnection): void {
-    queueMicrotask(() => {
-      if (pool.closed || connection.isClosed) {
-        connection.destroy();
-      } else {
-        pool.idle.push(connection);
-      }
-    });
-  }
-
   private emitEnd(attempt: AttemptId, result: AttemptResult): void {
     const { sink, clock } = this.context;
     sink.emit({ type: 'attempt-ended', at: clock.now(), attempt, result });
--- a/src/gateway/runtime/replica-connection.ts
+++ b/src/gateway/runtime/replica-connection.ts
@@ -1,8 +1,9 @@
 /** One connection to a replica, over which one request runs at a time. */
 import type { Socket } from 'node:net';
-import type { buildConnector, Dispatcher } from 'undici';
+import type { Dispatcher } from 'undici';
 import type { HostPort } from '../../settings/node-settings.js';
 import { formatHostPort } from '../../settings/parse-host-port.js';
+import type { AttemptProblem } from '../model/request.js';
 import { ConnectTimeoutError, openConnection, wasReset } from './sockets.js';
 import { Client } from './undici-client.js';
 
@@ -24,25 +25,32 @@
   readonly body: Buffer | null;
 }
 
-/** What went wrong with the connection itself. */
-export type ConnectionFault = 'none' | 'connect-refused' | 'connect-timeout' | 'socket-error';
+/** What a connection tells its pool. */
+export interface ConnectionListener {
+  onOpened(): void;
+  /** The connection cannot be used any more; called once. */
+  onClosed(problem: AttemptProblem): void;
+}
 
-/** A client that opens its connection with the first request. */
+/** A connection that opens when it is created. */
 export class ReplicaConnection {
   private readonly client: Client;
-  private socket: Socket | undefined;
-  /** What went wrong last. */
-  fault: ConnectionFault = 'none';
-  /** A request that was dispatched may have been sent. */
-  connected = false;
-  /** The connection cannot be used any more. */
+  private readonly socket: Socket;
+  private handedOver = false;
+  private problem: AttemptProblem = 'connect-refused';
+  wasOpened = false;
   isClosed = false;
+  /** The socket broke: an answer without a length is not whole. */
+  isBroken = false;
+  /** An answer has come over the connection. */
+  hasAnswered = false;
 
-  /** @param onClosed - the connection cannot be used any more */
   constructor(
     address: HostPort,
-    private readonly onClosed: () => void,
+    private readonly listener: ConnectionListener,
   ) {
+    this.socket = openConnection(address, CONNECT_TIMEOUT_MS, (error) => this.noteOpened(error));
+    this.socket.once('close', () => this.noteClosed());
     this.client = new Client(`http://${formatHostPort(address)}`, {
       pipelining: 1,
       headersTimeout: 0,
@@ -50,7 +58,7 @@
       keepAliveTimeout: KEEP_ALIVE_MS,
       keepAliveMaxTimeout: KEEP_ALIVE_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
-      connect: (_options, callback) => this.open(address, callback),
+      connect: (_options, callback) => this.handOver(callback),
     });
   }
 
@@ -69,36 +77,48 @@
 
   /** Closes the connection at once. */
   destroy(): void {
-    this.isClosed = true;
-    this.socket?.destroy();
+    this.socket.destroy();
     void this.client.destroy().catch(() => undefined);
+    this.noteClosed();
   }
 
-  private open(address: HostPort, callback: buildConnector.Callback): void {
-    const socket = openConnection(address, CONNECT_TIMEOUT_MS, (...args) => {
-      this.noteOpened(args[0]);
-      callback(...args);
+  /**
+   * The client gets this socket and no other: a connection that broke is not opened again. The client
+   * does not go on when it is called back before its call to connect has returned.
+   */
+  private handOver(callback: (...args: [Error, null] | [null, Socket]) => void): void {
+    const isUsable = !this.handedOver && !this.socket.destroyed;
+    this.handedOver = true;
+    queueMicrotask(() => {
+      if (isUsable) {
+        callback(null, this.socket);
+      } else {
+        callback(new Error('the connection is closed'), null);
+      }
     });
-    this.socket = socket;
-    socket.once('close', () => {
+  }
+
+  private noteClosed(): void {
+    if (!this.isClosed) {
       this.isClosed = true;
-      this.onClosed();
-    });
+      this.listener.onClosed(this.problem);
+    }
   }
 
-  /** Listens for errors and ends before the client does, so that the fault is known when an answer ends. */
+  /** Listens for errors and ends before the client does, so that both are known when it is told. */
   private noteOpened(error: Error | null): void {
     if (error !== null) {
-      this.fault = error instanceof ConnectTimeoutError ? 'connect-timeout' : 'connect-refused';
+      this.problem = error instanceof ConnectTimeoutError ? 'connect-timeout' : 'connect-refused';
       return;
     }
-    this.connected = true;
-    const { socket } = this;
-    socket?.on('error', () => {
-      this.fault = 'socket-error';
+    this.wasOpened = true;
+    this.socket.on('error', () => {
+      this.isBroken = true;
     });
-    socket?.on('end', () => {
-      this.fault = wasReset(socket) ? 'socket-error' : this.fault;
+    this.socket.on('end', () => {
+      this.isBroken ||= wasReset(this.socket);
+      this.socket.destroySoon();
     });
+    this.listener.onOpened();
   }
 }
--- /dev/null
+++ b/src/gateway/runtime/replica-pool.ts
@@ -0,0 +1,131 @@
+/** The connections to one replica, and the attempts that wait for one. */
+import type { HostPort } from '../../settings/node-settings.js';
+import type { SendAttempt } from '../effect.js';
+import type { AttemptId, AttemptProblem } from '../model/request.js';
+import { ReplicaConnection } from './replica-connection.js';
+
+/** What a pool tells its client. */
+export interface PoolListener {
+  /** A connection is free for the attempt; its time left is counted from now. */
+  onFree(attempt: SendAttempt, connection: ReplicaConnection, pool: ReplicaPool): void;
+  /** No connection could be opened for the attempt, which was not sent. */
+  onUnreachable(attempt: SendAttempt, problem: AttemptProblem): void;
+}
+
+/**
+ * Opens connections as attempts need them, up to the bound that comes with each attempt. An attempt
+ * is sent over the first connection that is free, whether it is a new one or one given back.
+ */
+export class ReplicaPool {
+  private readonly idle: ReplicaConnection[] = [];
+  private readonly waiting: SendAttempt[] = [];
+  private open = 0;
+  private opening = 0;
+  private maxConnections = 1;
+  private closed = false;
+
+  constructor(
+    private readonly address: HostPort,
+    private readonly listener: PoolListener,
+  ) {}
+
+  submit(attempt: SendAttempt): void {
+    this.maxConnections = attempt.maxConnections;
+    this.waiting.push(attempt);
+    this.serveWaiting();
+  }
+
+  /** Opens the first connection before it is needed. */
+  preconnect(): void {
+    if (this.open === 0) {
+      this.openConnection();
+    }
+  }
+
+  /** Takes an attempt that waits out of the queue; false when it does not wait here. */
+  withdraw(attempt: AttemptId): boolean {
+    const index = this.waiting.findIndex((each) => each.attempt === attempt);
+    if (index >= 0) {
+      this.waiting.splice(index, 1);
+    }
+    return index >= 0;
+  }
+
+  /**
+   * Gives a connection back. Bytes may follow a whole answer in the same piece: the connection is
+   * used again only once the parser has seen all of the piece, and has closed it if there were any.
+   */
+  giveBack(connection: ReplicaConnection): void {
+    queueMicrotask(() => {
+      if (this.closed) {
+        connection.destroy();
+      } else if (!connection.isClosed) {
+        this.idle.push(connection);
+        this.serveWaiting();
+      }
+    });
+  }
+
+  /** Closes idle connections; the others close when they are given back. */
+  close(): void {
+    this.closed = true;
+    this.idle.splice(0).forEach((connection) => connection.destroy());
+    this.waiting.splice(0).forEach((attempt) => {
+      this.listener.onUnreachable(attempt, 'aborted');
+    });
+  }
+
+  private serveWaiting(): void {
+    while (this.waiting.length > 0) {
+      const connection = this.idle.pop();
+      if (connection === undefined) {
+        this.openForWaiting();
+        return;
+      }
+      const attempt = this.waiting.shift();
+      if (attempt !== undefined) {
+        this.listener.onFree(attempt, connection, this);
+      }
+    }
+  }
+
+  private openForWaiting(): void {
+    while (this.opening < this.waiting.length && this.open < this.maxConnections) {
+      this.openConnection();
+    }
+  }
+
+  private openConnection(): void {
+    this.open += 1;
+    this.opening += 1;
+    const connection = new ReplicaConnection(this.address, {
+      onOpened: () => {
+        this.opening -= 1;
+        this.idle.push(connection);
+        this.serveWaiting();
+      },
+      onClosed: (problem) => this.noteClosed(connection, problem),
+    });
+  }
+
+  private noteClosed(connection: ReplicaConnection, problem: AttemptProblem): void {
+    this.open -= 1;
+    const index = this.idle.indexOf(connection);
+    if (index >= 0) {
+      this.idle.splice(index, 1);
+    }
+    if (!connection.wasOpened) {
+      this.opening -= 1;
+      this.failOldest(problem);
+    }
+    this.serveWaiting();
+  }
+
+  /** The attempt for which the connection was to be opened goes to another replica. */
+  private failOldest(problem: AttemptProblem): void {
+    const attempt = this.waiting.shift();
+    if (attempt !== undefined) {
+      this.listener.onUnreachable(attempt, problem);
+    }
+  }
+}
--- a/src/gateway/runtime/sockets.ts
+++ b/src/gateway/runtime/sockets.ts
@@ -2,7 +2,6 @@
 import type { Server } from 'node:http';
 import { readSync } from 'node:fs';
 import { connect, type Socket } from 'node:net';
-import type { buildConnector } from 'undici';
 import type { HostPort } from '../../settings/node-settings.js';
 
 /** The error of a connection that did not open in time. */
@@ -10,20 +9,20 @@
   override readonly name = 'ConnectTimeoutError';
 }
 
-/** Opens a connection for an HTTP client and hands it to `callback`. */
+/** Opens a connection; `callback` learns once whether it opened. */
 export const openConnection = (
   { host, port }: HostPort,
   timeoutMs: number,
-  callback: buildConnector.Callback,
+  callback: (error: Error | null) => void,
 ): Socket => {
   const socket = connect({ host, port, noDelay: true });
-  const failed = (error: Error): void => callback(error, null);
+  const failed = (error: Error): void => callback(error);
   socket.setTimeout(timeoutMs, () => socket.destroy(new ConnectTimeoutError('no connection')));
   socket.once('error', failed);
   socket.once('connect', () => {
     socket.setTimeout(0);
     socket.off('error', failed);
-    callback(null, socket);
+    callback(null);
   });
   return socket;
 };
--- a/src/gateway/runtime/start-gateway.ts
+++ b/src/gateway/runtime/start-gateway.ts
@@ -124,6 +124,7 @@
         this.timers.cancel(call);
         this.callers.forget(call);
       })
+      .with({ type: 'open-connection' }, (open) => this.replicas.preconnect(open))
       .with({ type: 'close-replica' }, ({ replica }) => this.replicas.close(replica))
       .with({ type: 'call-store' }, ({ call }) => this.store.call(call))
       .with({ type: 'set-collection-timer' }, ({ collection, at }) =>
--- a/src/gateway/runtime/store-client.ts
+++ b/src/gateway/runtime/store-client.ts
@@ -109,7 +109,9 @@
       bodyTimeout: 0,
       keepAliveTimeout: KEEP_ALIVE_MS,
       connect: (_options, callback) => {
-        openConnection(address, CONNECT_TIMEOUT_MS, callback);
+        const socket = openConnection(address, CONNECT_TIMEOUT_MS, (error) =>
+          error === null ? callback(null, socket) : callback(error, null),
+        );
       },
     });
     this.clients.set(collection, client);
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -23,6 +23,8 @@
   /** Unique over all gateways. */
   readonly node: string;
   readonly zone: string;
+  /** The whole tier starts for the first time: nothing of earlier processes is left anywhere. */
+  readonly firstStart: boolean;
   /** The region of each zone. */
   readonly zoneRegions: Readonly<Record<string, string>>;
   /** Where callers connect, over HTTP. */
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -12,6 +12,9 @@
 import type { CollectionName } from './store/collection.js';
 import { type CollectionProgress, createCollectionProgress } from './store/follow-collection.js';
 
+/** Gateways that are assumed to run until others are known. */
+const ASSUMED_GATEWAYS = 8;
+
 /** Where the process stands between start and end. */
 export type LifecyclePhase = 'starting' | 'serving' | 'stopping' | 'ended';
 
@@ -26,6 +29,9 @@
 export interface GatewayState {
   settings: GatewaySettings;
   readonly random: Random;
+  startedAt: number;
+  /** Gateways that run, this one among them, as far as is known. */
+  gateways: number;
   phase: LifecyclePhase;
   /** When the request to stop came. */
   stoppingSince: number;
@@ -48,6 +54,8 @@
 export const createGatewayState = (settings: GatewaySettings, seed: number): GatewayState => ({
   settings,
   random: createRandom(seed),
+  startedAt: 0,
+  gateways: ASSUMED_GATEWAYS,
   phase: 'starting',
   stoppingSince: Number.POSITIVE_INFINITY,
   ready: false,
--- a/test/gateway/answer-reader.test.ts
+++ b/test/gateway/answer-reader.test.ts
@@ -5,11 +5,14 @@
 import { platformProtocol } from '../../platform/protocol.js';
 import { AnswerReader, type ExchangeEnd } from '../../src/gateway/runtime/answer-reader.js';
 import { ReplicaConnection } from '../../src/gateway/runtime/replica-connection.js';
+import type { AttemptProblem } from '../../src/gateway/model/request.js';
+import type { HostPort } from '../../src/settings/node-settings.js';
 import { type RawAnswer, RawReplica } from './raw-replica.js';
 
 let replica: RawReplica | undefined;
 let connection: ReplicaConnection | undefined;
 let worker: Worker | undefined;
+let closedWith: AttemptProblem | undefined;
 
 afterEach(async () => {
   connection?.destroy();
@@ -26,9 +29,21 @@
     );
   });
 
+/** Opens a connection; resolves also when it could not be opened. */
+const open = (address: HostPort): Promise<ReplicaConnection> =>
+  new Promise((resolve) => {
+    const opened: ReplicaConnection = new ReplicaConnection(address, {
+      onOpened: () => resolve(opened),
+      onClosed: (problem) => {
+        closedWith = problem;
+        resolve(opened);
+      },
+    });
+  });
+
 const ask = async (answer: RawAnswer): Promise<ExchangeEnd> => {
   replica = await RawReplica.start(answer);
-  connection = new ReplicaConnection(replica.address, () => undefined);
+  connection = await open(replica.address);
   return exchange(connection);
 };
 
@@ -55,12 +70,6 @@
   while (performance.now() < until);
 };
 
-const untilSent = async (over: ReplicaConnection): Promise<void> => {
-  while (!over.connected) {
-    await delay(1);
-  }
-};
-
 /** A replica on a thread of its own: it writes `answer`, then resets. Resolves to its port. */
 const startResettingReplica = (answer: string): Promise<number> => {
   worker = new Worker(RESETTING_REPLICA, { eval: true, workerData: answer });
@@ -105,9 +114,8 @@
   it('without a length is cut off when it is read together with the reset', async () => {
     const head = `${HEAD}Connection: close\r\n\r\nhel`;
     const port = await startResettingReplica(head);
-    connection = new ReplicaConnection({ host: '127.0.0.1', port }, () => undefined);
+    connection = await open({ host: '127.0.0.1', port });
     const end = exchange(connection);
-    await untilSent(connection);
     standStill(STAND_STILL_MS);
     expectFailure(await end, 'cut-off');
   });
@@ -166,12 +174,16 @@
     expect(connection?.isClosed).toBe(true);
   });
 
-  it('did not run where no connection opened', async () => {
+  it('is none where no connection opened', async () => {
     replica = await RawReplica.start(() => undefined);
     const { address } = replica;
     await replica.stop();
-    connection = new ReplicaConnection(address, () => undefined);
-    const { result } = await exchange(connection);
-    expect(result).toEqual({ type: 'failed', problem: 'connect-refused', mayHaveRun: false });
+    connection = await open(address);
+    expect(connection.wasOpened).toBe(false);
+    expect(closedWith).toBe('connect-refused');
+  });
+
+  it('is none where a new connection is reset', async () => {
+    expectFailure(await ask((socket) => socket.resetAndDestroy()), 'refused-connection');
   });
 });
--- a/test/platform/gateway-fixture.ts
+++ b/test/platform/gateway-fixture.ts
@@ -84,6 +84,7 @@
     return new GatewayFixture(store, {
       node: 'front-1',
       zone: 'bole',
+      firstStart: true,
       zoneRegions: { bole: 'addis', arada: 'addis', hall: 'wales' },
       callers: { host, port: callers },
       readiness: { host, port: readiness },
