--- a/src/gateway/effect.ts
+++ b/src/gateway/effect.ts
@@ -70,6 +70,18 @@
   readonly at: number;
 }
 
+/** Sets the timer of the next probe of the store. */
+export interface SetProbeTimer {
+  readonly type: 'set-probe-timer';
+  readonly at: number;
+}
+
+/** Sets the timer of the next registration or count of gateways. */
+export interface SetGatewaysTimer {
+  readonly type: 'set-gateways-timer';
+  readonly at: number;
+}
+
 /** Sets the timer of the stop. */
 export interface SetStopTimer {
   readonly type: 'set-stop-timer';
@@ -120,6 +132,8 @@
   | SetRequestTimer
   | CallStore
   | SetCollectionTimer
+  | SetProbeTimer
+  | SetGatewaysTimer
   | SetStopTimer
   | SetReadiness
   | ApplyLimits
--- a/src/gateway/event.ts
+++ b/src/gateway/event.ts
@@ -82,6 +82,41 @@
   readonly detail: string;
 }
 
+/** A probe of the store has ended. */
+export interface ProbeEnded {
+  readonly type: 'probe-ended';
+  readonly at: number;
+  readonly answered: boolean;
+}
+
+/** The registration of this gateway has ended. */
+export interface RegistrationEnded {
+  readonly type: 'registration-ended';
+  readonly at: number;
+  /** The entry stands in the store. */
+  readonly written: boolean;
+}
+
+/** The gateways were counted. */
+export interface GatewaysCounted {
+  readonly type: 'gateways-counted';
+  readonly at: number;
+  /** Absent when the store did not answer. */
+  readonly gateways?: number;
+}
+
+/** The next probe of the store is due. */
+export interface ProbeDue {
+  readonly type: 'probe-due';
+  readonly at: number;
+}
+
+/** The next registration or count of gateways is due. */
+export interface GatewaysDue {
+  readonly type: 'gateways-due';
+  readonly at: number;
+}
+
 /** A collection's pause between calls is over. */
 export interface CollectionDue {
   readonly type: 'collection-due';
@@ -135,4 +170,9 @@
   | ChangesRead
   | StoreCallFailed
   | CollectionDue
+  | ProbeEnded
+  | ProbeDue
+  | RegistrationEnded
+  | GatewaysCounted
+  | GatewaysDue
   | StopDue;
--- a/src/gateway/protocol/protocol.ts
+++ b/src/gateway/protocol/protocol.ts
@@ -5,7 +5,7 @@
 import type { Either } from 'purify-ts/Either';
 import type { StoreChanges, StorePage } from '../event.js';
 import type { LoadReport } from '../model/request.js';
-import type { StoreCall } from '../store/collection.js';
+import type { ListCall, StoreCall, WatchCall } from '../store/collection.js';
 import type { Finding } from '../../table/finding.js';
 
 /** Names of headers, in lower case. */
@@ -28,11 +28,22 @@
   readonly missingParts: string;
 }
 
+/** A request to the store. */
+export interface StoreRequest {
+  readonly method: 'GET' | 'POST';
+  readonly path: string;
+  /** JSON; absent for none. */
+  readonly body?: string;
+}
+
 /** Calls to the store and its answers. */
 export interface StoreFormat {
-  pathOf(call: StoreCall): string;
-  readPage(call: StoreCall, body: string): Either<readonly Finding[], StorePage>;
-  readChanges(call: StoreCall, body: string): Either<readonly Finding[], StoreChanges>;
+  /** The request of a call. */
+  formatCall(call: StoreCall): StoreRequest;
+  readPage(call: ListCall, body: string): Either<readonly Finding[], StorePage>;
+  readChanges(call: WatchCall, body: string): Either<readonly Finding[], StoreChanges>;
+  /** The number of gateways in the answer to `list-gateways`. */
+  readGateways(body: string): Either<readonly Finding[], number>;
 }
 
 /** A protocol that a gateway speaks. */
--- a/src/gateway/reducer.ts
+++ b/src/gateway/reducer.ts
@@ -17,12 +17,19 @@
   takePage,
   takeStoreFailure,
 } from './store/apply-collections.js';
+import {
+  continueCounting,
+  register,
+  takeGatewayCount,
+  takeRegistration,
+} from './store/count-gateways.js';
+import { probeNow, takeProbe } from './store/probe-store.js';
 
 const dispatch = (state: GatewayState, event: GatewayEvent): GatewayEffect[] =>
   match(event)
     .with({ type: 'started' }, ({ at }) => {
       state.startedAt = at;
-      return followCollections(state);
+      return [...followCollections(state), probeNow(), register(state)];
     })
     .with({ type: 'stop-requested' }, (stop) => beginStop(state, stop))
     .with({ type: 'stop-due' }, (due) => continueStop(state, due))
@@ -46,6 +53,11 @@
     ])
     .with({ type: 'store-call-failed' }, (failed) => takeStoreFailure(state, failed))
     .with({ type: 'collection-due' }, (due) => takeCollectionDue(state, due))
+    .with({ type: 'probe-due' }, () => [probeNow()])
+    .with({ type: 'probe-ended' }, ({ answered, at }) => takeProbe(state, answered, at))
+    .with({ type: 'gateways-due' }, () => [continueCounting(state)])
+    .with({ type: 'registration-ended' }, ({ written, at }) => takeRegistration(state, written, at))
+    .with({ type: 'gateways-counted' }, ({ gateways, at }) => takeGatewayCount(state, gateways, at))
     .exhaustive();
 
 /** Takes one event. Ends of attempts, the most frequent, go past the match. */
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -12,8 +12,8 @@
 /** Part of the time for which a leaving replica serves that is used, as a last resort. */
 const LEAVING_SHARE = 0.3;
 
-/** This gateway's part of the slack of a retry budget, in arrivals. */
-const SLACK_PART = 2;
+/** Part of the slack of a retry budget that all gateways together use. */
+const SLACK_USE = 0.75;
 
 /** Tries of one leg beyond its runs: refusals and connections that failed. */
 const EXTRA_TRIES = 2;
@@ -49,8 +49,9 @@
   if (leg.arrivals === 0) {
     return true;
   }
-  const { retryRatio, retryWindowMs } = state.settings.bounds;
-  const policy = { ratio: retryRatio, windowMs: retryWindowMs, slack: SLACK_PART };
+  const { retryRatio, retryWindowMs, retrySlack } = state.settings.bounds;
+  const slack = Math.floor((retrySlack * SLACK_USE) / state.gateways);
+  const policy = { ratio: retryRatio, windowMs: retryWindowMs, slack };
   return budgetOf(state, leg.service).take(policy, at);
 };
 
--- a/src/gateway/runtime/gateway-timers.ts
+++ b/src/gateway/runtime/gateway-timers.ts
@@ -1,11 +1,11 @@
-/** Timers of a gateway: one for each request, one for each collection, one for the stop. */
+/** Timers of a gateway: one for each request and each collection, and a few for the process. */
 import { type Deadline, DeadlineQueue } from '../../runtime/deadline-queue.js';
 import type { MonotonicClock } from '../../runtime/monotonic-clock.js';
 import type { CallId } from '../model/request.js';
 import type { CollectionName } from '../store/collection.js';
 import type { GatewayEventSink } from './gateway-loop.js';
 
-type TimerKey = CallId | CollectionName | 'stop';
+type TimerKey = CallId | CollectionName | 'stop' | 'probe' | 'gateways';
 
 /** Sets timers and emits their events. */
 export class GatewayTimers {
@@ -42,12 +42,18 @@
   private fire(key: TimerKey): void {
     this.timers.delete(key);
     const at = this.clock.now();
-    if (typeof key === 'number') {
-      this.sink.emit({ type: 'request-due', at, call: key });
-    } else if (key === 'stop') {
-      this.sink.emit({ type: 'stop-due', at });
-    } else {
-      this.sink.emit({ type: 'collection-due', at, collection: key });
+    switch (key) {
+      case 'stop':
+        return this.sink.emit({ type: 'stop-due', at });
+      case 'probe':
+        return this.sink.emit({ type: 'probe-due', at });
+      case 'gateways':
+        return this.sink.emit({ type: 'gateways-due', at });
+      case 'configuration':
+      case 'replicas':
+        return this.sink.emit({ type: 'collection-due', at, collection: key });
+      default:
+        return this.sink.emit({ type: 'request-due', at, call: key });
     }
   }
 }
--- a/src/gateway/runtime/read-text.ts
+++ b/src/gateway/runtime/read-text.ts
@@ -1,5 +1,6 @@
-/** Makes one GET call over a client and reads its answer as text. */
+/** Makes one call over a client and reads its answer as text. */
 import type { Dispatcher } from 'undici';
+import type { StoreRequest } from '../protocol/protocol.js';
 import type { Client } from './undici-client.js';
 
 /** A whole answer. */
@@ -45,8 +46,12 @@
   }
 }
 
-/** Reads `path`; rejects when there is no whole answer within `timeoutMs`. */
-export const readText = (client: Client, path: string, timeoutMs: number): Promise<TextAnswer> =>
+/** Makes a call; rejects when there is no whole answer within `timeoutMs`. */
+export const readText = (
+  client: Client,
+  { method, path, body }: StoreRequest,
+  timeoutMs: number,
+): Promise<TextAnswer> =>
   new Promise((resolve, reject) => {
     const timer = setTimeout(
       () => reject(new CallTimeoutError(`no answer in ${timeoutMs} ms`)),
@@ -58,5 +63,7 @@
         settle(value);
       };
     };
-    client.dispatch({ method: 'GET', path }, new TextReader(settled(resolve), settled(reject)));
+    const headers = body === undefined ? [] : ['content-type', 'application/json'];
+    const request = { method, path, headers, body: body ?? null };
+    client.dispatch(request, new TextReader(settled(resolve), settled(reject)));
   });
--- a/src/gateway/runtime/start-gateway.ts
+++ b/src/gateway/runtime/start-gateway.ts
@@ -130,6 +130,8 @@
       .with({ type: 'set-collection-timer' }, ({ collection, at }) =>
         this.timers.set(collection, at),
       )
+      .with({ type: 'set-probe-timer' }, ({ at }) => this.timers.set('probe', at))
+      .with({ type: 'set-gateways-timer' }, ({ at }) => this.timers.set('gateways', at))
       .with({ type: 'set-stop-timer' }, ({ at }) => this.timers.set('stop', at))
       .with({ type: 'set-readiness' }, ({ ready }) => this.readiness.setReady(ready))
       .with({ type: 'apply-limits' }, ({ limits }) => this.callers.applyLimits(limits))
--- a/src/gateway/runtime/store-client.ts
+++ b/src/gateway/runtime/store-client.ts
@@ -1,13 +1,20 @@
-/** Calls the store: one connection for each collection, so that a watch holds up nothing else. */
+/** Calls the store: one connection for each purpose, so that a watch holds up nothing else. */
 import type { MonotonicClock } from '../../runtime/monotonic-clock.js';
 import type { HostPort } from '../../settings/node-settings.js';
 import { formatHostPort } from '../../settings/parse-host-port.js';
-import type { StoreCallFailed } from '../event.js';
 import { formatFinding } from '../../table/finding.js';
+import type { StoreCallFailed } from '../event.js';
 import type { StoreFormat } from '../protocol/protocol.js';
-import type { CollectionName, StoreCall } from '../store/collection.js';
+import type {
+  CollectionCall,
+  CollectionName,
+  ListGatewaysCall,
+  ProbeCall,
+  RegisterCall,
+  StoreCall,
+} from '../store/collection.js';
 import type { GatewayEventSink } from './gateway-loop.js';
-import { readText } from './read-text.js';
+import { readText, type TextAnswer } from './read-text.js';
 import { openConnection } from './sockets.js';
 import { Client } from './undici-client.js';
 
@@ -18,6 +25,8 @@
 const KEEP_ALIVE_MS = 10_000;
 
 const OK_STATUS = 200;
+const CREATED_STATUS = 201;
+const CONFLICT_STATUS = 409;
 const GONE_STATUS = 410;
 const THROTTLED_STATUS = 429;
 
@@ -29,6 +38,9 @@
   readonly sink: GatewayEventSink;
 }
 
+/** What a connection is for. */
+type Purpose = CollectionName | 'probe' | 'gateways';
+
 const problemOf = (status: number): StoreCallFailed['problem'] => {
   if (status === GONE_STATUS) {
     return 'history-gone';
@@ -36,15 +48,27 @@
   return status === THROTTLED_STATUS ? 'throttled' : 'unavailable';
 };
 
-/** Carries out `call-store`; emits `page-read`, `changes-read` or `store-call-failed`. */
+/** Carries out `call-store`. */
 export class StoreClient {
-  private readonly clients = new Map<CollectionName, Client>();
+  private readonly clients = new Map<Purpose, Client>();
+  /** The newest call of each collection; an older one is given up. */
+  private readonly newest = new Map<CollectionName, CollectionCall>();
   private closed = false;
 
   constructor(private readonly context: StoreClientContext) {}
 
   call(call: StoreCall): void {
-    void this.run(call);
+    switch (call.type) {
+      case 'list':
+      case 'watch':
+        return void this.follow(call);
+      case 'probe':
+        return void this.probe(call);
+      case 'register':
+        return void this.register(call);
+      case 'list-gateways':
+        return void this.countGateways(call);
+    }
   }
 
   destroy(): void {
@@ -52,54 +76,112 @@
     this.clients.forEach((client) => void client.destroy().catch(() => undefined));
   }
 
-  private async run(call: StoreCall): Promise<void> {
-    const client = this.clientOf(call.collection);
+  private async follow(call: CollectionCall): Promise<void> {
+    const { collection } = call;
+    if (this.newest.has(collection)) {
+      this.dropClient(collection);
+    }
+    this.newest.set(collection, call);
     try {
-      const path = this.context.format.pathOf(call);
-      const answer = await readText(client, path, call.timeoutMs);
-      this.take(call, answer.status, answer.body);
+      const answer = await this.ask(collection, call);
+      if (this.endNewest(call)) {
+        this.takeCollection(call, answer);
+      }
     } catch (error) {
-      this.dropClient(call.collection, client);
-      this.fail(call, 'no-answer', String(error));
+      if (this.endNewest(call)) {
+        this.fail(call, 'no-answer', String(error));
+      }
     }
   }
 
-  private take(call: StoreCall, status: number, body: string): void {
-    const { format, sink, clock } = this.context;
-    if (this.closed) {
-      return;
+  /** Whether the call that ended is still the newest one. */
+  private endNewest(call: CollectionCall): boolean {
+    if (this.newest.get(call.collection) !== call || this.closed) {
+      return false;
+    }
+    this.newest.delete(call.collection);
+    return true;
+  }
+
+  private async probe(call: ProbeCall): Promise<void> {
+    const answer = await this.tryAsk('probe', call);
+    const answered = answer?.status === OK_STATUS;
+    this.emit((at) => ({ type: 'probe-ended', at, answered }));
+  }
+
+  private async register(call: RegisterCall): Promise<void> {
+    const answer = await this.tryAsk('gateways', call);
+    const isThere = [OK_STATUS, CREATED_STATUS, CONFLICT_STATUS];
+    const written = answer !== undefined && isThere.includes(answer.status);
+    this.emit((at) => ({ type: 'registration-ended', at, written }));
+  }
+
+  private async countGateways(call: ListGatewaysCall): Promise<void> {
+    const answer = await this.tryAsk('gateways', call);
+    const read =
+      answer?.status === OK_STATUS
+        ? this.context.format.readGateways(answer.body).toMaybe().extract()
+        : undefined;
+    const counted = read === undefined ? {} : { gateways: read };
+    this.emit((at) => ({ type: 'gateways-counted', at, ...counted }));
+  }
+
+  private emit(create: (at: number) => Parameters<GatewayEventSink['emit']>[0]): void {
+    if (!this.closed) {
+      this.context.sink.emit(create(this.context.clock.now()));
     }
+  }
+
+  private takeCollection(call: CollectionCall, { status, body }: TextAnswer): void {
+    const { format } = this.context;
     if (status !== OK_STATUS) {
       this.fail(call, problemOf(status), `status ${status}`);
       return;
     }
-    const at = clock.now();
     if (call.type === 'list') {
       format.readPage(call, body).caseOf({
         Left: (findings) => this.fail(call, 'malformed', findings.map(formatFinding).join('; ')),
-        Right: (page) => sink.emit({ type: 'page-read', at, page }),
+        Right: (page) => this.emit((at) => ({ type: 'page-read', at, page })),
       });
       return;
     }
     format.readChanges(call, body).caseOf({
       Left: (findings) => this.fail(call, 'malformed', findings.map(formatFinding).join('; ')),
-      Right: (changes) => sink.emit({ type: 'changes-read', at, changes }),
+      Right: (changes) => this.emit((at) => ({ type: 'changes-read', at, changes })),
     });
   }
 
   private fail(
-    { collection }: StoreCall,
+    { collection }: CollectionCall,
     problem: StoreCallFailed['problem'],
     detail: string,
   ): void {
-    if (!this.closed) {
-      const at = this.context.clock.now();
-      this.context.sink.emit({ type: 'store-call-failed', at, collection, problem, detail });
+    this.emit((at) => ({ type: 'store-call-failed', at, collection, problem, detail }));
+  }
+
+  private async tryAsk(purpose: Purpose, call: StoreCall): Promise<TextAnswer | undefined> {
+    try {
+      return await this.ask(purpose, call);
+    } catch {
+      return undefined;
     }
   }
 
-  private clientOf(collection: CollectionName): Client {
-    const known = this.clients.get(collection);
+  /** A connection on which an answer is lost says nothing more: the next call opens another. */
+  private async ask(purpose: Purpose, call: StoreCall): Promise<TextAnswer> {
+    const client = this.clientOf(purpose);
+    try {
+      return await readText(client, this.context.format.formatCall(call), call.timeoutMs);
+    } catch (error) {
+      if (this.clients.get(purpose) === client) {
+        this.dropClient(purpose);
+      }
+      throw error;
+    }
+  }
+
+  private clientOf(purpose: Purpose): Client {
+    const known = this.clients.get(purpose);
     if (known !== undefined) {
       return known;
     }
@@ -114,15 +196,13 @@
         );
       },
     });
-    this.clients.set(collection, client);
+    this.clients.set(purpose, client);
     return client;
   }
 
-  /** A connection on which an answer is lost says nothing more: the next call opens another. */
-  private dropClient(collection: CollectionName, client: Client): void {
-    if (this.clients.get(collection) === client) {
-      this.clients.delete(collection);
-    }
-    void client.destroy().catch(() => undefined);
+  private dropClient(purpose: Purpose): void {
+    const client = this.clients.get(purpose);
+    this.clients.delete(purpose);
+    void client?.destroy().catch(() => undefined);
   }
 }
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -11,6 +11,7 @@
 import type { GatewaySettings } from './settings.js';
 import type { CollectionName } from './store/collection.js';
 import { type CollectionProgress, createCollectionProgress } from './store/follow-collection.js';
+import type { StoreReachability } from './store/probe-store.js';
 
 /** Gateways that are assumed to run until others are known. */
 const ASSUMED_GATEWAYS = 8;
@@ -32,6 +33,9 @@
   startedAt: number;
   /** Gateways that run, this one among them, as far as is known. */
   gateways: number;
+  /** This gateway has written its entry among the gateways. */
+  registered: boolean;
+  readonly store: StoreReachability;
   phase: LifecyclePhase;
   /** When the request to stop came. */
   stoppingSince: number;
@@ -56,6 +60,8 @@
   random: createRandom(seed),
   startedAt: 0,
   gateways: ASSUMED_GATEWAYS,
+  registered: false,
+  store: { reachable: true, lostAt: Number.NEGATIVE_INFINITY },
   phase: 'starting',
   stoppingSince: Number.POSITIVE_INFINITY,
   ready: false,
--- a/src/gateway/store/collection.ts
+++ b/src/gateway/store/collection.ts
@@ -23,5 +23,31 @@
   readonly timeoutMs: number;
 }
 
+/**
+ * Asks for next to nothing, from a copy that may be old: at a tenth of the price, it tells whether
+ * the store can be reached.
+ */
+export interface ProbeCall {
+  readonly type: 'probe';
+  readonly timeoutMs: number;
+}
+
+/** Writes this gateway's own entry among the gateways. */
+export interface RegisterCall {
+  readonly type: 'register';
+  readonly name: string;
+  readonly zone: string;
+  readonly timeoutMs: number;
+}
+
+/** Reads the names of all gateways that have registered. */
+export interface ListGatewaysCall {
+  readonly type: 'list-gateways';
+  readonly timeoutMs: number;
+}
+
+/** A call by which a collection is followed. */
+export type CollectionCall = ListCall | WatchCall;
+
 /** A call to the store. */
-export type StoreCall = ListCall | WatchCall;
+export type StoreCall = CollectionCall | ProbeCall | RegisterCall | ListGatewaysCall;
--- a/src/gateway/store/follow-collection.ts
+++ b/src/gateway/store/follow-collection.ts
@@ -4,13 +4,10 @@
  */
 import type { GatewayEffect } from '../effect.js';
 import type { Random } from '../../core/random.js';
-import type { CollectionName, StoreCall } from './collection.js';
+import type { CollectionCall, CollectionName } from './collection.js';
 
-/** How long a watch waits at the store, in milliseconds. */
-const WATCH_WAIT_MS: Readonly<Record<CollectionName, number>> = {
-  configuration: 4_000,
-  replicas: 6_000,
-};
+/** How long a watch waits at the store, in milliseconds; probes find out earlier if it is lost. */
+const WATCH_WAIT_MS = 25_000;
 
 /** Pause between two watches of a collection: changes that come together are read together. */
 const WATCH_GAP_MS: Readonly<Record<CollectionName, number>> = {
@@ -50,15 +47,15 @@
   answeredAt: Number.NEGATIVE_INFINITY,
 });
 
-const nextCall = ({ collection, revision, listAfter }: CollectionProgress): StoreCall => {
+const nextCall = ({ collection, revision, listAfter }: CollectionProgress): CollectionCall => {
   if (revision === undefined) {
     const timeoutMs = ANSWER_MS;
     return listAfter === undefined
       ? { type: 'list', collection, timeoutMs }
       : { type: 'list', collection, after: listAfter, timeoutMs };
   }
-  const waitMs = WATCH_WAIT_MS[collection];
-  return { type: 'watch', collection, revision, waitMs, timeoutMs: waitMs + ANSWER_MS };
+  const timeoutMs = WATCH_WAIT_MS + ANSWER_MS;
+  return { type: 'watch', collection, revision, waitMs: WATCH_WAIT_MS, timeoutMs };
 };
 
 /** Makes the next call for the collection at once. */
