--- a/src/gateway/requests/progress.ts
+++ b/src/gateway/requests/progress.ts
@@ -129,14 +129,12 @@
   return [{ type: 'set-request-timer', call: request.call, at: dueAt }];
 };
 
-const nextDue = (
-  { hedged, hedgeAt, objectiveAt, deadlineAt }: ActiveRequest,
-  at: number,
-): number => {
-  if (!hedged) {
-    return Math.min(hedgeAt, deadlineAt);
-  }
-  return at < objectiveAt ? Math.min(objectiveAt, deadlineAt) : deadlineAt;
+const nextDue = (request: ActiveRequest, at: number): number => {
+  const { hedged, hedgeAt, objectiveAt, deadlineAt } = request;
+  const resumeTimes = request.legs.map((leg) => leg.resumeAt ?? deadlineAt);
+  const hedgeTime = hedged ? deadlineAt : hedgeAt;
+  const objectiveTime = at < objectiveAt ? objectiveAt : deadlineAt;
+  return Math.min(deadlineAt, hedgeTime, objectiveTime, ...resumeTimes);
 };
 
 /** Ends the request if that is due; otherwise hedges what is slow and sets its timer. */
--- /dev/null
+++ b/test/gateway/requests.test.ts
@@ -0,0 +1,153 @@
+import { describe, expect, it } from 'vitest';
+import type { AttemptResult } from '../../src/gateway/model/request.js';
+import { gatherOf, routeTo, success, VirtualGateway } from './virtual-gateway.js';
+
+const SERVICE = { type: 'service', service: 's0' } as const;
+const REFUSED: AttemptResult = { type: 'refused', reason: 'full' };
+const LOST: AttemptResult = { type: 'failed', problem: 'reset', mayHaveRun: true };
+const UNREACHED: AttemptResult = { type: 'failed', problem: 'connect-refused', mayHaveRun: false };
+
+const gatewayWith = (shards: number, minCoverage: number, slack?: number): VirtualGateway => {
+  const gateway = new VirtualGateway(slack);
+  gateway.configure(1, [routeTo(gatherOf(shards, minCoverage))]);
+  gateway.listReplicas(Array.from({ length: shards }, (_, index) => `s${index}`));
+  return gateway;
+};
+
+describe('a gather in virtual time', () => {
+  it('answers with what is in 13 ms before its objective', () => {
+    const gateway = gatewayWith(10, 0.8);
+    const call = gateway.request();
+    gateway.now = 10;
+    gateway.sent
+      .slice(0, 9)
+      .forEach((attempt) => gateway.end(attempt, success(attempt.replica.id)));
+    gateway.advanceTo(86);
+    expect(gateway.answers.has(call)).toBe(false);
+    gateway.advanceTo(87);
+    expect(gateway.answers.get(call)).toMatchObject({ type: 'merged', missingShards: 1 });
+  });
+
+  it('answers as soon as the least coverage is in once the objective has passed', () => {
+    const gateway = gatewayWith(10, 0.8);
+    const call = gateway.request();
+    gateway.sent
+      .slice(0, 7)
+      .forEach((attempt) => gateway.end(attempt, success(attempt.replica.id)));
+    gateway.advanceTo(300);
+    expect(gateway.answers.has(call)).toBe(false);
+    const eighth = gateway.sent[7];
+    if (eighth !== undefined) {
+      gateway.end(eighth, success(eighth.replica.id));
+    }
+    expect(gateway.answers.get(call)).toMatchObject({ type: 'merged', missingShards: 2 });
+  });
+
+  it('sends no leg twice while most legs are open, and only the open ones later', () => {
+    const gateway = gatewayWith(10, 0.8);
+    gateway.request();
+    gateway.advanceTo(50);
+    expect(gateway.sent).toHaveLength(10);
+    gateway.sent
+      .slice(0, 8)
+      .forEach((attempt) => gateway.end(attempt, success(attempt.replica.id)));
+    gateway.advanceTo(56);
+    expect(gateway.sent).toHaveLength(12);
+    const [first, second] = gateway.sent.slice(8, 10);
+    const hedges = gateway.sent.slice(10).map(({ replica }) => replica.service);
+    expect(hedges).toEqual([first?.replica.service, second?.replica.service]);
+    const replicas = new Set(gateway.sent.map(({ replica }) => replica.id));
+    expect(replicas.size).toBe(12);
+  });
+
+  it('pauses a leg that no replica takes, tries all again and completes', () => {
+    const gateway = gatewayWith(4, 1);
+    const call = gateway.request();
+    const [refused, ...others] = gateway.sent.splice(0);
+    others.forEach((attempt) => gateway.end(attempt, success(attempt.replica.id)));
+    if (refused !== undefined) {
+      gateway.end(refused, UNREACHED);
+    }
+    const second = gateway.sent.shift();
+    if (second !== undefined) {
+      gateway.end(second, UNREACHED);
+    }
+    expect(gateway.answers.has(call)).toBe(false);
+    gateway.advanceTo(30);
+    const [third] = gateway.sent;
+    expect(third?.replica.service).toBe(refused?.replica.service);
+    if (third !== undefined) {
+      gateway.end(third, success(third.replica.id));
+    }
+    expect(gateway.answers.get(call)).toMatchObject({ type: 'merged', missingShards: 0 });
+  });
+
+  it('is given up at once when too few shards can still answer', () => {
+    const gateway = gatewayWith(2, 1);
+    const call = gateway.request();
+    gateway.sent.splice(0).forEach((attempt) => gateway.end(attempt, LOST));
+    gateway.sent.splice(0).forEach((attempt) => gateway.end(attempt, LOST));
+    expect(gateway.answers.get(call)).toMatchObject({ type: 'refusal', mayHaveRun: true });
+    expect(gateway.answeredAt.get(call)).toBe(0);
+  });
+
+  it('has its final answer at the timeout of its route', () => {
+    const gateway = gatewayWith(2, 1);
+    const call = gateway.request(5_000);
+    gateway.advanceTo(2_000);
+    expect(gateway.answers.get(call)).toMatchObject({ type: 'refusal', reason: 'deadline' });
+    expect(gateway.answeredAt.get(call)).toBe(1_000);
+  });
+});
+
+describe('a request for one service in virtual time', () => {
+  const gatewayFor = (repeatable: boolean): VirtualGateway => {
+    const gateway = new VirtualGateway();
+    gateway.configure(1, [routeTo(SERVICE, { repeatable })]);
+    gateway.listReplicas(['s0']);
+    return gateway;
+  };
+
+  it('that may run once is neither hedged nor sent again once it may have run', () => {
+    const gateway = gatewayFor(false);
+    const call = gateway.request();
+    gateway.advanceTo(200);
+    expect(gateway.sent).toHaveLength(1);
+    gateway.sent.slice().forEach((attempt) => gateway.end(attempt, LOST));
+    expect(gateway.sent).toHaveLength(1);
+    expect(gateway.answers.get(call)).toMatchObject({ type: 'refusal', mayHaveRun: true });
+    expect(gateway.answers.get(call)).not.toHaveProperty('retryAfterMs');
+  });
+
+  it('that may run once tells when to come back where it has not run', () => {
+    const gateway = gatewayFor(false);
+    const call = gateway.request();
+    gateway.sent.splice(0).forEach((attempt) => gateway.end(attempt, REFUSED));
+    gateway.sent.splice(0).forEach((attempt) => gateway.end(attempt, REFUSED));
+    gateway.advanceTo(20);
+    expect(gateway.answers.get(call)).toMatchObject({ type: 'refusal', mayHaveRun: false });
+    expect(gateway.answers.get(call)).toHaveProperty('retryAfterMs');
+  });
+
+  it('prefers the replica of its own zone, and the other one while that one is slow', () => {
+    const gateway = gatewayFor(true);
+    gateway.request();
+    expect(gateway.sent[0]?.replica.zone).toBe('bole');
+    gateway.advanceTo(40);
+    gateway.request();
+    expect(gateway.sent.at(-1)?.replica.zone).toBe('arada');
+  });
+});
+
+describe('the retry budget', () => {
+  it('bounds hedges to a part of the requests and the slack', () => {
+    const gateway = gatewayWith(1, 1, 4);
+    for (let count = 0; count < 100; count += 1) {
+      gateway.request();
+      gateway.advanceTo(gateway.now + 90);
+    }
+    const extras = gateway.sent.length - 100;
+    expect(extras).toBeGreaterThan(10);
+    expect(extras).toBeLessThanOrEqual(0.2 * 100 + 4);
+  });
+});
--- /dev/null
+++ b/test/gateway/virtual-gateway.ts
@@ -0,0 +1,169 @@
+/** A gateway's reducer in virtual time: events are fed by hand, effects are read as data. */
+import type { GatewayEffect, SendAttempt } from '../../src/gateway/effect.js';
+import type { GatewayEvent } from '../../src/gateway/event.js';
+import type { GatewayConfiguration, Route, RouteTarget } from '../../src/gateway/model/route.js';
+import type { AttemptResult, CallerResponse, CallId } from '../../src/gateway/model/request.js';
+import { step } from '../../src/gateway/reducer.js';
+import { createGatewayState, type GatewayState } from '../../src/gateway/state.js';
+
+const HOST = { host: '127.0.0.1', port: 1 };
+
+/** A route whose objective is 100 ms. */
+export const routeTo = (target: RouteTarget, fields: Partial<Route> = {}): Route => ({
+  name: 'route',
+  host: 'shop.example',
+  pathPrefix: '/',
+  repeatable: true,
+  timeoutMs: 1_000,
+  objectiveMs: 100,
+  maxAttempts: 2,
+  priority: 0,
+  target,
+  ...fields,
+});
+
+/** Shards `s0` to `s(count - 1)`. */
+export const gatherOf = (count: number, minCoverage: number): RouteTarget => ({
+  type: 'gather',
+  shards: Array.from({ length: count }, (_, index) => `s${index}`),
+  maxRecords: 10,
+  minCoverage,
+});
+
+/** The answer of a replica that succeeded. */
+export const success = (signature: string): AttemptResult => ({
+  type: 'answered',
+  answer: { status: 200, headers: [], body: Buffer.alloc(16), signature },
+  closing: false,
+});
+
+/** Runs the reducer and keeps what it asked for. */
+export class VirtualGateway {
+  readonly state: GatewayState;
+  readonly sent: SendAttempt[] = [];
+  readonly answers = new Map<CallId, CallerResponse>();
+  readonly answeredAt = new Map<CallId, number>();
+  /** When the timer of each request is due. */
+  readonly timers = new Map<CallId, number>();
+  readonly effects: GatewayEffect[] = [];
+  now = 0;
+  private nextCall = 1;
+
+  constructor(retrySlack = 40) {
+    this.state = createGatewayState(
+      {
+        node: 'front-1',
+        zone: 'bole',
+        firstStart: true,
+        zoneRegions: { bole: 'addis', arada: 'addis' },
+        callers: HOST,
+        readiness: HOST,
+        peers: HOST,
+        seeds: [],
+        store: HOST,
+        bounds: {
+          drainMs: 3_000,
+          graceMs: 6_000,
+          configurationMs: 3_000,
+          retryRatio: 0.2,
+          retryWindowMs: 10_000,
+          retrySlack,
+        },
+        logLevel: 'error',
+      },
+      7,
+    );
+    this.state.gateways = 1;
+    this.emit({ type: 'started', at: 0 });
+  }
+
+  emit(event: GatewayEvent): void {
+    for (const effect of step(this.state, event)) {
+      this.take(effect);
+    }
+  }
+
+  /** Puts a version with these routes in force. */
+  configure(version: number, routes: readonly Route[]): void {
+    const configuration: GatewayConfiguration = {
+      version,
+      routes,
+      services: new Map(),
+      limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    };
+    this.emit({
+      type: 'page-read',
+      at: this.now,
+      page: {
+        collection: 'configuration',
+        objects: [{ name: 'main', gone: false, value: configuration }],
+        more: false,
+        last: 'main',
+        revision: version,
+      },
+    });
+  }
+
+  /** Lists one replica in each zone for each of `services`. */
+  listReplicas(services: readonly string[], zones: readonly string[] = ['bole', 'arada']): void {
+    const objects = services.flatMap((service) =>
+      zones.map((zone, index) => {
+        const id = `${service}-${zone}-${index}`;
+        const value = { id, service, ...HOST, zone, slots: 2, draining: false, coldMs: 0 };
+        return { name: id, gone: false, value };
+      }),
+    );
+    this.emit({
+      type: 'page-read',
+      at: this.now,
+      page: { collection: 'replicas', objects, more: false, last: '', revision: 1 },
+    });
+  }
+
+  request(budgetMs = 900): CallId {
+    const call = this.nextCall;
+    this.nextCall += 1;
+    const request = { requestId: `r-${call}`, host: 'shop.example', path: '/x', budgetMs };
+    this.emit({ type: 'request-received', at: this.now, call, request });
+    return call;
+  }
+
+  end(attempt: SendAttempt, result: AttemptResult): void {
+    this.emit({ type: 'attempt-ended', at: this.now, attempt: attempt.attempt, result });
+  }
+
+  /** Moves the clock on, firing the timers of requests as they come due. */
+  advanceTo(at: number): void {
+    for (;;) {
+      const due = [...this.timers].filter(([, time]) => time <= at);
+      due.sort(([, left], [, right]) => left - right);
+      const [first] = due;
+      if (first === undefined) {
+        break;
+      }
+      const [call, time] = first;
+      this.timers.delete(call);
+      this.now = Math.max(this.now, time);
+      this.emit({ type: 'request-due', at: this.now, call });
+    }
+    this.now = at;
+  }
+
+  private take(effect: GatewayEffect): void {
+    this.effects.push(effect);
+    switch (effect.type) {
+      case 'send-attempt':
+        this.sent.push(effect);
+        break;
+      case 'answer-caller':
+        this.answers.set(effect.call, effect.response);
+        this.answeredAt.set(effect.call, this.now);
+        this.timers.delete(effect.call);
+        break;
+      case 'set-request-timer':
+        this.timers.set(effect.call, effect.at);
+        break;
+      default:
+    }
+  }
+}
--- /dev/null
+++ b/test/platform/gateway-store.test.ts
@@ -0,0 +1,111 @@
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { GatewayFixture, routeSpec, until } from './gateway-fixture.js';
+
+let fixture: GatewayFixture;
+
+beforeEach(async () => {
+  fixture = await GatewayFixture.create();
+  fixture.configure([routeSpec({ path_prefix: '/one/', service: 'desk' })], ['desk']);
+  await fixture.addReplica('desk-1', 'desk');
+});
+
+afterEach(async () => {
+  await fixture.stop();
+});
+
+const moved = (): unknown => routeSpec({ path_prefix: '/moved/', service: 'desk' });
+
+const statusOf = async (path: string): Promise<number> =>
+  (await fixture.ask({ id: path, path })).status;
+
+describe('the configuration', () => {
+  it('is needed before the gateway is ready; without it nothing is refused for good', async () => {
+    fixture.store.mode = 'busy';
+    await fixture.startGateway();
+    expect(await statusOf('/one/')).toBe(503);
+    expect(fixture.gateway.state.ready).toBe(false);
+    fixture.store.mode = 'serving';
+    await until(() => fixture.gateway.state.ready, 'the gateway is ready');
+    expect(await statusOf('/one/')).toBe(200);
+  });
+
+  it('comes into force again after the history was forgotten', async () => {
+    await fixture.serve();
+    fixture.store.forgetHistory();
+    await fixture.untilInForce(fixture.configure([moved()], ['desk']));
+    expect(await statusOf('/moved/')).toBe(200);
+    expect(await statusOf('/one/')).toBe(404);
+  });
+
+  it.each(['silent', 'busy', 'throttling', 'resetting'] as const)(
+    'comes into force after the store was %s and its connections were lost',
+    async (mode) => {
+      await fixture.serve();
+      fixture.store.mode = mode;
+      fixture.store.cutConnections();
+      await until(() => !fixture.gateway.state.store.reachable, 'the loss is noticed');
+      expect(await statusOf('/one/')).toBe(200);
+      const version = fixture.configure([moved()], ['desk']);
+      fixture.store.mode = 'serving';
+      await fixture.untilInForce(version);
+      expect(await statusOf('/moved/')).toBe(200);
+    },
+  );
+
+  it('that cannot be read leaves the last good one in force', async () => {
+    await fixture.serve();
+    fixture.store.put('config', 'main', { version: 1_000, routes: 'none' });
+    await fixture.addReplica('desk-2', 'desk');
+    await until(() => fixture.gateway.state.replicas.size === 2, 'later changes are read');
+    expect(await statusOf('/one/')).toBe(200);
+    await fixture.untilInForce(fixture.configure([moved()], ['desk']));
+  });
+
+  it('never goes back to an older version', async () => {
+    await fixture.serve();
+    const version = fixture.configure([moved()], ['desk']);
+    await fixture.untilInForce(version);
+    fixture.store.put('config', 'main', {
+      version: version - 1,
+      routes: [routeSpec({ path_prefix: '/one/', service: 'desk' })],
+      services: [],
+      limits: {
+        max_header_bytes: 1,
+        max_body_bytes: 1,
+        header_timeout_ms: 1,
+        idle_timeout_ms: 1,
+      },
+    });
+    await fixture.addReplica('desk-2', 'desk');
+    await until(() => fixture.gateway.state.replicas.size === 2, 'later changes are read');
+    expect(await statusOf('/moved/')).toBe(200);
+  });
+});
+
+describe('the count of gateways', () => {
+  it('takes those that have registered in the store', async () => {
+    fixture.store.put('gateways', 'front-2', { zone: 'arada' });
+    fixture.store.put('gateways', 'front-3', { zone: 'arada' });
+    await fixture.serve();
+    await until(() => fixture.gateway.state.gateways === 3, 'all three are counted');
+  });
+});
+
+describe('a stop', () => {
+  it('is told to the load balancer at once, finishes what runs and ends', async () => {
+    await fixture.addReplica('slow-1', 'slow', { workMs: 400 });
+    const slow = routeSpec({ path_prefix: '/slow/', service: 'slow' });
+    await fixture.serve();
+    await fixture.untilInForce(fixture.configure([slow], ['slow']));
+    const asked = fixture.ask({ id: 'r-1', path: '/slow/' });
+    await until(() => fixture.replicas.get('slow-1')?.arrived.length === 1, 'it has arrived');
+    fixture.gateway.stop();
+    const { host, port } = fixture.settings.readiness;
+    const ready = await fetch(`http://${host}:${port}/v1/ready`);
+    expect(ready.status).toBe(503);
+    const late = await fixture.ask({ id: 'r-2', path: '/slow/' });
+    expect([(await asked).status, late.status]).toEqual([200, 200]);
+    expect(late.headers.connection).toBe('close');
+    await fixture.gateway.ended;
+  });
+});
--- a/test/platform/stand-in-store.ts
+++ b/test/platform/stand-in-store.ts
@@ -108,7 +108,9 @@
     const kind = LIST_PATH.exec(url.pathname)?.[1] ?? '';
     const watch = url.searchParams.get('watch');
     this.calls.push(`${kind} ${watch === null ? 'list' : 'watch'}`);
-    if (this.mode !== 'serving') {
+    if (this.mode === 'serving' && incoming.method === 'POST') {
+      void this.create(kind, incoming, outgoing);
+    } else if (this.mode !== 'serving') {
       this.misbehave(outgoing);
     } else if (watch === null) {
       this.list(kind, url.searchParams.get('after') ?? '', outgoing);
@@ -117,6 +119,24 @@
     }
   }
 
+  private async create(
+    kind: string,
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+  ): Promise<void> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of incoming) {
+      chunks.push(chunk as Buffer);
+    }
+    const { meta, spec } = JSON.parse(Buffer.concat(chunks).toString('utf8')) as StoredObject;
+    if (this.objectsOf(kind).has(meta.name)) {
+      outgoing.writeHead(409).end();
+      return;
+    }
+    this.put(kind, meta.name, spec);
+    this.send(outgoing, this.objectsOf(kind).get(meta.name));
+  }
+
   private misbehave(outgoing: ServerResponse): void {
     switch (this.mode) {
       case 'busy':
