--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,6 +4,18 @@
 /** Folders that `core` must not import: the core is pure, see docs/design/01-architecture.md. */
 const OUTSIDE_CORE = ['runtime', 'simulation', 'standins', 'cli', 'settings', 'reports'];
 
+/** Names of the users' platform; they stand in platform/ and nowhere else. */
+const PLATFORM_NAME =
+  '/x-(request-id|time-budget|server-|target-instance|not-executed|instance-id|part-stamps|missing-parts)|path_prefix|cold_left|(timeout|target|wait|drain)_ms|top_k|min_coverage|max_attempts|max_conns|CROSSROAD_BOOT/i';
+
+const PLATFORM_NAMES = ['Literal', 'TemplateElement'].map((node) => ({
+  selector:
+    node === 'Literal'
+      ? `Literal[value=${PLATFORM_NAME}]`
+      : `TemplateElement[value.raw=${PLATFORM_NAME}]`,
+  message: 'names of the platform stand in platform/',
+}));
+
 export default tseslint.config(
   {
     ignores: [
@@ -46,6 +58,41 @@
       'no-restricted-properties': ['error', { object: 'Math', property: 'random' }],
     },
   },
+  {
+    files: ['src/**/*.ts'],
+    rules: {
+      'no-restricted-syntax': ['error', ...PLATFORM_NAMES],
+    },
+  },
+  {
+    files: ['src/gateway/*.ts', 'src/gateway/!(runtime)/**/*.ts'],
+    rules: {
+      'no-restricted-globals': ['error', 'Date', 'performance', 'setTimeout', 'setInterval'],
+      'no-restricted-properties': ['error', { object: 'Math', property: 'random' }],
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: [
+            { group: ['**/platform/**'], message: 'the platform speaks through the protocol' },
+            { group: ['node:*', 'undici', 'hono', 'consola'], message: 'the reducer does no I/O' },
+          ],
+        },
+      ],
+    },
+  },
+  {
+    files: ['src/gateway/runtime/**/*.ts'],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: [
+            { group: ['**/platform/**'], message: 'the platform speaks through the protocol' },
+          ],
+        },
+      ],
+    },
+  },
   { files: ['test/**/*.ts'], rules: { 'max-lines': 'off' } },
   {
     files: ['**/*.js', '**/*.mjs'],
