--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -3,6 +3,7 @@
 import type { Command } from './command.js';
 import { demoCommand } from './demo.js';
 import { experimentCommand } from './experiment.js';
+import { explainCommand } from './explain.js';
 import { keyCommand } from './key.js';
 import { loadCommand } from './load.js';
 import { nodeCommand } from './node.js';
@@ -29,4 +30,5 @@
   experimentCommand,
   simulateCommand,
   replayCommand,
+  explainCommand,
 ];
--- a/src/gateway/effect.ts
+++ b/src/gateway/effect.ts
@@ -1,4 +1,6 @@
 /** Every effect that the gateway's reducer asks of its driver. Effects are data. */
+import type { BeliefChange } from './log/log-event.js';
+import type { TracedDecision, TraceReason } from './log/trace.js';
 import type { CallerLimits } from './model/route.js';
 import type { ReplicaRecord } from './model/replica-record.js';
 import type { AttemptId, CallerResponse, CallId } from './model/request.js';
@@ -118,7 +120,15 @@
   readonly type: 'write-log';
   readonly level: 'debug' | 'info' | 'warn' | 'error';
   readonly part: GatewayLogPart;
-  readonly sentence: string;
+  readonly change: BeliefChange;
+}
+
+/** Writes a line for each decision about a request that has ended. */
+export interface WriteTrace {
+  readonly type: 'write-trace';
+  readonly requestId: string;
+  readonly reason: TraceReason;
+  readonly decisions: readonly TracedDecision[];
 }
 
 /** All effects of the gateway. */
@@ -139,4 +149,5 @@
   | ApplyLimits
   | CloseCallerPort
   | EndProcess
-  | WriteLog;
+  | WriteLog
+  | WriteTrace;
--- /dev/null
+++ b/src/gateway/explain/find-cause.ts
@@ -0,0 +1,84 @@
+/** Names the most likely cause of what happened to a request, from its log lines. */
+import type { Decision } from '../log/log-event.js';
+import type { RequestLine } from './read-lines.js';
+
+type LineOf<Event extends Decision['event']> = Extract<RequestLine, { readonly event: Event }>;
+
+const linesOf = <Event extends Decision['event']>(
+  lines: readonly RequestLine[],
+  event: Event,
+): readonly LineOf<Event>[] => lines.filter((line): line is LineOf<Event> => line.event === event);
+
+interface AttemptStory {
+  readonly sent: LineOf<'attempt-sent'>;
+  readonly ended: LineOf<'attempt-ended'> | undefined;
+}
+
+const attemptsAt = (lines: readonly RequestLine[], service: string): readonly AttemptStory[] => {
+  const ends = linesOf(lines, 'attempt-ended');
+  return linesOf(lines, 'attempt-sent')
+    .filter((sent) => sent.service === service)
+    .map((sent) => ({ sent, ended: ends.find(({ attempt }) => attempt === sent.attempt) }));
+};
+
+const describeAttempt = ({ sent, ended }: AttemptStory): string => {
+  const outcome =
+    ended === undefined || ended.dropped
+      ? 'no answer in time'
+      : `${ended.outcome} after ${ended.elapsedMs} ms`;
+  return `${sent.replica} (${sent.reason}): ${outcome}`;
+};
+
+const describeService = (lines: readonly RequestLine[], service: string): string => {
+  const attempts = attemptsAt(lines, service).map(describeAttempt);
+  const denied = linesOf(lines, 'budget-denied').some((line) => line.service === service);
+  const budget = denied ? '; a further attempt was denied by the retry budget' : '';
+  return `${service}: ${attempts.join(', ') || 'no replica to send to'}${budget}`;
+};
+
+const describeMissing = (lines: readonly RequestLine[], missing: readonly string[]): string =>
+  missing.map((service) => describeService(lines, service)).join('; ');
+
+const slowestAttempt = (lines: readonly RequestLine[]): string => {
+  const used = linesOf(lines, 'attempt-ended').filter(({ dropped }) => !dropped);
+  const slowest = used.reduce<LineOf<'attempt-ended'> | undefined>(
+    (worst, line) => (worst === undefined || line.elapsedMs > worst.elapsedMs ? line : worst),
+    undefined,
+  );
+  return slowest === undefined
+    ? 'no attempt ended before the answer'
+    : `the last part came from ${slowest.replica} after ${slowest.elapsedMs} ms`;
+};
+
+const explainAnswer = (
+  lines: readonly RequestLine[],
+  answer: LineOf<'request-answered'>,
+): string => {
+  const { outcome, elapsedMs, objectiveMs, missing } = answer;
+  const time = `after ${elapsedMs} of ${objectiveMs} ms`;
+  switch (outcome) {
+    case 'refused':
+      return `refused ${time} (${answer.reason ?? 'unknown'}); ${describeMissing(lines, missing)}`;
+    case 'partial':
+      return `answered ${time} without ${missing.length} shards; ${describeMissing(lines, missing)}`;
+    case 'passed-on':
+      return `a replica answered ${answer.status ?? 0} ${time}; ${slowestAttempt(lines)}`;
+    case 'whole':
+      return `answered whole ${time}; ${slowestAttempt(lines)}`;
+  }
+};
+
+/** One sentence on what happened and why. */
+export const findCause = (lines: readonly RequestLine[]): string => {
+  const [left] = linesOf(lines, 'caller-left');
+  if (left !== undefined) {
+    return `the caller left after ${left.elapsedMs} ms; ${slowestAttempt(lines)}`;
+  }
+  const [answer] = linesOf(lines, 'request-answered');
+  if (answer !== undefined) {
+    return explainAnswer(lines, answer);
+  }
+  return lines.length === 0
+    ? 'no line speaks of the request: it was not sampled, reached no gateway, or its gateway was lost'
+    : 'no final answer was logged: the gateway was lost while the request ran';
+};
--- /dev/null
+++ b/src/gateway/explain/read-lines.ts
@@ -0,0 +1,51 @@
+/** Reads the log lines of gateways that speak of one request. */
+import type { Decision } from '../log/log-event.js';
+
+/** A line about a request, as it was logged. */
+export type RequestLine = Decision & {
+  /** Milliseconds since the epoch when the line was written. */
+  readonly time: number;
+  readonly node: string;
+  readonly requestId: string;
+  /** How long before `time` the decision was made, in milliseconds. */
+  readonly agoMs: number;
+};
+
+/** What was found in log files. */
+export interface LinesFound {
+  readonly lines: readonly RequestLine[];
+  /** Lines that begin like one of a gateway and are no JSON. */
+  readonly malformed: number;
+}
+
+const isRequestLine = (value: unknown, requestId: string): value is RequestLine =>
+  typeof value === 'object' &&
+  value !== null &&
+  'event' in value &&
+  'requestId' in value &&
+  value.requestId === requestId;
+
+/** When the decision of a line was made, in milliseconds since the epoch. */
+export const decidedAt = ({ time, agoMs }: RequestLine): number => time - agoMs;
+
+/** Finds the lines about a request in `texts`; what stands before the first brace is left out. */
+export const findRequestLines = (texts: readonly string[], requestId: string): LinesFound => {
+  const lines: RequestLine[] = [];
+  let malformed = 0;
+  for (const line of texts.flatMap((text) => text.split('\n'))) {
+    const begin = line.indexOf('{"time"');
+    if (begin < 0) {
+      continue;
+    }
+    try {
+      const value: unknown = JSON.parse(line.slice(begin));
+      if (isRequestLine(value, requestId)) {
+        lines.push(value);
+      }
+    } catch {
+      malformed += 1;
+    }
+  }
+  lines.sort((left, right) => decidedAt(left) - decidedAt(right));
+  return { lines, malformed };
+};
--- a/src/gateway/lifecycle.ts
+++ b/src/gateway/lifecycle.ts
@@ -1,6 +1,7 @@
 /** Start, readiness and stop of a gateway. */
 import type { GatewayEffect } from './effect.js';
 import type { StopDue, StopRequested } from './event.js';
+import type { BeliefChange } from './log/log-event.js';
 import type { GatewayState } from './state.js';
 
 /**
@@ -26,10 +27,10 @@
   if (ready) {
     state.phase = 'serving';
   }
-  const sentence = ready ? 'Takes callers.' : 'Takes no new callers.';
+  const change: BeliefChange = { event: 'ready', ready, phase: state.phase };
   return [
     { type: 'set-readiness', ready },
-    { type: 'write-log', level: 'info', part: 'lifecycle', sentence },
+    { type: 'write-log', level: 'info', part: 'lifecycle', change },
   ];
 };
 
@@ -40,7 +41,12 @@
   }
   state.phase = 'stopping';
   state.stoppingSince = at;
-  return [...updateReadiness(state), { type: 'set-stop-timer', at: at + STOP_CHECK_MS }];
+  const change: BeliefChange = { event: 'stopping', requests: state.requests.size };
+  return [
+    { type: 'write-log', level: 'info', part: 'lifecycle', change },
+    ...updateReadiness(state),
+    { type: 'set-stop-timer', at: at + STOP_CHECK_MS },
+  ];
 };
 
 /** Handles `stop-due`: ends the process once nothing is in progress, or when the grace is over. */
@@ -50,7 +56,13 @@
   const isIdle = elapsed >= TAKE_CALLERS_MS && state.requests.size === 0;
   if (isGraceOver || isIdle) {
     state.phase = 'ended';
-    return [{ type: 'end-process' }];
+    const change: BeliefChange = {
+      event: 'ended',
+      requests: state.requests.size,
+      stopMs: Math.round(elapsed),
+    };
+    const log: GatewayEffect = { type: 'write-log', level: 'info', part: 'lifecycle', change };
+    return [log, { type: 'end-process' }];
   }
   const close: GatewayEffect[] = elapsed >= TAKE_CALLERS_MS ? [{ type: 'close-caller-port' }] : [];
   return [...close, { type: 'set-stop-timer', at: at + STOP_CHECK_MS }];
--- /dev/null
+++ b/src/gateway/log/log-event.ts
@@ -0,0 +1,125 @@
+/**
+ * Everything that a gateway logs: decisions about requests, and changes of what it believes. Each has
+ * a name, the inputs that decided, and a description for the reference.
+ */
+import type { AttemptProblem, AttemptId, RefusalReason } from '../model/request.js';
+
+/** Why an attempt was sent. */
+export type AttemptReason = 'first' | 'retry' | 'hedge';
+
+/** A decision that touches one request. Times are in milliseconds. */
+export type Decision =
+  | {
+      readonly event: 'request-admitted';
+      readonly route: string;
+      readonly version: number;
+      /** How long the version is in force. */
+      readonly versionAgeMs: number;
+      readonly legs: number;
+      readonly budgetMs: number;
+      readonly hedgeInMs: number;
+    }
+  | {
+      readonly event: 'attempt-sent';
+      readonly attempt: AttemptId;
+      readonly reason: AttemptReason;
+      readonly service: string;
+      readonly replica: string;
+      readonly zone: string;
+      /** How much longer than usual the replica is expected to take. */
+      readonly slowdown: number;
+      readonly pending: number;
+      /** Age of the replica's last report of its load; absent where there is none. */
+      readonly loadAgeMs?: number;
+    }
+  | {
+      readonly event: 'attempt-ended';
+      readonly attempt: AttemptId;
+      readonly replica: string;
+      readonly outcome: 'answered' | 'not-run' | AttemptProblem;
+      readonly status?: number;
+      readonly elapsedMs: number;
+      /** The request had its answer before; the attempt's was dropped. */
+      readonly dropped: boolean;
+    }
+  | { readonly event: 'budget-denied'; readonly service: string; readonly left: number }
+  | { readonly event: 'leg-paused'; readonly service: string; readonly forMs: number }
+  | { readonly event: 'leg-failed'; readonly service: string; readonly runs: number }
+  | {
+      readonly event: 'request-answered';
+      readonly outcome: 'whole' | 'partial' | 'passed-on' | 'refused';
+      readonly status?: number;
+      readonly reason?: RefusalReason;
+      readonly mayHaveRun?: boolean;
+      readonly missing: readonly string[];
+      readonly objectiveMs: number;
+      readonly elapsedMs: number;
+    }
+  | { readonly event: 'caller-left'; readonly elapsedMs: number };
+
+/** A change of what the gateway believes, or of its own life. */
+export type BeliefChange =
+  | { readonly event: 'started' }
+  | { readonly event: 'ready'; readonly ready: boolean; readonly phase: string }
+  | { readonly event: 'stopping'; readonly requests: number }
+  | { readonly event: 'ended'; readonly requests: number; readonly stopMs: number }
+  | { readonly event: 'settings-reloaded' }
+  | { readonly event: 'settings-refused'; readonly findings: readonly string[] }
+  | {
+      readonly event: 'configuration-in-force';
+      readonly version: number;
+      readonly previous?: number;
+      readonly routes: number;
+    }
+  | { readonly event: 'store-lost' }
+  | { readonly event: 'store-regained'; readonly lostForMs: number }
+  | {
+      readonly event: 'store-call-failed';
+      readonly collection: string;
+      readonly problem: string;
+      readonly detail: string;
+    }
+  | {
+      readonly event: 'replica-changed';
+      readonly replica: string;
+      readonly service: string;
+      readonly state: 'listed' | 'draining' | 'gone';
+    }
+  | {
+      readonly event: 'replica-ejected';
+      readonly replica: string;
+      readonly failures: number;
+      readonly forMs: number;
+    }
+  | { readonly event: 'gateways-counted'; readonly gateways: number; readonly previous: number }
+  | { readonly event: 'lines-dropped'; readonly lines: number };
+
+/** What each decision means; the reference is made from it. */
+export const DECISION_DESCRIPTIONS: Readonly<Record<Decision['event'], string>> = {
+  'request-admitted': 'A route was found; one attempt is sent for each leg.',
+  'attempt-sent': 'A replica was chosen and the request handed to its connections.',
+  'attempt-ended': 'The replica answered, said that it has not run the request, or failed.',
+  'budget-denied': 'A further attempt was not sent: the retry budget of the service is used up.',
+  'leg-paused': 'All replicas refused or could not be reached; they are tried again after a pause.',
+  'leg-failed': 'A leg ended without an answer.',
+  'request-answered': 'The final answer.',
+  'caller-left': 'The caller closed its connection; the attempts are aborted.',
+};
+
+/** What each change of belief means; the reference is made from it. */
+export const BELIEF_DESCRIPTIONS: Readonly<Record<BeliefChange['event'], string>> = {
+  started: 'The process has opened its ports.',
+  ready: 'The load balancer is told whether new callers are wanted.',
+  stopping: 'The process was told to stop; requests in progress are finished.',
+  ended: 'The process ends.',
+  'settings-reloaded': 'Changed settings were taken.',
+  'settings-refused': 'Changed settings are wrong; the last good ones stay in force.',
+  'configuration-in-force': 'A version of the configuration came into force.',
+  'store-lost': 'A probe of the store was not answered in time.',
+  'store-regained': 'The store answers again; both watches are started anew.',
+  'store-call-failed': 'A list or watch failed and is repeated after a pause.',
+  'replica-changed': 'The store lists a replica, says that it drains, or lists it no more.',
+  'replica-ejected': 'A replica failed and is tried only as a last resort for a while.',
+  'gateways-counted': 'The number of gateways that share replicas and budgets has changed.',
+  'lines-dropped': 'Lines were left out: more than the bound, or nobody read them.',
+};
--- /dev/null
+++ b/src/gateway/log/trace.ts
@@ -0,0 +1,44 @@
+/**
+ * The decisions about one request, kept until its end. A request that went wrong is logged whole, the
+ * others are sampled by their identifiers, so that all gateways keep the same ones.
+ */
+import { hash32 } from '../../core/hash.js';
+import type { GatewayEffect } from '../effect.js';
+import type { Decision } from './log-event.js';
+
+/** One of so many requests without trouble is logged. */
+const SAMPLED_ONE_OF = 64;
+
+/** Decisions kept for one request. */
+const MAX_DECISIONS = 400;
+
+/** A decision with its time on the monotonic clock. */
+export interface TracedDecision {
+  readonly at: number;
+  readonly decision: Decision;
+}
+
+/** Why the decisions of a request are logged. */
+export type TraceReason = 'failed' | 'sampled';
+
+/** Adds a decision to those of a request. */
+export const trace = (decisions: TracedDecision[], at: number, decision: Decision): void => {
+  if (decisions.length < MAX_DECISIONS) {
+    decisions.push({ at, decision });
+  }
+};
+
+const isSampled = (requestId: string): boolean => hash32(requestId) % SAMPLED_ONE_OF === 0;
+
+/** Logs the decisions of a request that has ended, if they are wanted. */
+export const writeTrace = (
+  requestId: string,
+  decisions: readonly TracedDecision[],
+  failed: boolean,
+): GatewayEffect[] => {
+  if (!failed && !isSampled(requestId)) {
+    return [];
+  }
+  const reason: TraceReason = failed ? 'failed' : 'sampled';
+  return [{ type: 'write-trace', requestId, reason, decisions }];
+};
--- a/src/gateway/requests/accept-request.ts
+++ b/src/gateway/requests/accept-request.ts
@@ -1,6 +1,7 @@
 /** Takes a caller's request: finds its route and sends the first attempts. */
 import type { GatewayEffect } from '../effect.js';
 import type { RequestReceived } from '../event.js';
+import { trace } from '../log/trace.js';
 import type { Route } from '../model/route.js';
 import { SplitCursor, isSameSplit } from '../routing/split-cursor.js';
 import { budgetOf, type GatewayState } from '../state.js';
@@ -59,15 +60,28 @@
     answeredLegs: 0,
     openLegs: legs.length,
     timerAt: undefined,
+    decisions: [],
   };
 };
 
+const traceAdmission = (state: GatewayState, request: ActiveRequest, at: number): void =>
+  trace(request.decisions, at, {
+    event: 'request-admitted',
+    route: request.route.name,
+    version: state.inForce?.configuration.version ?? 0,
+    versionAgeMs: Math.round(at - (state.inForce?.since ?? at)),
+    legs: request.legs.length,
+    budgetMs: Math.round(request.deadlineAt - at),
+    hedgeInMs: Math.round(request.hedgeAt - at),
+  });
+
 const startRequest = (state: GatewayState, request: ActiveRequest, at: number): GatewayEffect[] => {
   state.requests.set(request.call, request);
+  traceAdmission(state, request, at);
   const effects: GatewayEffect[] = [];
   for (const leg of request.legs) {
     budgetOf(state, leg.service).countRequest(at);
-    effects.push(...retryLeg(state, request, leg, at));
+    effects.push(...retryLeg(state, request, leg, 'first', at));
   }
   effects.push(...progressRequest(state, request, at));
   return effects;
@@ -75,16 +89,16 @@
 
 /** Handles `request-received`. */
 export const acceptRequest = (state: GatewayState, event: RequestReceived): GatewayEffect[] => {
-  const { call, request } = event;
+  const { request } = event;
   if (state.inForce === undefined || !state.replicasListed) {
-    return [refuseCall(state, call, 'no-configuration', true)];
+    return refuseCall(state, event, 'no-configuration', true);
   }
   if (request.requestId === '') {
-    return [refuseCall(state, call, 'no-request-id', false)];
+    return refuseCall(state, event, 'no-request-id', false);
   }
   const route = state.inForce.table.find(request.host, request.path);
   if (route === undefined) {
-    return [refuseCall(state, call, 'no-route', false)];
+    return refuseCall(state, event, 'no-route', false);
   }
   return startRequest(state, createRequest(state, route, event), event.at);
 };
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -2,7 +2,15 @@
 import type { GatewayEffect, SendAttempt } from '../effect.js';
 import type { AttemptEnded } from '../event.js';
 import type { AttemptId, AttemptProblem } from '../model/request.js';
-import { type Replica, noteLatency, noteLoad, noteReplicaFailure } from '../replicas/replica.js';
+import type { AttemptReason } from '../log/log-event.js';
+import { trace } from '../log/trace.js';
+import {
+  type Replica,
+  noteLatency,
+  noteLoad,
+  noteReplicaFailure,
+  slowdownNow,
+} from '../replicas/replica.js';
 import { connectionShare } from '../replicas/connection-share.js';
 import { selectReplica, type SelectionPlace } from '../replicas/select-replica.js';
 import { budgetOf, type GatewayState } from '../state.js';
@@ -45,14 +53,42 @@
 });
 
 /** Whether the retry budget allows one more arrival; the first of a leg is free. */
-const takeBudget = (state: GatewayState, leg: Leg, at: number): boolean => {
+const takeBudget = (state: GatewayState, request: ActiveRequest, leg: Leg, at: number): boolean => {
   if (leg.arrivals === 0) {
     return true;
   }
   const { retryRatio, retryWindowMs, retrySlack } = state.settings.bounds;
   const slack = Math.floor((retrySlack * SLACK_USE) / state.gateways);
   const policy = { ratio: retryRatio, windowMs: retryWindowMs, slack };
-  return budgetOf(state, leg.service).take(policy, at);
+  const budget = budgetOf(state, leg.service);
+  const taken = budget.take(policy, at);
+  if (!taken) {
+    const left = budget.left(policy, at);
+    trace(request.decisions, at, { event: 'budget-denied', service: leg.service, left });
+  }
+  return taken;
+};
+
+const traceAttempt = (
+  state: GatewayState,
+  request: ActiveRequest,
+  replica: Replica,
+  reason: AttemptReason,
+  at: number,
+): void => {
+  const { id, service, zone } = replica.record;
+  const loadAge = replica.load === undefined ? {} : { loadAgeMs: Math.round(at - replica.loadAt) };
+  trace(request.decisions, at, {
+    event: 'attempt-sent',
+    attempt: state.nextAttempt,
+    reason,
+    service,
+    replica: id,
+    zone,
+    slowdown: Math.round(slowdownNow(replica, at) * 10) / 10,
+    pending: replica.pending.size,
+    ...loadAge,
+  });
 };
 
 const hasTriesLeft = (request: ActiveRequest, leg: Leg): boolean => {
@@ -69,6 +105,7 @@
   state: GatewayState,
   request: ActiveRequest,
   leg: Leg,
+  reason: AttemptReason,
   at: number,
 ): SendAttempt | undefined => {
   if (!hasTriesLeft(request, leg) || request.deadlineAt - at < 1) {
@@ -77,9 +114,10 @@
   const replicas = state.replicas.of(leg.service);
   const place = placeOf(state, leg.service, at);
   const replica = selectReplica(replicas, leg.tried, place, state.random, at);
-  if (replica === undefined || !takeBudget(state, leg, at)) {
+  if (replica === undefined || !takeBudget(state, request, leg, at)) {
     return undefined;
   }
+  traceAttempt(state, request, replica, reason, at);
   return startAttempt(state, request, leg, replica, place.maxConnections, at);
 };
 
--- a/src/gateway/requests/finish.ts
+++ b/src/gateway/requests/finish.ts
@@ -1,6 +1,9 @@
 /** Ends requests: with a replica's answer, a merged one, or the gateway's own. */
 import type { GatewayEffect } from '../effect.js';
-import type { CallerResponse, CallId, RefusalReason } from '../model/request.js';
+import type { RequestReceived } from '../event.js';
+import type { Decision } from '../log/log-event.js';
+import { trace, writeTrace } from '../log/trace.js';
+import type { CallerResponse, CallId, MergedAnswer, RefusalReason } from '../model/request.js';
 import type { GatewayState } from '../state.js';
 import { abortAttempts } from './attempts.js';
 import { mergeRecords } from './merge-records.js';
@@ -12,6 +15,13 @@
 /** When a caller whose request has not run should come back, in milliseconds. */
 const RETRY_AFTER_MS = 50;
 
+type AnswerDecision = Extract<Decision, { event: 'request-answered' }>;
+
+/** An answer that leaves so long after the time for the objective is logged as late. */
+const LATE_MS = 8;
+
+const FIRST_FAILURE_STATUS = 500;
+
 /** Answers a call that has no request in progress, or whose request ends now. */
 export const answerCall = (
   state: GatewayState,
@@ -24,25 +34,73 @@
   closeConnection: state.phase === 'stopping',
 });
 
+const missingShards = ({ legs }: ActiveRequest): readonly string[] =>
+  legs.filter(({ outcome }) => outcome?.type !== 'answered').map(({ service }) => service);
+
+const describeAnswer = (
+  request: ActiveRequest,
+  response: CallerResponse,
+  at: number,
+): AnswerDecision => {
+  const { objectiveMs } = request.route;
+  const elapsedMs = Math.round(at - request.receivedAt);
+  const missing = missingShards(request);
+  const common = { event: 'request-answered', missing, objectiveMs, elapsedMs } as const;
+  switch (response.type) {
+    case 'merged':
+      return { ...common, outcome: missing.length === 0 ? 'whole' : 'partial' };
+    case 'pass-through':
+      return { ...common, outcome: 'passed-on', status: response.answer.status };
+    case 'refusal': {
+      const { reason, mayHaveRun } = response;
+      return { ...common, outcome: 'refused', reason, mayHaveRun };
+    }
+  }
+};
+
+const isCalm = ({ outcome, status }: AnswerDecision): boolean =>
+  outcome === 'whole' || (outcome === 'passed-on' && (status ?? 0) < FIRST_FAILURE_STATUS);
+
 /** Ends a request with `response`. */
 export const finishRequest = (
   state: GatewayState,
   request: ActiveRequest,
   response: CallerResponse,
+  at: number,
 ): GatewayEffect[] => {
   state.requests.delete(request.call);
-  return [answerCall(state, request.call, response), ...abortAttempts(request, LINGER_MS)];
+  const decision = describeAnswer(request, response, at);
+  trace(request.decisions, at, decision);
+  const failed = !isCalm(decision) || at > request.objectiveAt + LATE_MS;
+  return [
+    answerCall(state, request.call, response),
+    ...abortAttempts(request, LINGER_MS),
+    ...writeTrace(request.request.requestId, request.decisions, failed),
+  ];
 };
 
 /** Refuses a call before anything was sent to a replica. */
 export const refuseCall = (
   state: GatewayState,
-  call: CallId,
+  { call, request, at }: RequestReceived,
   reason: RefusalReason,
   comeBack: boolean,
-): GatewayEffect => {
+): GatewayEffect[] => {
   const retry = comeBack ? { retryAfterMs: RETRY_AFTER_MS } : {};
-  return answerCall(state, call, { type: 'refusal', reason, mayHaveRun: false, ...retry });
+  const response = { type: 'refusal', reason, mayHaveRun: false, ...retry } as const;
+  const decision: Decision = {
+    event: 'request-answered',
+    outcome: 'refused',
+    reason,
+    mayHaveRun: false,
+    missing: [],
+    objectiveMs: 0,
+    elapsedMs: 0,
+  };
+  return [
+    answerCall(state, call, response),
+    ...writeTrace(request.requestId, [{ at, decision }], true),
+  ];
 };
 
 const mayHaveRun = (request: ActiveRequest): boolean => request.legs.some((leg) => leg.runs > 0);
@@ -52,10 +110,12 @@
   state: GatewayState,
   request: ActiveRequest,
   reason: RefusalReason,
+  at: number,
 ): GatewayEffect[] => {
   const ran = mayHaveRun(request);
   const retry = ran ? {} : { retryAfterMs: RETRY_AFTER_MS };
-  return finishRequest(state, request, { type: 'refusal', reason, mayHaveRun: ran, ...retry });
+  const response = { type: 'refusal', reason, mayHaveRun: ran, ...retry } as const;
+  return finishRequest(state, request, response, at);
 };
 
 /** The merged answer of the legs that are in. */
@@ -63,6 +123,7 @@
   state: GatewayState,
   request: ActiveRequest,
   maxRecords: number,
+  at: number,
 ): GatewayEffect[] => {
   const answers = request.legs.flatMap(({ outcome }) =>
     outcome?.type === 'answered' ? [outcome.answer] : [],
@@ -70,7 +131,7 @@
   const signatures = answers.flatMap(({ signature }) =>
     signature === undefined ? [] : [signature],
   );
-  return finishRequest(state, request, {
+  const merged: MergedAnswer = {
     type: 'merged',
     signatures,
     missingShards: request.legs.length - answers.length,
@@ -78,5 +139,6 @@
       answers.map(({ body }) => body),
       maxRecords,
     ),
-  });
+  };
+  return finishRequest(state, request, merged, at);
 };
--- a/src/gateway/requests/progress.ts
+++ b/src/gateway/requests/progress.ts
@@ -29,12 +29,12 @@
 ): GatewayEffect[] => {
   const needed = neededLegs(target);
   if (!canComplete(request, needed)) {
-    return giveUp(state, request, reasonOf(request));
+    return giveUp(state, request, reasonOf(request), at);
   }
   const isEnough = request.answeredLegs >= needed;
   const mustAnswer = request.openLegs === 0 || at >= request.objectiveAt;
   if (isEnough && mustAnswer) {
-    return finishGather(state, request, target.maxRecords);
+    return finishGather(state, request, target.maxRecords, at);
   }
   return waitOrHedge(state, request, at);
 };
@@ -53,15 +53,15 @@
 ): GatewayEffect[] => {
   const [leg] = request.legs;
   if (leg === undefined) {
-    return giveUp(state, request, 'no-replica');
+    return giveUp(state, request, 'no-replica', at);
   }
   if (leg.outcome?.type === 'answered') {
-    return finishRequest(state, request, { type: 'pass-through', answer: leg.outcome.answer });
+    return finishRequest(state, request, { type: 'pass-through', answer: leg.outcome.answer }, at);
   }
   if (leg.outcome?.type === 'unanswered') {
     return leg.failure === undefined
-      ? giveUp(state, request, reasonOfLeg(leg))
-      : finishRequest(state, request, { type: 'pass-through', answer: leg.failure });
+      ? giveUp(state, request, reasonOfLeg(leg), at)
+      : finishRequest(state, request, { type: 'pass-through', answer: leg.failure }, at);
   }
   return waitOrHedge(state, request, at);
 };
@@ -96,7 +96,7 @@
     if (leg.outcome !== undefined || leg.resumeAt !== undefined) {
       return [];
     }
-    const attempt = sendAttempt(state, request, leg, at);
+    const attempt = sendAttempt(state, request, leg, 'hedge', at);
     return attempt === undefined ? [] : [attempt];
   });
 };
@@ -109,12 +109,12 @@
     }
     leg.resumeAt = undefined;
     leg.tried.clear();
-    return retryLeg(state, request, leg, at);
+    return retryLeg(state, request, leg, 'retry', at);
   });
 
 const waitOrHedge = (state: GatewayState, request: ActiveRequest, at: number): GatewayEffect[] => {
   if (at >= request.deadlineAt) {
-    return giveUp(state, request, 'deadline');
+    return giveUp(state, request, 'deadline', at);
   }
   const resumed = resumeLegs(state, request, at);
   const hedges = !request.hedged && at >= request.hedgeAt ? hedgeLegs(state, request, at) : [];
--- a/src/gateway/requests/request-state.ts
+++ b/src/gateway/requests/request-state.ts
@@ -1,4 +1,5 @@
 /** Requests in progress: each has one leg, or one for each shard. */
+import type { TracedDecision } from '../log/trace.js';
 import type { Route } from '../model/route.js';
 import type { AttemptId, CallerRequest, CallId, ReplicaAnswer } from '../model/request.js';
 
@@ -47,6 +48,8 @@
   openLegs: number;
   /** When the request's timer is due; undefined before it is first set. */
   timerAt: number | undefined;
+  /** What was decided about it so far. */
+  readonly decisions: TracedDecision[];
 }
 
 /** An attempt at a replica that has not ended. */
--- a/src/gateway/requests/retry-leg.ts
+++ b/src/gateway/requests/retry-leg.ts
@@ -1,5 +1,7 @@
 /** Tries a leg again after a failure: on another replica, or after a pause on all of them. */
 import type { GatewayEffect } from '../effect.js';
+import type { AttemptReason } from '../log/log-event.js';
+import { trace } from '../log/trace.js';
 import type { ReplicaAnswer } from '../model/request.js';
 import type { GatewayState } from '../state.js';
 import { sendAttempt } from './attempts.js';
@@ -36,6 +38,8 @@
   }
   leg.pauses += 1;
   leg.resumeAt = resumeAt;
+  const forMs = resumeAt - at;
+  trace(request.decisions, at, { event: 'leg-paused', service: leg.service, forMs });
   return true;
 };
 
@@ -44,13 +48,19 @@
   state: GatewayState,
   request: ActiveRequest,
   leg: Leg,
+  reason: AttemptReason,
   at: number,
 ): GatewayEffect[] => {
-  const attempt = sendAttempt(state, request, leg, at);
+  const attempt = sendAttempt(state, request, leg, reason, at);
   if (attempt !== undefined) {
     return [attempt];
   }
   if (leg.running.size === 0 && !pauseLeg(state, request, leg, at)) {
+    trace(request.decisions, at, {
+      event: 'leg-failed',
+      service: leg.service,
+      runs: leg.runs,
+    });
     endLeg(request, leg);
   }
   return [];
--- a/src/gateway/requests/take-result.ts
+++ b/src/gateway/requests/take-result.ts
@@ -1,11 +1,13 @@
 /** Takes the end of an attempt: an answer ends its leg, a failure may be followed by a retry. */
 import type { GatewayEffect } from '../effect.js';
 import type { AttemptEnded, CallerLeft, RequestDue } from '../event.js';
-import type { AttemptResult, ReplicaAnswer } from '../model/request.js';
+import type { Decision } from '../log/log-event.js';
+import { trace, writeTrace } from '../log/trace.js';
+import type { AttemptProblem, AttemptResult, ReplicaAnswer } from '../model/request.js';
 import type { GatewayState } from '../state.js';
 import { abortAttempts, settleAttempt } from './attempts.js';
 import { progressRequest } from './progress.js';
-import type { ActiveRequest, Leg } from './request-state.js';
+import type { ActiveAttempt, ActiveRequest, Leg } from './request-state.js';
 import { endLeg, retryLeg } from './retry-leg.js';
 
 const isSuccess = ({ status }: ReplicaAnswer): boolean => status >= 200 && status < 300;
@@ -34,14 +36,44 @@
   if (result.type === 'answered' && result.answer.status >= FIRST_FAILURE_STATUS) {
     leg.failure = result.answer;
   }
-  return retryLeg(state, request, leg, at);
+  return retryLeg(state, request, leg, 'retry', at);
 };
 
+const outcomeOf = (result: AttemptResult): AttemptProblem | 'answered' | 'not-run' => {
+  switch (result.type) {
+    case 'answered':
+      return 'answered';
+    case 'refused':
+      return 'not-run';
+    case 'failed':
+      return result.problem;
+  }
+};
+
+const describeEnd = (
+  attempt: ActiveAttempt,
+  { result, at }: AttemptEnded,
+  dropped: boolean,
+): Decision => ({
+  event: 'attempt-ended',
+  attempt: attempt.id,
+  replica: attempt.replica,
+  outcome: outcomeOf(result),
+  ...(result.type === 'answered' && { status: result.answer.status }),
+  elapsedMs: Math.round(at - attempt.sentAt),
+  dropped,
+});
+
 /** Handles `attempt-ended`. */
 export const takeResult = (state: GatewayState, event: AttemptEnded): GatewayEffect[] => {
   const attempt = settleAttempt(state, event);
   const request = attempt === undefined ? undefined : state.requests.get(attempt.call);
-  if (attempt === undefined || request === undefined || attempt.leg.outcome !== undefined) {
+  if (attempt === undefined || request === undefined) {
+    return [];
+  }
+  const dropped = attempt.leg.outcome !== undefined;
+  trace(request.decisions, event.at, describeEnd(attempt, event, dropped));
+  if (dropped) {
     return [];
   }
   const effects = takeLegResult(state, request, attempt.leg, event.result, event.at);
@@ -58,11 +90,17 @@
 };
 
 /** Handles `caller-left`: replicas are told at once, by closing their connections. */
-export const takeCallerLeft = (state: GatewayState, { call }: CallerLeft): GatewayEffect[] => {
+export const takeCallerLeft = (state: GatewayState, { call, at }: CallerLeft): GatewayEffect[] => {
   const request = state.requests.get(call);
   if (request === undefined) {
     return [];
   }
   state.requests.delete(call);
-  return [{ type: 'forget-call', call }, ...abortAttempts(request, 0)];
+  const elapsedMs = Math.round(at - request.receivedAt);
+  trace(request.decisions, at, { event: 'caller-left', elapsedMs });
+  return [
+    { type: 'forget-call', call },
+    ...abortAttempts(request, 0),
+    ...writeTrace(request.request.requestId, request.decisions, true),
+  ];
 };
--- /dev/null
+++ b/src/gateway/runtime/bounded-log.ts
@@ -0,0 +1,148 @@
+/**
+ * Writes structured lines to standard output, never more than a bound and never waiting for whoever
+ * reads them. sonic-boom writes from a buffer of fixed size, on another thread; lines that do not fit
+ * are dropped and counted.
+ */
+import sonicBoom from 'sonic-boom';
+import type { LogLevel } from '../../settings/log-level.js';
+import type { GatewayLogPart, WriteLog, WriteTrace } from '../effect.js';
+import type { BeliefChange } from '../log/log-event.js';
+
+/** Lines a second in the long run, and at once after a quiet time. */
+const LINES_PER_SECOND = 100;
+const BURST_LINES = 600;
+
+/** Samples of requests without trouble leave so many lines of the burst to the others. */
+const LINES_KEPT_FOR_FAILURES = 300;
+
+/** Bytes that wait to be written. */
+const BUFFER_BYTES = 262_144;
+
+/** Bytes of one write: a pipe takes as many whole, so that lines of several writers don't mix. */
+const WRITE_BYTES = 4_096;
+
+/** Time between two lines that tell of dropped ones, in milliseconds. */
+const DROPPED_INTERVAL_MS = 1_000;
+
+const MS_PER_SECOND = 1_000;
+
+const LEVELS: Readonly<Record<LogLevel, number>> = { error: 0, warn: 1, info: 2, debug: 3 };
+
+/** Takes the text of lines. */
+export interface LineSink {
+  /** False when the text was dropped. */
+  write(text: string): boolean;
+  flush(): void;
+}
+
+/** Standard output, through a buffer that drops what does not fit. */
+export const openStandardOutput = (): LineSink => {
+  const output = new sonicBoom.SonicBoom({
+    fd: 1,
+    sync: false,
+    maxLength: BUFFER_BYTES,
+    maxWrite: WRITE_BYTES,
+  });
+  let dropped = false;
+  output.on('drop', () => {
+    dropped = true;
+  });
+  output.on('error', () => undefined);
+  return {
+    write(text) {
+      dropped = false;
+      output.write(text);
+      return !dropped;
+    },
+    flush() {
+      try {
+        output.flushSync();
+      } catch {
+        // Nobody reads: what is left is lost, and the process ends all the same.
+      }
+    },
+  };
+};
+
+/** Where the log stands: the node's name, the least level, and the clocks. */
+export interface BoundedLogOptions {
+  readonly node: string;
+  readonly level: LogLevel;
+  readonly sink: LineSink;
+  /** Milliseconds on a clock that never goes back. */
+  readonly monotonicNow: () => number;
+  /** Milliseconds since the epoch. */
+  readonly wallNow: () => number;
+}
+
+/** Formats and bounds the lines of one process. */
+export class BoundedLog {
+  private tokens = BURST_LINES;
+  private refilledAt: number;
+  private dropped = 0;
+  private toldAt = Number.NEGATIVE_INFINITY;
+
+  constructor(private readonly options: BoundedLogOptions) {
+    this.refilledAt = options.monotonicNow();
+  }
+
+  /** Writes a change of belief. */
+  write({ level, part, change }: Omit<WriteLog, 'type'>): void {
+    if (LEVELS[level] <= LEVELS[this.options.level]) {
+      this.writeLine(level, part, change, 0);
+    }
+  }
+
+  /** Writes the decisions about a request. */
+  writeTrace({ requestId, reason, decisions }: WriteTrace): void {
+    if (LEVELS[this.options.level] < LEVELS.info) {
+      return;
+    }
+    const kept = reason === 'sampled' ? LINES_KEPT_FOR_FAILURES : 0;
+    const now = this.options.monotonicNow();
+    for (const { at, decision } of decisions) {
+      const agoMs = Math.round(now - at);
+      this.writeLine('info', 'request', { requestId, agoMs, ...decision }, kept);
+    }
+  }
+
+  flush(): void {
+    this.options.sink.flush();
+  }
+
+  private writeLine(level: string, part: GatewayLogPart, fields: object, kept: number): void {
+    this.refill();
+    if (this.tokens <= kept) {
+      this.dropped += 1;
+      return;
+    }
+    this.tokens -= 1;
+    this.tellDropped();
+    this.emit(level, part, fields);
+  }
+
+  private tellDropped(): void {
+    const now = this.options.monotonicNow();
+    if (this.dropped > 0 && now - this.toldAt >= DROPPED_INTERVAL_MS) {
+      const change: BeliefChange = { event: 'lines-dropped', lines: this.dropped };
+      this.dropped = 0;
+      this.toldAt = now;
+      this.emit('warn', 'lifecycle', change);
+    }
+  }
+
+  private emit(level: string, part: GatewayLogPart, fields: object): void {
+    const { node, sink, wallNow } = this.options;
+    const line = JSON.stringify({ time: wallNow(), node, level, part, ...fields });
+    if (!sink.write(`${line}\n`)) {
+      this.dropped += 1;
+    }
+  }
+
+  private refill(): void {
+    const now = this.options.monotonicNow();
+    const earned = ((now - this.refilledAt) * LINES_PER_SECOND) / MS_PER_SECOND;
+    this.tokens = Math.min(BURST_LINES, this.tokens + earned);
+    this.refilledAt = now;
+  }
+}
--- a/src/gateway/runtime/run-gateway.ts
+++ b/src/gateway/runtime/run-gateway.ts
@@ -2,11 +2,11 @@
 import { readFileSync, statSync } from 'node:fs';
 import type { Either } from 'purify-ts/Either';
 import { ExitCode } from '../../cli/exit-code.js';
-import { createLogWriter } from '../../runtime/node-log.js';
 import { type Finding, formatFinding } from '../../table/finding.js';
 import type { GatewayProtocol } from '../protocol/protocol.js';
 import { readGatewaySettings } from '../read-settings.js';
 import type { GatewaySettings } from '../settings.js';
+import { BoundedLog, openStandardOutput } from './bounded-log.js';
 import { type GatewayLog, type RunningGateway, startGateway } from './start-gateway.js';
 
 /** How often the settings file is looked at for changes without a signal, in milliseconds. */
@@ -25,17 +25,20 @@
 
 /** Takes changed settings; the last good ones stay in force when the new ones are wrong. */
 const reloadSettings = (gateway: RunningGateway, file: string, log: GatewayLog): void => {
+  const refuse = (findings: readonly string[]): void => {
+    const change = { event: 'settings-refused', findings } as const;
+    log.write({ level: 'error', part: 'lifecycle', change });
+  };
   try {
     readSettingsFile(file).caseOf({
-      Left: (findings) =>
-        findings.forEach((finding) => log('error', 'lifecycle', formatFinding(finding))),
+      Left: (findings) => refuse(findings.map(formatFinding)),
       Right: (settings) => {
         gateway.reload(settings);
-        log('info', 'lifecycle', 'The settings were read again.');
+        log.write({ level: 'info', part: 'lifecycle', change: { event: 'settings-reloaded' } });
       },
     });
   } catch (error) {
-    log('error', 'lifecycle', `The settings cannot be read: ${String(error)}.`);
+    refuse([String(error)]);
   }
 };
 
@@ -59,13 +62,20 @@
   file: string,
   protocol: GatewayProtocol,
 ): Promise<ExitCode> => {
-  const write = createLogWriter(settings.logLevel);
-  const log: GatewayLog = (level, part, sentence) => write(level, part, sentence);
+  const log = new BoundedLog({
+    node: settings.node,
+    level: settings.logLevel,
+    sink: openStandardOutput(),
+    monotonicNow: () => performance.now(),
+    wallNow: () => Date.now(),
+  });
   const gateway = await startGateway(settings, protocol, log);
   watchSettings(gateway, file, log);
   process.on('SIGTERM', () => gateway.stop());
   process.on('SIGINT', () => gateway.stop());
+  log.write({ level: 'info', part: 'lifecycle', change: { event: 'started' } });
   await gateway.ended;
+  log.flush();
   return ExitCode.done;
 };
 
--- a/src/gateway/runtime/start-gateway.ts
+++ b/src/gateway/runtime/start-gateway.ts
@@ -6,9 +6,10 @@
   AbortAttempt,
   AnswerCaller,
   GatewayEffect,
-  GatewayLogPart,
   SendAttempt,
   SetRequestTimer,
+  WriteLog,
+  WriteTrace,
 } from '../effect.js';
 import type { GatewayProtocol } from '../protocol/protocol.js';
 import type { GatewaySettings } from '../settings.js';
@@ -24,12 +25,11 @@
 /** Bound of a drawn seed. */
 const SEED_RANGE = 0x7fff_ffff;
 
-/** Writes one line of the log. */
-export type GatewayLog = (
-  level: 'debug' | 'info' | 'warn' | 'error',
-  part: GatewayLogPart,
-  sentence: string,
-) => void;
+/** Writes the log. */
+export interface GatewayLog {
+  write(line: Omit<WriteLog, 'type'>): void;
+  writeTrace(trace: WriteTrace): void;
+}
 
 /** Effects that each request asks for. */
 type FrequentEffect = SendAttempt | AbortAttempt | AnswerCaller | SetRequestTimer;
@@ -137,7 +137,8 @@
       .with({ type: 'apply-limits' }, ({ limits }) => this.callers.applyLimits(limits))
       .with({ type: 'close-caller-port' }, () => this.callers.closePort())
       .with({ type: 'end-process' }, () => this.end())
-      .with({ type: 'write-log' }, ({ level, part, sentence }) => this.log(level, part, sentence))
+      .with({ type: 'write-log' }, (line) => this.log.write(line))
+      .with({ type: 'write-trace' }, (trace) => this.log.writeTrace(trace))
       .exhaustive();
   }
 
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -61,7 +61,7 @@
   startedAt: 0,
   gateways: ASSUMED_GATEWAYS,
   registered: false,
-  store: { reachable: true, lostAt: Number.NEGATIVE_INFINITY },
+  store: { reachable: true, lostSince: Number.NEGATIVE_INFINITY },
   phase: 'starting',
   stoppingSince: Number.POSITIVE_INFINITY,
   ready: false,
--- a/src/gateway/store/apply-collections.ts
+++ b/src/gateway/store/apply-collections.ts
@@ -1,8 +1,10 @@
 /** Takes what the store returned: puts configurations in force and keeps the replicas. */
 import type { GatewayEffect } from '../effect.js';
 import type { ChangesRead, CollectionDue, PageRead, StoreCallFailed, Stored } from '../event.js';
+import type { BeliefChange } from '../log/log-event.js';
 import type { GatewayConfiguration } from '../model/route.js';
 import type { ReplicaRecord } from '../model/replica-record.js';
+import type { Replica } from '../replicas/replica.js';
 import { RouteTable } from '../routing/route-table.js';
 import type { GatewayState } from '../state.js';
 import { COLLECTION_NAMES } from './collection.js';
@@ -21,16 +23,21 @@
   configuration: GatewayConfiguration,
   at: number,
 ): GatewayEffect[] => {
-  const current = state.inForce?.configuration.version ?? Number.NEGATIVE_INFINITY;
-  if (configuration.version <= current) {
+  const previous = state.inForce?.configuration.version;
+  if (previous !== undefined && configuration.version <= previous) {
     return [];
   }
+  const change: BeliefChange = {
+    event: 'configuration-in-force',
+    version: configuration.version,
+    ...(previous !== undefined && { previous }),
+    routes: configuration.routes.length,
+  };
   state.inForce = { configuration, table: new RouteTable(configuration.routes), since: at };
   forgetOldRoutes(state, configuration);
-  const sentence = `Version ${configuration.version} is in force, with ${configuration.routes.length} routes.`;
   return [
     { type: 'apply-limits', limits: configuration.limits },
-    { type: 'write-log', level: 'info', part: 'configuration', sentence },
+    { type: 'write-log', level: 'info', part: 'configuration', change },
   ];
 };
 
@@ -45,18 +52,38 @@
   }
 };
 
-const applyReplicas = (
+type ReplicaState = 'listed' | 'draining' | 'gone';
+
+const stateOf = (replica: Replica | undefined): ReplicaState | undefined => {
+  if (replica === undefined) {
+    return undefined;
+  }
+  if (replica.goneAt !== undefined) {
+    return 'gone';
+  }
+  return replica.record.draining ? 'draining' : 'listed';
+};
+
+/** Takes what the store says of one replica, and logs whether that changes anything. */
+const applyReplica = (
   state: GatewayState,
-  objects: readonly Stored<ReplicaRecord>[],
+  { name, gone, value }: Stored<ReplicaRecord>,
   at: number,
-): void => {
-  for (const { name, gone, value } of objects) {
-    if (gone) {
-      state.replicas.markGone(name, at);
-    } else if (value !== undefined) {
-      state.replicas.put(value, at);
-    }
+): GatewayEffect[] => {
+  const before = stateOf(state.replicas.find(name));
+  if (gone) {
+    state.replicas.markGone(name, at);
+  } else if (value !== undefined) {
+    state.replicas.put(value, at);
   }
+  const replica = state.replicas.find(name);
+  const after = stateOf(replica);
+  if (replica === undefined || after === undefined || after === before) {
+    return [];
+  }
+  const { service } = replica.record;
+  const change: BeliefChange = { event: 'replica-changed', replica: name, service, state: after };
+  return [{ type: 'write-log', level: 'info', part: 'replica', change }];
 };
 
 const applyObjects = (
@@ -65,8 +92,7 @@
   at: number,
 ): GatewayEffect[] => {
   if (read.collection === 'replicas') {
-    applyReplicas(state, read.objects, at);
-    return [];
+    return read.objects.flatMap((object) => applyReplica(state, object, at));
   }
   return read.objects.flatMap(({ value }) =>
     value === undefined ? [] : applyConfiguration(state, value, at),
@@ -121,9 +147,9 @@
   { collection, problem, detail, at }: StoreCallFailed,
 ): GatewayEffect[] => {
   const progress = state.collections[collection];
-  const sentence = `A call for the ${collection} failed: ${problem} (${detail}).`;
+  const change: BeliefChange = { event: 'store-call-failed', collection, problem, detail };
   return [
-    { type: 'write-log', level: 'warn', part: 'store', sentence },
+    { type: 'write-log', level: 'warn', part: 'store', change },
     noteFailure(progress, problem === 'history-gone', state.random, at),
   ];
 };
--- a/src/gateway/store/count-gateways.ts
+++ b/src/gateway/store/count-gateways.ts
@@ -4,6 +4,7 @@
  * smaller.
  */
 import type { GatewayEffect } from '../effect.js';
+import type { BeliefChange } from '../log/log-event.js';
 import type { GatewayState } from '../state.js';
 
 /** Time for an answer, in milliseconds. */
@@ -41,11 +42,15 @@
   gateways: number | undefined,
   at: number,
 ): GatewayEffect[] => {
-  if (gateways !== undefined && gateways > 0) {
-    state.gateways = gateways;
-  }
   const interval = gateways === undefined ? RETRY_MS : COUNT_INTERVAL_MS;
-  return [{ type: 'set-gateways-timer', at: at + interval }];
+  const next: GatewayEffect = { type: 'set-gateways-timer', at: at + interval };
+  const previous = state.gateways;
+  if (gateways === undefined || gateways === 0 || gateways === previous) {
+    return [next];
+  }
+  state.gateways = gateways;
+  const change: BeliefChange = { event: 'gateways-counted', gateways, previous };
+  return [{ type: 'write-log', level: 'info', part: 'lifecycle', change }, next];
 };
 
 /** Registers if that is still to be done, and counts otherwise. */
--- a/src/gateway/store/probe-store.ts
+++ b/src/gateway/store/probe-store.ts
@@ -3,6 +3,7 @@
  * within a second, and starts both watches again once the store answers after a loss.
  */
 import type { GatewayEffect } from '../effect.js';
+import type { BeliefChange } from '../log/log-event.js';
 import type { GatewayState } from '../state.js';
 import { COLLECTION_NAMES } from './collection.js';
 import { callNow } from './follow-collection.js';
@@ -17,8 +18,8 @@
 /** Whether the store can be reached, as this gateway knows it. */
 export interface StoreReachability {
   reachable: boolean;
-  /** When the store was last found out of reach. */
-  lostAt: number;
+  /** When the store was first found out of reach. */
+  lostSince: number;
 }
 
 /** Makes a probe at once. */
@@ -36,16 +37,18 @@
   const { store } = state;
   const wasReachable = store.reachable;
   store.reachable = answered;
-  if (!answered) {
-    store.lostAt = at;
+  if (!answered && wasReachable) {
+    store.lostSince = at;
   }
   const interval = answered ? PROBE_INTERVAL_MS : LOST_INTERVAL_MS;
   const next: GatewayEffect = { type: 'set-probe-timer', at: at + interval };
   if (answered === wasReachable) {
     return [next];
   }
-  const sentence = answered ? 'The store answers again.' : 'The store does not answer.';
+  const change: BeliefChange = answered
+    ? { event: 'store-regained', lostForMs: Math.round(at - store.lostSince) }
+    : { event: 'store-lost' };
   const level = answered ? 'info' : 'warn';
   const restarts = answered ? restartWatches(state) : [];
-  return [...restarts, { type: 'write-log', level, part: 'store', sentence }, next];
+  return [...restarts, { type: 'write-log', level, part: 'store', change }, next];
 };
--- a/src/reference/list-reference-pages.ts
+++ b/src/reference/list-reference-pages.ts
@@ -1,6 +1,7 @@
 /** All generated pages of the reference. */
 import { formatColumnReference } from '../table/format-column-reference.js';
 import { createCommandsPage, createExitCodesPage } from './commands-page.js';
+import { createLogsPage } from './logs-page.js';
 import { createMetricsPage } from './metrics-page.js';
 import { createOperatorHttpPage } from './operator-http-page.js';
 import type { ReferencePage } from './reference-page.js';
@@ -14,4 +15,5 @@
   createExitCodesPage(),
   createMetricsPage(),
   createOperatorHttpPage(),
+  createLogsPage(),
 ];
--- a/src/runtime/node-log.ts
+++ b/src/runtime/node-log.ts
@@ -1,18 +1,13 @@
 /** Logs of a node: short sentences, each with the fixed prefix of its part. */
 import { createConsola, type ConsolaInstance } from 'consola/basic';
 import type { LogPart, WriteLog } from '../core/effect.js';
-import type { GatewayLogPart } from '../gateway/effect.js';
 import type { LogLevel } from '../settings/log-level.js';
 
 /** Parts of the driver that log, besides those of the core. */
 export type DriverPart = 'caller' | 'replica' | 'peer' | 'store' | 'operator' | 'node';
 
 /** Writes one line. */
-export type LogWriter = (
-  level: LogLevel,
-  part: LogPart | DriverPart | GatewayLogPart,
-  sentence: string,
-) => void;
+export type LogWriter = (level: LogLevel, part: LogPart | DriverPart, sentence: string) => void;
 
 const CONSOLA_LEVELS: Readonly<Record<LogLevel, number>> = { error: 0, warn: 1, info: 3, debug: 4 };
 
--- /dev/null
+++ b/test/gateway/explain.test.ts
@@ -0,0 +1,51 @@
+import { describe, expect, it } from 'vitest';
+import { findCause } from '../../src/gateway/explain/find-cause.js';
+import { findRequestLines } from '../../src/gateway/explain/read-lines.js';
+
+const line = (time: number, fields: Readonly<Record<string, unknown>>): string =>
+  JSON.stringify({ time, node: 'front-1', requestId: 'r-1', agoMs: 0, ...fields });
+
+const sent = (attempt: number, replica: string, reason = 'first'): string =>
+  line(attempt, { event: 'attempt-sent', attempt, replica, reason, service: 'shard-a' });
+
+const ended = (attempt: number, replica: string, outcome: string, dropped = false): string =>
+  line(50, { event: 'attempt-ended', attempt, replica, outcome, elapsedMs: 40, dropped });
+
+const answered = (fields: Readonly<Record<string, unknown>>): string =>
+  line(90, { event: 'request-answered', missing: [], objectiveMs: 100, elapsedMs: 87, ...fields });
+
+const explain = (texts: readonly string[]): string =>
+  findCause(findRequestLines(texts, 'r-1').lines);
+
+describe('explain', () => {
+  it('reads the lines of several nodes in order, with what stands before them', () => {
+    const texts = [`  12.3 front-1 ${sent(2, 'b')}`, sent(1, 'a'), 'other'];
+    const { lines, malformed } = findRequestLines(texts, 'r-1');
+    expect(lines.map(({ time }) => time)).toEqual([1, 2]);
+    expect(malformed).toBe(0);
+    expect(findRequestLines(['{"time" broken'], 'r-1').malformed).toBe(1);
+  });
+
+  it('names the replicas of a shard that is missing', () => {
+    const partial = answered({ outcome: 'partial', missing: ['shard-a'] });
+    const texts = [sent(1, 'a'), sent(2, 'b', 'hedge'), ended(1, 'a', 'reset'), partial];
+    expect(explain(texts)).toBe(
+      'answered after 87 of 100 ms without 1 shards; shard-a: a (first): reset after 40 ms, b (hedge): no answer in time',
+    );
+  });
+
+  it('names the reason of a refusal and a denied budget', () => {
+    const denied = line(60, { event: 'budget-denied', service: 'shard-a', left: 0 });
+    const refused = answered({ outcome: 'refused', reason: 'deadline', missing: ['shard-a'] });
+    expect(explain([sent(1, 'a'), denied, refused])).toContain('(deadline); shard-a: a (first)');
+    expect(explain([sent(1, 'a'), denied, refused])).toContain('denied by the retry budget');
+  });
+
+  it('tells a late answer by its last part, and a caller that left', () => {
+    expect(explain([sent(1, 'a'), ended(1, 'a', 'answered'), answered({ outcome: 'whole' })])).toBe(
+      'answered whole after 87 of 100 ms; the last part came from a after 40 ms',
+    );
+    expect(explain([line(9, { event: 'caller-left', elapsedMs: 9 })])).toContain('left after 9 ms');
+    expect(explain([])).toContain('no line speaks');
+  });
+});
--- a/test/platform/gateway-fixture.ts
+++ b/test/platform/gateway-fixture.ts
@@ -8,6 +8,8 @@
 import { StandInReplica, type ReplicaBehaviour } from './stand-in-replica.js';
 import { StandInStore } from './stand-in-store.js';
 
+const SILENT_LOG = { write: () => undefined, writeTrace: () => undefined };
+
 /** An answer as a caller sees it. */
 export interface CallerAnswer {
   readonly status: number;
@@ -111,7 +113,7 @@
   }
 
   async startGateway(): Promise<void> {
-    this.gatewayProcess = await startGateway(this.settings, platformProtocol, () => undefined);
+    this.gatewayProcess = await startGateway(this.settings, platformProtocol, SILENT_LOG);
   }
 
   /** Starts the gateway and waits until it is ready. */
--- a/test/platform/gateway-load.ts
+++ b/test/platform/gateway-load.ts
@@ -1,26 +1,11 @@
 /** Drives a gateway with gathers at a fixed rate, to measure what a leg costs. Not a test. */
 import { setTimeout as delay } from 'node:timers/promises';
-import type { GatewaySettings } from '../../src/gateway/settings.js';
-import { formatHostPort } from '../../src/settings/parse-host-port.js';
 import { GatewayFixture, routeSpec } from './gateway-fixture.js';
+import { settingsFileOf } from './settings-file.js';
 
 const SHARDS = 20;
 const RATE_PER_S = 14;
 
-const settingsFileOf = ({ bounds, ...settings }: GatewaySettings): string =>
-  JSON.stringify({
-    ...settings,
-    callers: formatHostPort(settings.callers),
-    readiness: formatHostPort(settings.readiness),
-    peers: formatHostPort(settings.peers),
-    store: formatHostPort(settings.store),
-    bounds: {
-      ...bounds,
-      graceSeconds: bounds.graceMs / 1_000,
-      retryWindowSeconds: bounds.retryWindowMs / 1_000,
-    },
-  });
-
 const run = async (seconds: number): Promise<void> => {
   const fixture = await GatewayFixture.create();
   const services = Array.from({ length: SHARDS }, (_, index) => `shard-${index}`);
--- /dev/null
+++ b/test/platform/process.test.ts
@@ -0,0 +1,118 @@
+import { type ChildProcess, spawn } from 'node:child_process';
+import { once } from 'node:events';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { setTimeout as delay } from 'node:timers/promises';
+import { afterAll, afterEach, beforeAll, beforeEach, describe, expect, it } from 'vitest';
+import { type CompiledSource, compilePlatform } from '../runtime/compiled-source.js';
+import { GatewayFixture, routeSpec } from './gateway-fixture.js';
+import { settingsFileOf } from './settings-file.js';
+
+let source: CompiledSource;
+let fixture: GatewayFixture;
+let folder: string;
+let child: ChildProcess | undefined;
+
+beforeAll(async () => {
+  source = await compilePlatform();
+  folder = await mkdtemp(join(tmpdir(), 'crossroad-'));
+});
+
+afterAll(async () => {
+  await source.remove();
+  await rm(folder, { recursive: true, force: true });
+});
+
+beforeEach(async () => {
+  fixture = await GatewayFixture.create();
+});
+
+afterEach(async () => {
+  if (child?.exitCode === null) {
+    child.kill('SIGKILL');
+  }
+  await fixture.stop();
+});
+
+const start = async (settings: string): Promise<ChildProcess> => {
+  const file = join(folder, `settings-${fixture.store.port}.json`);
+  await writeFile(file, settings);
+  child = spawn(process.execPath, [source.main], {
+    stdio: ['ignore', 'pipe', 'pipe'],
+    env: { ...process.env, CROSSROAD_BOOT: file },
+  });
+  return child;
+};
+
+const untilReady = async (): Promise<void> => {
+  const { host, port } = fixture.settings.readiness;
+  for (let tries = 0; tries < 400; tries += 1) {
+    const answer = await fetch(`http://${host}:${port}/v1/ready`).catch(() => undefined);
+    if (answer?.status === 200) {
+      return;
+    }
+    await delay(20);
+  }
+  throw new Error('the process was not ready in time');
+};
+
+const eventsOf = (output: string): string[] =>
+  output
+    .trim()
+    .split('\n')
+    .map((line) => (JSON.parse(line) as { event: string }).event);
+
+describe('a process on the platform', () => {
+  it('reports all findings of wrong settings and ends with 78', async () => {
+    const text = JSON.stringify({ node: 7, zone: 'bole', seeds: ['here'], callers: '127.0.0.1' });
+    const process = await start(text);
+    let errors = '';
+    process.stderr?.on('data', (chunk: Buffer) => (errors += chunk.toString()));
+    const [code] = (await once(process, 'close')) as [number];
+    expect(code).toBe(78);
+    for (const field of ['node', 'zoneRegions', 'callers', 'seeds[0]', 'bounds.drainMs']) {
+      expect(errors).toContain(`.${field}: `);
+    }
+  });
+
+  it('reports a settings file that is cut off', async () => {
+    const process = await start('{"node": "front-1", "zo');
+    let errors = '';
+    process.stderr?.on('data', (chunk: Buffer) => (errors += chunk.toString()));
+    const [code] = (await once(process, 'close')) as [number];
+    expect([code, errors]).toEqual([78, expect.stringContaining('is not JSON')]);
+  });
+
+  it('logs its start, what it believes, and its planned stop', async () => {
+    fixture.configure([routeSpec({ path_prefix: '/one/', service: 'desk' })], ['desk']);
+    await fixture.addReplica('desk-1', 'desk');
+    const process = await start(settingsFileOf({ ...fixture.settings, logLevel: 'info' }));
+    let output = '';
+    process.stdout?.on('data', (chunk: Buffer) => (output += chunk.toString()));
+    await untilReady();
+    expect((await fixture.ask({ id: 'r-1', path: '/one/' })).status).toBe(200);
+    process.kill('SIGTERM');
+    const [code] = (await once(process, 'close')) as [number];
+    expect(code).toBe(0);
+    const expected = ['started', 'configuration-in-force', 'replica-changed', 'ready', 'ended'];
+    expect(eventsOf(output)).toEqual(expect.arrayContaining(expected));
+  });
+
+  it('serves on and ends in time when nobody reads its standard output', async () => {
+    const shards = Array.from({ length: 20 }, (_, index) => `shard-${index}`);
+    const gather = { path_prefix: '/all/', gather: shards, top_k: 1, min_coverage: 0.5 };
+    fixture.configure([routeSpec(gather)], shards);
+    for (const shard of shards) {
+      await fixture.addReplica(shard, shard, { status: shard === 'shard-0' ? 500 : 200 });
+    }
+    const process = await start(settingsFileOf({ ...fixture.settings, logLevel: 'info' }));
+    await untilReady();
+    for (let index = 0; index < 60; index += 1) {
+      expect((await fixture.ask({ id: `r-${index}`, path: '/all/' })).status).toBe(200);
+    }
+    process.kill('SIGTERM');
+    await Promise.race([once(process, 'exit'), delay(8_000)]);
+    expect(process.exitCode).toBe(0);
+  });
+});
--- /dev/null
+++ b/test/platform/settings-file.ts
@@ -0,0 +1,18 @@
+/** The text of a settings file, as the template makes it. */
+import type { GatewaySettings } from '../../src/gateway/settings.js';
+import { formatHostPort } from '../../src/settings/parse-host-port.js';
+
+/** Formats settings as a file. */
+export const settingsFileOf = ({ bounds, ...settings }: GatewaySettings): string =>
+  JSON.stringify({
+    ...settings,
+    callers: formatHostPort(settings.callers),
+    readiness: formatHostPort(settings.readiness),
+    peers: formatHostPort(settings.peers),
+    store: formatHostPort(settings.store),
+    bounds: {
+      ...bounds,
+      graceSeconds: bounds.graceMs / 1_000,
+      retryWindowSeconds: bounds.retryWindowMs / 1_000,
+    },
+  });
--- a/test/runtime/compiled-source.ts
+++ b/test/runtime/compiled-source.ts
@@ -21,20 +21,37 @@
   await writeFile(to, outputText);
 };
 
-/** Compiles all sources into a folder of their own. */
-export const compileSource = async (): Promise<CompiledSource> => {
-  await mkdir(join(ROOT, 'out'), { recursive: true });
-  const folder = await mkdtemp(join(ROOT, 'out/compiled-'));
-  const files = await readdir(join(ROOT, 'src'), { recursive: true });
+const compileFolder = async (name: string, to: string): Promise<void> => {
+  const files = await readdir(join(ROOT, name), { recursive: true });
   await Promise.all(
     files
       .filter((file) => file.endsWith('.ts'))
-      .map((file) =>
-        compileFile(join(ROOT, 'src', file), join(folder, file.replace(/\.ts$/, '.js'))),
-      ),
+      .map((file) => compileFile(join(ROOT, name, file), join(to, file.replace(/\.ts$/, '.js')))),
   );
+};
+
+const createFolder = async (): Promise<string> => {
+  await mkdir(join(ROOT, 'out'), { recursive: true });
+  return mkdtemp(join(ROOT, 'out/compiled-'));
+};
+
+/** Compiles all sources into a folder of their own. */
+export const compileSource = async (): Promise<CompiledSource> => {
+  const folder = await createFolder();
+  await compileFolder('src', folder);
   return {
     main: join(folder, 'main.js'),
     remove: () => rm(folder, { recursive: true, force: true }),
   };
 };
+
+/** Compiles the program that runs on the users' platform. */
+export const compilePlatform = async (): Promise<CompiledSource> => {
+  const folder = await createFolder();
+  await compileFolder('src', join(folder, 'src'));
+  await compileFolder('platform', join(folder, 'platform'));
+  return {
+    main: join(folder, 'platform/main.js'),
+    remove: () => rm(folder, { recursive: true, force: true }),
+  };
+};
