--- a/src/gateway/runtime/bounded-log.ts
+++ b/src/gateway/runtime/bounded-log.ts
@@ -1,12 +1,11 @@
 /**
- * Writes structured lines to standard output, never more than a bound and never waiting for whoever
- * reads them. sonic-boom writes from a buffer of fixed size, on another thread; lines that do not fit
- * are dropped and counted.
+ * Formats structured lines and keeps their number within a bound; what is left out is counted, also
+ * what the sink had no room for.
  */
-import sonicBoom from 'sonic-boom';
 import type { LogLevel } from '../../settings/log-level.js';
 import type { GatewayLogPart, WriteLog, WriteTrace } from '../effect.js';
 import type { BeliefChange } from '../log/log-event.js';
+import type { LineSink } from './line-sink.js';
 
 /** Lines a second in the long run, and at once after a quiet time. */
 const LINES_PER_SECOND = 100;
@@ -15,12 +14,6 @@
 /** Samples of requests without trouble leave so many lines of the burst to the others. */
 const LINES_KEPT_FOR_FAILURES = 300;
 
-/** Bytes that wait to be written. */
-const BUFFER_BYTES = 262_144;
-
-/** Bytes of one write: a pipe takes as many whole, so that lines of several writers don't mix. */
-const WRITE_BYTES = 4_096;
-
 /** Time between two lines that tell of dropped ones, in milliseconds. */
 const DROPPED_INTERVAL_MS = 1_000;
 
@@ -28,42 +21,6 @@
 
 const LEVELS: Readonly<Record<LogLevel, number>> = { error: 0, warn: 1, info: 2, debug: 3 };
 
-/** Takes the text of lines. */
-export interface LineSink {
-  /** False when the text was dropped. */
-  write(text: string): boolean;
-  flush(): void;
-}
-
-/** Standard output, through a buffer that drops what does not fit. */
-export const openStandardOutput = (): LineSink => {
-  const output = new sonicBoom.SonicBoom({
-    fd: 1,
-    sync: false,
-    maxLength: BUFFER_BYTES,
-    maxWrite: WRITE_BYTES,
-  });
-  let dropped = false;
-  output.on('drop', () => {
-    dropped = true;
-  });
-  output.on('error', () => undefined);
-  return {
-    write(text) {
-      dropped = false;
-      output.write(text);
-      return !dropped;
-    },
-    flush() {
-      try {
-        output.flushSync();
-      } catch {
-        // Nobody reads: what is left is lost, and the process ends all the same.
-      }
-    },
-  };
-};
-
 /** Where the log stands: the node's name, the least level, and the clocks. */
 export interface BoundedLogOptions {
   readonly node: string;
@@ -106,10 +63,6 @@
     }
   }
 
-  flush(): void {
-    this.options.sink.flush();
-  }
-
   private writeLine(level: string, part: GatewayLogPart, fields: object, kept: number): void {
     this.refill();
     if (this.tokens <= kept) {
--- a/src/gateway/runtime/run-gateway.ts
+++ b/src/gateway/runtime/run-gateway.ts
@@ -6,7 +6,8 @@
 import type { GatewayProtocol } from '../protocol/protocol.js';
 import { readGatewaySettings } from '../read-settings.js';
 import type { GatewaySettings } from '../settings.js';
-import { BoundedLog, openStandardOutput } from './bounded-log.js';
+import { BoundedLog } from './bounded-log.js';
+import { openStandardOutput } from './line-sink.js';
 import { type GatewayLog, type RunningGateway, startGateway } from './start-gateway.js';
 
 /** How often the settings file is looked at for changes without a signal, in milliseconds. */
@@ -62,10 +63,11 @@
   file: string,
   protocol: GatewayProtocol,
 ): Promise<ExitCode> => {
+  const sink = openStandardOutput();
   const log = new BoundedLog({
     node: settings.node,
     level: settings.logLevel,
-    sink: openStandardOutput(),
+    sink,
     monotonicNow: () => performance.now(),
     wallNow: () => Date.now(),
   });
@@ -75,7 +77,7 @@
   process.on('SIGINT', () => gateway.stop());
   log.write({ level: 'info', part: 'lifecycle', change: { event: 'started' } });
   await gateway.ended;
-  log.flush();
+  await sink.end();
   return ExitCode.done;
 };
 
--- a/test/gateway/bounded-log.test.ts
+++ b/test/gateway/bounded-log.test.ts
@@ -23,7 +23,7 @@
         }
         return accepting;
       },
-      flush: () => undefined,
+      end: () => Promise.resolve(),
     },
     monotonicNow: () => now,
     wallNow: () => 5_000 + now,
