--- a/src/gateway/effect.ts
+++ b/src/gateway/effect.ts
@@ -1,6 +1,5 @@
 /** Every effect that the gateway's reducer asks of its driver. Effects are data. */
-import type { BeliefChange } from './log/log-event.js';
-import type { TracedDecision, TraceReason } from './log/trace.js';
+import type { BeliefChange, TracedDecision, TraceReason } from './log/log-event.js';
 import type { CallerLimits } from './model/route.js';
 import type { ReplicaRecord } from './model/replica-record.js';
 import type { AttemptId, CallerResponse, CallId } from './model/request.js';
--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -57,6 +57,15 @@
     }
   | { readonly event: 'caller-left'; readonly elapsedMs: number };
 
+/** A decision with its time on the monotonic clock. */
+export interface TracedDecision {
+  readonly at: number;
+  readonly decision: Decision;
+}
+
+/** Why the decisions of a request are logged. */
+export type TraceReason = 'failed' | 'sampled';
+
 /** A change of what the gateway believes, or of its own life. */
 export type BeliefChange =
   | { readonly event: 'started' }
--- a/src/gateway/log/trace.ts
+++ b/src/gateway/log/trace.ts
@@ -4,7 +4,7 @@
  */
 import { hash32 } from '../../core/hash.js';
 import type { GatewayEffect } from '../effect.js';
-import type { Decision } from './log-event.js';
+import type { Decision, TracedDecision, TraceReason } from './log-event.js';
 
 /** One of so many requests without trouble is logged. */
 const SAMPLED_ONE_OF = 64;
@@ -12,15 +12,6 @@
 /** Decisions kept for one request. */
 const MAX_DECISIONS = 400;
 
-/** A decision with its time on the monotonic clock. */
-export interface TracedDecision {
-  readonly at: number;
-  readonly decision: Decision;
-}
-
-/** Why the decisions of a request are logged. */
-export type TraceReason = 'failed' | 'sampled';
-
 /** Adds a decision to those of a request. */
 export const trace = (decisions: TracedDecision[], at: number, decision: Decision): void => {
   if (decisions.length < MAX_DECISIONS) {
--- a/src/gateway/requests/request-state.ts
+++ b/src/gateway/requests/request-state.ts
@@ -1,5 +1,5 @@
 /** Requests in progress: each has one leg, or one for each shard. */
-import type { TracedDecision } from '../log/trace.js';
+import type { TracedDecision } from '../log/log-event.js';
 import type { Route } from '../model/route.js';
 import type { AttemptId, CallerRequest, CallId, ReplicaAnswer } from '../model/request.js';
 
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -11,7 +11,6 @@
 import type { GatewaySettings } from './settings.js';
 import type { CollectionName } from './store/collection.js';
 import { type CollectionProgress, createCollectionProgress } from './store/follow-collection.js';
-import type { StoreReachability } from './store/probe-store.js';
 
 /** Gateways that are assumed to run until others are known. */
 const ASSUMED_GATEWAYS = 8;
@@ -26,6 +25,13 @@
   readonly since: number;
 }
 
+/** Whether the store can be reached, as this gateway knows it. */
+export interface StoreReachability {
+  reachable: boolean;
+  /** When the store was first found out of reach. */
+  lostSince: number;
+}
+
 /** Everything that a gateway knows. */
 export interface GatewayState {
   settings: GatewaySettings;
--- a/src/gateway/store/probe-store.ts
+++ b/src/gateway/store/probe-store.ts
@@ -15,13 +15,6 @@
 /** Time for the answer to a probe, in milliseconds. */
 const PROBE_TIMEOUT_MS = 700;
 
-/** Whether the store can be reached, as this gateway knows it. */
-export interface StoreReachability {
-  reachable: boolean;
-  /** When the store was first found out of reach. */
-  lostSince: number;
-}
-
 /** Makes a probe at once. */
 export const probeNow = (): GatewayEffect => ({
   type: 'call-store',
