--- a/src/gateway/effect.ts
+++ b/src/gateway/effect.ts
@@ -1,6 +1,8 @@
 /** Every effect that the gateway's reducer asks of its driver. Effects are data. */
 import type { BeliefChange, TracedDecision, TraceReason } from './log/log-event.js';
 import type { CallerLimits } from './model/route.js';
+import type { PeerRecord } from './model/peer-record.js';
+import type { Subquery, SubqueryId, SubqueryPart } from './model/subquery.js';
 import type { ReplicaRecord } from './model/replica-record.js';
 import type { AttemptId, CallerResponse, CallId } from './model/request.js';
 import type { CollectionName, StoreCall } from './store/collection.js';
@@ -45,6 +47,46 @@
   readonly closeConnection: boolean;
 }
 
+/** Asks a feeder for the parts of some shards; ends in a final `subquery-answered` or in `subquery-failed`. */
+export interface SendSubquery {
+  readonly type: 'send-subquery';
+  readonly id: SubqueryId;
+  readonly call: CallId;
+  readonly peer: PeerRecord;
+  readonly subquery: Subquery;
+}
+
+/** Tells a feeder that the rest of a subquery is no longer wanted. */
+export interface CancelSubquery {
+  readonly type: 'cancel-subquery';
+  readonly id: SubqueryId;
+  readonly withinMs: number;
+}
+
+/** Sends parts to the gateway that asked; the call is over after the final ones. */
+export interface AnswerSubquery {
+  readonly type: 'answer-subquery';
+  readonly call: CallId;
+  readonly part: SubqueryPart;
+}
+
+/** Refuses a subquery that has not run. */
+export interface RefuseSubquery {
+  readonly type: 'refuse-subquery';
+  readonly call: CallId;
+}
+
+/** Opens a connection to a peer ahead of the first subquery. */
+export interface OpenPeer {
+  readonly type: 'open-peer';
+  readonly peer: PeerRecord;
+}
+
+/** Tells all peers that this gateway is about to end. */
+export interface AnnounceStop {
+  readonly type: 'announce-stop';
+}
+
 /** The call is over without an answer: its caller has left. */
 export interface ForgetCall {
   readonly type: 'forget-call';
@@ -112,7 +154,8 @@
 }
 
 /** Parts of the gateway that log; each has a fixed prefix. */
-export type GatewayLogPart = 'request' | 'replica' | 'configuration' | 'store' | 'lifecycle';
+export type GatewayLogPart =
+  'request' | 'replica' | 'peer' | 'configuration' | 'store' | 'lifecycle';
 
 /** Writes a line of the log. */
 export interface WriteLog {
@@ -138,6 +181,12 @@
   | CloseReplica
   | AnswerCaller
   | ForgetCall
+  | SendSubquery
+  | CancelSubquery
+  | AnswerSubquery
+  | RefuseSubquery
+  | OpenPeer
+  | AnnounceStop
   | SetRequestTimer
   | CallStore
   | SetCollectionTimer
--- a/src/gateway/event.ts
+++ b/src/gateway/event.ts
@@ -3,6 +3,8 @@
  * monotonic clock of the process; the reducer reads no other clock.
  */
 import type { GatewayConfiguration } from './model/route.js';
+import type { PeerRecord } from './model/peer-record.js';
+import type { PeerProblem, Subquery, SubqueryId, SubqueryPart } from './model/subquery.js';
 import type { ReplicaRecord } from './model/replica-record.js';
 import type { AttemptId, AttemptResult, CallerRequest, CallId } from './model/request.js';
 import type { GatewaySettings } from './settings.js';
@@ -89,20 +91,73 @@
   readonly answered: boolean;
 }
 
-/** The registration of this gateway has ended. */
-export interface RegistrationEnded {
-  readonly type: 'registration-ended';
+/** A page of the gateways was read. */
+export interface GatewaysListed {
+  readonly type: 'gateways-listed';
   readonly at: number;
-  /** The entry stands in the store. */
-  readonly written: boolean;
+  /** Absent when the store did not answer. */
+  readonly page?: GatewaysPage;
+}
+
+/** A page of the list of gateways. */
+export interface GatewaysPage {
+  readonly gateways: readonly PeerRecord[];
+  /** Entries that another version has written; they count, but nothing is sent to them. */
+  readonly unreadable: number;
+  readonly more: boolean;
+  /** Name of the last gateway of the page. */
+  readonly last: string;
 }
 
-/** The gateways were counted. */
-export interface GatewaysCounted {
-  readonly type: 'gateways-counted';
+/** Another gateway asks this one for the parts of some shards. */
+export interface SubqueryReceived {
+  readonly type: 'subquery-received';
   readonly at: number;
-  /** Absent when the store did not answer. */
-  readonly gateways?: number;
+  readonly call: CallId;
+  readonly requestId: string;
+  readonly subquery: Subquery;
+}
+
+/** The gateway that asked no longer wants the rest, or is gone. */
+export interface SubqueryCancelled {
+  readonly type: 'subquery-cancelled';
+  readonly at: number;
+  readonly call: CallId;
+  /** Time that attempts have to end by themselves, in milliseconds. */
+  readonly withinMs: number;
+}
+
+/** A feeder has taken a subquery. */
+export interface SubqueryAcknowledged {
+  readonly type: 'subquery-acknowledged';
+  readonly at: number;
+  readonly subquery: SubqueryId;
+  readonly peer: string;
+}
+
+/** A feeder has sent parts. */
+export interface SubqueryAnswered {
+  readonly type: 'subquery-answered';
+  readonly at: number;
+  readonly subquery: SubqueryId;
+  readonly part: SubqueryPart;
+}
+
+/** A subquery ended without all of its parts: the feeder refused it, or cannot be reached. */
+export interface SubqueryFailed {
+  readonly type: 'subquery-failed';
+  readonly at: number;
+  readonly subquery: SubqueryId;
+  /** Whether replicas may have run it. */
+  readonly mayHaveRun: boolean;
+}
+
+/** A peer cannot be reached, says nothing any more, or is about to end. */
+export interface PeerLost {
+  readonly type: 'peer-lost';
+  readonly at: number;
+  readonly peer: string;
+  readonly problem: PeerProblem;
 }
 
 /** The next probe of the store is due. */
@@ -172,7 +227,12 @@
   | CollectionDue
   | ProbeEnded
   | ProbeDue
-  | RegistrationEnded
-  | GatewaysCounted
+  | GatewaysListed
+  | SubqueryReceived
+  | SubqueryCancelled
+  | SubqueryAcknowledged
+  | SubqueryAnswered
+  | SubqueryFailed
+  | PeerLost
   | GatewaysDue
   | StopDue;
--- a/src/gateway/lifecycle.ts
+++ b/src/gateway/lifecycle.ts
@@ -45,6 +45,7 @@
   return [
     { type: 'write-log', level: 'info', part: 'lifecycle', change },
     ...updateReadiness(state),
+    { type: 'announce-stop' },
     { type: 'set-stop-timer', at: at + STOP_CHECK_MS },
   ];
 };
--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -3,6 +3,7 @@
  * a name, the inputs that decided, and a description for the reference.
  */
 import type { AttemptProblem, AttemptId, RefusalReason } from '../model/request.js';
+import type { PeerProblem, SubqueryId } from '../model/subquery.js';
 
 /** Why an attempt was sent. */
 export type AttemptReason = 'first' | 'retry' | 'hedge';
@@ -44,6 +45,40 @@
     }
   | { readonly event: 'budget-denied'; readonly service: string; readonly left: number }
   | { readonly event: 'leg-paused'; readonly service: string; readonly forMs: number }
+  | {
+      readonly event: 'subquery-sent';
+      readonly subquery: SubqueryId;
+      readonly peer: string;
+      readonly shards: number;
+      readonly isRepeat: boolean;
+    }
+  | {
+      readonly event: 'subquery-answered';
+      readonly subquery: SubqueryId;
+      readonly parts: number;
+      readonly isFinal: boolean;
+      readonly elapsedMs: number;
+    }
+  | {
+      readonly event: 'subquery-failed';
+      readonly subquery: SubqueryId;
+      readonly peer: string;
+      readonly mayHaveRun: boolean;
+      readonly elapsedMs: number;
+    }
+  | {
+      readonly event: 'subquery-admitted';
+      readonly route: string;
+      readonly shards: number;
+      readonly isRepeat: boolean;
+      readonly partsInMs: number;
+    }
+  | {
+      readonly event: 'parts-sent';
+      readonly missing: readonly string[];
+      readonly elapsedMs: number;
+    }
+  | { readonly event: 'subquery-cancelled'; readonly elapsedMs: number }
   | { readonly event: 'leg-failed'; readonly service: string; readonly runs: number }
   | {
       readonly event: 'request-answered';
@@ -100,6 +135,12 @@
       readonly failures: number;
       readonly forMs: number;
     }
+  | {
+      readonly event: 'peer-suspected';
+      readonly peer: string;
+      readonly problem: PeerProblem;
+      readonly forMs: number;
+    }
   | { readonly event: 'gateways-counted'; readonly gateways: number; readonly previous: number }
   | { readonly event: 'lines-dropped'; readonly lines: number };
 
@@ -110,6 +151,12 @@
   'attempt-ended': 'The replica answered, said that it has not run the request, or failed.',
   'budget-denied': 'A further attempt was not sent: the retry budget of the service is used up.',
   'leg-paused': 'All replicas refused or could not be reached; they are tried again after a pause.',
+  'subquery-sent': 'A feeder was asked for the parts of some shards.',
+  'subquery-answered': 'A feeder has sent parts; after the final ones nothing follows.',
+  'subquery-failed': 'A feeder failed or was silent; its shards are asked for elsewhere.',
+  'subquery-admitted': 'At a feeder: another gateway asks for the parts of some shards.',
+  'parts-sent': 'At a feeder: the last parts were sent to the gateway that asked.',
+  'subquery-cancelled': 'At a feeder: the gateway that asked no longer wants the rest, or is gone.',
   'leg-failed': 'A leg ended without an answer.',
   'request-answered': 'The final answer.',
   'caller-left': 'The caller closed its connection; the attempts are aborted.',
@@ -129,6 +176,7 @@
   'store-call-failed': 'A list or watch failed and is repeated after a pause.',
   'replica-changed': 'The store lists a replica, says that it drains, or lists it no more.',
   'replica-ejected': 'A replica failed and is tried only as a last resort for a while.',
+  'peer-suspected': 'Another gateway failed to answer and is passed over for a while.',
   'gateways-counted': 'The number of gateways that share replicas and budgets has changed.',
   'lines-dropped': 'Lines were left out: more than the bound, or nobody read them.',
 };
--- a/src/gateway/model/route.ts
+++ b/src/gateway/model/route.ts
@@ -77,6 +77,10 @@
   readonly limits: CallerLimits;
 }
 
+/** Services that gathers name as shards. */
+export const shardsOf = (routes: readonly Route[]): ReadonlySet<string> =>
+  new Set(routes.flatMap(({ target }) => (target.type === 'gather' ? target.shards : [])));
+
 /** Services to which a route may send. */
 export const servicesOf = (target: RouteTarget): readonly string[] => {
   switch (target.type) {
--- /dev/null
+++ b/src/gateway/model/subquery.ts
@@ -0,0 +1,41 @@
+/** Subqueries: a gateway asks a feeder for the parts of some shards of a gather. */
+
+/** Names a subquery inside the process that asks. */
+export type SubqueryId = number;
+
+/** What a feeder is asked for; the request's bytes stay at the edge. */
+export interface Subquery {
+  /** The route, by which the feeder keeps its latencies. */
+  readonly route: string;
+  /** The shards that are asked for, as one version of the configuration names them. */
+  readonly shards: readonly string[];
+  readonly maxRecords: number;
+  readonly maxAttempts: number;
+  /** The route's objective, in milliseconds. */
+  readonly objectiveMs: number;
+  /** Time after which parts are sent as they come, in milliseconds from the arrival. */
+  readonly partsWithinMs: number;
+  /** Time after which nothing is wanted any more, in milliseconds from the arrival. */
+  readonly deadlineMs: number;
+  /** Another feeder may have sent the request to replicas before. */
+  readonly isRepeat: boolean;
+}
+
+/** The part of one shard; its records are merged with those of the others. */
+export interface ShardPart {
+  readonly service: string;
+  /** The replica's signature. */
+  readonly signature: string;
+}
+
+/** Parts that a feeder sends together. */
+export interface SubqueryPart {
+  readonly shards: readonly ShardPart[];
+  /** The greatest records of these parts, greatest first. */
+  readonly records: Uint8Array;
+  /** Nothing follows: shards that were not in any part have no answer. */
+  readonly isFinal: boolean;
+}
+
+/** Why a peer is passed over for a while. */
+export type PeerProblem = 'unreachable' | 'silent' | 'disconnected' | 'stopping' | 'unacknowledged';
--- /dev/null
+++ b/src/gateway/peers/feeder-plan.ts
@@ -0,0 +1,60 @@
+/**
+ * Which gateways feed each shard: they speak to its replicas for all gateways of their region, so that
+ * connections are few and warm, and what one of them knows of a replica is fresh.
+ *
+ * Every gateway works the plan out by itself from the listed gateways. Feeders are the gateways with
+ * the most processor, as many as the shards ask for; among them weighted rendezvous hashing orders the
+ * feeders of each shard, so that a change of members moves few shards.
+ */
+import { hash32 } from '../../core/hash.js';
+import type { PeerRecord } from '../model/peer-record.js';
+
+/** Shards that one feeder carries on average. */
+const SHARDS_PER_FEEDER = 8;
+
+/** Least number of feeders in a region that has as many gateways. */
+const MIN_FEEDERS = 3;
+
+/** Feeders of a shard that are kept in order of preference. */
+const RANKED_FEEDERS = 3;
+
+const UINT32_RANGE = 0x1_0000_0000;
+
+/** Uniform in (0, 1), from the text alone. */
+const drawFrom = (text: string): number => (hash32(text) + 0.5) / UINT32_RANGE;
+
+/** Score of weighted rendezvous hashing: the highest one wins in proportion to its weight. */
+const scoreOf = (service: string, { name, capacity }: PeerRecord): number =>
+  -Math.max(capacity, Number.EPSILON) / Math.log(drawFrom(`${service}/${name}`));
+
+const byCapacity = (left: PeerRecord, right: PeerRecord): number =>
+  right.capacity - left.capacity || drawFrom(left.name) - drawFrom(right.name);
+
+/** The plan for the gateways of one region and a number of shards. */
+export class FeederPlan {
+  readonly feeders: readonly PeerRecord[];
+  private readonly ranked = new Map<string, readonly PeerRecord[]>();
+
+  constructor(gatewaysOfRegion: readonly PeerRecord[], shards: number) {
+    const wanted = Math.max(MIN_FEEDERS, Math.ceil(shards / SHARDS_PER_FEEDER));
+    this.feeders = [...gatewaysOfRegion].sort(byCapacity).slice(0, wanted);
+  }
+
+  /** The feeders of a shard, the preferred one first. */
+  feedersOf(service: string): readonly PeerRecord[] {
+    const known = this.ranked.get(service);
+    if (known !== undefined) {
+      return known;
+    }
+    const scored = this.feeders.map((peer) => ({ peer, score: scoreOf(service, peer) }));
+    scored.sort((left, right) => right.score - left.score);
+    const ranked = scored.slice(0, RANKED_FEEDERS).map(({ peer }) => peer);
+    this.ranked.set(service, ranked);
+    return ranked;
+  }
+
+  /** Where a gateway stands among the feeders of a shard; -1 when it is none. */
+  rankOf(service: string, name: string): number {
+    return this.feedersOf(service).findIndex((peer) => peer.name === name);
+  }
+}
--- a/src/gateway/protocol/protocol.ts
+++ b/src/gateway/protocol/protocol.ts
@@ -3,7 +3,7 @@
  * the store's bodies. Nothing here decides anything.
  */
 import type { Either } from 'purify-ts/Either';
-import type { StoreChanges, StorePage } from '../event.js';
+import type { GatewaysPage, StoreChanges, StorePage } from '../event.js';
 import type { LoadReport } from '../model/request.js';
 import type { ListCall, StoreCall, WatchCall } from '../store/collection.js';
 import type { Finding } from '../../table/finding.js';
@@ -30,7 +30,7 @@
 
 /** A request to the store. */
 export interface StoreRequest {
-  readonly method: 'GET' | 'POST';
+  readonly method: 'GET' | 'POST' | 'PUT';
   readonly path: string;
   /** JSON; absent for none. */
   readonly body?: string;
@@ -42,8 +42,8 @@
   formatCall(call: StoreCall): StoreRequest;
   readPage(call: ListCall, body: string): Either<readonly Finding[], StorePage>;
   readChanges(call: WatchCall, body: string): Either<readonly Finding[], StoreChanges>;
-  /** The number of gateways in the answer to `list-gateways`. */
-  readGateways(body: string): Either<readonly Finding[], number>;
+  /** The page of gateways in the answer to `list-gateways`. */
+  readGateways(body: string): Either<readonly Finding[], GatewaysPage>;
 }
 
 /** A protocol that a gateway speaks. */
--- a/src/gateway/read-settings.ts
+++ b/src/gateway/read-settings.ts
@@ -53,6 +53,7 @@
 const readFields = (fields: FieldReader): GatewaySettings => ({
   node: fields.text('node'),
   zone: fields.text('zone'),
+  capacity: fields.number('processorShare', 0, 1) * fields.number('processorSpeed', 0, 1),
   firstStart: fields.flag('firstStart', false),
   zoneRegions: readZoneRegions(fields),
   callers: readAddressField(fields, 'callers'),
--- a/src/gateway/reducer.ts
+++ b/src/gateway/reducer.ts
@@ -6,8 +6,16 @@
 import type { GatewayEffect } from './effect.js';
 import type { GatewayEvent } from './event.js';
 import { beginStop, continueStop, updateReadiness } from './lifecycle.js';
+import { listGateways, takeGateways } from './peers/follow-gateways.js';
 import { preconnectReplicas } from './replicas/preconnect.js';
 import { acceptRequest } from './requests/accept-request.js';
+import { acceptSubquery, takeSubqueryCancelled } from './requests/accept-subquery.js';
+import {
+  takeAcknowledgement,
+  takePeerLost,
+  takeSubqueryAnswer,
+  takeSubqueryFailure,
+} from './requests/take-subquery-result.js';
 import { takeCallerLeft, takeRequestDue, takeResult } from './requests/take-result.js';
 import type { GatewayState } from './state.js';
 import {
@@ -17,19 +25,13 @@
   takePage,
   takeStoreFailure,
 } from './store/apply-collections.js';
-import {
-  continueCounting,
-  register,
-  takeGatewayCount,
-  takeRegistration,
-} from './store/count-gateways.js';
 import { probeNow, takeProbe } from './store/probe-store.js';
 
 const dispatch = (state: GatewayState, event: GatewayEvent): GatewayEffect[] =>
   match(event)
     .with({ type: 'started' }, ({ at }) => {
       state.startedAt = at;
-      return [...followCollections(state), probeNow(), register(state)];
+      return [...followCollections(state), probeNow(), listGateways()];
     })
     .with({ type: 'stop-requested' }, (stop) => beginStop(state, stop))
     .with({ type: 'stop-due' }, (due) => continueStop(state, due))
@@ -55,9 +57,16 @@
     .with({ type: 'collection-due' }, (due) => takeCollectionDue(state, due))
     .with({ type: 'probe-due' }, () => [probeNow()])
     .with({ type: 'probe-ended' }, ({ answered, at }) => takeProbe(state, answered, at))
-    .with({ type: 'gateways-due' }, () => [continueCounting(state)])
-    .with({ type: 'registration-ended' }, ({ written, at }) => takeRegistration(state, written, at))
-    .with({ type: 'gateways-counted' }, ({ gateways, at }) => takeGatewayCount(state, gateways, at))
+    .with({ type: 'gateways-due' }, () => [listGateways()])
+    .with({ type: 'gateways-listed' }, (listed) => takeGateways(state, listed))
+    .with({ type: 'subquery-received' }, (received) => acceptSubquery(state, received))
+    .with({ type: 'subquery-cancelled' }, (cancelled) => takeSubqueryCancelled(state, cancelled))
+    .with({ type: 'subquery-acknowledged' }, (acknowledged) =>
+      takeAcknowledgement(state, acknowledged),
+    )
+    .with({ type: 'subquery-answered' }, (answered) => takeSubqueryAnswer(state, answered))
+    .with({ type: 'subquery-failed' }, (failed) => takeSubqueryFailure(state, failed))
+    .with({ type: 'peer-lost' }, (lost) => takePeerLost(state, lost))
     .exhaustive();
 
 /** Takes one event. Ends of attempts, the most frequent, go past the match. */
--- a/src/gateway/replicas/preconnect.ts
+++ b/src/gateway/replicas/preconnect.ts
@@ -4,8 +4,8 @@
  */
 import type { GatewayEffect } from '../effect.js';
 import { servicesOf } from '../model/route.js';
+import { feederPlan, isFed } from '../peers/service-share.js';
 import type { GatewayState } from '../state.js';
-import { hasRoomForAll } from './connection-share.js';
 import type { Replica } from './replica.js';
 
 /** Services that routes send single requests to: a new connection matters little there. */
@@ -18,11 +18,32 @@
 const isWanted = ({ preconnected, goneAt, record }: Replica): boolean =>
   !preconnected && goneAt === undefined && !record.draining;
 
-/** Opens a connection to each replica of a shard that was not known before. */
+/** Whether this gateway speaks to the replicas of a shard itself. */
+const speaksTo = (state: GatewayState, service: string): boolean =>
+  !isFed(state, service) || feederPlan(state).rankOf(service, state.settings.node) === 0;
+
+/** Opens a connection to each feeder, once for each plan. */
+const preconnectFeeders = (state: GatewayState): GatewayEffect[] => {
+  const isUsed = [...(state.inForce?.shards ?? [])].some((service) => isFed(state, service));
+  const plan = feederPlan(state);
+  if (!isUsed || plan === state.connectedPlan) {
+    return [];
+  }
+  state.connectedPlan = plan;
+  return plan.feeders
+    .filter(({ name }) => name !== state.settings.node)
+    .map((peer) => ({ type: 'open-peer', peer }));
+};
+
+/** Opens a connection to each feeder, and to each replica of a shard that was not known before. */
 export const preconnectReplicas = (state: GatewayState): GatewayEffect[] => {
-  if (state.inForce === undefined || !state.replicasListed) {
+  if (state.inForce === undefined || !state.replicasListed || !state.gatewaysSettled) {
     return [];
   }
+  return [...preconnectFeeders(state), ...preconnectShards(state)];
+};
+
+const preconnectShards = (state: GatewayState): GatewayEffect[] => {
   const fresh = [...state.replicas.all()].filter(isWanted);
   if (fresh.length === 0) {
     return [];
@@ -31,7 +52,7 @@
   return fresh.flatMap((replica): GatewayEffect[] => {
     replica.preconnected = true;
     const { service } = replica.record;
-    const isShard = !singles.has(service) && hasRoomForAll(state, service);
+    const isShard = !singles.has(service) && speaksTo(state, service);
     return isShard ? [{ type: 'open-connection', replica: replica.record }] : [];
   });
 };
--- a/src/gateway/requests/accept-request.ts
+++ b/src/gateway/requests/accept-request.ts
@@ -4,12 +4,12 @@
 import { trace } from '../log/trace.js';
 import type { Route } from '../model/route.js';
 import { SplitCursor, isSameSplit } from '../routing/split-cursor.js';
-import { budgetOf, type GatewayState } from '../state.js';
+import type { GatewayState } from '../state.js';
 import { refuseCall } from './finish.js';
-import { type ActiveRequest, createLeg, type Leg } from './request-state.js';
+import { sendLegs } from './send-legs.js';
+import { type ActiveRequest, createActiveRequest, createLeg, type Leg } from './request-state.js';
 import { createRouteLatency, hedgeDelay } from './route-latency.js';
 import { progressRequest } from './progress.js';
-import { retryLeg } from './retry-leg.js';
 
 /** Time kept back of the objective for the way to the caller and waits for the processor. */
 const OBJECTIVE_MARGIN_MS = 13;
@@ -47,8 +47,9 @@
   const patienceMs = (request.budgetMs ?? route.timeoutMs) - DEADLINE_MARGIN_MS;
   const margin = Math.min(OBJECTIVE_MARGIN_MS, route.objectiveMs * MAX_MARGIN_SHARE);
   const latency = state.latencies.get(route.name) ?? createRouteLatency(route);
-  return {
+  return createActiveRequest({
     call,
+    origin: 'caller',
     request,
     route,
     legs,
@@ -56,12 +57,7 @@
     deadlineAt: at + Math.max(1, Math.min(route.timeoutMs, patienceMs)),
     objectiveAt: at + route.objectiveMs - margin,
     hedgeAt: at + hedgeDelay(latency, route),
-    hedged: false,
-    answeredLegs: 0,
-    openLegs: legs.length,
-    timerAt: undefined,
-    decisions: [],
-  };
+  });
 };
 
 const traceAdmission = (state: GatewayState, request: ActiveRequest, at: number): void =>
@@ -78,13 +74,8 @@
 const startRequest = (state: GatewayState, request: ActiveRequest, at: number): GatewayEffect[] => {
   state.requests.set(request.call, request);
   traceAdmission(state, request, at);
-  const effects: GatewayEffect[] = [];
-  for (const leg of request.legs) {
-    budgetOf(state, leg.service).countRequest(at);
-    effects.push(...retryLeg(state, request, leg, 'first', at));
-  }
-  effects.push(...progressRequest(state, request, at));
-  return effects;
+  const sent = sendLegs(state, request, request.legs, false, at);
+  return [...sent, ...progressRequest(state, request, at)];
 };
 
 /** Handles `request-received`. */
--- /dev/null
+++ b/src/gateway/requests/accept-subquery.ts
@@ -0,0 +1,88 @@
+/** Takes a subquery of another gateway: asks a replica of each shard for its part. */
+import type { GatewayEffect } from '../effect.js';
+import type { SubqueryCancelled, SubqueryReceived } from '../event.js';
+import { trace, writeTrace } from '../log/trace.js';
+import type { Route } from '../model/route.js';
+import type { Subquery } from '../model/subquery.js';
+import type { GatewayState } from '../state.js';
+import { giveUpAttempts } from './give-up-attempts.js';
+import { progressRequest } from './progress.js';
+import { type ActiveRequest, createActiveRequest, createLeg } from './request-state.js';
+import { createRouteLatency, hedgeDelay } from './route-latency.js';
+import { sendLegs } from './send-legs.js';
+
+/** The route of a subquery: the part of a gather's that decides about its attempts. */
+const routeOf = (subquery: Subquery): Route => ({
+  name: subquery.route,
+  host: '',
+  pathPrefix: '/',
+  repeatable: true,
+  timeoutMs: subquery.deadlineMs,
+  objectiveMs: subquery.objectiveMs,
+  maxAttempts: subquery.maxAttempts,
+  priority: 0,
+  target: {
+    type: 'gather',
+    shards: subquery.shards,
+    maxRecords: subquery.maxRecords,
+    minCoverage: 0,
+  },
+});
+
+const createRequest = (
+  state: GatewayState,
+  { call, requestId, subquery, at }: SubqueryReceived,
+): ActiveRequest => {
+  const route = routeOf(subquery);
+  const latency = state.latencies.get(route.name) ?? createRouteLatency(route);
+  return createActiveRequest({
+    call,
+    origin: 'coordinator',
+    request: { requestId, host: '', path: '' },
+    route,
+    legs: subquery.shards.map(createLeg),
+    receivedAt: at,
+    deadlineAt: at + subquery.deadlineMs,
+    objectiveAt: at + subquery.partsWithinMs,
+    hedgeAt: at + hedgeDelay(latency, route),
+  });
+};
+
+/** Handles `subquery-received`. */
+export const acceptSubquery = (state: GatewayState, event: SubqueryReceived): GatewayEffect[] => {
+  const { call, subquery, at } = event;
+  const isServing = state.phase === 'starting' || state.phase === 'serving';
+  if (!isServing || !state.replicasListed) {
+    return [{ type: 'refuse-subquery', call }];
+  }
+  const request = createRequest(state, event);
+  state.requests.set(call, request);
+  trace(request.decisions, at, {
+    event: 'subquery-admitted',
+    route: subquery.route,
+    shards: subquery.shards.length,
+    isRepeat: subquery.isRepeat,
+    partsInMs: Math.round(subquery.partsWithinMs),
+  });
+  const sent = sendLegs(state, request, request.legs, subquery.isRepeat, at);
+  return [...sent, ...progressRequest(state, request, at)];
+};
+
+/** Handles `subquery-cancelled`. */
+export const takeSubqueryCancelled = (
+  state: GatewayState,
+  { call, withinMs, at }: SubqueryCancelled,
+): GatewayEffect[] => {
+  const request = state.requests.get(call);
+  if (request === undefined) {
+    return [];
+  }
+  state.requests.delete(call);
+  const elapsedMs = Math.round(at - request.receivedAt);
+  trace(request.decisions, at, { event: 'subquery-cancelled', elapsedMs });
+  return [
+    { type: 'forget-call', call },
+    ...giveUpAttempts(state, request, withinMs),
+    ...writeTrace(request.request.requestId, request.decisions, true),
+  ];
+};
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -1,5 +1,5 @@
 /** Sends attempts to replicas and takes note of how they end. */
-import type { GatewayEffect, SendAttempt } from '../effect.js';
+import type { SendAttempt } from '../effect.js';
 import type { AttemptEnded } from '../event.js';
 import type { AttemptId, AttemptProblem } from '../model/request.js';
 import type { AttemptReason } from '../log/log-event.js';
@@ -11,6 +11,7 @@
   noteReplicaFailure,
   slowdownNow,
 } from '../replicas/replica.js';
+import { shareOf } from '../peers/service-share.js';
 import { connectionShare } from '../replicas/connection-share.js';
 import { selectReplica, type SelectionPlace } from '../replicas/select-replica.js';
 import { budgetOf, type GatewayState } from '../state.js';
@@ -58,7 +59,7 @@
     return true;
   }
   const { retryRatio, retryWindowMs, retrySlack } = state.settings.bounds;
-  const slack = Math.floor((retrySlack * SLACK_USE) / state.gateways);
+  const slack = Math.floor(retrySlack * SLACK_USE * shareOf(state, leg.service));
   const policy = { ratio: retryRatio, windowMs: retryWindowMs, slack };
   const budget = budgetOf(state, leg.service);
   const taken = budget.take(policy, at);
@@ -234,13 +235,3 @@
     leg.runs -= 1;
   }
 };
-
-/** Gives up the attempts of a request that still run. */
-export const abortAttempts = (request: ActiveRequest, withinMs: number): GatewayEffect[] =>
-  request.legs.flatMap((leg) =>
-    [...leg.running].map((attempt): GatewayEffect => ({
-      type: 'abort-attempt',
-      attempt,
-      withinMs,
-    })),
-  );
--- /dev/null
+++ b/src/gateway/requests/check-subqueries.ts
@@ -0,0 +1,90 @@
+/** Moves legs to other feeders when a feeder fails, or does not say in time what is expected of it. */
+import type { GatewayEffect } from '../effect.js';
+import type { BeliefChange } from '../log/log-event.js';
+import { trace } from '../log/trace.js';
+import type { PeerProblem } from '../model/subquery.js';
+import type { GatewayState } from '../state.js';
+import type { ActiveRequest, ActiveSubquery } from './request-state.js';
+import { sendLegs } from './send-legs.js';
+
+/** What has arrived while this process was busy is read before a feeder is judged, in milliseconds. */
+const SECOND_LOOK_MS = 5;
+
+/** A look that comes so late says that this process is busy, not that the feeder is, in milliseconds. */
+const LATE_LOOK_MS = 4;
+
+/** Passes a peer over for a while. */
+export const suspectPeer = (
+  state: GatewayState,
+  peer: string,
+  problem: PeerProblem,
+  at: number,
+): GatewayEffect[] => {
+  if (state.peers.isSuspect(peer, at)) {
+    return [];
+  }
+  const forMs = state.peers.suspect(peer, at);
+  const change: BeliefChange = { event: 'peer-suspected', peer, problem, forMs };
+  return [{ type: 'write-log', level: 'warn', part: 'peer', change }];
+};
+
+/** Takes the open legs of a subquery away from its feeder and sends them elsewhere. */
+export const moveLegs = (
+  state: GatewayState,
+  request: ActiveRequest,
+  { id, peer, legs, sentAt }: ActiveSubquery,
+  mayHaveRun: boolean,
+  at: number,
+): GatewayEffect[] => {
+  request.subqueries.delete(id);
+  state.subqueries.delete(id);
+  request.failedFeeders.add(peer);
+  const open = legs.filter(({ outcome }) => outcome === undefined);
+  open.forEach((leg) => {
+    leg.subquery = undefined;
+  });
+  const elapsedMs = Math.round(at - sentAt);
+  trace(request.decisions, at, {
+    event: 'subquery-failed',
+    subquery: id,
+    peer,
+    mayHaveRun,
+    elapsedMs,
+  });
+  return [
+    { type: 'cancel-subquery', id, withinMs: 0 },
+    ...sendLegs(state, request, open, mayHaveRun, at),
+  ];
+};
+
+const checkSubquery = (
+  state: GatewayState,
+  request: ActiveRequest,
+  subquery: ActiveSubquery,
+  at: number,
+): GatewayEffect[] => {
+  const { acknowledgeBy } = subquery;
+  if (acknowledgeBy === undefined || at < acknowledgeBy) {
+    return [];
+  }
+  const isBusyHere = at - acknowledgeBy > LATE_LOOK_MS;
+  if (!subquery.isOverdue || isBusyHere) {
+    subquery.isOverdue = true;
+    subquery.acknowledgeBy = at + SECOND_LOOK_MS;
+    return [];
+  }
+  return [
+    ...suspectPeer(state, subquery.peer, 'unacknowledged', at),
+    ...moveLegs(state, request, subquery, true, at),
+  ];
+};
+
+/** Looks whether a feeder of the request is overdue. */
+export const checkSubqueries = (
+  state: GatewayState,
+  request: ActiveRequest,
+  at: number,
+): GatewayEffect[] =>
+  [...request.subqueries.values()].flatMap((subquery) =>
+    checkSubquery(state, request, subquery, at),
+  );
--- a/src/gateway/requests/finish.ts
+++ b/src/gateway/requests/finish.ts
@@ -5,12 +5,12 @@
 import { trace, writeTrace } from '../log/trace.js';
 import type { CallerResponse, CallId, MergedAnswer, RefusalReason } from '../model/request.js';
 import type { GatewayState } from '../state.js';
-import { abortAttempts } from './attempts.js';
+import { giveUpAttempts } from './give-up-attempts.js';
 import { mergeRecords } from './merge-records.js';
-import type { ActiveRequest } from './request-state.js';
+import { type ActiveRequest, isAnswered, type Leg } from './request-state.js';
 
 /** Time that attempts which are no longer wanted have to end by themselves, in milliseconds. */
-const LINGER_MS = 400;
+export const LINGER_MS = 400;
 
 /** When a caller whose request has not run should come back, in milliseconds. */
 const RETRY_AFTER_MS = 50;
@@ -35,7 +35,7 @@
 });
 
 const missingShards = ({ legs }: ActiveRequest): readonly string[] =>
-  legs.filter(({ outcome }) => outcome?.type !== 'answered').map(({ service }) => service);
+  legs.filter((leg) => !isAnswered(leg)).map(({ service }) => service);
 
 const describeAnswer = (
   request: ActiveRequest,
@@ -74,7 +74,7 @@
   const failed = !isCalm(decision) || at > request.objectiveAt + LATE_MS;
   return [
     answerCall(state, request.call, response),
-    ...abortAttempts(request, LINGER_MS),
+    ...giveUpAttempts(state, request, LINGER_MS),
     ...writeTrace(request.request.requestId, request.decisions, failed),
   ];
 };
@@ -103,7 +103,8 @@
   ];
 };
 
-const mayHaveRun = (request: ActiveRequest): boolean => request.legs.some((leg) => leg.runs > 0);
+const mayHaveRun = ({ legs, subqueries }: ActiveRequest): boolean =>
+  subqueries.size > 0 || legs.some((leg) => leg.runs > 0 || leg.outcome?.type === 'fed');
 
 /** Gives a request up: the caller is told at once, and when to come back if it has not run. */
 export const giveUp = (
@@ -118,6 +119,15 @@
   return finishRequest(state, request, response, at);
 };
 
+/** The signature of the part that is in; none while it is missing. */
+const signatureOf = ({ outcome }: Leg): readonly string[] => {
+  if (outcome?.type === 'fed') {
+    return [outcome.signature];
+  }
+  const signature = outcome?.type === 'answered' ? outcome.answer.signature : undefined;
+  return signature === undefined ? [] : [signature];
+};
+
 /** The merged answer of the legs that are in. */
 export const finishGather = (
   state: GatewayState,
@@ -125,20 +135,15 @@
   maxRecords: number,
   at: number,
 ): GatewayEffect[] => {
-  const answers = request.legs.flatMap(({ outcome }) =>
-    outcome?.type === 'answered' ? [outcome.answer] : [],
-  );
-  const signatures = answers.flatMap(({ signature }) =>
-    signature === undefined ? [] : [signature],
+  const signatures = request.legs.flatMap(signatureOf);
+  const bodies = request.legs.flatMap(({ outcome }) =>
+    outcome?.type === 'answered' ? [outcome.answer.body] : [],
   );
   const merged: MergedAnswer = {
     type: 'merged',
     signatures,
-    missingShards: request.legs.length - answers.length,
-    body: mergeRecords(
-      answers.map(({ body }) => body),
-      maxRecords,
-    ),
+    missingShards: request.legs.length - signatures.length,
+    body: mergeRecords([...bodies, ...request.fedRecords], maxRecords),
   };
   return finishRequest(state, request, merged, at);
 };
--- a/src/gateway/requests/progress.ts
+++ b/src/gateway/requests/progress.ts
@@ -3,8 +3,10 @@
 import type { GatherTarget } from '../model/route.js';
 import type { GatewayState } from '../state.js';
 import { sendAttempt } from './attempts.js';
+import { checkSubqueries } from './check-subqueries.js';
 import { retryLeg } from './retry-leg.js';
 import { finishGather, finishRequest, giveUp } from './finish.js';
+import { finishSubquery, reportParts } from './report-parts.js';
 import type { ActiveRequest, Leg } from './request-state.js';
 
 /** A hedge waits while more than this part of the legs is open, in steps, and for so long. */
@@ -93,7 +95,8 @@
     return [];
   }
   return request.legs.flatMap((leg) => {
-    if (leg.outcome !== undefined || leg.resumeAt !== undefined) {
+    const isWaiting = leg.resumeAt !== undefined || leg.subquery !== undefined;
+    if (leg.outcome !== undefined || isWaiting) {
       return [];
     }
     const attempt = sendAttempt(state, request, leg, 'hedge', at);
@@ -116,9 +119,10 @@
   if (at >= request.deadlineAt) {
     return giveUp(state, request, 'deadline', at);
   }
+  const moved = checkSubqueries(state, request, at);
   const resumed = resumeLegs(state, request, at);
   const hedges = !request.hedged && at >= request.hedgeAt ? hedgeLegs(state, request, at) : [];
-  return [...resumed, ...hedges, ...setTimer(request, nextDue(request, at))];
+  return [...moved, ...resumed, ...hedges, ...setTimer(request, nextDue(request, at))];
 };
 
 const setTimer = (request: ActiveRequest, dueAt: number): GatewayEffect[] => {
@@ -134,7 +138,24 @@
   const resumeTimes = request.legs.map((leg) => leg.resumeAt ?? deadlineAt);
   const hedgeTime = hedged ? deadlineAt : hedgeAt;
   const objectiveTime = at < objectiveAt ? objectiveAt : deadlineAt;
-  return Math.min(deadlineAt, hedgeTime, objectiveTime, ...resumeTimes);
+  const acknowledgeTimes = [...request.subqueries.values()].map(
+    ({ acknowledgeBy }) => acknowledgeBy ?? deadlineAt,
+  );
+  return Math.min(deadlineAt, hedgeTime, objectiveTime, ...resumeTimes, ...acknowledgeTimes);
+};
+
+/** A subquery of another gateway: from its objective on, parts are sent as they come. */
+const progressSubquery = (
+  state: GatewayState,
+  request: ActiveRequest,
+  target: GatherTarget,
+  at: number,
+): GatewayEffect[] => {
+  if (request.openLegs === 0 || at >= request.deadlineAt) {
+    return finishSubquery(state, request, target.maxRecords, at);
+  }
+  const parts = at >= request.objectiveAt ? reportParts(request, target.maxRecords) : [];
+  return [...parts, ...waitOrHedge(state, request, at)];
 };
 
 /** Ends the request if that is due; otherwise hedges what is slow and sets its timer. */
@@ -144,7 +165,10 @@
   at: number,
 ): GatewayEffect[] => {
   const { target } = request.route;
-  return target.type === 'gather'
-    ? progressGather(state, request, target, at)
-    : progressSingle(state, request, at);
+  if (target.type !== 'gather') {
+    return progressSingle(state, request, at);
+  }
+  return request.origin === 'coordinator'
+    ? progressSubquery(state, request, target, at)
+    : progressGather(state, request, target, at);
 };
--- /dev/null
+++ b/src/gateway/requests/report-parts.ts
@@ -0,0 +1,59 @@
+/** Sends the parts of a subquery to the gateway that asked for them. */
+import type { AnswerSubquery, GatewayEffect } from '../effect.js';
+import { trace, writeTrace } from '../log/trace.js';
+import type { ShardPart } from '../model/subquery.js';
+import type { GatewayState } from '../state.js';
+import { LINGER_MS } from './finish.js';
+import { giveUpAttempts } from './give-up-attempts.js';
+import { mergeRecords } from './merge-records.js';
+import type { ActiveRequest } from './request-state.js';
+
+/** The parts that are in and were not sent yet. */
+const takeUnreported = (
+  { call, legs }: ActiveRequest,
+  maxRecords: number,
+  isFinal: boolean,
+): AnswerSubquery => {
+  const shards: ShardPart[] = [];
+  const bodies: Uint8Array[] = [];
+  for (const leg of legs) {
+    if (leg.isReported || leg.outcome?.type !== 'answered') {
+      continue;
+    }
+    const { signature, body } = leg.outcome.answer;
+    if (signature !== undefined) {
+      leg.isReported = true;
+      shards.push({ service: leg.service, signature });
+      bodies.push(body);
+    }
+  }
+  const records = mergeRecords(bodies, maxRecords);
+  return { type: 'answer-subquery', call, part: { shards, records, isFinal } };
+};
+
+/** Sends what is in and was not sent yet. */
+export const reportParts = (request: ActiveRequest, maxRecords: number): GatewayEffect[] => {
+  const answer = takeUnreported(request, maxRecords, false);
+  return answer.part.shards.length > 0 ? [answer] : [];
+};
+
+/** Sends the last parts and ends the subquery. */
+export const finishSubquery = (
+  state: GatewayState,
+  request: ActiveRequest,
+  maxRecords: number,
+  at: number,
+): GatewayEffect[] => {
+  state.requests.delete(request.call);
+  const missing = request.legs
+    .filter(({ outcome }) => outcome?.type !== 'answered')
+    .map(({ service }) => service);
+  const elapsedMs = Math.round(at - request.receivedAt);
+  trace(request.decisions, at, { event: 'parts-sent', missing, elapsedMs });
+  const isLate = at > request.objectiveAt;
+  return [
+    takeUnreported(request, maxRecords, true),
+    ...giveUpAttempts(state, request, LINGER_MS),
+    ...writeTrace(request.request.requestId, request.decisions, isLate || missing.length > 0),
+  ];
+};
--- a/src/gateway/requests/request-state.ts
+++ b/src/gateway/requests/request-state.ts
@@ -2,6 +2,7 @@
 import type { TracedDecision } from '../log/log-event.js';
 import type { Route } from '../model/route.js';
 import type { AttemptId, CallerRequest, CallId, ReplicaAnswer } from '../model/request.js';
+import type { SubqueryId } from '../model/subquery.js';
 
 /** The part of a request that one service answers. */
 export interface Leg {
@@ -24,15 +25,39 @@
   pauses: number;
   /** When the leg tries all replicas again; undefined while it does not pause. */
   resumeAt: number | undefined;
+  /** The subquery by which a feeder was asked for the part; undefined while none is open. */
+  subquery: SubqueryId | undefined;
+  /** The part was sent to the gateway that asked for it. */
+  isReported: boolean;
 }
 
-/** How a leg ended. */
+/**
+ * How a leg ended. `fed`: a feeder has sent the part; its records are among those of the request.
+ */
 export type LegOutcome =
-  { readonly type: 'answered'; readonly answer: ReplicaAnswer } | { readonly type: 'unanswered' };
+  | { readonly type: 'answered'; readonly answer: ReplicaAnswer }
+  | { readonly type: 'fed'; readonly signature: string }
+  | { readonly type: 'unanswered' };
+
+/** A subquery that a feeder has not answered in full. */
+export interface ActiveSubquery {
+  readonly id: SubqueryId;
+  readonly peer: string;
+  readonly legs: readonly Leg[];
+  readonly sentAt: number;
+  /** When the feeder must have acknowledged it; undefined once it has. */
+  acknowledgeBy: number | undefined;
+  /** It was overdue once already: what had arrived by then has been read since. */
+  isOverdue: boolean;
+}
+
+/** Who gets the answer: a caller, or a gateway that has asked for some shards. */
+export type RequestOrigin = 'caller' | 'coordinator';
 
 /** A request in progress. */
 export interface ActiveRequest {
   readonly call: CallId;
+  readonly origin: RequestOrigin;
   readonly request: CallerRequest;
   readonly route: Route;
   readonly legs: readonly Leg[];
@@ -48,6 +73,11 @@
   openLegs: number;
   /** When the request's timer is due; undefined before it is first set. */
   timerAt: number | undefined;
+  readonly subqueries: Map<SubqueryId, ActiveSubquery>;
+  /** Feeders that failed this request. */
+  readonly failedFeeders: Set<string>;
+  /** Records of the parts that feeders have sent. */
+  readonly fedRecords: Uint8Array[];
   /** What was decided about it so far. */
   readonly decisions: TracedDecision[];
 }
@@ -75,4 +105,37 @@
   refusedAsFull: false,
   pauses: 0,
   resumeAt: undefined,
+  subquery: undefined,
+  isReported: false,
+});
+
+/** Whether the part of a leg is in. */
+export const isAnswered = ({ outcome }: Leg): boolean =>
+  outcome?.type === 'answered' || outcome?.type === 'fed';
+
+/** What a request begins with. */
+export type RequestStart = Pick<
+  ActiveRequest,
+  | 'call'
+  | 'origin'
+  | 'request'
+  | 'route'
+  | 'legs'
+  | 'receivedAt'
+  | 'deadlineAt'
+  | 'objectiveAt'
+  | 'hedgeAt'
+>;
+
+/** Creates a request for which nothing was sent yet. */
+export const createActiveRequest = (start: RequestStart): ActiveRequest => ({
+  ...start,
+  hedged: false,
+  answeredLegs: 0,
+  openLegs: start.legs.length,
+  timerAt: undefined,
+  subqueries: new Map(),
+  failedFeeders: new Set(),
+  fedRecords: [],
+  decisions: [],
 });
--- a/src/gateway/requests/retry-leg.ts
+++ b/src/gateway/requests/retry-leg.ts
@@ -2,10 +2,9 @@
 import type { GatewayEffect } from '../effect.js';
 import type { AttemptReason } from '../log/log-event.js';
 import { trace } from '../log/trace.js';
-import type { ReplicaAnswer } from '../model/request.js';
 import type { GatewayState } from '../state.js';
 import { sendAttempt } from './attempts.js';
-import type { ActiveRequest, Leg } from './request-state.js';
+import type { ActiveRequest, Leg, LegOutcome } from './request-state.js';
 
 /** Pauses before all replicas are tried again, in milliseconds: doubled each time. */
 const FIRST_PAUSE_MS = 30;
@@ -15,11 +14,12 @@
 const UNTRIED_SHARE = 0.2;
 
 /** Ends a leg, with an answer or without. */
-export const endLeg = (request: ActiveRequest, leg: Leg, answer?: ReplicaAnswer): void => {
-  leg.outcome = answer === undefined ? { type: 'unanswered' } : { type: 'answered', answer };
+export const endLeg = (request: ActiveRequest, leg: Leg, outcome: LegOutcome): void => {
+  leg.outcome = outcome;
   leg.resumeAt = undefined;
+  leg.subquery = undefined;
   request.openLegs -= 1;
-  if (answer !== undefined) {
+  if (outcome.type !== 'unanswered') {
     request.answeredLegs += 1;
   }
 };
@@ -61,7 +61,7 @@
       service: leg.service,
       runs: leg.runs,
     });
-    endLeg(request, leg);
+    endLeg(request, leg, { type: 'unanswered' });
   }
   return [];
 };
--- /dev/null
+++ b/src/gateway/requests/send-legs.ts
@@ -0,0 +1,152 @@
+/**
+ * Sends the legs of a request: to replicas, or by subqueries to the feeders of their shards. A gather
+ * over many shards is too much work for one small machine in the time that it has; feeders share it,
+ * and their connections to replicas are warm.
+ */
+import type { GatewayEffect } from '../effect.js';
+import { trace } from '../log/trace.js';
+import type { PeerRecord } from '../model/peer-record.js';
+import type { GatherTarget, Route } from '../model/route.js';
+import type { Subquery } from '../model/subquery.js';
+import { feederPlan, isFed } from '../peers/service-share.js';
+import { budgetOf, type GatewayState } from '../state.js';
+import type { ActiveRequest, ActiveSubquery, Leg } from './request-state.js';
+import { retryLeg } from './retry-leg.js';
+
+/** Time within which a feeder says that it has a subquery: a part of the objective, at least so long. */
+const ACKNOWLEDGE_SHARE = 0.25;
+const LEAST_ACKNOWLEDGE_MS = 25;
+
+/** Time kept back of the objective for the way of parts from a feeder, in milliseconds. */
+const PARTS_MARGIN_MS = 8;
+
+/** Time kept back of the deadline for the same, in milliseconds. */
+const DEADLINE_MARGIN_MS = 15;
+
+/** Legs that go to one feeder. */
+interface FeederGroup {
+  readonly peer: PeerRecord;
+  readonly legs: Leg[];
+}
+
+/** The feeder for a leg; undefined when this gateway speaks to the replicas itself. */
+const feederOf = (
+  state: GatewayState,
+  request: ActiveRequest,
+  leg: Leg,
+  at: number,
+): PeerRecord | undefined => {
+  const isPart = request.origin === 'caller' && request.route.target.type === 'gather';
+  if (!isPart || !isFed(state, leg.service)) {
+    return undefined;
+  }
+  const feeder = feederPlan(state)
+    .feedersOf(leg.service)
+    .find(({ name }) => !request.failedFeeders.has(name) && !state.peers.isSuspect(name, at));
+  return feeder?.name === state.settings.node ? undefined : feeder;
+};
+
+/** Sends a leg to a replica; one that another feeder may have sent before counts as an extra. */
+const sendDirect = (
+  state: GatewayState,
+  request: ActiveRequest,
+  leg: Leg,
+  isRepeat: boolean,
+  at: number,
+): GatewayEffect[] => {
+  if (isRepeat) {
+    leg.arrivals += 1;
+    leg.runs += 1;
+  } else {
+    budgetOf(state, leg.service).countRequest(at);
+  }
+  return retryLeg(state, request, leg, isRepeat ? 'retry' : 'first', at);
+};
+
+const acknowledgeWithin = ({ objectiveMs }: Route): number =>
+  Math.max(LEAST_ACKNOWLEDGE_MS, objectiveMs * ACKNOWLEDGE_SHARE);
+
+const createSubquery = (
+  { route, objectiveAt, deadlineAt }: ActiveRequest,
+  { maxRecords }: GatherTarget,
+  legs: readonly Leg[],
+  isRepeat: boolean,
+  at: number,
+): Subquery => ({
+  route: route.name,
+  shards: legs.map(({ service }) => service),
+  maxRecords,
+  maxAttempts: route.maxAttempts,
+  objectiveMs: route.objectiveMs,
+  partsWithinMs: Math.max(1, objectiveAt - at - PARTS_MARGIN_MS),
+  deadlineMs: Math.max(1, deadlineAt - at - DEADLINE_MARGIN_MS),
+  isRepeat,
+});
+
+const sendSubquery = (
+  state: GatewayState,
+  request: ActiveRequest,
+  { peer, legs }: FeederGroup,
+  isRepeat: boolean,
+  at: number,
+): GatewayEffect[] => {
+  const { target } = request.route;
+  if (target.type !== 'gather') {
+    return [];
+  }
+  const id = state.nextSubquery;
+  state.nextSubquery += 1;
+  const active: ActiveSubquery = {
+    id,
+    peer: peer.name,
+    legs,
+    sentAt: at,
+    acknowledgeBy: at + acknowledgeWithin(request.route),
+    isOverdue: false,
+  };
+  request.subqueries.set(id, active);
+  state.subqueries.set(id, request.call);
+  legs.forEach((leg) => {
+    leg.subquery = id;
+  });
+  const shards = legs.length;
+  trace(request.decisions, at, {
+    event: 'subquery-sent',
+    subquery: id,
+    peer: peer.name,
+    shards,
+    isRepeat,
+  });
+  const subquery = createSubquery(request, target, legs, isRepeat, at);
+  return [{ type: 'send-subquery', id, call: request.call, peer, subquery }];
+};
+
+/**
+ * Sends legs that have no open attempt.
+ *
+ * @param isRepeat - replicas may have run them before, for a feeder that has failed
+ */
+export const sendLegs = (
+  state: GatewayState,
+  request: ActiveRequest,
+  legs: readonly Leg[],
+  isRepeat: boolean,
+  at: number,
+): GatewayEffect[] => {
+  const groups = new Map<string, FeederGroup>();
+  const effects: GatewayEffect[] = [];
+  for (const leg of legs) {
+    const peer = feederOf(state, request, leg, at);
+    if (peer === undefined) {
+      effects.push(...sendDirect(state, request, leg, isRepeat, at));
+      continue;
+    }
+    const group = groups.get(peer.name) ?? { peer, legs: [] };
+    group.legs.push(leg);
+    groups.set(peer.name, group);
+  }
+  for (const group of groups.values()) {
+    effects.push(...sendSubquery(state, request, group, isRepeat, at));
+  }
+  return effects;
+};
--- a/src/gateway/requests/take-result.ts
+++ b/src/gateway/requests/take-result.ts
@@ -5,7 +5,8 @@
 import { trace, writeTrace } from '../log/trace.js';
 import type { AttemptProblem, AttemptResult, ReplicaAnswer } from '../model/request.js';
 import type { GatewayState } from '../state.js';
-import { abortAttempts, settleAttempt } from './attempts.js';
+import { settleAttempt } from './attempts.js';
+import { giveUpAttempts } from './give-up-attempts.js';
 import { progressRequest } from './progress.js';
 import type { ActiveAttempt, ActiveRequest, Leg } from './request-state.js';
 import { endLeg, retryLeg } from './retry-leg.js';
@@ -30,7 +31,7 @@
   at: number,
 ): GatewayEffect[] => {
   if (result.type === 'answered' && isUsable(request, result.answer)) {
-    endLeg(request, leg, result.answer);
+    endLeg(request, leg, { type: 'answered', answer: result.answer });
     return [];
   }
   if (result.type === 'answered' && result.answer.status >= FIRST_FAILURE_STATUS) {
@@ -100,7 +101,7 @@
   trace(request.decisions, at, { event: 'caller-left', elapsedMs });
   return [
     { type: 'forget-call', call },
-    ...abortAttempts(request, 0),
+    ...giveUpAttempts(state, request, 0),
     ...writeTrace(request.request.requestId, request.decisions, true),
   ];
 };
--- /dev/null
+++ b/src/gateway/requests/take-subquery-result.ts
@@ -0,0 +1,115 @@
+/** Takes what feeders say of subqueries. */
+import type { GatewayEffect } from '../effect.js';
+import type { PeerLost, SubqueryAcknowledged, SubqueryAnswered, SubqueryFailed } from '../event.js';
+import { trace } from '../log/trace.js';
+import type { SubqueryId, SubqueryPart } from '../model/subquery.js';
+import type { GatewayState } from '../state.js';
+import { moveLegs, suspectPeer } from './check-subqueries.js';
+import { progressRequest } from './progress.js';
+import type { ActiveRequest, ActiveSubquery } from './request-state.js';
+import { endLeg } from './retry-leg.js';
+
+interface FoundSubquery {
+  readonly request: ActiveRequest;
+  readonly subquery: ActiveSubquery;
+}
+
+/** A subquery that is still wanted. */
+const findSubquery = (state: GatewayState, id: SubqueryId): FoundSubquery | undefined => {
+  const call = state.subqueries.get(id);
+  const request = call === undefined ? undefined : state.requests.get(call);
+  const subquery = request?.subqueries.get(id);
+  return request === undefined || subquery === undefined ? undefined : { request, subquery };
+};
+
+/** Handles `subquery-acknowledged`. */
+export const takeAcknowledgement = (
+  state: GatewayState,
+  { subquery: id, peer }: SubqueryAcknowledged,
+): GatewayEffect[] => {
+  state.peers.trust(peer);
+  const found = findSubquery(state, id);
+  if (found !== undefined) {
+    found.subquery.acknowledgeBy = undefined;
+  }
+  return [];
+};
+
+const takeParts = (
+  request: ActiveRequest,
+  { legs }: ActiveSubquery,
+  { shards, records }: SubqueryPart,
+): void => {
+  for (const { service, signature } of shards) {
+    const leg = legs.find((each) => each.service === service && each.outcome === undefined);
+    if (leg !== undefined) {
+      endLeg(request, leg, { type: 'fed', signature });
+    }
+  }
+  if (shards.length > 0) {
+    request.fedRecords.push(records);
+  }
+};
+
+/** The legs for which the feeder has no part. */
+const endMissing = (request: ActiveRequest, { legs }: ActiveSubquery, at: number): void => {
+  for (const leg of legs) {
+    if (leg.outcome === undefined) {
+      leg.runs += 1;
+      trace(request.decisions, at, { event: 'leg-failed', service: leg.service, runs: leg.runs });
+      endLeg(request, leg, { type: 'unanswered' });
+    }
+  }
+};
+
+/** Handles `subquery-answered`. */
+export const takeSubqueryAnswer = (
+  state: GatewayState,
+  { subquery: id, part, at }: SubqueryAnswered,
+): GatewayEffect[] => {
+  const found = findSubquery(state, id);
+  if (found === undefined) {
+    return [];
+  }
+  const { request, subquery } = found;
+  subquery.acknowledgeBy = undefined;
+  takeParts(request, subquery, part);
+  const elapsedMs = Math.round(at - subquery.sentAt);
+  const { isFinal } = part;
+  const parts = part.shards.length;
+  trace(request.decisions, at, {
+    event: 'subquery-answered',
+    subquery: id,
+    parts,
+    isFinal,
+    elapsedMs,
+  });
+  if (isFinal) {
+    request.subqueries.delete(id);
+    state.subqueries.delete(id);
+    endMissing(request, subquery, at);
+  }
+  return progressRequest(state, request, at);
+};
+
+/** Handles `subquery-failed`. */
+export const takeSubqueryFailure = (
+  state: GatewayState,
+  { subquery: id, mayHaveRun, at }: SubqueryFailed,
+): GatewayEffect[] => {
+  const found = findSubquery(state, id);
+  if (found === undefined) {
+    return [];
+  }
+  const { request, subquery } = found;
+  return [
+    ...moveLegs(state, request, subquery, mayHaveRun, at),
+    ...progressRequest(state, request, at),
+  ];
+};
+
+/** Handles `peer-lost`. */
+export const takePeerLost = (
+  state: GatewayState,
+  { peer, problem, at }: PeerLost,
+): GatewayEffect[] => suspectPeer(state, peer, problem, at);
--- a/src/gateway/runtime/caller-port.ts
+++ b/src/gateway/runtime/caller-port.ts
@@ -48,7 +48,6 @@
   private readonly server: Server;
   private readonly waiting = new Map<CallId, ServerResponse>();
   private limits = FIRST_LIMITS;
-  private nextCall: CallId = 1;
   private open = true;
 
   constructor(private readonly context: CallerPortContext) {
@@ -132,13 +131,11 @@
     body: Buffer | null,
   ): void {
     const { protocol, requests, sink, clock } = this.context;
-    const call = this.nextCall;
-    this.nextCall += 1;
     const headers = pairHeaders(incoming.rawHeaders);
     const requestId = findHeader(headers, protocol.headers.requestId) ?? '';
     const path = incoming.url ?? '/';
     const method = incoming.method ?? 'GET';
-    requests.add(call, { method, path, requestId, headers, body });
+    const call = requests.add({ method, path, requestId, headers, body });
     this.waiting.set(call, outgoing);
     outgoing.once('close', () => this.noteClose(call, outgoing));
     const budgetMs = Number(findHeader(headers, protocol.headers.timeBudget));
--- a/src/gateway/runtime/caller-requests.ts
+++ b/src/gateway/runtime/caller-requests.ts
@@ -26,6 +26,7 @@
 /** The requests in progress. */
 export class CallerRequests {
   private readonly held = new Map<CallId, HeldRequest>();
+  private nextCall: CallId = 1;
   /** Headers that the gateway, or its HTTP client, sets itself. */
   private readonly ownHeaders: ReadonlySet<string>;
 
@@ -33,9 +34,18 @@
     this.ownHeaders = new Set([timeBudget, targetInstance, 'content-length', 'expect']);
   }
 
-  add(call: CallId, { method, path, requestId, headers, body }: ReceivedRequest): void {
+  /** Takes a request of a caller and names it. */
+  add({ method, path, requestId, headers, body }: ReceivedRequest): CallId {
     const passedHeaders = flattenHeaders(endToEndHeaders(headers, this.ownHeaders));
-    this.held.set(call, { method, path, requestId, passedHeaders, body });
+    return this.hold({ method, path, requestId, passedHeaders, body });
+  }
+
+  /** Takes a request as replicas get it and names it. */
+  hold(request: HeldRequest): CallId {
+    const call = this.nextCall;
+    this.nextCall += 1;
+    this.held.set(call, request);
+    return call;
   }
 
   find(call: CallId): HeldRequest | undefined {
--- /dev/null
+++ b/src/gateway/runtime/peers/peer-client.ts
@@ -0,0 +1,202 @@
+/** Sends subqueries to other gateways, over one connection to each that is kept and watched. */
+import { connect } from 'node:net';
+import type { MonotonicClock } from '../../../runtime/monotonic-clock.js';
+import type { CancelSubquery, SendSubquery } from '../../effect.js';
+import type { PeerRecord } from '../../model/peer-record.js';
+import type { PeerProblem, SubqueryId } from '../../model/subquery.js';
+import type { CallerRequests } from '../caller-requests.js';
+import type { GatewayEventSink } from '../gateway-loop.js';
+import { PeerConnection } from './peer-connection.js';
+import type { PeerMessage } from './peer-message.js';
+
+/** How often connections are looked over, in milliseconds. */
+const SWEEP_MS = 500;
+
+/** This process itself stood still when a look comes so late: peers are not judged then. */
+const STOOD_STILL_MS = 1_000;
+
+/** A connection on which nothing was sent for so long asks whether the peer lives. */
+const PING_AFTER_MS = 800;
+
+/** A peer that has said nothing for so long is taken for lost, in milliseconds. */
+const SILENCE_MS = 2_000;
+
+/** A connection without subqueries for so long is closed, in milliseconds. */
+const IDLE_MS = 60_000;
+
+/** What the client needs of its process. */
+export interface PeerClientContext {
+  readonly requests: CallerRequests;
+  readonly clock: MonotonicClock;
+  readonly sink: GatewayEventSink;
+}
+
+interface Link {
+  readonly peer: string;
+  readonly connection: PeerConnection;
+  readonly pending: Set<SubqueryId>;
+  usedAt: number;
+  isOpen: boolean;
+  problem: PeerProblem;
+}
+
+/** Carries out `send-subquery` and `cancel-subquery`. */
+export class PeerClient {
+  private readonly links = new Map<string, Link>();
+  private readonly linkOf = new Map<SubqueryId, Link>();
+  private sweepTimer: NodeJS.Timeout | undefined;
+  private sweptAt = 0;
+  private destroyed = false;
+
+  constructor(private readonly context: PeerClientContext) {}
+
+  send({ id, call, peer, subquery }: SendSubquery): void {
+    const held = this.context.requests.find(call);
+    if (held === undefined) {
+      this.context.sink.emit({
+        type: 'subquery-failed',
+        at: this.now,
+        subquery: id,
+        mayHaveRun: false,
+      });
+      return;
+    }
+    const link = this.links.get(peer.name) ?? this.open(peer);
+    const { method, path, requestId, passedHeaders: headers, body } = held;
+    link.usedAt = this.now;
+    link.pending.add(id);
+    this.linkOf.set(id, link);
+    link.connection.send({
+      type: 'subquery',
+      id,
+      requestId,
+      method,
+      path,
+      headers,
+      body,
+      subquery,
+    });
+  }
+
+  /** Opens a connection before it is needed. */
+  prepare(peer: PeerRecord): void {
+    const link = this.links.get(peer.name) ?? this.open(peer);
+    link.connection.send({ type: 'ping' });
+  }
+
+  cancel({ id, withinMs }: CancelSubquery): void {
+    const link = this.linkOf.get(id);
+    if (link !== undefined) {
+      this.forget(link, id);
+      link.connection.send({ type: 'cancel', id, withinMs });
+    }
+  }
+
+  /** Closes everything at once. */
+  destroy(): void {
+    this.destroyed = true;
+    clearInterval(this.sweepTimer);
+    this.links.forEach(({ connection }) => connection.close());
+  }
+
+  private get now(): number {
+    return this.context.clock.now();
+  }
+
+  private open({ name, address }: PeerRecord): Link {
+    const socket = connect({ host: address.host, port: address.port });
+    const connection = new PeerConnection(socket, this.context.clock, {
+      onMessage: (message) => this.take(link, message),
+      onClosed: () => this.noteClosed(link),
+    });
+    const link: Link = {
+      peer: name,
+      connection,
+      pending: new Set(),
+      usedAt: this.now,
+      isOpen: false,
+      problem: 'disconnected',
+    };
+    socket.once('connect', () => {
+      link.isOpen = true;
+    });
+    this.links.set(name, link);
+    this.watch();
+    return link;
+  }
+
+  private take(link: Link, message: PeerMessage): void {
+    const { sink } = this.context;
+    const at = this.now;
+    switch (message.type) {
+      case 'acknowledged':
+        sink.emit({ type: 'subquery-acknowledged', at, subquery: message.id, peer: link.peer });
+        return;
+      case 'refused':
+        this.forget(link, message.id);
+        sink.emit({ type: 'subquery-failed', at, subquery: message.id, mayHaveRun: false });
+        return;
+      case 'parts':
+        if (message.part.isFinal) {
+          this.forget(link, message.id);
+        }
+        sink.emit({ type: 'subquery-answered', at, subquery: message.id, part: message.part });
+        return;
+      case 'stopping':
+        sink.emit({ type: 'peer-lost', at, peer: link.peer, problem: 'stopping' });
+        return;
+      default:
+    }
+  }
+
+  private forget(link: Link, id: SubqueryId): void {
+    link.pending.delete(id);
+    this.linkOf.delete(id);
+  }
+
+  private noteClosed(link: Link): void {
+    this.links.delete(link.peer);
+    if (this.destroyed) {
+      return;
+    }
+    const { sink } = this.context;
+    const problem = link.isOpen ? link.problem : 'unreachable';
+    const mayHaveRun = link.isOpen;
+    sink.emit({ type: 'peer-lost', at: this.now, peer: link.peer, problem });
+    for (const id of link.pending) {
+      this.linkOf.delete(id);
+      sink.emit({ type: 'subquery-failed', at: this.now, subquery: id, mayHaveRun });
+    }
+  }
+
+  private watch(): void {
+    if (this.sweepTimer === undefined) {
+      this.sweptAt = this.now;
+      this.sweepTimer = setInterval(() => this.sweep(), SWEEP_MS).unref();
+    }
+  }
+
+  private sweep(): void {
+    const { now } = this;
+    const stoodStill = now - this.sweptAt > STOOD_STILL_MS;
+    this.sweptAt = now;
+    for (const link of this.links.values()) {
+      this.sweepLink(link, now, stoodStill);
+    }
+  }
+
+  private sweepLink(link: Link, now: number, stoodStill: boolean): void {
+    const { connection } = link;
+    if (stoodStill) {
+      connection.heardAt = now;
+    }
+    if (now - connection.heardAt > SILENCE_MS) {
+      link.problem = 'silent';
+      connection.close();
+    } else if (now - link.usedAt > IDLE_MS && link.pending.size === 0) {
+      connection.close();
+    } else if (now - connection.sentAt > PING_AFTER_MS) {
+      connection.send({ type: 'ping' });
+    }
+  }
+}
--- /dev/null
+++ b/src/gateway/runtime/peers/peer-port.ts
@@ -0,0 +1,149 @@
+/** The port on which other gateways send subqueries. */
+import { createServer, type Server, type Socket } from 'node:net';
+import type { MonotonicClock } from '../../../runtime/monotonic-clock.js';
+import type { HostPort } from '../../../settings/node-settings.js';
+import type { AnswerSubquery } from '../../effect.js';
+import type { CallId } from '../../model/request.js';
+import type { SubqueryId } from '../../model/subquery.js';
+import type { CallerRequests } from '../caller-requests.js';
+import type { GatewayEventSink } from '../gateway-loop.js';
+import { listenOn } from '../sockets.js';
+import { PeerConnection } from './peer-connection.js';
+import type { CancelMessage, PeerMessage, SubqueryMessage } from './peer-message.js';
+
+/** What the port needs of its process. */
+export interface PeerPortContext {
+  readonly requests: CallerRequests;
+  readonly clock: MonotonicClock;
+  readonly sink: GatewayEventSink;
+}
+
+/** One gateway that asks; `calls` are its subqueries that are not over. */
+interface Coordinator {
+  readonly connection: PeerConnection;
+  readonly calls: Map<SubqueryId, CallId>;
+  /** Subqueries that were read and have not begun. */
+  readonly arrived: Set<SubqueryId>;
+}
+
+interface OpenCall {
+  readonly coordinator: Coordinator;
+  readonly id: SubqueryId;
+}
+
+/** Listens for other gateways; carries out `answer-subquery`, `refuse-subquery`, `announce-stop`. */
+export class PeerPort {
+  private readonly server: Server;
+  private readonly coordinators = new Set<Coordinator>();
+  private readonly openCalls = new Map<CallId, OpenCall>();
+
+  constructor(private readonly context: PeerPortContext) {
+    this.server = createServer((socket) => this.accept(socket));
+  }
+
+  /** Listens on `address`; rejects when the address cannot be had. */
+  listen(address: HostPort): Promise<void> {
+    return listenOn(this.server, address);
+  }
+
+  answer({ call, part }: AnswerSubquery): void {
+    const open = this.openCalls.get(call);
+    open?.coordinator.connection.send({ type: 'parts', id: open.id, part });
+    if (part.isFinal) {
+      this.forget(call);
+    }
+  }
+
+  refuse(call: CallId): void {
+    const open = this.openCalls.get(call);
+    open?.coordinator.connection.send({ type: 'refused', id: open.id });
+    this.forget(call);
+  }
+
+  /** The call is over. */
+  forget(call: CallId): void {
+    const open = this.openCalls.get(call);
+    if (open !== undefined) {
+      open.coordinator.calls.delete(open.id);
+      this.openCalls.delete(call);
+      this.context.requests.remove(call);
+    }
+  }
+
+  /** Tells all gateways that ask to go elsewhere. */
+  announceStop(): void {
+    this.coordinators.forEach(({ connection }) => connection.send({ type: 'stopping' }));
+  }
+
+  /** Closes everything at once. */
+  destroy(): void {
+    this.server.close();
+    this.coordinators.forEach(({ connection }) => connection.close());
+  }
+
+  private accept(socket: Socket): void {
+    const connection = new PeerConnection(socket, this.context.clock, {
+      onMessage: (message) => this.take(coordinator, message),
+      onClosed: () => this.noteClosed(coordinator),
+    });
+    const coordinator: Coordinator = { connection, calls: new Map(), arrived: new Set() };
+    this.coordinators.add(coordinator);
+  }
+
+  private take(coordinator: Coordinator, message: PeerMessage): void {
+    switch (message.type) {
+      case 'subquery':
+        this.takeSubquery(coordinator, message);
+        return;
+      case 'cancel':
+        this.cancel(coordinator, message);
+        return;
+      case 'ping':
+        coordinator.connection.send({ type: 'pong' });
+        return;
+      default:
+    }
+  }
+
+  /**
+   * A subquery begins once all that has arrived is read: a process that stood still finds it together
+   * with its cancellation, and must not begin it then.
+   */
+  private takeSubquery(coordinator: Coordinator, message: SubqueryMessage): void {
+    coordinator.arrived.add(message.id);
+    setImmediate(() => {
+      if (coordinator.arrived.delete(message.id)) {
+        this.begin(coordinator, message);
+      }
+    });
+  }
+
+  private begin(coordinator: Coordinator, message: SubqueryMessage): void {
+    const { requests, sink, clock } = this.context;
+    const { id, requestId, method, path, headers, body, subquery } = message;
+    const held = { method, path, requestId, passedHeaders: headers };
+    const call = requests.hold({ ...held, body: body === null ? null : Buffer.from(body) });
+    coordinator.calls.set(id, call);
+    this.openCalls.set(call, { coordinator, id });
+    coordinator.connection.send({ type: 'acknowledged', id });
+    sink.emit({ type: 'subquery-received', at: clock.now(), call, requestId, subquery });
+  }
+
+  private cancel(coordinator: Coordinator, { id, withinMs }: CancelMessage): void {
+    coordinator.arrived.delete(id);
+    const call = coordinator.calls.get(id);
+    if (call !== undefined) {
+      const at = this.context.clock.now();
+      this.context.sink.emit({ type: 'subquery-cancelled', at, call, withinMs });
+    }
+  }
+
+  private noteClosed(coordinator: Coordinator): void {
+    this.coordinators.delete(coordinator);
+    coordinator.arrived.clear();
+    const at = this.context.clock.now();
+    for (const call of [...coordinator.calls.values()]) {
+      this.context.sink.emit({ type: 'subquery-cancelled', at, call, withinMs: 0 });
+    }
+  }
+}
--- a/src/gateway/runtime/sockets.ts
+++ b/src/gateway/runtime/sockets.ts
@@ -1,7 +1,6 @@
 /** Opens connections and ports, with one clear end each. */
-import type { Server } from 'node:http';
 import { readSync } from 'node:fs';
-import { connect, type Socket } from 'node:net';
+import { connect, type Server, type Socket } from 'node:net';
 import type { HostPort } from '../../settings/node-settings.js';
 
 /** The error of a connection that did not open in time. */
--- a/src/gateway/runtime/start-gateway.ts
+++ b/src/gateway/runtime/start-gateway.ts
@@ -5,6 +5,7 @@
 import type {
   AbortAttempt,
   AnswerCaller,
+  AnswerSubquery,
   GatewayEffect,
   SendAttempt,
   SetRequestTimer,
@@ -18,6 +19,8 @@
 import { CallerRequests } from './caller-requests.js';
 import { GatewayLoop } from './gateway-loop.js';
 import { GatewayTimers } from './gateway-timers.js';
+import { PeerClient } from './peers/peer-client.js';
+import { PeerPort } from './peers/peer-port.js';
 import { ReadinessPort } from './readiness-port.js';
 import { ReplicaClient } from './replica-client.js';
 import { StoreClient } from './store-client.js';
@@ -58,6 +61,8 @@
   private readonly readiness: ReadinessPort;
   private readonly replicas: ReplicaClient;
   private readonly store: StoreClient;
+  private readonly peerClient: PeerClient;
+  private readonly peerPort: PeerPort;
   private finish: () => void = () => undefined;
 
   constructor(
@@ -77,6 +82,8 @@
     this.callers = new CallerPort({ protocol, requests, clock, sink });
     this.readiness = new ReadinessPort(protocol.readinessPath);
     this.replicas = new ReplicaClient({ protocol, requests, clock, sink });
+    this.peerClient = new PeerClient({ requests, clock, sink });
+    this.peerPort = new PeerPort({ requests, clock, sink });
     this.store = new StoreClient({ address: settings.store, format: protocol.store, clock, sink });
   }
 
@@ -85,6 +92,7 @@
     await Promise.all([
       this.callers.listen(settings.callers),
       this.readiness.listen(settings.readiness),
+      this.peerPort.listen(settings.peers),
     ]);
     this.loop.emit({ type: 'started', at: this.clock.now() });
   }
@@ -123,7 +131,14 @@
       .with({ type: 'forget-call' }, ({ call }) => {
         this.timers.cancel(call);
         this.callers.forget(call);
+        this.peerPort.forget(call);
       })
+      .with({ type: 'send-subquery' }, (send) => this.peerClient.send(send))
+      .with({ type: 'cancel-subquery' }, (cancel) => this.peerClient.cancel(cancel))
+      .with({ type: 'answer-subquery' }, (answer) => this.answerSubquery(answer))
+      .with({ type: 'refuse-subquery' }, ({ call }) => this.peerPort.refuse(call))
+      .with({ type: 'open-peer' }, ({ peer }) => this.peerClient.prepare(peer))
+      .with({ type: 'announce-stop' }, () => this.peerPort.announceStop())
       .with({ type: 'open-connection' }, (open) => this.replicas.preconnect(open))
       .with({ type: 'close-replica' }, ({ replica }) => this.replicas.close(replica))
       .with({ type: 'call-store' }, ({ call }) => this.store.call(call))
@@ -142,11 +157,20 @@
       .exhaustive();
   }
 
+  private answerSubquery(answer: AnswerSubquery): void {
+    if (answer.part.isFinal) {
+      this.timers.cancel(answer.call);
+    }
+    this.peerPort.answer(answer);
+  }
+
   private end(): void {
     this.loop.halt();
     this.timers.close();
     this.callers.destroy();
     this.readiness.close();
+    this.peerClient.destroy();
+    this.peerPort.destroy();
     this.replicas.destroy();
     this.store.destroy();
     this.finish();
--- a/src/gateway/runtime/store-client.ts
+++ b/src/gateway/runtime/store-client.ts
@@ -25,8 +25,6 @@
 const KEEP_ALIVE_MS = 10_000;
 
 const OK_STATUS = 200;
-const CREATED_STATUS = 201;
-const CONFLICT_STATUS = 409;
 const GONE_STATUS = 410;
 const THROTTLED_STATUS = 429;
 
@@ -67,7 +65,7 @@
       case 'register':
         return void this.register(call);
       case 'list-gateways':
-        return void this.countGateways(call);
+        return void this.listGateways(call);
     }
   }
 
@@ -109,21 +107,19 @@
     this.emit((at) => ({ type: 'probe-ended', at, answered }));
   }
 
+  /** Whether the entry stands in the store is seen in the next list. */
   private async register(call: RegisterCall): Promise<void> {
-    const answer = await this.tryAsk('gateways', call);
-    const isThere = [OK_STATUS, CREATED_STATUS, CONFLICT_STATUS];
-    const written = answer !== undefined && isThere.includes(answer.status);
-    this.emit((at) => ({ type: 'registration-ended', at, written }));
+    await this.tryAsk('gateways', call);
   }
 
-  private async countGateways(call: ListGatewaysCall): Promise<void> {
+  private async listGateways(call: ListGatewaysCall): Promise<void> {
     const answer = await this.tryAsk('gateways', call);
-    const read =
+    const page =
       answer?.status === OK_STATUS
         ? this.context.format.readGateways(answer.body).toMaybe().extract()
         : undefined;
-    const counted = read === undefined ? {} : { gateways: read };
-    this.emit((at) => ({ type: 'gateways-counted', at, ...counted }));
+    const listed = page === undefined ? {} : { page };
+    this.emit((at) => ({ type: 'gateways-listed', at, ...listed }));
   }
 
   private emit(create: (at: number) => Parameters<GatewayEventSink['emit']>[0]): void {
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -23,6 +23,8 @@
   /** Unique over all gateways. */
   readonly node: string;
   readonly zone: string;
+  /** Processor of this machine, in cores of the usual speed. */
+  readonly capacity: number;
   /** The whole tier starts for the first time: nothing of earlier processes is left anywhere. */
   readonly firstStart: boolean;
   /** The region of each zone. */
@@ -31,7 +33,7 @@
   readonly callers: HostPort;
   /** Where the load balancer asks for readiness, over HTTP. */
   readonly readiness: HostPort;
-  /** Where other gateways send datagrams. */
+  /** Where other gateways connect, over TCP. */
   readonly peers: HostPort;
   /** Gateways to ask first; may be stale. */
   readonly seeds: readonly HostPort[];
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -3,6 +3,10 @@
 import { RetryBudget } from './budget/retry-budget.js';
 import type { GatewayConfiguration } from './model/route.js';
 import type { AttemptId, CallId } from './model/request.js';
+import type { PeerRecord } from './model/peer-record.js';
+import type { SubqueryId } from './model/subquery.js';
+import type { FeederPlan } from './peers/feeder-plan.js';
+import { PeerDirectory } from './peers/peer-directory.js';
 import { ReplicaDirectory } from './replicas/directory.js';
 import type { ActiveAttempt, ActiveRequest } from './requests/request-state.js';
 import type { RouteLatency } from './requests/route-latency.js';
@@ -22,9 +26,19 @@
 export interface ConfigurationInForce {
   readonly configuration: GatewayConfiguration;
   readonly table: RouteTable;
+  /** Services that gathers name as shards. */
+  readonly shards: ReadonlySet<string>;
   readonly since: number;
 }
 
+/** A plan of feeders and what it was made from. */
+export interface KnownFeederPlan {
+  readonly plan: FeederPlan;
+  /** The generation of the peers. */
+  readonly generation: number;
+  readonly inForce: ConfigurationInForce | undefined;
+}
+
 /** Whether the store can be reached, as this gateway knows it. */
 export interface StoreReachability {
   reachable: boolean;
@@ -39,8 +53,19 @@
   startedAt: number;
   /** Gateways that run, this one among them, as far as is known. */
   gateways: number;
-  /** This gateway has written its entry among the gateways. */
-  registered: boolean;
+  readonly peers: PeerDirectory;
+  /** The list of gateways is complete, as far as this gateway can tell. */
+  gatewaysSettled: boolean;
+  /** Pages of a list of gateways that is still being read. */
+  listedGateways: PeerRecord[];
+  /** Entries of that list that another version has written. */
+  unreadableGateways: number;
+  /** The plan of feeders, with what it was made from. */
+  feeders: KnownFeederPlan | undefined;
+  /** The plan to whose feeders connections were opened. */
+  connectedPlan: FeederPlan | undefined;
+  readonly subqueries: Map<SubqueryId, CallId>;
+  nextSubquery: SubqueryId;
   readonly store: StoreReachability;
   phase: LifecyclePhase;
   /** When the request to stop came. */
@@ -66,7 +91,14 @@
   random: createRandom(seed),
   startedAt: 0,
   gateways: ASSUMED_GATEWAYS,
-  registered: false,
+  peers: new PeerDirectory(),
+  gatewaysSettled: false,
+  listedGateways: [],
+  unreadableGateways: 0,
+  feeders: undefined,
+  connectedPlan: undefined,
+  subqueries: new Map(),
+  nextSubquery: 1,
   store: { reachable: true, lostSince: Number.NEGATIVE_INFINITY },
   phase: 'starting',
   stoppingSince: Number.POSITIVE_INFINITY,
--- a/src/gateway/store/apply-collections.ts
+++ b/src/gateway/store/apply-collections.ts
@@ -2,7 +2,7 @@
 import type { GatewayEffect } from '../effect.js';
 import type { ChangesRead, CollectionDue, PageRead, StoreCallFailed, Stored } from '../event.js';
 import type { BeliefChange } from '../log/log-event.js';
-import type { GatewayConfiguration } from '../model/route.js';
+import { type GatewayConfiguration, shardsOf } from '../model/route.js';
 import type { ReplicaRecord } from '../model/replica-record.js';
 import type { Replica } from '../replicas/replica.js';
 import { RouteTable } from '../routing/route-table.js';
@@ -33,7 +33,8 @@
     ...(previous !== undefined && { previous }),
     routes: configuration.routes.length,
   };
-  state.inForce = { configuration, table: new RouteTable(configuration.routes), since: at };
+  const shards = shardsOf(configuration.routes);
+  state.inForce = { configuration, table: new RouteTable(configuration.routes), shards, since: at };
   forgetOldRoutes(state, configuration);
   return [
     { type: 'apply-limits', limits: configuration.limits },
--- a/src/gateway/store/collection.ts
+++ b/src/gateway/store/collection.ts
@@ -1,5 +1,7 @@
 /** The collections of the store that a gateway follows, and the calls by which it does. */
 
+import type { PeerRecord } from '../model/peer-record.js';
+
 /** `configuration` has one object; `replicas` has one for each live incarnation. */
 export type CollectionName = 'configuration' | 'replicas';
 
@@ -35,14 +37,16 @@
 /** Writes this gateway's own entry among the gateways. */
 export interface RegisterCall {
   readonly type: 'register';
-  readonly name: string;
-  readonly zone: string;
+  readonly record: PeerRecord;
+  /** The store has an entry of that name. */
+  readonly replace: boolean;
   readonly timeoutMs: number;
 }
 
-/** Reads the names of all gateways that have registered. */
+/** Reads a page of the gateways that have registered, from a copy that may be old. */
 export interface ListGatewaysCall {
   readonly type: 'list-gateways';
+  readonly after?: string;
   readonly timeoutMs: number;
 }
 
--- a/src/protocol/codec/frame-reader.ts
+++ b/src/protocol/codec/frame-reader.ts
@@ -1,5 +1,5 @@
 /** Cuts the bytes of a connection into frames. */
-import { FRAME_HEADER_BYTES } from './link-frame.js';
+import { FRAME_HEADER_BYTES } from './frame.js';
 
 /**
  * What came of the bytes read so far. `more` asks to call `readHeld` once the bodies have been taken:
--- a/src/replay/event-record.ts
+++ b/src/replay/event-record.ts
@@ -8,7 +8,7 @@
 import type { Event } from '../core/event.js';
 import type { CoreOptions } from '../core/state.js';
 import { decodeCbor, encodeCbor } from '../protocol/codec/cbor.js';
-import { FRAME_HEADER_BYTES, frameBytes } from '../protocol/codec/link-frame.js';
+import { FRAME_HEADER_BYTES, frameBytes } from '../protocol/codec/frame.js';
 import { isFields, isFiniteNumber, isText } from '../protocol/codec/shape.js';
 
 /** Version of the format. */
--- a/src/runtime/peer/link.ts
+++ b/src/runtime/peer/link.ts
@@ -1,11 +1,11 @@
 /** One TCP connection to a peer: handshake first, then frames of messages. */
 import type { Socket } from 'node:net';
 import type { NodeId } from '../../core/identifiers.js';
+import { frameBytes } from '../../protocol/codec/frame.js';
 import { FrameReader, type FrameReading } from '../../protocol/codec/frame-reader.js';
 import {
   decodeLinkFrame,
   encodeLinkFrame,
-  frameBytes,
   HEARTBEAT_FRAME,
   MAX_FRAME_BYTES,
 } from '../../protocol/codec/link-frame.js';
--- a/test/gateway/virtual-gateway.ts
+++ b/test/gateway/virtual-gateway.ts
@@ -54,6 +54,7 @@
       {
         node: 'front-1',
         zone: 'bole',
+        capacity: 1,
         firstStart: true,
         zoneRegions: { bole: 'addis', arada: 'addis' },
         callers: HOST,
--- a/test/platform/gateway-fixture.ts
+++ b/test/platform/gateway-fixture.ts
@@ -86,6 +86,7 @@
     return new GatewayFixture(store, {
       node: 'front-1',
       zone: 'bole',
+      capacity: 1,
       firstStart: true,
       zoneRegions: { bole: 'addis', arada: 'addis', hall: 'wales' },
       callers: { host, port: callers },
--- a/test/protocol/codec.test.ts
+++ b/test/protocol/codec.test.ts
@@ -7,12 +7,8 @@
   encodeDatagram,
   MAX_DATAGRAM_BYTES,
 } from '../../src/protocol/codec/datagram.js';
-import {
-  decodeLinkFrame,
-  encodeLinkFrame,
-  FRAME_HEADER_BYTES,
-  frameBytes,
-} from '../../src/protocol/codec/link-frame.js';
+import { FRAME_HEADER_BYTES, frameBytes } from '../../src/protocol/codec/frame.js';
+import { decodeLinkFrame, encodeLinkFrame } from '../../src/protocol/codec/link-frame.js';
 import type {
   MembershipLinkMessage,
   MembershipMessage,
