Keep subqueries to strong feeders; acknowledge only what takes longer; warm links

Cause: a gateway that asks 12 feeders of 0.324 to 1.35 cores sees even parts of one shard only after 31 ms: it sends and reads 12 messages and as many acknowledgements with code that is seldom run. Change: weak gateways feed only where a strong one would carry more than 24 shards; a feeder acknowledges after 12 ms unless the parts are sent by then; over a new link go 20 subqueries for no shard.

--- a/src/gateway/effect.ts
+++ b/src/gateway/effect.ts
@@ -63,6 +63,12 @@
   readonly withinMs: number;
 }
 
+/** Tells the gateway that asked that a subquery is at work. */
+export interface AcknowledgeSubquery {
+  readonly type: 'acknowledge-subquery';
+  readonly call: CallId;
+}
+
 /** Sends parts to the gateway that asked; the call is over after the final ones. */
 export interface AnswerSubquery {
   readonly type: 'answer-subquery';
@@ -183,6 +189,7 @@
   | ForgetCall
   | SendSubquery
   | CancelSubquery
+  | AcknowledgeSubquery
   | AnswerSubquery
   | RefuseSubquery
   | OpenPeer
--- a/src/gateway/peers/feeder-plan.ts
+++ b/src/gateway/peers/feeder-plan.ts
@@ -12,6 +12,12 @@
 /** Shards that one feeder carries on average. */
 const SHARDS_PER_FEEDER = 8;
 
+/** Weaker gateways feed as well where a feeder would carry more shards than this. */
+const MOST_SHARDS_PER_FEEDER = 24;
+
+/** A gateway with less than this part of the strongest one's processor is weak. */
+const WEAK_PART = 0.5;
+
 /** Least number of feeders in a region that has as many gateways. */
 const MIN_FEEDERS = 3;
 
@@ -30,14 +36,28 @@
 const byCapacity = (left: PeerRecord, right: PeerRecord): number =>
   right.capacity - left.capacity || drawFrom(left.name) - drawFrom(right.name);
 
+/**
+ * The gateways with the most processor. Much weaker ones are left out where enough others remain: a
+ * message to one costs the gateway that asks as much as a message to a strong one.
+ */
+const selectFeeders = (
+  gatewaysOfRegion: readonly PeerRecord[],
+  shards: number,
+): readonly PeerRecord[] => {
+  const wanted = Math.max(MIN_FEEDERS, Math.ceil(shards / SHARDS_PER_FEEDER));
+  const strongest = [...gatewaysOfRegion].sort(byCapacity).slice(0, wanted);
+  const least = (strongest[0]?.capacity ?? 0) * WEAK_PART;
+  const enough = Math.max(MIN_FEEDERS, Math.ceil(shards / MOST_SHARDS_PER_FEEDER));
+  return strongest.filter(({ capacity }, index) => capacity >= least || index < enough);
+};
+
 /** The plan for the gateways of one region and a number of shards. */
 export class FeederPlan {
   readonly feeders: readonly PeerRecord[];
   private readonly ranked = new Map<string, readonly PeerRecord[]>();
 
   constructor(gatewaysOfRegion: readonly PeerRecord[], shards: number) {
-    const wanted = Math.max(MIN_FEEDERS, Math.ceil(shards / SHARDS_PER_FEEDER));
-    this.feeders = [...gatewaysOfRegion].sort(byCapacity).slice(0, wanted);
+    this.feeders = selectFeeders(gatewaysOfRegion, shards);
   }
 
   /** The feeders of a shard, the preferred one first. */
--- a/src/gateway/requests/accept-request.ts
+++ b/src/gateway/requests/accept-request.ts
@@ -57,6 +57,7 @@
     deadlineAt: at + Math.max(1, Math.min(route.timeoutMs, patienceMs)),
     objectiveAt: at + route.objectiveMs - margin,
     hedgeAt: at + hedgeDelay(latency, route),
+    acknowledgeAt: undefined,
   });
 };
 
--- a/src/gateway/requests/accept-subquery.ts
+++ b/src/gateway/requests/accept-subquery.ts
@@ -11,6 +11,12 @@
 import { createRouteLatency, hedgeDelay } from './route-latency.js';
 import { sendLegs } from './send-legs.js';
 
+/**
+ * A subquery that takes longer is acknowledged, so that the gateway that asked does not take this one
+ * for lost. One that is answered sooner is not: each message costs both sides processor.
+ */
+const ACKNOWLEDGE_AFTER_MS = 12;
+
 /** The route of a subquery: the part of a gather's that decides about its attempts. */
 const routeOf = (subquery: Subquery): Route => ({
   name: subquery.route,
@@ -45,6 +51,7 @@
     deadlineAt: at + subquery.deadlineMs,
     objectiveAt: at + subquery.partsWithinMs,
     hedgeAt: at + hedgeDelay(latency, route),
+    acknowledgeAt: at + ACKNOWLEDGE_AFTER_MS,
   });
 };
 
--- a/src/gateway/requests/progress.ts
+++ b/src/gateway/requests/progress.ts
@@ -141,7 +141,18 @@
   const acknowledgeTimes = [...request.subqueries.values()].map(
     ({ acknowledgeBy }) => acknowledgeBy ?? deadlineAt,
   );
-  return Math.min(deadlineAt, hedgeTime, objectiveTime, ...resumeTimes, ...acknowledgeTimes);
+  const acknowledgeTime = request.acknowledgeAt ?? deadlineAt;
+  const times = [hedgeTime, objectiveTime, acknowledgeTime, ...resumeTimes, ...acknowledgeTimes];
+  return Math.min(deadlineAt, ...times);
+};
+
+/** Says that this feeder is at work, once, when it takes longer. */
+const acknowledge = (request: ActiveRequest, at: number): GatewayEffect[] => {
+  if (request.acknowledgeAt === undefined || at < request.acknowledgeAt) {
+    return [];
+  }
+  request.acknowledgeAt = undefined;
+  return [{ type: 'acknowledge-subquery', call: request.call }];
 };
 
 /** A subquery of another gateway: from its objective on, parts are sent as they come. */
@@ -155,7 +166,7 @@
     return finishSubquery(state, request, target.maxRecords, at);
   }
   const parts = at >= request.objectiveAt ? reportParts(request, target.maxRecords) : [];
-  return [...parts, ...waitOrHedge(state, request, at)];
+  return [...acknowledge(request, at), ...parts, ...waitOrHedge(state, request, at)];
 };
 
 /** Ends the request if that is due; otherwise hedges what is slow and sets its timer. */
--- a/src/gateway/requests/request-state.ts
+++ b/src/gateway/requests/request-state.ts
@@ -76,6 +76,8 @@
   readonly subqueries: Map<SubqueryId, ActiveSubquery>;
   /** Feeders that failed this request. */
   readonly failedFeeders: Set<string>;
+  /** When the gateway that asked is told that this feeder is at work; undefined once it knows. */
+  acknowledgeAt: number | undefined;
   /** Records of the parts that feeders have sent. */
   readonly fedRecords: Uint8Array[];
   /** What was decided about it so far. */
@@ -125,6 +127,7 @@
   | 'deadlineAt'
   | 'objectiveAt'
   | 'hedgeAt'
+  | 'acknowledgeAt'
 >;
 
 /** Creates a request for which nothing was sent yet. */
--- a/src/gateway/requests/send-legs.ts
+++ b/src/gateway/requests/send-legs.ts
@@ -14,8 +14,8 @@
 import { retryLeg } from './retry-leg.js';
 
 /** Time within which a feeder says that it has a subquery: a part of the objective, at least so long. */
-const ACKNOWLEDGE_SHARE = 0.25;
-const LEAST_ACKNOWLEDGE_MS = 25;
+const ACKNOWLEDGE_SHARE = 0.3;
+const LEAST_ACKNOWLEDGE_MS = 30;
 
 /** Time kept back of the objective for the way of parts from a feeder, in milliseconds. */
 const PARTS_MARGIN_MS = 8;
--- a/src/gateway/requests/take-subquery-result.ts
+++ b/src/gateway/requests/take-subquery-result.ts
@@ -73,6 +73,7 @@
   }
   const { request, subquery } = found;
   subquery.acknowledgeBy = undefined;
+  state.peers.trust(subquery.peer);
   takeParts(request, subquery, part);
   const elapsedMs = Math.round(at - subquery.sentAt);
   const { isFinal } = part;
--- a/src/gateway/runtime/peers/peer-client.ts
+++ b/src/gateway/runtime/peers/peer-client.ts
@@ -7,7 +7,7 @@
 import type { CallerRequests } from '../caller-requests.js';
 import type { GatewayEventSink } from '../gateway-loop.js';
 import { PeerConnection } from './peer-connection.js';
-import type { PeerMessage } from './peer-message.js';
+import type { PeerMessage, SubqueryMessage } from './peer-message.js';
 
 /** How often connections are looked over, in milliseconds. */
 const SWEEP_MS = 500;
@@ -24,6 +24,28 @@
 /** A connection without subqueries for so long is closed, in milliseconds. */
 const IDLE_MS = 60_000;
 
+/** Subqueries for no shard, sent over a new connection before it is needed. */
+const WARM_UP_SUBQUERIES = 20;
+const WARM_UP: SubqueryMessage = {
+  type: 'subquery',
+  id: 0,
+  requestId: '',
+  method: 'GET',
+  path: '/',
+  headers: [],
+  body: null,
+  subquery: {
+    route: '',
+    shards: [],
+    maxRecords: 0,
+    maxAttempts: 1,
+    objectiveMs: 1,
+    partsWithinMs: 1,
+    deadlineMs: 1,
+    isRepeat: false,
+  },
+};
+
 /** What the client needs of its process. */
 export interface PeerClientContext {
   readonly requests: CallerRequests;
@@ -78,10 +100,12 @@
     });
   }
 
-  /** Opens a connection before it is needed. */
+  /** Opens a connection before it is needed, and has the code on both sides compiled. */
   prepare(peer: PeerRecord): void {
     const link = this.links.get(peer.name) ?? this.open(peer);
-    link.connection.send({ type: 'ping' });
+    for (let count = 0; count < WARM_UP_SUBQUERIES; count += 1) {
+      link.connection.send(WARM_UP);
+    }
   }
 
   cancel({ id, withinMs }: CancelSubquery): void {
--- a/src/gateway/runtime/peers/peer-port.ts
+++ b/src/gateway/runtime/peers/peer-port.ts
@@ -31,7 +31,7 @@
   readonly id: SubqueryId;
 }
 
-/** Listens for other gateways; carries out `answer-subquery`, `refuse-subquery`, `announce-stop`. */
+/** Listens for other gateways; carries out the effects about subqueries of others. */
 export class PeerPort {
   private readonly server: Server;
   private readonly coordinators = new Set<Coordinator>();
@@ -46,6 +46,11 @@
     return listenOn(this.server, address);
   }
 
+  acknowledge(call: CallId): void {
+    const open = this.openCalls.get(call);
+    open?.coordinator.connection.send({ type: 'acknowledged', id: open.id });
+  }
+
   answer({ call, part }: AnswerSubquery): void {
     const open = this.openCalls.get(call);
     open?.coordinator.connection.send({ type: 'parts', id: open.id, part });
@@ -125,7 +130,6 @@
     const call = requests.hold({ ...held, body: body === null ? null : Buffer.from(body) });
     coordinator.calls.set(id, call);
     this.openCalls.set(call, { coordinator, id });
-    coordinator.connection.send({ type: 'acknowledged', id });
     sink.emit({ type: 'subquery-received', at: clock.now(), call, requestId, subquery });
   }
 
--- a/src/gateway/runtime/start-gateway.ts
+++ b/src/gateway/runtime/start-gateway.ts
@@ -136,6 +136,7 @@
       .with({ type: 'send-subquery' }, (send) => this.peerClient.send(send))
       .with({ type: 'cancel-subquery' }, (cancel) => this.peerClient.cancel(cancel))
       .with({ type: 'answer-subquery' }, (answer) => this.answerSubquery(answer))
+      .with({ type: 'acknowledge-subquery' }, ({ call }) => this.peerPort.acknowledge(call))
       .with({ type: 'refuse-subquery' }, ({ call }) => this.peerPort.refuse(call))
       .with({ type: 'open-peer' }, ({ peer }) => this.peerClient.prepare(peer))
       .with({ type: 'announce-stop' }, () => this.peerPort.announceStop())
