--- a/test/gateway/feeders.test.ts
+++ b/test/gateway/feeders.test.ts
@@ -7,7 +7,7 @@
 import { feederPlan, shareOf } from '../../src/gateway/peers/service-share.js';
 import { gatherOf, routeTo, success, VirtualGateway } from './virtual-gateway.js';
 
-const SHARDS = 40;
+const SHARDS = 64;
 const NAMES = Array.from({ length: SHARDS }, (_, index) => `s${index}`);
 
 /** 64 gateways of one region; the first eight have four times the processor of the others. */
@@ -15,17 +15,17 @@
   name: `front-${index + 1}`,
   zone: index % 2 === 0 ? 'bole' : 'arada',
   address: { host: '127.0.0.1', port: 1 },
-  capacity: index < 8 ? 1.2 : 0.3,
+  capacity: index < 8 ? 1 : 0.3,
 }));
 
 /** `front-1` is the gateway with its own address and processor, as the fixture has them. */
 const gatewaysWith = (own: PeerRecord): readonly PeerRecord[] => [own, ...GATEWAYS.slice(1)];
 
 const FEEDER = { ...GATEWAYS[0], name: 'front-1', zone: 'bole', capacity: 1 } as PeerRecord;
-const SMALL: PeerRecord = { ...FEEDER, name: 'front-99' };
+const SMALL: PeerRecord = { ...FEEDER, name: 'front-99', capacity: 0.3 };
 
 const coordinator = (slack?: number): VirtualGateway => {
-  const gateway = new VirtualGateway(slack, SMALL.name);
+  const gateway = new VirtualGateway(slack, SMALL.name, SMALL.capacity);
   gateway.configure(1, [routeTo(gatherOf(SHARDS, 0.9))], 54);
   gateway.listReplicas(NAMES);
   gateway.listGateways([SMALL, ...GATEWAYS]);
@@ -76,7 +76,7 @@
     expect(gateway.subqueries.flatMap(({ subquery }) => subquery.shards).sort()).toEqual(
       [...NAMES].sort(),
     );
-    expect(gateway.subqueries.every(({ peer }) => peer.capacity > 1)).toBe(true);
+    expect(gateway.subqueries.every(({ peer }) => peer.capacity === 1)).toBe(true);
     gateway.now = 20;
     gateway.subqueries.slice().forEach((sent) => answer(gateway, sent));
     expect(gateway.answers.get(call)).toMatchObject({ type: 'merged', missingShards: 0 });
--- a/test/gateway/virtual-gateway.ts
+++ b/test/gateway/virtual-gateway.ts
@@ -57,12 +57,12 @@
   now = 0;
   private nextCall = 1;
 
-  constructor(retrySlack = 40, node = 'front-1') {
+  constructor(retrySlack = 40, node = 'front-1', capacity = 1) {
     this.state = createGatewayState(
       {
         node,
         zone: 'bole',
-        capacity: 1,
+        capacity,
         firstStart: true,
         zoneRegions: { bole: 'addis', arada: 'addis' },
         callers: HOST,
