Keep a request to the same replicas of a shard, whichever feeder sends it

One feeder had hedged, was taken for lost, and the next one chose a third replica. Ruled out: counting runs at the gateway that asks (it does not learn of a hedge when the feeder is lost); no hedge at the first feeder (pauses meet 4% of the legs). Change: where replicas are reached through feeders, a request prefers as many of a shard's replicas as its route allows attempts, drawn by rendezvous hashing from its identifier; others are taken only when these fail.

--- a/src/gateway/replicas/select-replica.ts
+++ b/src/gateway/replicas/select-replica.ts
@@ -24,6 +24,9 @@
 const EJECTED_COST = 200;
 const LEAVING_COST = 1_000;
 
+/** Added for a replica that the request should not go to while others answer. */
+const NOT_PREFERRED_COST = 100;
+
 /** Costs that differ by less are taken as equal, and one is drawn. */
 const DRAW_WIDTH = 0.1;
 
@@ -35,6 +38,8 @@
   readonly leavingMs: number;
   /** Connections that this gateway may hold to one replica; attempts beyond wait for one. */
   readonly maxConnections: number;
+  /** Replicas that the request should keep to; undefined where all will do. */
+  readonly preferred: ReadonlySet<string> | undefined;
 }
 
 const distanceCost = (replica: Replica, { zone, zoneRegions }: SelectionPlace): number => {
@@ -74,7 +79,9 @@
   const ejected = replica.ejectedUntil > at ? EJECTED_COST : 0;
   const isLeaving = replica.record.draining || replica.goneAt !== undefined;
   const leaving = isLeaving ? LEAVING_COST : 0;
-  return base + stallCost(replica, at) + distanceCost(replica, place) + ejected + leaving;
+  const isPreferred = place.preferred?.has(replica.record.id) ?? true;
+  const excluded = ejected + leaving + (isPreferred ? 0 : NOT_PREFERRED_COST);
+  return base + stallCost(replica, at) + distanceCost(replica, place) + excluded;
 };
 
 /**
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -11,7 +11,8 @@
   noteReplicaFailure,
   slowdownNow,
 } from '../replicas/replica.js';
-import { shareOf } from '../peers/service-share.js';
+import { isFed, shareOf } from '../peers/service-share.js';
+import { preferredReplicas } from '../replicas/preferred-replicas.js';
 import { connectionShare } from '../replicas/connection-share.js';
 import { selectReplica, type SelectionPlace } from '../replicas/select-replica.js';
 import { budgetOf, type GatewayState } from '../state.js';
@@ -46,11 +47,27 @@
   return latency;
 };
 
-const placeOf = (state: GatewayState, service: string, at: number): SelectionPlace => ({
+/** Feeders keep a request to the same replicas of a shard, whichever of them sends it. */
+const preferredOf = (
+  state: GatewayState,
+  { request, route }: ActiveRequest,
+  service: string,
+): ReadonlySet<string> | undefined =>
+  route.target.type === 'gather' && isFed(state, service)
+    ? preferredReplicas(state.replicas.of(service), request.requestId, route.maxAttempts)
+    : undefined;
+
+const placeOf = (
+  state: GatewayState,
+  request: ActiveRequest,
+  service: string,
+  at: number,
+): SelectionPlace => ({
   zone: state.settings.zone,
   zoneRegions: state.settings.zoneRegions,
   leavingMs: state.settings.bounds.drainMs * LEAVING_SHARE,
   maxConnections: connectionShare(state, service, at),
+  preferred: preferredOf(state, request, service),
 });
 
 /** Whether the retry budget allows one more arrival; the first of a leg is free. */
@@ -114,7 +131,7 @@
     return undefined;
   }
   const replicas = state.replicas.of(leg.service);
-  const place = placeOf(state, leg.service, at);
+  const place = placeOf(state, request, leg.service, at);
   const replica = selectReplica(replicas, leg.tried, place, state.random, at);
   if (replica === undefined || !takeBudget(state, request, leg, at)) {
     return undefined;
--- a/test/gateway/feeders.test.ts
+++ b/test/gateway/feeders.test.ts
@@ -262,6 +262,48 @@
   });
 });
 
+describe('feeders that send one request one after the other', () => {
+  /** Sends `requestId` through a feeder that has learnt other latencies than the others. */
+  const replicasUsed = (feeder: VirtualGateway, requestId: string, isRepeat: boolean): string[] => {
+    const before = feeder.sent.length;
+    const subquery = {
+      route: 'route',
+      shards: ['s0'],
+      maxRecords: 10,
+      maxAttempts: 2,
+      objectiveMs: 100,
+      partsWithinMs: 70,
+      deadlineMs: 800,
+      isRepeat,
+    };
+    const call = 1_000 + before;
+    feeder.emit({ type: 'subquery-received', at: feeder.now, call, requestId, subquery });
+    feeder.advanceTo(feeder.now + 60);
+    const used = feeder.sent.slice(before);
+    used.forEach((sent) => feeder.end(sent, success(sent.replica.id)));
+    return used.map(({ replica }) => replica.id);
+  };
+
+  const feederIn = (zones: readonly string[]): VirtualGateway => {
+    const gateway = new VirtualGateway(10_000);
+    gateway.configure(1, [routeTo(gatherOf(SHARDS, 0.9))], 54);
+    gateway.listReplicas(['s0'], zones);
+    gateway.listGateways(gatewaysWith(FEEDER));
+    return gateway;
+  };
+
+  it('keep it to as many replicas of a shard as its route allows', () => {
+    const zones = ['bole', 'arada', 'arada'];
+    const [first, second] = [feederIn(zones), feederIn(zones)];
+    for (let request = 0; request < 50; request += 1) {
+      const id = `request-${request}`;
+      const used = [...replicasUsed(first, id, false), ...replicasUsed(second, id, true)];
+      expect(new Set(used).size).toBeLessThanOrEqual(2);
+    }
+    expect(new Set(first.sent.map(({ replica }) => replica.id)).size).toBe(3);
+  });
+});
+
 describe('the shares of all gateways', () => {
   const gatewayNamed = (record: PeerRecord): VirtualGateway => {
     const gateway = new VirtualGateway(168, record.name);
