Pass a lost feeder over until it answers promptly, asking without queries

Cause: a suspicion ran out after 1, 2, 4 s, and each of 64 gateways then tried the feeder with a query of its own, which lost 30 ms again while the feeder was still cut off or slow. Ruled out: longer suspicions, which leave a feeder that was merely late unused. Change: a suspect is passed over for at most 10 s; meanwhile it is asked each half second, and trusted when it answers within 60 ms. One that stops is asked only once its connection is gone.

--- a/src/gateway/effect.ts
+++ b/src/gateway/effect.ts
@@ -88,6 +88,12 @@
   readonly peer: PeerRecord;
 }
 
+/** Asks a peer again and again whether it lives; ends in `peer-alive`. */
+export interface CheckPeer {
+  readonly type: 'check-peer';
+  readonly peer: PeerRecord;
+}
+
 /** Tells all peers that this gateway is about to end. */
 export interface AnnounceStop {
   readonly type: 'announce-stop';
@@ -193,6 +199,7 @@
   | AnswerSubquery
   | RefuseSubquery
   | OpenPeer
+  | CheckPeer
   | AnnounceStop
   | SetRequestTimer
   | CallStore
--- a/src/gateway/event.ts
+++ b/src/gateway/event.ts
@@ -132,7 +132,6 @@
   readonly type: 'subquery-acknowledged';
   readonly at: number;
   readonly subquery: SubqueryId;
-  readonly peer: string;
 }
 
 /** A feeder has sent parts. */
@@ -152,6 +151,13 @@
   readonly mayHaveRun: boolean;
 }
 
+/** A peer that was passed over has answered promptly. */
+export interface PeerAlive {
+  readonly type: 'peer-alive';
+  readonly at: number;
+  readonly peer: string;
+}
+
 /** A peer cannot be reached, says nothing any more, or is about to end. */
 export interface PeerLost {
   readonly type: 'peer-lost';
@@ -234,5 +240,6 @@
   | SubqueryAnswered
   | SubqueryFailed
   | PeerLost
+  | PeerAlive
   | GatewaysDue
   | StopDue;
--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -139,8 +139,8 @@
       readonly event: 'peer-suspected';
       readonly peer: string;
       readonly problem: PeerProblem;
-      readonly forMs: number;
     }
+  | { readonly event: 'peer-trusted'; readonly peer: string }
   | { readonly event: 'gateways-counted'; readonly gateways: number; readonly previous: number }
   | { readonly event: 'lines-dropped'; readonly lines: number };
 
@@ -176,7 +176,8 @@
   'store-call-failed': 'A list or watch failed and is repeated after a pause.',
   'replica-changed': 'The store lists a replica, says that it drains, or lists it no more.',
   'replica-ejected': 'A replica failed and is tried only as a last resort for a while.',
-  'peer-suspected': 'Another gateway failed to answer and is passed over for a while.',
+  'peer-suspected': 'Another gateway failed to answer and is passed over until it does.',
+  'peer-trusted': 'A gateway that was passed over answers promptly again.',
   'gateways-counted': 'The number of gateways that share replicas and budgets has changed.',
   'lines-dropped': 'Lines were left out: more than the bound, or nobody read them.',
 };
--- a/src/gateway/peers/peer-directory.ts
+++ b/src/gateway/peers/peer-directory.ts
@@ -1,19 +1,14 @@
 /** The gateways that the store lists, and which of them failed to answer this one lately. */
 import type { PeerRecord } from '../model/peer-record.js';
 
-/** Time for which a peer that failed is passed over, in milliseconds: doubled each time. */
-const FIRST_SUSPICION_MS = 1_000;
-const LONGEST_SUSPICION_MS = 8_000;
-
-interface Suspicion {
-  readonly until: number;
-  readonly failures: number;
-}
+/** A peer that failed is passed over until it answers again, and no longer than this, in milliseconds. */
+const LONGEST_SUSPICION_MS = 10_000;
 
 /** Peers by name. */
 export class PeerDirectory {
   private records = new Map<string, PeerRecord>();
-  private readonly suspicions = new Map<string, Suspicion>();
+  /** Until when each suspect is passed over. */
+  private readonly suspects = new Map<string, number>();
   /** Rises whenever the records change. */
   generation = 0;
 
@@ -35,20 +30,17 @@
     this.generation += 1;
   }
 
-  /** A peer did not answer, or is leaving; returns for how long it is passed over. */
-  suspect(name: string, at: number): number {
-    const failures = this.suspicions.get(name)?.failures ?? 0;
-    const forMs = Math.min(LONGEST_SUSPICION_MS, FIRST_SUSPICION_MS * 2 ** failures);
-    this.suspicions.set(name, { until: at + forMs, failures: failures + 1 });
-    return forMs;
+  /** A peer did not answer, or is leaving. */
+  suspect(name: string, at: number): void {
+    this.suspects.set(name, at + LONGEST_SUSPICION_MS);
   }
 
   /** A peer has answered. */
   trust(name: string): void {
-    this.suspicions.delete(name);
+    this.suspects.delete(name);
   }
 
   isSuspect(name: string, at: number): boolean {
-    return (this.suspicions.get(name)?.until ?? Number.NEGATIVE_INFINITY) > at;
+    return (this.suspects.get(name) ?? Number.NEGATIVE_INFINITY) > at;
   }
 }
--- a/src/gateway/reducer.ts
+++ b/src/gateway/reducer.ts
@@ -12,6 +12,7 @@
 import { acceptSubquery, takeSubqueryCancelled } from './requests/accept-subquery.js';
 import {
   takeAcknowledgement,
+  takePeerAlive,
   takePeerLost,
   takeSubqueryAnswer,
   takeSubqueryFailure,
@@ -67,6 +68,7 @@
     .with({ type: 'subquery-answered' }, (answered) => takeSubqueryAnswer(state, answered))
     .with({ type: 'subquery-failed' }, (failed) => takeSubqueryFailure(state, failed))
     .with({ type: 'peer-lost' }, (lost) => takePeerLost(state, lost))
+    .with({ type: 'peer-alive' }, (alive) => takePeerAlive(state, alive))
     .exhaustive();
 
 /** Takes one event. Ends of attempts, the most frequent, go past the match. */
--- a/src/gateway/requests/check-subqueries.ts
+++ b/src/gateway/requests/check-subqueries.ts
@@ -13,19 +13,21 @@
 /** A look that comes so late says that this process is busy, not that the feeder is, in milliseconds. */
 const LATE_LOOK_MS = 4;
 
-/** Passes a peer over for a while. */
+/** Passes a peer over until it answers promptly again; one that stops is not asked whether it does. */
 export const suspectPeer = (
   state: GatewayState,
   peer: string,
   problem: PeerProblem,
   at: number,
 ): GatewayEffect[] => {
-  if (state.peers.isSuspect(peer, at)) {
-    return [];
-  }
-  const forMs = state.peers.suspect(peer, at);
-  const change: BeliefChange = { event: 'peer-suspected', peer, problem, forMs };
-  return [{ type: 'write-log', level: 'warn', part: 'peer', change }];
+  const wasSuspect = state.peers.isSuspect(peer, at);
+  state.peers.suspect(peer, at);
+  const record = state.peers.find(peer);
+  const isChecked = record !== undefined && problem !== 'stopping';
+  const check: GatewayEffect[] = isChecked ? [{ type: 'check-peer', peer: record }] : [];
+  const change: BeliefChange = { event: 'peer-suspected', peer, problem };
+  const log: GatewayEffect = { type: 'write-log', level: 'warn', part: 'peer', change };
+  return wasSuspect ? check : [log, ...check];
 };
 
 /** Takes the open legs of a subquery away from its feeder and sends them elsewhere. */
--- a/src/gateway/requests/take-subquery-result.ts
+++ b/src/gateway/requests/take-subquery-result.ts
@@ -1,6 +1,13 @@
 /** Takes what feeders say of subqueries. */
 import type { GatewayEffect } from '../effect.js';
-import type { PeerLost, SubqueryAcknowledged, SubqueryAnswered, SubqueryFailed } from '../event.js';
+import type {
+  PeerAlive,
+  PeerLost,
+  SubqueryAcknowledged,
+  SubqueryAnswered,
+  SubqueryFailed,
+} from '../event.js';
+import type { BeliefChange } from '../log/log-event.js';
 import { trace } from '../log/trace.js';
 import type { SubqueryId, SubqueryPart } from '../model/subquery.js';
 import type { GatewayState } from '../state.js';
@@ -25,9 +32,8 @@
 /** Handles `subquery-acknowledged`. */
 export const takeAcknowledgement = (
   state: GatewayState,
-  { subquery: id, peer }: SubqueryAcknowledged,
+  { subquery: id }: SubqueryAcknowledged,
 ): GatewayEffect[] => {
-  state.peers.trust(peer);
   const found = findSubquery(state, id);
   if (found !== undefined) {
     found.subquery.acknowledgeBy = undefined;
@@ -73,7 +79,6 @@
   }
   const { request, subquery } = found;
   subquery.acknowledgeBy = undefined;
-  state.peers.trust(subquery.peer);
   takeParts(request, subquery, part);
   const elapsedMs = Math.round(at - subquery.sentAt);
   const { isFinal } = part;
@@ -114,3 +119,11 @@
   state: GatewayState,
   { peer, problem, at }: PeerLost,
 ): GatewayEffect[] => suspectPeer(state, peer, problem, at);
+
+/** Handles `peer-alive`. */
+export const takePeerAlive = (state: GatewayState, { peer, at }: PeerAlive): GatewayEffect[] => {
+  const wasSuspect = state.peers.isSuspect(peer, at);
+  state.peers.trust(peer);
+  const change: BeliefChange = { event: 'peer-trusted', peer };
+  return wasSuspect ? [{ type: 'write-log', level: 'info', part: 'peer', change }] : [];
+};
--- a/src/gateway/runtime/peers/peer-client.ts
+++ b/src/gateway/runtime/peers/peer-client.ts
@@ -21,6 +21,9 @@
 /** A peer that has said nothing for so long is taken for lost, in milliseconds. */
 const SILENCE_MS = 2_000;
 
+/** A suspect that answers a question so soon is trusted again, in milliseconds. */
+const PROMPT_MS = 60;
+
 /** A connection without subqueries for so long is closed, in milliseconds. */
 const IDLE_MS = 60_000;
 
@@ -62,10 +65,18 @@
   problem: PeerProblem;
 }
 
+/** A peer that is asked whether it lives. */
+interface Suspect {
+  readonly peer: PeerRecord;
+  /** When it was last asked; no question is open where this is in the past for ever. */
+  askedAt: number;
+}
+
 /** Carries out `send-subquery` and `cancel-subquery`. */
 export class PeerClient {
   private readonly links = new Map<string, Link>();
   private readonly linkOf = new Map<SubqueryId, Link>();
+  private readonly suspects = new Map<string, Suspect>();
   private sweepTimer: NodeJS.Timeout | undefined;
   private sweptAt = 0;
   private destroyed = false;
@@ -108,6 +119,14 @@
     }
   }
 
+  /** Asks a peer with each look whether it lives, until it answers promptly. */
+  check(peer: PeerRecord): void {
+    if (!this.suspects.has(peer.name)) {
+      this.suspects.set(peer.name, { peer, askedAt: Number.NEGATIVE_INFINITY });
+    }
+    this.watch();
+  }
+
   cancel({ id, withinMs }: CancelSubquery): void {
     const link = this.linkOf.get(id);
     if (link !== undefined) {
@@ -154,7 +173,7 @@
     const at = this.now;
     switch (message.type) {
       case 'acknowledged':
-        sink.emit({ type: 'subquery-acknowledged', at, subquery: message.id, peer: link.peer });
+        sink.emit({ type: 'subquery-acknowledged', at, subquery: message.id });
         return;
       case 'refused':
         this.forget(link, message.id);
@@ -166,6 +185,9 @@
         }
         sink.emit({ type: 'subquery-answered', at, subquery: message.id, part: message.part });
         return;
+      case 'pong':
+        this.takePong(link.peer, at);
+        return;
       case 'stopping':
         sink.emit({ type: 'peer-lost', at, peer: link.peer, problem: 'stopping' });
         return;
@@ -173,6 +195,23 @@
     }
   }
 
+  private takePong(peer: string, at: number): void {
+    const suspect = this.suspects.get(peer);
+    if (suspect !== undefined && at - suspect.askedAt <= PROMPT_MS) {
+      this.suspects.delete(peer);
+      this.context.sink.emit({ type: 'peer-alive', at, peer });
+    }
+  }
+
+  /** Asks a suspect once more. A new connection is asked with the next look, when it is open. */
+  private ask(suspect: Suspect, now: number): void {
+    const link = this.links.get(suspect.peer.name) ?? this.open(suspect.peer);
+    if (link.isOpen) {
+      suspect.askedAt = now;
+      link.connection.send({ type: 'ping' });
+    }
+  }
+
   private forget(link: Link, id: SubqueryId): void {
     link.pending.delete(id);
     this.linkOf.delete(id);
@@ -207,6 +246,7 @@
     for (const link of this.links.values()) {
       this.sweepLink(link, now, stoodStill);
     }
+    this.suspects.forEach((suspect) => this.ask(suspect, now));
   }
 
   private sweepLink(link: Link, now: number, stoodStill: boolean): void {
--- a/src/gateway/runtime/start-gateway.ts
+++ b/src/gateway/runtime/start-gateway.ts
@@ -151,6 +151,7 @@
       .with({ type: 'acknowledge-subquery' }, ({ call }) => this.peerPort.acknowledge(call))
       .with({ type: 'refuse-subquery' }, ({ call }) => this.peerPort.refuse(call))
       .with({ type: 'open-peer' }, ({ peer }) => this.peerClient.prepare(peer))
+      .with({ type: 'check-peer' }, ({ peer }) => this.peerClient.check(peer))
       .with({ type: 'announce-stop' }, () => this.peerPort.announceStop())
       .with({ type: 'open-connection' }, (open) => this.replicas.preconnect(open))
       .with({ type: 'close-replica' }, ({ replica }) => this.replicas.close(replica))
--- a/test/gateway/feeders.test.ts
+++ b/test/gateway/feeders.test.ts
@@ -51,7 +51,6 @@
     type: 'subquery-acknowledged',
     at: gateway.now,
     subquery: sent.id,
-    peer: sent.peer.name,
   });
 
 const firstOf = <Value>(values: readonly Value[]): Value => {
@@ -132,6 +131,32 @@
     expect(asked).not.toContain(silent.peer.name);
   });
 
+  it('passes a lost feeder over until it answers, and asks it meanwhile without a query', () => {
+    const gateway = coordinator();
+    const peer = firstOf(feederPlan(gateway.state).feeders).name;
+    const askedNow = (): readonly string[] => {
+      const before = gateway.subqueries.length;
+      gateway.request();
+      return gateway.subqueries.slice(before).map((sent) => sent.peer.name);
+    };
+    expect(askedNow()).toContain(peer);
+    gateway.emit({ type: 'peer-lost', at: 0, peer, problem: 'silent' });
+    expect(ofType(gateway, 'check-peer')).toMatchObject([{ peer: { name: peer } }]);
+    gateway.advanceTo(5_000);
+    expect(askedNow()).not.toContain(peer);
+    gateway.emit({ type: 'peer-alive', at: gateway.now, peer });
+    expect(askedNow()).toContain(peer);
+  });
+
+  it('asks a feeder that stops nothing until its connection is gone', () => {
+    const gateway = coordinator();
+    const peer = firstOf(feederPlan(gateway.state).feeders).name;
+    gateway.emit({ type: 'peer-lost', at: 0, peer, problem: 'stopping' });
+    expect(ofType(gateway, 'check-peer')).toHaveLength(0);
+    gateway.emit({ type: 'peer-lost', at: 900, peer, problem: 'disconnected' });
+    expect(ofType(gateway, 'check-peer')).toHaveLength(1);
+  });
+
   it('does not judge feeders by what it was too busy to read', () => {
     const gateway = coordinator();
     gateway.request();
