Test feeders over real sockets

Cause: the messages between gateways were tested in virtual time only. Ruled out: a rig of processes for this; in one process the same sockets are used.

--- a/test/platform/gateway-fixture.ts
+++ b/test/platform/gateway-fixture.ts
@@ -73,6 +73,7 @@
 export class GatewayFixture {
   readonly replicas = new Map<string, StandInReplica>();
   private gatewayProcess: RunningGateway | undefined;
+  private readonly peers: RunningGateway[] = [];
   private version = 0;
 
   private constructor(
@@ -148,9 +149,13 @@
   }
 
   /** Writes the next version of the configuration. */
-  configure(routes: readonly unknown[], services: readonly string[]): number {
+  configure(routes: readonly unknown[], services: readonly string[], maxConnections = 26): number {
     this.version += 3;
-    const listed = services.map((name) => ({ name, health_path: '/health', max_conns: 26 }));
+    const listed = services.map((name) => ({
+      name,
+      health_path: '/health',
+      max_conns: maxConnections,
+    }));
     const spec = { version: this.version, routes, services: listed, limits: LIMITS };
     this.store.put('config', 'main', spec);
     return this.version;
@@ -198,7 +203,28 @@
     });
   }
 
+  /** Starts one more gateway beside the first, with the same store. */
+  async startPeer(node: string, capacity: number): Promise<RunningGateway> {
+    const address = async () => ({ host: '127.0.0.1', port: await freePort() });
+    const peer = await startGateway(
+      {
+        ...this.settings,
+        node,
+        capacity,
+        callers: await address(),
+        readiness: await address(),
+        metrics: await address(),
+        peers: await address(),
+      },
+      platformProtocol,
+      SILENT_LOG,
+    );
+    this.peers.push(peer);
+    return peer;
+  }
+
   async stop(): Promise<void> {
+    this.peers.forEach((peer) => peer.kill());
     this.gatewayProcess?.kill();
     await this.gatewayProcess?.ended;
     await Promise.all([...this.replicas.values()].map((replica) => replica.stop()));
