Prefer replicas of the own region among those that a request keeps to

Ruled out: drawing all three, which lets a repeated request run on three replicas; another order at each feeder, which must draw alike (all feeders of a request are in one region). Change: replicas of the own region come first, then the rendezvous order.

--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -52,10 +52,15 @@
   state: GatewayState,
   { request, route }: ActiveRequest,
   service: string,
-): ReadonlySet<string> | undefined =>
-  route.target.type === 'gather' && isFed(state, service)
-    ? preferredReplicas(state.replicas.of(service), request.requestId, route.maxAttempts)
-    : undefined;
+): ReadonlySet<string> | undefined => {
+  if (route.target.type !== 'gather' || !isFed(state, service)) {
+    return undefined;
+  }
+  const { zone, zoneRegions } = state.settings;
+  const isNear = (other: string): boolean => zoneRegions[other] === zoneRegions[zone];
+  const replicas = state.replicas.of(service);
+  return preferredReplicas(replicas, request.requestId, route.maxAttempts, isNear);
+};
 
 const placeOf = (
   state: GatewayState,
--- a/test/gateway/feeders.test.ts
+++ b/test/gateway/feeders.test.ts
@@ -3,6 +3,7 @@
 import type { PeerRecord } from '../../src/gateway/model/peer-record.js';
 import type { SubqueryPart } from '../../src/gateway/model/subquery.js';
 import type { AttemptResult } from '../../src/gateway/model/request.js';
+import { preferredReplicas } from '../../src/gateway/replicas/preferred-replicas.js';
 import { connectionShare } from '../../src/gateway/replicas/connection-share.js';
 import { feederPlan, shareOf } from '../../src/gateway/peers/service-share.js';
 import { gatherOf, routeTo, success, VirtualGateway } from './virtual-gateway.js';
@@ -329,6 +330,24 @@
   });
 });
 
+describe('the replicas that a request keeps to', () => {
+  it('begin with those of the own region, and are drawn among equals', () => {
+    const gateway = new VirtualGateway();
+    gateway.configure(1, []);
+    gateway.listReplicas(['s0'], ['hall', 'arada', 'bole', 'hall']);
+    const replicas = gateway.state.replicas.of('s0');
+    const isNear = (zone: string): boolean => zone !== 'hall';
+    const drawn = new Set<string>();
+    for (let request = 0; request < 40; request += 1) {
+      const one = preferredReplicas(replicas, `r-${request}`, 1, isNear) ?? [];
+      const three = preferredReplicas(replicas, `r-${request}`, 3, isNear) ?? new Set();
+      [...one].forEach((id) => drawn.add(id));
+      expect(three.has('s0-arada-1') && three.has('s0-bole-2')).toBe(true);
+    }
+    expect([...drawn].sort()).toEqual(['s0-arada-1', 's0-bole-2']);
+  });
+});
+
 describe('the shares of all gateways', () => {
   const gatewayNamed = (record: PeerRecord): VirtualGateway => {
     const gateway = new VirtualGateway(168, record.name);
