Trust a feeder again only when it says that it serves, and more slowly each time

A feeder that stops answers pings, so it was trusted at once and refused again; one that is slow was trusted after each prompt pong and lost each gateway's next query too, until the budget of its second feeder was used up. Change: a pong says whether the sender serves; a refusal passes the feeder over; each failure within 15 s doubles the prompt answers in a row that are wanted, up to 8.

--- a/src/gateway/model/subquery.ts
+++ b/src/gateway/model/subquery.ts
@@ -38,4 +38,5 @@
 }
 
 /** Why a peer is passed over for a while. */
-export type PeerProblem = 'unreachable' | 'silent' | 'disconnected' | 'stopping' | 'unacknowledged';
+export type PeerProblem =
+  'unreachable' | 'silent' | 'disconnected' | 'stopping' | 'refusing' | 'unacknowledged';
--- a/src/gateway/requests/check-subqueries.ts
+++ b/src/gateway/requests/check-subqueries.ts
@@ -13,7 +13,7 @@
 /** A look that comes so late says that this process is busy, not that the feeder is, in milliseconds. */
 const LATE_LOOK_MS = 4;
 
-/** Passes a peer over until it answers promptly again; one that stops is not asked whether it does. */
+/** Passes a peer over until it says promptly that it serves. */
 export const suspectPeer = (
   state: GatewayState,
   peer: string,
@@ -23,8 +23,7 @@
   const wasSuspect = state.peers.isSuspect(peer, at);
   state.peers.suspect(peer, at);
   const record = state.peers.find(peer);
-  const isChecked = record !== undefined && problem !== 'stopping';
-  const check: GatewayEffect[] = isChecked ? [{ type: 'check-peer', peer: record }] : [];
+  const check: GatewayEffect[] = record === undefined ? [] : [{ type: 'check-peer', peer: record }];
   const change: BeliefChange = { event: 'peer-suspected', peer, problem };
   const log: GatewayEffect = { type: 'write-log', level: 'warn', part: 'peer', change };
   return wasSuspect ? check : [log, ...check];
--- a/src/gateway/runtime/peers/peer-client.ts
+++ b/src/gateway/runtime/peers/peer-client.ts
@@ -24,6 +24,12 @@
 /** A suspect that answers a question so soon is trusted again, in milliseconds. */
 const PROMPT_MS = 60;
 
+/** Prompt answers in a row after which any peer is trusted again. */
+const MOST_PROMPT_ANSWERS = 8;
+
+/** Failures so far apart have nothing to do with each other, in milliseconds. */
+const FAILURE_MEMORY_MS = 15_000;
+
 /** A connection without subqueries for so long is closed, in milliseconds. */
 const IDLE_MS = 60_000;
 
@@ -70,6 +76,9 @@
   readonly peer: PeerRecord;
   /** When it was last asked; no question is open where this is in the past for ever. */
   askedAt: number;
+  /** Prompt answers in a row, and how many make it trusted. */
+  promptAnswers: number;
+  readonly wanted: number;
 }
 
 /** Carries out `send-subquery` and `cancel-subquery`. */
@@ -77,6 +86,7 @@
   private readonly links = new Map<string, Link>();
   private readonly linkOf = new Map<SubqueryId, Link>();
   private readonly suspects = new Map<string, Suspect>();
+  private readonly failures = new Map<string, { readonly at: number; readonly count: number }>();
   private sweepTimer: NodeJS.Timeout | undefined;
   private sweptAt = 0;
   private destroyed = false;
@@ -122,7 +132,9 @@
   /** Asks a peer with each look whether it lives, until it answers promptly. */
   check(peer: PeerRecord): void {
     if (!this.suspects.has(peer.name)) {
-      this.suspects.set(peer.name, { peer, askedAt: Number.NEGATIVE_INFINITY });
+      const wanted = this.answersWanted(peer.name);
+      const askedAt = Number.NEGATIVE_INFINITY;
+      this.suspects.set(peer.name, { peer, wanted, askedAt, promptAnswers: 0 });
     }
     this.watch();
   }
@@ -177,6 +189,7 @@
         return;
       case 'refused':
         this.forget(link, message.id);
+        sink.emit({ type: 'peer-lost', at, peer: link.peer, problem: 'refusing' });
         sink.emit({ type: 'subquery-failed', at, subquery: message.id, mayHaveRun: false });
         return;
       case 'parts':
@@ -186,7 +199,7 @@
         sink.emit({ type: 'subquery-answered', at, subquery: message.id, part: message.part });
         return;
       case 'pong':
-        this.takePong(link.peer, at);
+        this.takePong(link.peer, message.isServing, at);
         return;
       case 'stopping':
         sink.emit({ type: 'peer-lost', at, peer: link.peer, problem: 'stopping' });
@@ -195,9 +208,24 @@
     }
   }
 
-  private takePong(peer: string, at: number): void {
+  /** A peer that fails again and again must answer promptly more often: doubled each time. */
+  private answersWanted(peer: string): number {
+    const { now } = this;
+    const known = this.failures.get(peer);
+    const isRecent = known !== undefined && now - known.at < FAILURE_MEMORY_MS;
+    const count = isRecent ? known.count + 1 : 1;
+    this.failures.set(peer, { at: now, count });
+    return Math.min(MOST_PROMPT_ANSWERS, 2 ** (count - 1));
+  }
+
+  private takePong(peer: string, isServing: boolean, at: number): void {
     const suspect = this.suspects.get(peer);
-    if (suspect !== undefined && at - suspect.askedAt <= PROMPT_MS) {
+    if (suspect === undefined) {
+      return;
+    }
+    const isPrompt = isServing && at - suspect.askedAt <= PROMPT_MS;
+    suspect.promptAnswers = isPrompt ? suspect.promptAnswers + 1 : 0;
+    if (suspect.promptAnswers >= suspect.wanted) {
       this.suspects.delete(peer);
       this.context.sink.emit({ type: 'peer-alive', at, peer });
     }
--- a/src/gateway/runtime/peers/peer-message.ts
+++ b/src/gateway/runtime/peers/peer-message.ts
@@ -55,7 +55,14 @@
 
 /** `ping` asks for a `pong`; `stopping`: the sender takes no more subqueries. */
 export interface SignalMessage {
-  readonly type: 'ping' | 'pong' | 'stopping';
+  readonly type: 'ping' | 'stopping';
+}
+
+/** Answers a `ping`. */
+export interface PongMessage {
+  readonly type: 'pong';
+  /** The sender takes subqueries. */
+  readonly isServing: boolean;
 }
 
 /** Every message between gateways. */
@@ -65,6 +72,7 @@
   | AcknowledgedMessage
   | RefusedMessage
   | PartsMessage
+  | PongMessage
   | SignalMessage;
 
 type Check = (fields: Fields) => boolean;
@@ -103,7 +111,7 @@
   refused: hasId,
   parts: (fields) => hasId(fields) && isPart(fields['part']),
   ping: () => true,
-  pong: () => true,
+  pong: ({ isServing }) => typeof isServing === 'boolean',
   stopping: () => true,
 };
 
--- a/src/gateway/runtime/peers/peer-port.ts
+++ b/src/gateway/runtime/peers/peer-port.ts
@@ -33,6 +33,7 @@
 
 /** Listens for other gateways; carries out the effects about subqueries of others. */
 export class PeerPort {
+  private isServing = false;
   private readonly server: Server;
   private readonly coordinators = new Set<Coordinator>();
   private readonly openCalls = new Map<CallId, OpenCall>();
@@ -46,6 +47,11 @@
     return listenOn(this.server, address);
   }
 
+  /** Whether subqueries are taken; peers that ask are told. */
+  setServing(isServing: boolean): void {
+    this.isServing = isServing;
+  }
+
   acknowledge(call: CallId): void {
     const open = this.openCalls.get(call);
     open?.coordinator.connection.send({ type: 'acknowledged', id: open.id });
@@ -104,7 +110,7 @@
         this.cancel(coordinator, message);
         return;
       case 'ping':
-        coordinator.connection.send({ type: 'pong' });
+        coordinator.connection.send({ type: 'pong', isServing: this.isServing });
         return;
       default:
     }
--- a/src/gateway/runtime/start-gateway.ts
+++ b/src/gateway/runtime/start-gateway.ts
@@ -162,7 +162,10 @@
       .with({ type: 'set-probe-timer' }, ({ at }) => this.timers.set('probe', at))
       .with({ type: 'set-gateways-timer' }, ({ at }) => this.timers.set('gateways', at))
       .with({ type: 'set-stop-timer' }, ({ at }) => this.timers.set('stop', at))
-      .with({ type: 'set-readiness' }, ({ ready }) => this.readiness.setReady(ready))
+      .with({ type: 'set-readiness' }, ({ ready }) => {
+        this.readiness.setReady(ready);
+        this.peerPort.setServing(ready);
+      })
       .with({ type: 'apply-limits' }, ({ limits }) => this.callers.applyLimits(limits))
       .with({ type: 'close-caller-port' }, () => this.callers.closePort())
       .with({ type: 'end-process' }, () => this.end())
