Give ports back when a start fails; let tests take other ports

Ruled out: a fault of the feeders (the failure lies in beforeEach, before any request). Change: the fixture tries other ports up to five times; a gateway that cannot have one of its ports closes the others (it left them listening before).

--- a/src/gateway/runtime/start-gateway.ts
+++ b/src/gateway/runtime/start-gateway.ts
@@ -211,6 +211,11 @@
   log: GatewayLog,
 ): Promise<RunningGateway> => {
   const gateway = new GatewayProcess(settings, protocol, log);
-  await gateway.begin();
+  try {
+    await gateway.begin();
+  } catch (error) {
+    gateway.kill();
+    throw error;
+  }
   return gateway;
 };
--- a/test/platform/gateway-fixture.ts
+++ b/test/platform/gateway-fixture.ts
@@ -39,6 +39,36 @@
   return port;
 };
 
+const freeAddress = async (): Promise<HostPort> => ({ host: '127.0.0.1', port: await freePort() });
+
+/** Addresses for all ports of a gateway. */
+const freeAddresses = async () => ({
+  callers: await freeAddress(),
+  readiness: await freeAddress(),
+  metrics: await freeAddress(),
+  peers: await freeAddress(),
+});
+
+const PORT_TRIES = 5;
+
+/**
+ * Starts a gateway. A port that was free a moment ago may be taken by a test that runs beside this one:
+ * other ports are tried then.
+ */
+const startOnFreePorts = async (
+  settings: GatewaySettings,
+  tries = PORT_TRIES,
+): Promise<readonly [RunningGateway, GatewaySettings]> => {
+  try {
+    return [await startGateway(settings, platformProtocol, SILENT_LOG), settings];
+  } catch (error) {
+    if ((error as NodeJS.ErrnoException).code !== 'EADDRINUSE' || tries <= 1) {
+      throw error;
+    }
+    return startOnFreePorts({ ...settings, ...(await freeAddresses()) }, tries - 1);
+  }
+};
+
 /** Waits until `condition` holds; throws after five seconds. */
 export const until = async (condition: () => boolean, what: string): Promise<void> => {
   for (let tries = 0; !condition(); tries += 1) {
@@ -78,13 +108,11 @@
 
   private constructor(
     readonly store: StandInStore,
-    readonly settings: GatewaySettings,
+    public settings: GatewaySettings,
   ) {}
 
   static async create(): Promise<GatewayFixture> {
     const store = await StandInStore.start();
-    const [callers, readiness, peers] = [await freePort(), await freePort(), await freePort()];
-    const metrics = await freePort();
     const host = '127.0.0.1';
     return new GatewayFixture(store, {
       node: 'front-1',
@@ -92,10 +120,7 @@
       capacity: 1,
       firstStart: true,
       zoneRegions: { bole: 'addis', arada: 'addis', hall: 'wales' },
-      callers: { host, port: callers },
-      readiness: { host, port: readiness },
-      metrics: { host, port: metrics },
-      peers: { host, port: peers },
+      ...(await freeAddresses()),
       seeds: [],
       store: { host, port: store.port },
       bounds: {
@@ -126,7 +151,9 @@
   }
 
   async startGateway(): Promise<void> {
-    this.gatewayProcess = await startGateway(this.settings, platformProtocol, SILENT_LOG);
+    const [gateway, settings] = await startOnFreePorts(this.settings);
+    this.gatewayProcess = gateway;
+    this.settings = settings;
   }
 
   /** Starts the gateway and waits until it is ready. */
@@ -205,20 +232,8 @@
 
   /** Starts one more gateway beside the first, with the same store. */
   async startPeer(node: string, capacity: number): Promise<RunningGateway> {
-    const address = async () => ({ host: '127.0.0.1', port: await freePort() });
-    const peer = await startGateway(
-      {
-        ...this.settings,
-        node,
-        capacity,
-        callers: await address(),
-        readiness: await address(),
-        metrics: await address(),
-        peers: await address(),
-      },
-      platformProtocol,
-      SILENT_LOG,
-    );
+    const own = { ...this.settings, node, capacity, ...(await freeAddresses()) };
+    const [peer] = await startOnFreePorts(own);
     this.peers.push(peer);
     return peer;
   }
