--- a/src/core/configuration/pull.ts
+++ b/src/core/configuration/pull.ts
@@ -10,7 +10,7 @@
 import type { ConfigurationDigest } from '../../protocol/membership-messages.js';
 import type { Effect } from '../effect.js';
 import type { NodeId } from '../identifiers.js';
-import type { Member } from '../membership/state.js';
+import type { Member } from '../membership/member.js';
 import type { CoreState } from '../state.js';
 import {
   PAGE_BYTES,
--- a/src/core/configuration/survey.ts
+++ b/src/core/configuration/survey.ts
@@ -1,6 +1,6 @@
 /** Asks the nodes that are not known to hold a revision, for somebody who waits for it. */
 import type { Effect } from '../effect.js';
-import type { Member } from '../membership/state.js';
+import type { Member } from '../membership/member.js';
 import { pingMember } from '../membership/probes.js';
 import type { CoreState } from '../state.js';
 import { SURVEY_INTERVAL_MS, SURVEY_LIMIT_MS, SURVEY_PEERS } from './bounds.js';
--- a/src/core/membership/apply-update.ts
+++ b/src/core/membership/apply-update.ts
@@ -11,7 +11,8 @@
 import { writeMember } from './change-member.js';
 import { armGossip, gossipUrgently } from './gossip.js';
 import { getSelf } from './self-identity.js';
-import { addressKey, type Member } from './state.js';
+import type { Member } from './member.js';
+import { addressKey } from './state.js';
 import { declareDead, endSuspicion, suspectByHearsay } from './suspicion.js';
 
 const STATE_RANK: Readonly<Record<MemberState, number>> = {
--- a/src/core/membership/change-member.ts
+++ b/src/core/membership/change-member.ts
@@ -5,7 +5,8 @@
 import { amendRing } from './ring.js';
 import { dropRumour } from './rumour-queue.js';
 import { queueRumour } from './rumours.js';
-import { addressKey, createMember, type Member, type MembershipState } from './state.js';
+import type { Member } from './member.js';
+import { addressKey, createMember, type MembershipState } from './state.js';
 
 const isLive = (state: MemberState | undefined): boolean =>
   state === 'alive' || state === 'suspect';
--- a/src/core/membership/gossip.ts
+++ b/src/core/membership/gossip.ts
@@ -5,7 +5,7 @@
 import { GOSSIP_INTERVAL_MS, GOSSIP_PEERS, URGENT_GOSSIP_PEERS } from './bounds.js';
 import { hasRumours, takePiggyback } from './rumours.js';
 import { listRing } from './ring.js';
-import type { Member } from './state.js';
+import type { Member } from './member.js';
 
 const GOSSIP_TIMER = { purpose: 'membership-gossip', subject: '' } as const;
 
--- a/src/core/membership/member-table.ts
+++ b/src/core/membership/member-table.ts
@@ -7,7 +7,7 @@
  */
 import { hash32 } from '../hash.js';
 import { LEAST_BUCKETS_SENT, MEMBERS_PER_BUCKET_SENT, TABLE_BUCKETS } from './bounds.js';
-import type { Member } from './state.js';
+import type { Member } from './member.js';
 
 /** The bucket of a member, of `count` buckets. */
 export const bucketOf = (member: Pick<Member, 'ringHash'>, count = TABLE_BUCKETS): number =>
--- a/src/core/membership/messages.ts
+++ b/src/core/membership/messages.ts
@@ -13,7 +13,8 @@
 import { takeReplicaRumours } from './replica-rumours.js';
 import { armGossip } from './gossip.js';
 import { putFirst, takePiggyback } from './rumours.js';
-import type { Member, Probe } from './state.js';
+import type { Member } from './member.js';
+import type { Probe } from './state.js';
 import { compareTables } from './table-exchange.js';
 
 const noteHoldings = (state: CoreState, message: MembershipMessage): void => {
--- a/src/core/membership/probes.ts
+++ b/src/core/membership/probes.ts
@@ -14,7 +14,8 @@
 import { describeHoldings } from './digest.js';
 import { drawMembers } from './gossip.js';
 import { putFirst, takePiggyback } from './rumours.js';
-import type { Member, Probe } from './state.js';
+import type { Member } from './member.js';
+import type { Probe } from './state.js';
 import { declareDead, suspectAsWitness } from './suspicion.js';
 
 const probeTimer = (sequence: number) =>
--- a/src/core/membership/ring.ts
+++ b/src/core/membership/ring.ts
@@ -3,7 +3,8 @@
  * that each member is probed by one peer each second whatever their number.
  */
 import type { CoreState } from '../state.js';
-import type { Member, MembershipState } from './state.js';
+import type { Member } from './member.js';
+import type { MembershipState } from './state.js';
 
 const compareOnRing = (a: Member, b: Member): number =>
   a.ringHash - b.ringHash || (a.identity.node < b.identity.node ? -1 : 1);
--- a/src/core/membership/rumours.ts
+++ b/src/core/membership/rumours.ts
@@ -18,7 +18,8 @@
 } from './bounds.js';
 import { addRumour, countSent, listRumours } from './rumour-queue.js';
 import { getSelf } from './self-identity.js';
-import type { Member, MembershipState } from './state.js';
+import type { Member } from './member.js';
+import type { MembershipState } from './state.js';
 
 /** Bytes of an encoded rumour besides the names in it. */
 const RUMOUR_FRAME_BYTES = 84;
--- a/src/core/membership/self-identity.ts
+++ b/src/core/membership/self-identity.ts
@@ -1,7 +1,7 @@
 /** This node's identity with its incarnation of now, which grows when the node refutes a rumour. */
 import type { NodeIdentity } from '../../protocol/node-address.js';
 import type { CoreState } from '../state.js';
-import type { Member } from './state.js';
+import type { Member } from './member.js';
 
 /** This node's own record. */
 export const getSelf = (state: CoreState): Member => {
--- a/src/core/membership/state.ts
+++ b/src/core/membership/state.ts
@@ -4,23 +4,10 @@
 import { hash32 } from '../hash.js';
 import type { NodeId, ReplicaId } from '../identifiers.js';
 import { TABLE_BUCKETS } from './bounds.js';
+import type { Member } from './member.js';
 import { xorIntoTable } from './member-table.js';
 import { createRumourQueue, type RumourQueue } from './rumour-queue.js';
 
-/** One known member. */
-export interface Member {
-  identity: NodeIdentity;
-  state: MemberState;
-  /** When the state last changed here. */
-  since: number;
-  /** The newest revision of the configuration the member is known to hold; 0 when not known. */
-  revision: number;
-  /** The member is known to serve. */
-  serving: boolean;
-  /** Place on the ring of probes. */
-  readonly ringHash: number;
-}
-
 /** A back end that takes no new work. */
 export interface ReplicaRumour {
   /** The rumour holds until then, on this node's clock. */
--- a/src/core/membership/table-exchange.ts
+++ b/src/core/membership/table-exchange.ts
@@ -22,7 +22,8 @@
 import { dropRumour } from './rumour-queue.js';
 import { noteAgreement } from './rumours.js';
 import { getSelfIdentity } from './self-identity.js';
-import type { Member, MembershipState } from './state.js';
+import type { Member } from './member.js';
+import type { MembershipState } from './state.js';
 
 const FIRST_PAGE = -1;
 
--- a/src/core/membership/tick.ts
+++ b/src/core/membership/tick.ts
@@ -13,7 +13,8 @@
 import { forgetMember } from './change-member.js';
 import { pingAddress, pingMember, probeMember } from './probes.js';
 import { findSuccessor, listRing } from './ring.js';
-import { addressKey, type Member, type MembershipState } from './state.js';
+import type { Member } from './member.js';
+import { addressKey, type MembershipState } from './state.js';
 
 const TICK_TIMER = { purpose: 'membership-probe', subject: '' } as const;
 const MS_PER_SECOND = 1_000;
--- a/src/operator/read-status.ts
+++ b/src/operator/read-status.ts
@@ -3,7 +3,7 @@
 import { limitAmount, measureDemand, usableAmount } from '../core/admission/limit-use.js';
 import type { LimitUse } from '../core/admission/state.js';
 import { isReplicaLeaving } from '../core/membership/replica-rumours.js';
-import type { Member } from '../core/membership/state.js';
+import type { Member } from '../core/membership/member.js';
 import { endpointOf, replicaKey } from '../core/query/observations.js';
 import type { ReplicaObservation } from '../core/query/replica-observation.js';
 import type { PartnerId } from '../core/identifiers.js';
--- a/src/rig/main.ts
+++ b/src/rig/main.ts
@@ -8,7 +8,8 @@
 import { ExitCode } from '../cli/exit-code.js';
 import { deploymentsNamed } from '../deployments/deployments.js';
 import type { RigCheck } from './rig-report.js';
-import { RIG_SCENARIOS, type RigScenario } from './rig-scenario.js';
+import type { RigScenario } from './rig-scenario.js';
+import { RIG_SCENARIOS } from './rig-scenarios.js';
 import { runRigScenario } from './run-scenario.js';
 
 const SCRIPT = fileURLToPath(new URL('../main.js', import.meta.url));
