Do not end the process when an answer without a length is given up

Ruled out: assertions inside the parser's callbacks (they only destroy the socket); a handler of uncaught exceptions (it would hide such faults). Change: an exchange that is given up ends, and its connection is destroyed; the client's abort is not used once the request was sent.

--- a/src/gateway/runtime/answer-reader.ts
+++ b/src/gateway/runtime/answer-reader.ts
@@ -33,7 +33,6 @@
 
 /** Handles the answer of one request. */
 export class AnswerReader implements Dispatcher.DispatchHandler {
-  private controller: Dispatcher.DispatchController | undefined;
   private status = 0;
   private headers: Header[] = [];
   private readonly chunks: Buffer[] = [];
@@ -48,15 +47,18 @@
     private readonly onEnd: (end: ExchangeEnd) => void,
   ) {}
 
-  /** Ends the exchange and closes the connection. */
+  /**
+   * Ends the exchange; whoever is told of the end closes the connection. The client's own abort is not
+   * used once the request was sent: an answer without a length that is aborted is ended once more when
+   * its connection closes, and an assertion of the client ends the process (undici 7.30,
+   * `Request.onComplete` from `Parser.finish`).
+   */
   abort(reason: AttemptProblem): void {
     this.abortReason ??= reason;
-    this.controller?.abort(new Error(reason));
     this.end({ result: this.failure(reason), reusable: false });
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
-    this.controller = controller;
     if (this.over) {
       controller.abort(new Error('given up'));
     }
--- a/test/gateway/answer-reader.test.ts
+++ b/test/gateway/answer-reader.test.ts
@@ -187,3 +187,26 @@
     expectFailure(await ask((socket) => socket.resetAndDestroy()), 'refused-connection');
   });
 });
+
+describe('an attempt that is given up while its answer comes', () => {
+  it.each(['', 'Content-Length: 100\r\n', 'Connection: close\r\n'])(
+    'ends once and leaves the process running, with the header "%s"',
+    async (header) => {
+      replica = await RawReplica.start((socket) => socket.write(`${HEAD}${header}\r\nhalf`));
+      connection = await open(replica.address);
+      const over = connection;
+      const ends: ExchangeEnd[] = [];
+      const reader = new AnswerReader(over, platformProtocol, 'r-1', (end) => {
+        ends.push(end);
+        over.destroy();
+      });
+      const request = { method: 'GET', path: '/a/', headers: ['x-request-id', 'r-1'], body: null };
+      over.send(request, reader);
+      await delay(30);
+      reader.abort('aborted');
+      await delay(30);
+      expect(ends).toMatchObject([{ result: { problem: 'aborted' }, reusable: false }]);
+      expect(over.isClosed).toBe(true);
+    },
+  );
+});
