--- a/src/gateway/runtime/peers/peer-client.ts
+++ b/src/gateway/runtime/peers/peer-client.ts
@@ -74,7 +74,7 @@
 /** A peer that is asked whether it lives. */
 interface Suspect {
   readonly peer: PeerRecord;
-  /** When it was last asked; no question is open where this is in the past for ever. */
+  /** When it was last asked, in milliseconds on the process's clock; minus infinity before the first time. */
   askedAt: number;
   /** Prompt answers in a row, and how many make it trusted. */
   promptAnswers: number;
