Bundle the gateway into one file; hash without WebAssembly

Cause: every gateway starts at the same time as callers come back after a loss of power, and the program loaded 98 modules one by one, undici's HTTP/2 and the hasher's WebAssembly among them.

--- a/src/core/hash.ts
+++ b/src/core/hash.ts
@@ -1,7 +1,78 @@
-/** Non-cryptographic hashing for rendezvous order and key placement (xxHash, 32 bits). */
-import createHasher from 'xxhash-wasm';
+/**
+ * Non-cryptographic hashing for rendezvous order and key placement: xxHash, 32 bits, over UTF-8.
+ *
+ * Written out here because the WebAssembly build of it has to be compiled before the first module that
+ * needs it is loaded, at every start of a process. A test compares the two.
+ */
 
-const hasher = await createHasher();
+/** The primes of the algorithm's specification. */
+const PRIME_1 = 0x9e3779b1;
+const PRIME_2 = 0x85ebca77;
+const PRIME_3 = 0xc2b2ae3d;
+const PRIME_4 = 0x27d4eb2f;
+const PRIME_5 = 0x165667b1;
+
+/** Bytes that the main loop takes at a time: four lanes of four bytes. */
+const STRIPE_BYTES = 16;
+const LANE_BYTES = 4;
+
+const encoder = new TextEncoder();
+
+const rotateLeft = (value: number, bits: number): number =>
+  (value << bits) | (value >>> (32 - bits));
+
+const readLane = (bytes: Uint8Array, offset: number): number =>
+  (bytes[offset] ?? 0) |
+  ((bytes[offset + 1] ?? 0) << 8) |
+  ((bytes[offset + 2] ?? 0) << 16) |
+  ((bytes[offset + 3] ?? 0) << 24);
+
+const mixLane = (accumulator: number, lane: number): number =>
+  Math.imul(rotateLeft((accumulator + Math.imul(lane, PRIME_2)) | 0, 13), PRIME_1);
+
+/** Takes all whole stripes of an input that has at least one. */
+const hashStripes = (bytes: Uint8Array, seed: number): number => {
+  let first = (seed + PRIME_1 + PRIME_2) | 0;
+  let second = (seed + PRIME_2) | 0;
+  let third = seed | 0;
+  let fourth = (seed - PRIME_1) | 0;
+  for (let offset = 0; offset + STRIPE_BYTES <= bytes.length; offset += STRIPE_BYTES) {
+    first = mixLane(first, readLane(bytes, offset));
+    second = mixLane(second, readLane(bytes, offset + LANE_BYTES));
+    third = mixLane(third, readLane(bytes, offset + 2 * LANE_BYTES));
+    fourth = mixLane(fourth, readLane(bytes, offset + 3 * LANE_BYTES));
+  }
+  return (
+    rotateLeft(first, 1) + rotateLeft(second, 7) + rotateLeft(third, 12) + rotateLeft(fourth, 18)
+  );
+};
+
+/** Takes what is left after the whole stripes. */
+const hashRest = (bytes: Uint8Array, begin: number, start: number): number => {
+  let hash = begin;
+  let offset = start;
+  for (; offset + LANE_BYTES <= bytes.length; offset += LANE_BYTES) {
+    const mixed = (hash + Math.imul(readLane(bytes, offset), PRIME_3)) | 0;
+    hash = Math.imul(rotateLeft(mixed, 17), PRIME_4);
+  }
+  for (; offset < bytes.length; offset += 1) {
+    const mixed = (hash + Math.imul(bytes[offset] ?? 0, PRIME_5)) | 0;
+    hash = Math.imul(rotateLeft(mixed, 11), PRIME_1);
+  }
+  return hash;
+};
+
+const avalanche = (value: number): number => {
+  let hash = Math.imul(value ^ (value >>> 15), PRIME_2);
+  hash = Math.imul(hash ^ (hash >>> 13), PRIME_3);
+  return (hash ^ (hash >>> 16)) >>> 0;
+};
 
 /** Hashes `text` to an unsigned 32-bit integer; the same on every machine and run. */
-export const hash32 = (text: string, seed = 0): number => hasher.h32(text, seed);
+export const hash32 = (text: string, seed = 0): number => {
+  const bytes = encoder.encode(text);
+  const hasStripes = bytes.length >= STRIPE_BYTES;
+  const begin = hasStripes ? hashStripes(bytes, seed) : (seed + PRIME_5) | 0;
+  const restAt = hasStripes ? bytes.length - (bytes.length % STRIPE_BYTES) : 0;
+  return avalanche(hashRest(bytes, (begin + bytes.length) | 0, restAt));
+};
--- a/src/gateway/runtime/start-gateway.ts
+++ b/src/gateway/runtime/start-gateway.ts
@@ -1,5 +1,4 @@
 /** Starts a gateway: opens its ports, builds its parts and runs the reducer over them. */
-import { randomInt } from 'node:crypto';
 import { match } from 'ts-pattern';
 import { createMonotonicClock, type MonotonicClock } from '../../runtime/monotonic-clock.js';
 import type {
@@ -74,7 +73,7 @@
     protocol: GatewayProtocol,
     private readonly log: GatewayLog,
   ) {
-    this.state = createGatewayState(settings, randomInt(SEED_RANGE));
+    this.state = createGatewayState(settings, Math.floor(Math.random() * SEED_RANGE));
     this.ended = new Promise((resolve) => {
       this.finish = resolve;
     });
--- a/src/gateway/runtime/undici-client.ts
+++ b/src/gateway/runtime/undici-client.ts
@@ -3,13 +3,12 @@
  * more, for 230 ms of processor time and 19 MB at each start; this module alone takes 85 ms and
  * 10 MB (Node.js 20.20, undici 7.30). The lock file pins the version.
  */
-import { createRequire } from 'node:module';
 import type { Client as UndiciClient } from 'undici';
-
-const require = createRequire(import.meta.url);
+// @ts-expect-error: the package declares types for its entry point only
+import client from 'undici/lib/dispatcher/client.js';
 
 /** An HTTP/1.1 client over one connection at a time. */
-export const Client = require('undici/lib/dispatcher/client.js') as typeof UndiciClient;
+export const Client = client as typeof UndiciClient;
 
 /** An instance of {@link Client}. */
 export type Client = UndiciClient;
--- /dev/null
+++ b/test/core/hash.test.ts
@@ -0,0 +1,26 @@
+import fc from 'fast-check';
+import createHasher from 'xxhash-wasm';
+import { expect, test } from 'vitest';
+import { hash32 } from '../../src/core/hash.js';
+
+const SEED = 20_261_202;
+
+test('hash to the same values as the WebAssembly build of xxHash', async () => {
+  const { h32 } = await createHasher();
+  const seeds = fc.integer({ min: 0, max: 0xffff_ffff });
+  const texts = fc.string({ unit: 'binary', maxLength: 100 });
+  fc.assert(
+    fc.property(texts, seeds, (text, seed) => {
+      expect(hash32(text, seed)).toBe(h32(text, seed));
+    }),
+    { seed: SEED, numRuns: 2_000 },
+  );
+});
+
+test('hash the empty text and every length around a stripe', async () => {
+  const { h32 } = await createHasher();
+  for (let length = 0; length <= 70; length += 1) {
+    const text = 'ä0123456789'.repeat(7).slice(0, length);
+    expect(hash32(text)).toBe(h32(text));
+  }
+});
--- a/test/platform/process.test.ts
+++ b/test/platform/process.test.ts
@@ -5,7 +5,7 @@
 import { join } from 'node:path';
 import { setTimeout as delay } from 'node:timers/promises';
 import { afterAll, afterEach, beforeAll, beforeEach, describe, expect, it } from 'vitest';
-import { type CompiledSource, compilePlatform } from '../runtime/compiled-source.js';
+import { type CompiledSource, bundlePlatform } from '../runtime/compiled-source.js';
 import { GatewayFixture, routeSpec } from './gateway-fixture.js';
 import { settingsFileOf } from './settings-file.js';
 
@@ -15,7 +15,7 @@
 let child: ChildProcess | undefined;
 
 beforeAll(async () => {
-  source = await compilePlatform();
+  source = await bundlePlatform();
   folder = await mkdtemp(join(tmpdir(), 'crossroad-'));
 });
 
--- a/test/runtime/compiled-source.ts
+++ b/test/runtime/compiled-source.ts
@@ -1,6 +1,8 @@
 /** Compiles `src/` for tests that start processes, without type checks, into `out/`. */
+import { execFile } from 'node:child_process';
 import { mkdir, mkdtemp, readdir, readFile, rm, writeFile } from 'node:fs/promises';
 import { dirname, join, resolve } from 'node:path';
+import { promisify } from 'node:util';
 import ts from 'typescript';
 
 const ROOT = resolve(import.meta.dirname, '../..');
@@ -45,13 +47,13 @@
   };
 };
 
-/** Compiles the program that runs on the users' platform. */
-export const compilePlatform = async (): Promise<CompiledSource> => {
+/** Bundles the program that runs on the users' platform, as its deployment does. */
+export const bundlePlatform = async (): Promise<CompiledSource> => {
   const folder = await createFolder();
-  await compileFolder('src', join(folder, 'src'));
-  await compileFolder('platform', join(folder, 'platform'));
+  const main = join(folder, 'gateway.cjs');
+  await promisify(execFile)(process.execPath, [join(ROOT, 'deploy/bundle.mjs'), main]);
   return {
-    main: join(folder, 'platform/main.js'),
+    main,
     remove: () => rm(folder, { recursive: true, force: true }),
   };
 };
