Hold requests until the store is read; end unwanted attempts after 40 ms

Change: requests are held for a tenth of their caller's time, 200 ms at most; the losers of a leg and of a request end after 40 ms. A hedge is counted from when a request is sent.

--- a/src/gateway/lifecycle.ts
+++ b/src/gateway/lifecycle.ts
@@ -2,7 +2,7 @@
 import type { GatewayEffect } from './effect.js';
 import type { StopDue, StopRequested } from './event.js';
 import type { BeliefChange } from './log/log-event.js';
-import type { GatewayState } from './state.js';
+import { type GatewayState, isInformed } from './state.js';
 
 /**
  * Time after the request to stop in which callers are still taken: the load balancer asks each
@@ -18,8 +18,7 @@
 
 /** Tells the load balancer when the readiness has changed. */
 export const updateReadiness = (state: GatewayState): GatewayEffect[] => {
-  const isInformed = state.inForce !== undefined && state.replicasListed;
-  const ready = isInformed && (state.phase === 'starting' || state.phase === 'serving');
+  const ready = isInformed(state) && (state.phase === 'starting' || state.phase === 'serving');
   if (ready === state.ready) {
     return [];
   }
@@ -41,7 +40,10 @@
   }
   state.phase = 'stopping';
   state.stoppingSince = at;
-  const change: BeliefChange = { event: 'stopping', requests: state.requests.size };
+  const change: BeliefChange = {
+    event: 'stopping',
+    requests: state.requests.size + state.held.size,
+  };
   return [
     { type: 'write-log', level: 'info', part: 'lifecycle', change },
     ...updateReadiness(state),
@@ -54,7 +56,7 @@
 export const continueStop = (state: GatewayState, { at }: StopDue): GatewayEffect[] => {
   const elapsed = at - state.stoppingSince;
   const isGraceOver = elapsed >= state.settings.bounds.graceMs - END_MARGIN_MS;
-  const isIdle = elapsed >= TAKE_CALLERS_MS && state.requests.size === 0;
+  const isIdle = elapsed >= TAKE_CALLERS_MS && state.requests.size === 0 && state.held.size === 0;
   if (isGraceOver || isIdle) {
     state.phase = 'ended';
     const change: BeliefChange = {
--- a/src/gateway/reducer.ts
+++ b/src/gateway/reducer.ts
@@ -8,7 +8,7 @@
 import { beginStop, continueStop, updateReadiness } from './lifecycle.js';
 import { listGateways, takeGateways } from './peers/follow-gateways.js';
 import { preconnectReplicas } from './replicas/preconnect.js';
-import { acceptRequest } from './requests/accept-request.js';
+import { acceptHeldRequests, acceptRequest } from './requests/accept-request.js';
 import { acceptSubquery, takeSubqueryCancelled } from './requests/accept-subquery.js';
 import {
   takeAcknowledgement,
@@ -46,11 +46,13 @@
     .with({ type: 'request-due' }, (due) => takeRequestDue(state, due))
     .with({ type: 'page-read' }, (read) => [
       ...takePage(state, read),
+      ...acceptHeldRequests(state, read.at),
       ...preconnectReplicas(state),
       ...updateReadiness(state),
     ])
     .with({ type: 'changes-read' }, (read) => [
       ...takeChanges(state, read),
+      ...acceptHeldRequests(state, read.at),
       ...preconnectReplicas(state),
       ...updateReadiness(state),
     ])
--- a/src/gateway/requests/accept-request.ts
+++ b/src/gateway/requests/accept-request.ts
@@ -4,8 +4,9 @@
 import { trace } from '../log/trace.js';
 import type { Route } from '../model/route.js';
 import { SplitCursor, isSameSplit } from '../routing/split-cursor.js';
-import type { GatewayState } from '../state.js';
+import { type GatewayState, isInformed } from '../state.js';
 import { refuseCall } from './finish.js';
+import { holdRequest } from './hold-request.js';
 import { sendLegs } from './send-legs.js';
 import { type ActiveRequest, createActiveRequest, createLeg, type Leg } from './request-state.js';
 import { createRouteLatency, hedgeDelay } from './route-latency.js';
@@ -44,7 +45,8 @@
 const createRequest = (
   state: GatewayState,
   route: Route,
-  { call, request, at }: RequestReceived,
+  { call, request, at: receivedAt }: RequestReceived,
+  at: number,
 ): ActiveRequest => {
   const legs = legsOf(state, route);
   const patienceMs = (request.budgetMs ?? route.timeoutMs) - DEADLINE_MARGIN_MS;
@@ -58,9 +60,9 @@
     request,
     route,
     legs,
-    receivedAt: at,
-    deadlineAt: at + Math.max(1, Math.min(route.timeoutMs, patienceMs)),
-    objectiveAt: at + route.objectiveMs - margin,
+    receivedAt,
+    deadlineAt: receivedAt + Math.max(1, Math.min(route.timeoutMs, patienceMs)),
+    objectiveAt: receivedAt + route.objectiveMs - margin,
     hedgeAt: at + hedgeDelay(latency, route),
     acknowledgeAt: undefined,
   });
@@ -84,18 +86,30 @@
   return [...sent, ...progressRequest(state, request, at)];
 };
 
-/** Handles `request-received`. */
-export const acceptRequest = (state: GatewayState, event: RequestReceived): GatewayEffect[] => {
+/** Finds the route of a request and sends it, at a time that may be later than its arrival. */
+const routeRequest = (state: GatewayState, event: RequestReceived, at: number): GatewayEffect[] => {
   const { request } = event;
-  if (state.inForce === undefined || !state.replicasListed) {
-    return refuseCall(state, event, 'no-configuration', true);
+  const route = state.inForce?.table.find(request.host, request.path);
+  if (route === undefined) {
+    return refuseCall(state, event, 'no-route', false);
   }
-  if (request.requestId === '') {
+  return startRequest(state, createRequest(state, route, event, at), at);
+};
+
+/** Handles `request-received`. */
+export const acceptRequest = (state: GatewayState, event: RequestReceived): GatewayEffect[] => {
+  if (event.request.requestId === '') {
     return refuseCall(state, event, 'no-request-id', false);
   }
-  const route = state.inForce.table.find(request.host, request.path);
-  if (route === undefined) {
-    return refuseCall(state, event, 'no-route', false);
+  return isInformed(state) ? routeRequest(state, event, event.at) : holdRequest(state, event);
+};
+
+/** Sends the requests that were held for the first configuration, once it is in force. */
+export const acceptHeldRequests = (state: GatewayState, at: number): GatewayEffect[] => {
+  if (!isInformed(state) || state.held.size === 0) {
+    return [];
   }
-  return startRequest(state, createRequest(state, route, event), event.at);
+  const events = [...state.held.values()];
+  state.held.clear();
+  return events.flatMap((event) => routeRequest(state, event, at));
 };
--- a/src/gateway/requests/finish.ts
+++ b/src/gateway/requests/finish.ts
@@ -5,13 +5,10 @@
 import { trace, writeTrace } from '../log/trace.js';
 import type { CallerResponse, CallId, MergedAnswer, RefusalReason } from '../model/request.js';
 import type { GatewayState } from '../state.js';
-import { giveUpAttempts } from './give-up-attempts.js';
+import { giveUpAttempts, LINGER_MS } from './give-up-attempts.js';
 import { mergeRecords } from './merge-records.js';
 import { type ActiveRequest, isAnswered, type Leg } from './request-state.js';
 
-/** Time that attempts which are no longer wanted have to end by themselves, in milliseconds. */
-export const LINGER_MS = 400;
-
 /** When a caller whose request has not run should come back, in milliseconds. */
 const RETRY_AFTER_MS = 50;
 
@@ -91,12 +88,13 @@
   ];
 };
 
-/** Refuses a call before anything was sent to a replica. */
+/** Refuses a call before anything was sent to a replica; `at` is now, when the call was held. */
 export const refuseCall = (
   state: GatewayState,
-  { call, request, at }: RequestReceived,
+  { call, request, at: receivedAt }: RequestReceived,
   reason: RefusalReason,
   comeBack: boolean,
+  at = receivedAt,
 ): GatewayEffect[] => {
   const retry = comeBack ? { retryAfterMs: RETRY_AFTER_MS } : {};
   const response = { type: 'refusal', reason, mayHaveRun: false, ...retry } as const;
@@ -107,7 +105,7 @@
     mayHaveRun: false,
     missing: [],
     objectiveMs: 0,
-    elapsedMs: 0,
+    elapsedMs: Math.round(at - receivedAt),
   };
   state.counters.requests.add('', reason);
   return [
--- a/src/gateway/requests/give-up-attempts.ts
+++ b/src/gateway/requests/give-up-attempts.ts
@@ -1,16 +1,14 @@
 /** Gives up what replicas and feeders still do for a request. */
 import type { GatewayEffect } from '../effect.js';
 import type { GatewayState } from '../state.js';
-import type { ActiveRequest } from './request-state.js';
+import type { ActiveRequest, Leg } from './request-state.js';
 
-const abortAttempts = ({ legs }: ActiveRequest, withinMs: number): GatewayEffect[] =>
-  legs.flatMap((leg) =>
-    [...leg.running].map((attempt): GatewayEffect => ({
-      type: 'abort-attempt',
-      attempt,
-      withinMs,
-    })),
-  );
+/** Time that attempts which are no longer wanted have to end by themselves, in milliseconds. */
+export const LINGER_MS = 40;
+
+/** Gives up the attempts of a leg that still run. */
+export const abortLeg = ({ running }: Leg, withinMs: number): GatewayEffect[] =>
+  [...running].map((attempt): GatewayEffect => ({ type: 'abort-attempt', attempt, withinMs }));
 
 const cancelSubqueries = (
   state: GatewayState,
@@ -35,6 +33,6 @@
   request: ActiveRequest,
   withinMs: number,
 ): GatewayEffect[] => [
-  ...abortAttempts(request, withinMs),
+  ...request.legs.flatMap((leg) => abortLeg(leg, withinMs)),
   ...cancelSubqueries(state, request, withinMs),
 ];
--- a/src/gateway/requests/report-parts.ts
+++ b/src/gateway/requests/report-parts.ts
@@ -3,8 +3,7 @@
 import { trace, writeTrace } from '../log/trace.js';
 import type { ShardPart } from '../model/subquery.js';
 import type { GatewayState } from '../state.js';
-import { LINGER_MS } from './finish.js';
-import { giveUpAttempts } from './give-up-attempts.js';
+import { giveUpAttempts, LINGER_MS } from './give-up-attempts.js';
 import { mergeRecords } from './merge-records.js';
 import type { ActiveRequest } from './request-state.js';
 
--- a/src/gateway/requests/take-result.ts
+++ b/src/gateway/requests/take-result.ts
@@ -6,7 +6,8 @@
 import type { AttemptProblem, AttemptResult, ReplicaAnswer } from '../model/request.js';
 import type { GatewayState } from '../state.js';
 import { settleAttempt } from './attempts.js';
-import { giveUpAttempts } from './give-up-attempts.js';
+import { abortLeg, giveUpAttempts, LINGER_MS } from './give-up-attempts.js';
+import { refuseHeldRequest } from './hold-request.js';
 import { progressRequest } from './progress.js';
 import type { ActiveAttempt, ActiveRequest, Leg } from './request-state.js';
 import { endLeg, retryLeg } from './retry-leg.js';
@@ -34,7 +35,7 @@
 ): GatewayEffect[] => {
   if (result.type === 'answered' && isUsable(request, result.answer)) {
     endLeg(request, leg, { type: 'answered', answer: result.answer });
-    return [];
+    return abortLeg(leg, LINGER_MS);
   }
   if (result.type === 'answered' && result.answer.status >= FIRST_FAILURE_STATUS) {
     leg.failure = result.answer;
@@ -91,14 +92,16 @@
 /** Handles `request-due`. */
 export const takeRequestDue = (state: GatewayState, { call, at }: RequestDue): GatewayEffect[] => {
   const request = state.requests.get(call);
-  return request === undefined ? [] : progressRequest(state, request, at);
+  return request === undefined
+    ? refuseHeldRequest(state, call, at)
+    : progressRequest(state, request, at);
 };
 
 /** Handles `caller-left`: replicas are told at once, by closing their connections. */
 export const takeCallerLeft = (state: GatewayState, { call, at }: CallerLeft): GatewayEffect[] => {
   const request = state.requests.get(call);
   if (request === undefined) {
-    return [];
+    return state.held.delete(call) ? [{ type: 'forget-call', call }] : [];
   }
   state.requests.delete(call);
   const elapsedMs = Math.round(at - request.receivedAt);
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -1,6 +1,7 @@
 /** The state of a gateway; the reducer owns it and updates it in place. */
 import { createRandom, type Random } from '../core/random.js';
 import { RetryBudget } from './budget/retry-budget.js';
+import type { RequestReceived } from './event.js';
 import { createGatewayCounters, type GatewayCounters } from './metrics/gateway-counters.js';
 import type { GatewayConfiguration } from './model/route.js';
 import type { AttemptId, CallId } from './model/request.js';
@@ -78,6 +79,8 @@
   /** All replicas have been listed once. */
   replicasListed: boolean;
   readonly replicas: ReplicaDirectory;
+  /** Requests that wait for the first configuration. */
+  readonly held: Map<CallId, RequestReceived>;
   readonly requests: Map<CallId, ActiveRequest>;
   readonly attempts: Map<AttemptId, ActiveAttempt>;
   nextAttempt: AttemptId;
@@ -112,6 +115,7 @@
   },
   replicasListed: false,
   replicas: new ReplicaDirectory(),
+  held: new Map(),
   requests: new Map(),
   attempts: new Map(),
   nextAttempt: 1,
@@ -121,6 +125,10 @@
   counters: createGatewayCounters(),
 });
 
+/** Whether this gateway knows a configuration and the replicas, so that it can serve requests. */
+export const isInformed = ({ inForce, replicasListed }: GatewayState): boolean =>
+  inForce !== undefined && replicasListed;
+
 /** The retry budget of a service. */
 export const budgetOf = (state: GatewayState, service: string): RetryBudget => {
   const known = state.budgets.get(service);
--- a/test/gateway/requests.test.ts
+++ b/test/gateway/requests.test.ts
@@ -73,6 +73,24 @@
     expect(replicas.size).toBe(12);
   });
 
+  it('ends the slower attempts of a leg shortly after one was answered', () => {
+    const gateway = gatewayWith(10, 0.8);
+    gateway.request();
+    gateway.sent
+      .slice(0, 8)
+      .forEach((attempt) => gateway.end(attempt, success(attempt.replica.id)));
+    gateway.advanceTo(56);
+    const [slow, , hedge] = gateway.sent.slice(8);
+    if (hedge !== undefined) {
+      gateway.end(hedge, success(hedge.replica.id));
+    }
+    expect(gateway.effects).toContainEqual({
+      type: 'abort-attempt',
+      attempt: slow?.attempt,
+      withinMs: 40,
+    });
+  });
+
   it('pauses a leg that no replica takes, tries all again and completes', () => {
     const gateway = gatewayWith(4, 1);
     const call = gateway.request();
@@ -152,6 +170,55 @@
   });
 });
 
+describe('a request that comes before the store was read', () => {
+  const routes = [routeTo(SERVICE)];
+
+  it('is held and sent once a configuration and the replicas are known', () => {
+    const gateway = new VirtualGateway();
+    const call = gateway.request(900);
+    gateway.advanceTo(60);
+    gateway.configure(1, routes);
+    expect(gateway.sent).toEqual([]);
+    gateway.listReplicas(['s0']);
+    expect(gateway.answers.has(call)).toBe(false);
+    expect(gateway.sent).toHaveLength(1);
+    expect(gateway.sent[0]?.deadlineAt).toBe(890);
+  });
+
+  it('is refused after a tenth of the time that its caller waits, and told to come back', () => {
+    const gateway = new VirtualGateway();
+    const call = gateway.request(900);
+    gateway.advanceTo(300);
+    expect(gateway.answeredAt.get(call)).toBe(90);
+    expect(gateway.answers.get(call)).toMatchObject({
+      type: 'refusal',
+      reason: 'no-configuration',
+      mayHaveRun: false,
+      retryAfterMs: 50,
+    });
+    gateway.configure(1, routes);
+    gateway.listReplicas(['s0']);
+    expect(gateway.sent).toEqual([]);
+  });
+
+  it('is held for 200 ms at most', () => {
+    const gateway = new VirtualGateway();
+    const call = gateway.request(60_000);
+    gateway.advanceTo(300);
+    expect(gateway.answeredAt.get(call)).toBe(200);
+  });
+
+  it('is forgotten when its caller leaves', () => {
+    const gateway = new VirtualGateway();
+    const call = gateway.request(900);
+    gateway.emit({ type: 'caller-left', at: 10, call });
+    gateway.configure(1, routes);
+    gateway.listReplicas(['s0']);
+    expect(gateway.sent).toEqual([]);
+    expect(gateway.answers.has(call)).toBe(false);
+  });
+});
+
 describe('the retry budget', () => {
   it('bounds hedges to a part of the requests and the slack', () => {
     const gateway = gatewayWith(1, 1, 4);
