Ask the next feeder for shards that one sent to no replica; watch the store less often

(2) A leg whose answer was lost ended for good when the retry budget was empty at that moment. (3) Attempts given up early taught nothing of a slow replica. (4) Each change of a replica was read from the store by each gateway after 0.3 s. Change: feeders tell the shards that they sent to no replica, at once, and the next feeder is asked, not as a repeat; legs pause while they may run again; given-up attempts count as slow; the pause between watches is a quarter of the bound of drain and configuration.

--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -59,6 +59,12 @@
       readonly isFinal: boolean;
       readonly elapsedMs: number;
     }
+  | {
+      readonly event: 'legs-unsent';
+      readonly subquery: SubqueryId;
+      readonly peer: string;
+      readonly shards: number;
+    }
   | {
       readonly event: 'subquery-failed';
       readonly subquery: SubqueryId;
@@ -153,6 +159,7 @@
   'leg-paused': 'All replicas refused or could not be reached; they are tried again after a pause.',
   'subquery-sent': 'A feeder was asked for the parts of some shards.',
   'subquery-answered': 'A feeder has sent parts; after the final ones nothing follows.',
+  'legs-unsent': 'A feeder sent some shards to no replica; the next feeder is asked for them.',
   'subquery-failed': 'A feeder failed or was silent; its shards are asked for elsewhere.',
   'subquery-admitted': 'At a feeder: another gateway asks for the parts of some shards.',
   'parts-sent': 'At a feeder: the last parts were sent to the gateway that asked.',
--- a/src/gateway/replicas/replica.ts
+++ b/src/gateway/replicas/replica.ts
@@ -71,12 +71,26 @@
   return 1 + (replica.slowdown - 1) * Math.exp(-age / SLOWDOWN_MEMORY_MS);
 };
 
-/** Notes how long an attempt took, relative to what is usual. */
-export const noteLatency = (replica: Replica, ratio: number, at: number): void => {
+const addSlowdownSample = (replica: Replica, ratio: number, at: number): void => {
   const sample = Math.min(MAX_SAMPLE_RATIO, ratio);
   const known = slowdownNow(replica, at);
   replica.slowdown = known + SLOWDOWN_WEIGHT * (sample - known);
   replica.slowdownAt = at;
+};
+
+/**
+ * Notes that an attempt was given up before its answer: it would have taken at least so long, relative
+ * to what is usual. One that was given up early says nothing.
+ */
+export const noteUnfinished = (replica: Replica, leastRatio: number, at: number): void => {
+  if (leastRatio > slowdownNow(replica, at)) {
+    addSlowdownSample(replica, leastRatio, at);
+  }
+};
+
+/** Notes how long an attempt took, relative to what is usual. */
+export const noteLatency = (replica: Replica, ratio: number, at: number): void => {
+  addSlowdownSample(replica, ratio, at);
   replica.failures = 0;
   replica.ejectedUntil = Number.NEGATIVE_INFINITY;
   replica.answeredAt = at;
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -9,6 +9,7 @@
   noteLatency,
   noteLoad,
   noteReplicaFailure,
+  noteUnfinished,
   slowdownNow,
 } from '../replicas/replica.js';
 import { isFed, shareOf } from '../peers/service-share.js';
@@ -192,12 +193,28 @@
       noteReplicaFailure(replica, at);
       return;
     case 'failed':
+      if (result.problem === 'aborted' && result.mayHaveRun) {
+        noteGivenUp(state, attempt, replica, at);
+      }
       if (!HARMLESS_PROBLEMS.has(result.problem)) {
         noteReplicaFailure(replica, at);
       }
   }
 };
 
+/** What an attempt that was sent and not waited for says of its replica. */
+const noteGivenUp = (
+  state: GatewayState,
+  attempt: ActiveAttempt,
+  replica: Replica,
+  at: number,
+): void => {
+  const latency = state.latencies.get(attempt.route);
+  if (latency !== undefined) {
+    noteUnfinished(replica, (at - attempt.sentAt) / latency.median, at);
+  }
+};
+
 const FIRST_FAILURE_STATUS = 500;
 
 const noteAnswer = (
--- a/src/gateway/requests/check-subqueries.ts
+++ b/src/gateway/requests/check-subqueries.ts
@@ -4,7 +4,7 @@
 import { trace } from '../log/trace.js';
 import type { PeerProblem } from '../model/subquery.js';
 import type { GatewayState } from '../state.js';
-import type { ActiveRequest, ActiveSubquery } from './request-state.js';
+import { type ActiveRequest, type ActiveSubquery, openLegsOf } from './request-state.js';
 import { sendLegs } from './send-legs.js';
 
 /** What has arrived while this process was busy is read before a feeder is judged, in milliseconds. */
@@ -33,14 +33,15 @@
 export const moveLegs = (
   state: GatewayState,
   request: ActiveRequest,
-  { id, peer, legs, sentAt }: ActiveSubquery,
+  subquery: ActiveSubquery,
   mayHaveRun: boolean,
   at: number,
 ): GatewayEffect[] => {
+  const { id, peer, sentAt } = subquery;
   request.subqueries.delete(id);
   state.subqueries.delete(id);
   request.failedFeeders.add(peer);
-  const open = legs.filter(({ outcome }) => outcome === undefined);
+  const open = openLegsOf(subquery);
   open.forEach((leg) => {
     leg.subquery = undefined;
   });
--- a/src/gateway/requests/progress.ts
+++ b/src/gateway/requests/progress.ts
@@ -6,7 +6,7 @@
 import { checkSubqueries } from './check-subqueries.js';
 import { retryLeg } from './retry-leg.js';
 import { finishGather, finishRequest, giveUp } from './finish.js';
-import { finishSubquery, reportParts } from './report-parts.js';
+import { finishSubquery, hasUnsent, reportParts } from './report-parts.js';
 import type { ActiveRequest, Leg } from './request-state.js';
 
 /** A hedge waits while more than this part of the legs is open, in steps, and for so long. */
@@ -155,7 +155,10 @@
   return [{ type: 'acknowledge-subquery', call: request.call }];
 };
 
-/** A subquery of another gateway: from its objective on, parts are sent as they come. */
+/**
+ * A subquery of another gateway: from its objective on, parts are sent as they come. Shards that this
+ * feeder sends to no replica are told at once.
+ */
 const progressSubquery = (
   state: GatewayState,
   request: ActiveRequest,
@@ -165,7 +168,8 @@
   if (request.openLegs === 0 || at >= request.deadlineAt) {
     return finishSubquery(state, request, target.maxRecords, at);
   }
-  const parts = at >= request.objectiveAt ? reportParts(request, target.maxRecords) : [];
+  const isDue = at >= request.objectiveAt || hasUnsent(request);
+  const parts = isDue ? reportParts(request, target.maxRecords) : [];
   return [...acknowledge(request, at), ...parts, ...waitOrHedge(state, request, at)];
 };
 
--- a/src/gateway/requests/report-parts.ts
+++ b/src/gateway/requests/report-parts.ts
@@ -5,7 +5,14 @@
 import type { GatewayState } from '../state.js';
 import { giveUpAttempts, LINGER_MS } from './give-up-attempts.js';
 import { mergeRecords } from './merge-records.js';
-import type { ActiveRequest } from './request-state.js';
+import type { ActiveRequest, Leg } from './request-state.js';
+
+/** Whether a leg ended without an attempt, and the gateway that asked does not know it yet. */
+const isUnsent = ({ isReported, outcome, tried }: Leg): boolean =>
+  !isReported && outcome?.type === 'unanswered' && tried.size === 0;
+
+/** Whether another feeder should be asked for a part at once. */
+export const hasUnsent = ({ legs }: ActiveRequest): boolean => legs.some(isUnsent);
 
 /** The parts that are in and were not sent yet. */
 const takeUnreported = (
@@ -15,6 +22,10 @@
 ): AnswerSubquery => {
   const shards: ShardPart[] = [];
   const bodies: Uint8Array[] = [];
+  const unsent = legs.filter(isUnsent);
+  unsent.forEach((leg) => {
+    leg.isReported = true;
+  });
   for (const leg of legs) {
     if (leg.isReported || leg.outcome?.type !== 'answered') {
       continue;
@@ -27,13 +38,15 @@
     }
   }
   const records = mergeRecords(bodies, maxRecords);
-  return { type: 'answer-subquery', call, part: { shards, records, isFinal } };
+  const part = { shards, records, unsent: unsent.map(({ service }) => service), isFinal };
+  return { type: 'answer-subquery', call, part };
 };
 
 /** Sends what is in and was not sent yet. */
 export const reportParts = (request: ActiveRequest, maxRecords: number): GatewayEffect[] => {
   const answer = takeUnreported(request, maxRecords, false);
-  return answer.part.shards.length > 0 ? [answer] : [];
+  const { shards, unsent } = answer.part;
+  return shards.length + unsent.length > 0 ? [answer] : [];
 };
 
 /** Sends the last parts and ends the subquery. */
--- a/src/gateway/requests/request-state.ts
+++ b/src/gateway/requests/request-state.ts
@@ -43,7 +43,10 @@
 export interface ActiveSubquery {
   readonly id: SubqueryId;
   readonly peer: string;
+  /** Legs that it was sent for; one that names another subquery, or none, has been moved since. */
   readonly legs: readonly Leg[];
+  /** Replicas may have run the request before, for another feeder. */
+  readonly isRepeat: boolean;
   readonly sentAt: number;
   /** When the feeder must have acknowledged it; undefined once it has. */
   acknowledgeBy: number | undefined;
@@ -111,6 +114,10 @@
   isReported: false,
 });
 
+/** Legs of a subquery that still wait for it. */
+export const openLegsOf = ({ id, legs }: ActiveSubquery): readonly Leg[] =>
+  legs.filter(({ outcome, subquery }) => outcome === undefined && subquery === id);
+
 /** Whether the part of a leg is in. */
 export const isAnswered = ({ outcome }: Leg): boolean =>
   outcome?.type === 'answered' || outcome?.type === 'fed';
--- a/src/gateway/requests/retry-leg.ts
+++ b/src/gateway/requests/retry-leg.ts
@@ -32,7 +32,9 @@
 const pauseLeg = (state: GatewayState, request: ActiveRequest, leg: Leg, at: number): boolean => {
   const resumeAt = at + FIRST_PAUSE_MS * 2 ** leg.pauses;
   const hasReplicas = state.replicas.of(leg.service).length > 0;
-  const isWorthwhile = hasReplicas && leg.runs === 0 && leg.pauses < MAX_PAUSES;
+  const { repeatable, maxAttempts } = request.route;
+  const mayRunAgain = leg.runs === 0 || (repeatable && leg.runs < maxAttempts);
+  const isWorthwhile = hasReplicas && mayRunAgain && leg.pauses < MAX_PAUSES;
   if (!isWorthwhile || resumeAt >= latestPause(request)) {
     return false;
   }
--- a/src/gateway/requests/send-legs.ts
+++ b/src/gateway/requests/send-legs.ts
@@ -100,6 +100,7 @@
     id,
     peer: peer.name,
     legs,
+    isRepeat,
     sentAt: at,
     acknowledgeBy: at + acknowledgeWithin(request.route),
     isOverdue: false,
--- a/src/gateway/requests/take-subquery-result.ts
+++ b/src/gateway/requests/take-subquery-result.ts
@@ -13,8 +13,9 @@
 import type { GatewayState } from '../state.js';
 import { moveLegs, suspectPeer } from './check-subqueries.js';
 import { progressRequest } from './progress.js';
-import type { ActiveRequest, ActiveSubquery } from './request-state.js';
+import { type ActiveRequest, type ActiveSubquery, openLegsOf } from './request-state.js';
 import { endLeg } from './retry-leg.js';
+import { sendLegs } from './send-legs.js';
 
 interface FoundSubquery {
   readonly request: ActiveRequest;
@@ -58,16 +59,39 @@
 };
 
 /** The legs for which the feeder has no part. */
-const endMissing = (request: ActiveRequest, { legs }: ActiveSubquery, at: number): void => {
-  for (const leg of legs) {
-    if (leg.outcome === undefined) {
-      leg.runs += 1;
-      trace(request.decisions, at, { event: 'leg-failed', service: leg.service, runs: leg.runs });
-      endLeg(request, leg, { type: 'unanswered' });
-    }
+const endMissing = (request: ActiveRequest, subquery: ActiveSubquery, at: number): void => {
+  for (const leg of openLegsOf(subquery)) {
+    leg.runs += 1;
+    trace(request.decisions, at, { event: 'leg-failed', service: leg.service, runs: leg.runs });
+    endLeg(request, leg, { type: 'unanswered' });
   }
 };
 
+/**
+ * Sends the legs that a feeder sent to no replica to the next feeder of their shards: one that was cut
+ * off from the store does not know the replicas of a new index.
+ */
+const moveUnsent = (
+  state: GatewayState,
+  request: ActiveRequest,
+  subquery: ActiveSubquery,
+  unsent: readonly string[],
+  at: number,
+): GatewayEffect[] => {
+  const legs = openLegsOf(subquery).filter(({ service }) => unsent.includes(service));
+  if (legs.length === 0) {
+    return [];
+  }
+  const { id, peer, isRepeat } = subquery;
+  request.failedFeeders.add(peer);
+  legs.forEach((leg) => {
+    leg.subquery = undefined;
+  });
+  state.counters.subqueries.add('moved');
+  trace(request.decisions, at, { event: 'legs-unsent', subquery: id, peer, shards: legs.length });
+  return sendLegs(state, request, legs, isRepeat, at);
+};
+
 /** Handles `subquery-answered`. */
 export const takeSubqueryAnswer = (
   state: GatewayState,
@@ -81,7 +105,7 @@
   subquery.acknowledgeBy = undefined;
   takeParts(request, subquery, part);
   const elapsedMs = Math.round(at - subquery.sentAt);
-  const { isFinal } = part;
+  const { isFinal, unsent } = part;
   const parts = part.shards.length;
   trace(request.decisions, at, {
     event: 'subquery-answered',
@@ -90,12 +114,13 @@
     isFinal,
     elapsedMs,
   });
+  const moved = moveUnsent(state, request, subquery, unsent, at);
   if (isFinal) {
     request.subqueries.delete(id);
     state.subqueries.delete(id);
     endMissing(request, subquery, at);
   }
-  return progressRequest(state, request, at);
+  return [...moved, ...progressRequest(state, request, at)];
 };
 
 /** Handles `subquery-failed`. */
--- a/src/gateway/store/apply-collections.ts
+++ b/src/gateway/store/apply-collections.ts
@@ -138,7 +138,7 @@
   return [
     ...applyObjects(state, changes, at),
     ...forgetGoneReplicas(state, at),
-    noteChanges(progress, changes.revision, hasChanges, at),
+    noteChanges(progress, changes.revision, hasChanges, state.settings.bounds, at),
   ];
 };
 
--- a/src/gateway/store/follow-collection.ts
+++ b/src/gateway/store/follow-collection.ts
@@ -4,16 +4,18 @@
  */
 import type { GatewayEffect } from '../effect.js';
 import type { Random } from '../../core/random.js';
+import type { GatewayBounds } from '../settings.js';
 import type { CollectionCall, CollectionName } from './collection.js';
 
 /** How long a watch waits at the store, in milliseconds; probes find out earlier if it is lost. */
 const WATCH_WAIT_MS = 25_000;
 
-/** Pause between two watches of a collection: changes that come together are read together. */
-const WATCH_GAP_MS: Readonly<Record<CollectionName, number>> = {
-  configuration: 50,
-  replicas: 300,
-};
+/**
+ * Pause between two watches of a collection, as a part of the time within which a change must be in
+ * force: changes that come together are read together, and each call to the store is paid for. The rest
+ * of the time is for a store that is found out of reach (see `probe-store.ts`) and answers late.
+ */
+const WATCH_GAP_SHARE = 0.25;
 
 /** Time for an answer beyond what the store was asked to wait, in milliseconds. */
 const ANSWER_MS = 1_000;
@@ -88,6 +90,7 @@
   progress: CollectionProgress,
   revision: number,
   hasChanges: boolean,
+  bounds: GatewayBounds,
   at: number,
 ): GatewayEffect => {
   progress.failures = 0;
@@ -97,7 +100,9 @@
     return callNow(progress);
   }
   const { collection } = progress;
-  return { type: 'set-collection-timer', collection, at: at + WATCH_GAP_MS[collection] };
+  const inForceWithinMs = collection === 'replicas' ? bounds.drainMs : bounds.configurationMs;
+  const gapMs = inForceWithinMs * WATCH_GAP_SHARE;
+  return { type: 'set-collection-timer', collection, at: at + gapMs };
 };
 
 /** Notes a failed call: lists again when the history is gone, and backs off. */
--- a/test/gateway/feeders.test.ts
+++ b/test/gateway/feeders.test.ts
@@ -33,9 +33,14 @@
   return gateway;
 };
 
-const partOf = (shards: readonly string[], isFinal = true): SubqueryPart => ({
+const partOf = (
+  shards: readonly string[],
+  isFinal = true,
+  unsent: readonly string[] = [],
+): SubqueryPart => ({
   shards: shards.map((service) => ({ service, signature: `signed-${service}` })),
   records: Buffer.alloc(16 * shards.length, 7),
+  unsent,
   isFinal,
 });
 
@@ -188,6 +193,24 @@
     expect(moved.some(({ subquery }) => subquery.isRepeat)).toBe(false);
   });
 
+  it('asks the next feeder for shards that a feeder sent to no replica, and not as a repeat', () => {
+    const gateway = coordinator();
+    const call = gateway.request();
+    const [uninformed, ...others] = gateway.subqueries.slice();
+    others.forEach((sent) => answer(gateway, sent));
+    const { shards } = firstOf(gateway.subqueries).subquery;
+    const before = gateway.subqueries.length;
+    if (uninformed !== undefined) {
+      answer(gateway, uninformed, partOf([], true, shards));
+    }
+    const moved = gateway.subqueries.slice(before);
+    expect(moved.flatMap(({ subquery }) => subquery.shards).sort()).toEqual([...shards].sort());
+    expect(moved.some(({ subquery }) => subquery.isRepeat)).toBe(false);
+    expect(moved.some(({ peer }) => peer.name === uninformed?.peer.name)).toBe(false);
+    moved.forEach((sent) => answer(gateway, sent));
+    expect(gateway.answers.get(call)).toMatchObject({ type: 'merged', missingShards: 0 });
+  });
+
   it('tells its feeders when the caller has left', () => {
     const gateway = coordinator();
     const call = gateway.request();
@@ -247,6 +270,18 @@
     });
   });
 
+  it('tells at once which shards it knows no replica of', () => {
+    const gateway = feeder();
+    gateway.askForParts({ shards: ['s0', 'unknown'] });
+    expect(answersOf(gateway.effects)).toMatchObject([
+      { part: { shards: [], unsent: ['unknown'], isFinal: false } },
+    ]);
+    gateway.sent.slice().forEach((sent) => gateway.end(sent, success(sent.replica.id)));
+    expect(answersOf(gateway.effects).at(-1)).toMatchObject({
+      part: { shards: [{ service: 's0' }], unsent: [], isFinal: true },
+    });
+  });
+
   it('sends a repeated subquery to one replica of each shard only', () => {
     const gateway = feeder(168);
     gateway.askForParts({ shards: [ownShard(gateway)], isRepeat: true });
