--- a/src/core/hash.ts
+++ b/src/core/hash.ts
@@ -18,6 +18,27 @@
 
 const encoder = new TextEncoder();
 
+/** Short ASCII texts, nearly all that are hashed, are encoded here: a call to the encoder costs 1 us. */
+const SHORT_LENGTH = 256;
+const shortBytes = new Uint8Array(SHORT_LENGTH);
+
+const FIRST_NON_ASCII = 0x80;
+
+/** Writes a short ASCII text to `shortBytes`; false when the text is another. */
+const encodeShort = (text: string): boolean => {
+  if (text.length > SHORT_LENGTH) {
+    return false;
+  }
+  for (let index = 0; index < text.length; index += 1) {
+    const code = text.charCodeAt(index);
+    if (code >= FIRST_NON_ASCII) {
+      return false;
+    }
+    shortBytes[index] = code;
+  }
+  return true;
+};
+
 const rotateLeft = (value: number, bits: number): number =>
   (value << bits) | (value >>> (32 - bits));
 
@@ -31,12 +52,12 @@
   Math.imul(rotateLeft((accumulator + Math.imul(lane, PRIME_2)) | 0, 13), PRIME_1);
 
 /** Takes all whole stripes of an input that has at least one. */
-const hashStripes = (bytes: Uint8Array, seed: number): number => {
+const hashStripes = (bytes: Uint8Array, length: number, seed: number): number => {
   let first = (seed + PRIME_1 + PRIME_2) | 0;
   let second = (seed + PRIME_2) | 0;
   let third = seed | 0;
   let fourth = (seed - PRIME_1) | 0;
-  for (let offset = 0; offset + STRIPE_BYTES <= bytes.length; offset += STRIPE_BYTES) {
+  for (let offset = 0; offset + STRIPE_BYTES <= length; offset += STRIPE_BYTES) {
     first = mixLane(first, readLane(bytes, offset));
     second = mixLane(second, readLane(bytes, offset + LANE_BYTES));
     third = mixLane(third, readLane(bytes, offset + 2 * LANE_BYTES));
@@ -48,14 +69,14 @@
 };
 
 /** Takes what is left after the whole stripes. */
-const hashRest = (bytes: Uint8Array, begin: number, start: number): number => {
+const hashRest = (bytes: Uint8Array, length: number, begin: number, start: number): number => {
   let hash = begin;
   let offset = start;
-  for (; offset + LANE_BYTES <= bytes.length; offset += LANE_BYTES) {
+  for (; offset + LANE_BYTES <= length; offset += LANE_BYTES) {
     const mixed = (hash + Math.imul(readLane(bytes, offset), PRIME_3)) | 0;
     hash = Math.imul(rotateLeft(mixed, 17), PRIME_4);
   }
-  for (; offset < bytes.length; offset += 1) {
+  for (; offset < length; offset += 1) {
     const mixed = (hash + Math.imul(bytes[offset] ?? 0, PRIME_5)) | 0;
     hash = Math.imul(rotateLeft(mixed, 11), PRIME_1);
   }
@@ -68,11 +89,18 @@
   return (hash ^ (hash >>> 16)) >>> 0;
 };
 
+const hashBytes = (bytes: Uint8Array, length: number, seed: number): number => {
+  const hasStripes = length >= STRIPE_BYTES;
+  const begin = hasStripes ? hashStripes(bytes, length, seed) : (seed + PRIME_5) | 0;
+  const restAt = hasStripes ? length - (length % STRIPE_BYTES) : 0;
+  return avalanche(hashRest(bytes, length, (begin + length) | 0, restAt));
+};
+
 /** Hashes `text` to an unsigned 32-bit integer; the same on every machine and run. */
 export const hash32 = (text: string, seed = 0): number => {
+  if (encodeShort(text)) {
+    return hashBytes(shortBytes, text.length, seed);
+  }
   const bytes = encoder.encode(text);
-  const hasStripes = bytes.length >= STRIPE_BYTES;
-  const begin = hasStripes ? hashStripes(bytes, seed) : (seed + PRIME_5) | 0;
-  const restAt = hasStripes ? bytes.length - (bytes.length % STRIPE_BYTES) : 0;
-  return avalanche(hashRest(bytes, (begin + bytes.length) | 0, restAt));
+  return hashBytes(bytes, bytes.length, seed);
 };
--- a/test/core/hash.test.ts
+++ b/test/core/hash.test.ts
@@ -22,5 +22,14 @@
   for (let length = 0; length <= 70; length += 1) {
     const text = 'ä0123456789'.repeat(7).slice(0, length);
     expect(hash32(text)).toBe(h32(text));
+    expect(hash32(`a${text.slice(1)}`)).toBe(h32(`a${text.slice(1)}`));
+  }
+});
+
+test('hash texts longer than the buffer for short ones', async () => {
+  const { h32 } = await createHasher();
+  for (let length = 250; length <= 270; length += 1) {
+    const text = 'x'.repeat(length);
+    expect(hash32(text)).toBe(h32(text));
   }
 });
