--- a/src/gateway/requests/give-up-attempts.ts
+++ b/src/gateway/requests/give-up-attempts.ts
@@ -3,7 +3,11 @@
 import type { GatewayState } from '../state.js';
 import type { ActiveRequest, Leg } from './request-state.js';
 
-/** Time that attempts which are no longer wanted have to end by themselves, in milliseconds. */
+/**
+ * Time that attempts which are no longer wanted have to end by themselves, in milliseconds; then their
+ * connections are closed. Most end in that time on a calm day. With 400 ms, slow replicas worked for
+ * nobody while others waited: see the rounds in docs/policy.md.
+ */
 export const LINGER_MS = 40;
 
 /** Gives up the attempts of a leg that still run. */
--- a/src/gateway/requests/hold-request.ts
+++ b/src/gateway/requests/hold-request.ts
@@ -15,7 +15,10 @@
  */
 const LONGEST_HOLD_MS = 200;
 
-/** A request is held for no more than this part of the time that its caller waits. */
+/**
+ * A request is held for no more than this part of the time that its caller waits: enough is left for one
+ * more try elsewhere.
+ */
 const HOLD_SHARE = 0.1;
 
 /** Holds a request; it is refused when nothing is known by the time its timer is due. */
--- a/src/gateway/requests/retry-leg.ts
+++ b/src/gateway/requests/retry-leg.ts
@@ -28,7 +28,7 @@
 const latestPause = ({ legs, receivedAt, deadlineAt, route }: ActiveRequest): number =>
   legs.length > 1 ? deadlineAt : receivedAt + route.objectiveMs * UNTRIED_SHARE;
 
-/** Pauses a leg that no replica has run; false when it has paused enough. */
+/** Pauses a leg that may be tried again later; false when it has paused enough. */
 const pauseLeg = (state: GatewayState, request: ActiveRequest, leg: Leg, at: number): boolean => {
   const resumeAt = at + FIRST_PAUSE_MS * 2 ** leg.pauses;
   const hasReplicas = state.replicas.of(leg.service).length > 0;
--- a/src/gateway/store/follow-collection.ts
+++ b/src/gateway/store/follow-collection.ts
@@ -13,7 +13,8 @@
 /**
  * Pause between two watches of a collection, as a part of the time within which a change must be in
  * force: changes that come together are read together, and each call to the store is paid for. The rest
- * of the time is for a store that is found out of reach (see `probe-store.ts`) and answers late.
+ * of the time is for a store that is found out of reach (see `probe-store.ts`) and answers late. What a
+ * quarter saves of the calls stands in docs/policy.md.
  */
 const WATCH_GAP_SHARE = 0.25;
 
