Do not take a shard for unsent that was sent before a pause

Cause: a leg that pauses forgets which replicas it tried; when it then ended, its feeder said that it had sent it to no replica, and the next feeder would have sent it as a first attempt. Found by reading the change again. Ruled out: the count of arrivals, which falls when an attempt did not arrive and begins at one for repeats. Change: a leg keeps whether any attempt was sent from here.

--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -160,6 +160,7 @@
   const { record } = replica;
   const { call, route, deadlineAt } = request;
   leg.tried.add(record.id);
+  leg.wasSent = true;
   leg.running.add(attempt);
   leg.arrivals += 1;
   leg.runs += 1;
--- a/src/gateway/requests/report-parts.ts
+++ b/src/gateway/requests/report-parts.ts
@@ -8,8 +8,8 @@
 import type { ActiveRequest, Leg } from './request-state.js';
 
 /** Whether a leg ended without an attempt, and the gateway that asked does not know it yet. */
-const isUnsent = ({ isReported, outcome, tried }: Leg): boolean =>
-  !isReported && outcome?.type === 'unanswered' && tried.size === 0;
+const isUnsent = ({ isReported, outcome, wasSent }: Leg): boolean =>
+  !isReported && outcome?.type === 'unanswered' && !wasSent;
 
 /** Whether another feeder should be asked for a part at once. */
 export const hasUnsent = ({ legs }: ActiveRequest): boolean => legs.some(isUnsent);
--- a/src/gateway/requests/request-state.ts
+++ b/src/gateway/requests/request-state.ts
@@ -9,6 +9,8 @@
   readonly service: string;
   /** Identifiers of replicas that the request was sent to. */
   readonly tried: Set<string>;
+  /** An attempt was sent from here; unlike `tried`, this stays when all replicas are tried again. */
+  wasSent: boolean;
   /** Attempts that run. */
   readonly running: Set<AttemptId>;
   /** Attempts that reached a replica, or may have. */
@@ -102,6 +104,7 @@
 export const createLeg = (service: string): Leg => ({
   service,
   tried: new Set(),
+  wasSent: false,
   running: new Set(),
   arrivals: 0,
   runs: 0,
--- a/test/gateway/feeders.test.ts
+++ b/test/gateway/feeders.test.ts
@@ -282,6 +282,15 @@
     });
   });
 
+  it('does not take a shard for unsent whose only answer was lost before a pause', () => {
+    const gateway = feeder(0);
+    gateway.askForParts({ shards: ['s0', 's1'] });
+    gateway.end(firstOf(gateway.sent), LOST);
+    gateway.advanceTo(900);
+    expect(gateway.sent).toHaveLength(2);
+    expect(answersOf(gateway.effects).flatMap(({ part }) => part.unsent)).toEqual([]);
+  });
+
   it('sends a repeated subquery to one replica of each shard only', () => {
     const gateway = feeder(168);
     gateway.askForParts({ shards: [ownShard(gateway)], isRepeat: true });
