Name the faults of the lossy store in the rig; join two like steps of tests

Cause: two figures of the rig stood without a name, unit or source; two tests answered their first nine attempts in the same lines. No gateway code changes.

--- a/src/rig/rig-scenarios.ts
+++ b/src/rig/rig-scenarios.ts
@@ -9,6 +9,12 @@
 const POLL_MS = 50;
 const RESTART_WITHIN_MS = 20_000;
 const SECOND_MS = 1_000;
+
+/** Share of the store's answers that are lost, 0 to 1: chosen so that retries follow one another in 10 s. */
+const LOST_ANSWER_SHARE = 0.1;
+
+/** Delay of the answers that are not lost, in milliseconds: chosen, some five times a usual answer. */
+const LOSSY_STORE_DELAY_MS = 20;
 /** Within this time a killed node is known dead everywhere, in milliseconds. */
 const KNOWN_DEAD_WITHIN_MS = 5_000;
 /** Within this time a node ends after a planned stop, in milliseconds. */
@@ -107,7 +113,10 @@
 };
 
 const loseAnswers = async (tier: ProcessTier): Promise<RigCheck[]> => {
-  await tier.setPlatformFaults({ loseAnswerShare: 0.1, delayMs: 20 });
+  await tier.setPlatformFaults({
+    loseAnswerShare: LOST_ANSWER_SHARE,
+    delayMs: LOSSY_STORE_DELAY_MS,
+  });
   await pause(10 * SECOND_MS);
   await tier.setPlatformFaults({ loseAnswerShare: 0, delayMs: 0 });
   return [];
--- a/test/gateway/requests.test.ts
+++ b/test/gateway/requests.test.ts
@@ -14,14 +14,19 @@
   return gateway;
 };
 
+/** Replicas answer the first `count` attempts at a time in milliseconds. */
+const answerFirst = (gateway: VirtualGateway, count: number, at: number): void => {
+  gateway.now = at;
+  gateway.sent
+    .slice(0, count)
+    .forEach((attempt) => gateway.end(attempt, success(attempt.replica.id)));
+};
+
 describe('a gather in virtual time', () => {
   it('answers with what is in 13 ms before its objective', () => {
     const gateway = gatewayWith(10, 0.8);
     const call = gateway.request();
-    gateway.now = 10;
-    gateway.sent
-      .slice(0, 9)
-      .forEach((attempt) => gateway.end(attempt, success(attempt.replica.id)));
+    answerFirst(gateway, 9, 10);
     gateway.advanceTo(86);
     expect(gateway.answers.has(call)).toBe(false);
     gateway.advanceTo(87);
@@ -31,10 +36,7 @@
   it('answers earlier where the caller has opened a connection for the request', () => {
     const gateway = gatewayWith(10, 0.8);
     const call = gateway.request(900, true);
-    gateway.now = 10;
-    gateway.sent
-      .slice(0, 9)
-      .forEach((attempt) => gateway.end(attempt, success(attempt.replica.id)));
+    answerFirst(gateway, 9, 10);
     gateway.advanceTo(79);
     expect(gateway.answers.has(call)).toBe(false);
     gateway.advanceTo(80);
