Give an attempt up once; read parts of feeders that name no unsent shards

Ruled out: remembering at the edge that an attempt ends already: the leg's outcome says so. Change: the end of a request gives up only the attempts of legs that have not ended; the field may be missing.

--- a/src/gateway/model/subquery.ts
+++ b/src/gateway/model/subquery.ts
@@ -33,8 +33,11 @@
   readonly shards: readonly ShardPart[];
   /** The greatest records of these parts, greatest first. */
   readonly records: Uint8Array;
-  /** Shards that the feeder sent to no replica: it knows none, or may send to none. */
-  readonly unsent: readonly string[];
+  /**
+   * Shards that the feeder sent to no replica: it knows none, or may send to none. Feeders of
+   * older builds leave it out.
+   */
+  readonly unsent?: readonly string[];
   /** Nothing follows: shards that were not in any part have no answer. */
   readonly isFinal: boolean;
 }
--- a/src/gateway/requests/give-up-attempts.ts
+++ b/src/gateway/requests/give-up-attempts.ts
@@ -28,7 +28,8 @@
 };
 
 /**
- * Gives up the attempts and subqueries of a request that still run.
+ * Gives up the attempts and subqueries of a request that are still wanted. The other attempts of legs that
+ * have ended were given up when those ended.
  *
  * @param withinMs - time that they have to end by themselves, in milliseconds
  */
@@ -37,6 +38,8 @@
   request: ActiveRequest,
   withinMs: number,
 ): GatewayEffect[] => [
-  ...request.legs.flatMap((leg) => abortLeg(leg, withinMs)),
+  ...request.legs
+    .filter(({ outcome }) => outcome === undefined)
+    .flatMap((leg) => abortLeg(leg, withinMs)),
   ...cancelSubqueries(state, request, withinMs),
 ];
--- a/src/gateway/requests/report-parts.ts
+++ b/src/gateway/requests/report-parts.ts
@@ -45,7 +45,7 @@
 /** Sends what is in and was not sent yet. */
 export const reportParts = (request: ActiveRequest, maxRecords: number): GatewayEffect[] => {
   const answer = takeUnreported(request, maxRecords, false);
-  const { shards, unsent } = answer.part;
+  const { shards, unsent = [] } = answer.part;
   return shards.length + unsent.length > 0 ? [answer] : [];
 };
 
--- a/src/gateway/requests/take-subquery-result.ts
+++ b/src/gateway/requests/take-subquery-result.ts
@@ -105,7 +105,7 @@
   subquery.acknowledgeBy = undefined;
   takeParts(request, subquery, part);
   const elapsedMs = Math.round(at - subquery.sentAt);
-  const { isFinal, unsent } = part;
+  const { isFinal, unsent = [] } = part;
   const parts = part.shards.length;
   trace(request.decisions, at, {
     event: 'subquery-answered',
--- a/src/gateway/runtime/peers/peer-message.ts
+++ b/src/gateway/runtime/peers/peer-message.ts
@@ -95,7 +95,7 @@
   isFields(value) &&
   isListOf(value['shards'], isShardPart) &&
   isBytes(value['records']) &&
-  isListOf(value['unsent'], isText) &&
+  (value['unsent'] === undefined || isListOf(value['unsent'], isText)) &&
   typeof value['isFinal'] === 'boolean';
 
 const hasId: Check = ({ id }) => isCount(id);
--- a/test/gateway/requests.test.ts
+++ b/test/gateway/requests.test.ts
@@ -93,6 +93,24 @@
     });
   });
 
+  it('gives the slower attempt of an answered leg up once, not again when the request ends', () => {
+    const gateway = gatewayWith(10, 0.8);
+    const call = gateway.request();
+    answerFirst(gateway, 8, 0);
+    gateway.advanceTo(56);
+    const [slow, other, hedge] = gateway.sent.slice(8);
+    for (const attempt of [hedge, other]) {
+      if (attempt !== undefined) {
+        gateway.end(attempt, success(attempt.replica.id));
+      }
+    }
+    expect(gateway.answers.get(call)).toMatchObject({ type: 'merged', missingShards: 0 });
+    const aborts = gateway.effects.filter(
+      (effect) => effect.type === 'abort-attempt' && effect.attempt === slow?.attempt,
+    );
+    expect(aborts).toHaveLength(1);
+  });
+
   it('pauses a leg that no replica takes, tries all again and completes', () => {
     const gateway = gatewayWith(4, 1);
     const call = gateway.request();
