Split the three largest files of the simulation by what they do

Ruled out: taking the watches out of the simulated store: they share its faults, its model and its network. Change: calls, edits and picks of a history (history-calls.ts, history-edits.ts, pick.ts), when the store counts as disturbed (store-disturbance.ts), and the options of a simulation (simulation-options.ts) have files of their own. Nothing else moves; the order of random draws and of events is the same. No gateway code changes.

--- /dev/null
+++ b/src/simulation/history/history-edits.ts
@@ -0,0 +1,85 @@
+/** The edits that the operators of a history send. */
+import { identifier, type EditId } from '../../core/identifiers.js';
+import type { EditRequest } from '../../table/edit.js';
+import type { RouteRow } from '../../table/route-row.js';
+import { VIRTUAL_EPOCH_MS } from '../node-surroundings.js';
+import type { Simulation } from '../simulation.js';
+import type { Action } from './action.js';
+import { pick } from './pick.js';
+
+type ActionOf<Type extends Action['type']> = Extract<Action, { type: Type }>;
+
+/** Actions by which operators edit the table. */
+export type EditActionName = 'edit' | 'resend-edit' | 'race-edits';
+
+/** Makes edits of the rows and keeps them, so that one can be sent again. */
+export class HistoryEdits {
+  private readonly sent: EditRequest[] = [];
+
+  /**
+   * @param rows - the rows that actions choose from, by number
+   * @param nodeName - the name of the node of a number
+   */
+  constructor(
+    private readonly simulation: Simulation,
+    private readonly rows: readonly RouteRow[],
+    private readonly nodeName: (index: number) => string,
+  ) {}
+
+  /** Does one action of an operator. */
+  apply(action: ActionOf<EditActionName>): void {
+    switch (action.type) {
+      case 'edit':
+        this.send(action.node, this.make(action));
+        return;
+      case 'resend-edit':
+        this.send(action.node, this.sent[action.edit]);
+        return;
+      case 'race-edits': {
+        const { row, deadlineMs } = action;
+        this.send(action.first, this.make({ row, deadlineMs, stale: false }));
+        this.send(action.second, this.make({ row, deadlineMs: deadlineMs + 1, stale: false }));
+      }
+    }
+  }
+
+  private send(node: number, edit: EditRequest | undefined): void {
+    if (edit !== undefined) {
+      this.sent.push(edit);
+      this.simulation.edit(this.nodeName(node), edit);
+    }
+  }
+
+  private make({
+    row: index,
+    deadlineMs,
+    stale,
+  }: Omit<ActionOf<'edit'>, 'type' | 'node'>): EditRequest {
+    const row = pick(this.rows, index);
+    const object = this.simulation.store.model.read(`sheet/${row.partner}`);
+    const content = object?.content;
+    const rows = content?.type === 'sheet' ? content.sheet.rows : [];
+    const standing = rows.find(
+      (each) => each.row.route === row.route && each.row.kind === row.kind,
+    );
+    const rowVersion = standing?.rowVersion ?? 0;
+    return {
+      edit: identifier<EditId>(`edit-${this.sent.length + 1}`),
+      partner: row.partner,
+      operator: `operator-of-${row.partner}`,
+      reason: 'history',
+      seenVersion: object?.version ?? 0,
+      writtenAt: VIRTUAL_EPOCH_MS + Math.floor(this.simulation.now),
+      action: {
+        type: 'change-rows',
+        changes: [
+          {
+            type: 'set',
+            row: { ...row, deadlineMs },
+            basedOn: stale ? Math.max(0, rowVersion - 1) : rowVersion,
+          },
+        ],
+      },
+    };
+  }
+}
--- a/src/simulation/history/run-history.ts
+++ b/src/simulation/history/run-history.ts
@@ -2,7 +2,7 @@
 import { ENSEMBLE } from '../../deployments/ensemble.js';
 import { TAWE } from '../../deployments/tawe.js';
 import type { Violation } from '../invariants/violation.js';
-import type { SimulationOptions } from '../simulation.js';
+import type { SimulationOptions } from '../simulation-options.js';
 import { SMALL_DEPLOYMENTS } from '../small-deployments.js';
 import { TraceHasher } from '../trace.js';
 import type { World } from '../world.js';
--- a/src/simulation/history/tier.ts
+++ b/src/simulation/history/tier.ts
@@ -1,17 +1,15 @@
 /** A simulated tier to which the actions of a history are done. */
-import { identifier, type EditId } from '../../core/identifiers.js';
-import { createRandom } from '../../core/random.js';
 import type { Deployment } from '../../deployments/deployment.js';
-import { createIdempotencyKey } from '../../protocol/idempotency-key.js';
-import type { EditRequest } from '../../table/edit.js';
-import type { RouteRow } from '../../table/route-row.js';
 import { InvariantChecker } from '../invariants/invariant-checker.js';
 import type { Violation } from '../invariants/violation.js';
-import { VIRTUAL_EPOCH_MS } from '../node-surroundings.js';
 import type { SimulatedReplica } from '../simulated-replica.js';
-import { Simulation, type SimulationOptions } from '../simulation.js';
+import { Simulation } from '../simulation.js';
+import type { SimulationOptions } from '../simulation-options.js';
 import { buildWorld, startNodes, type World } from '../world.js';
 import type { Action } from './action.js';
+import { HistoryCalls } from './history-calls.js';
+import { HistoryEdits } from './history-edits.js';
+import { pick } from './pick.js';
 import { applyReplicaFault } from './replica-fault.js';
 import {
   addSnapshot,
@@ -27,12 +25,8 @@
 const WARM_UP_MS = 4_000;
 /** How long a tier runs after the last action, healed, in milliseconds. */
 export const SETTLE_MS = 12_000;
-/** How long after its deadline a call must have ended, in milliseconds. */
-const CALL_GRACE_MS = 2_000;
-
 type ActionOf<Type extends Action['type']> = Extract<Action, { type: Type }>;
 type ProcessActionName = 'crash' | 'restart' | 'pause' | 'wake' | 'stop' | 'nap';
-type EditActionName = 'edit' | 'resend-edit' | 'race-edits';
 type StoreActionName = 'cut-store' | 'store' | 'roll-back-store';
 type BackendActionName =
   | 'replica'
@@ -43,24 +37,13 @@
   | 'load-snapshots'
   | 'retire-snapshot';
 
-const pick = <Item>(items: readonly Item[], index: number): Item => {
-  const item = items[index % items.length];
-  if (item === undefined) {
-    throw new Error('there is nothing to pick from');
-  }
-  return item;
-};
-
 /** A tier with its invariants. */
 export class Tier {
   readonly simulation: Simulation;
   private readonly checker: InvariantChecker;
   private readonly deployments: readonly Deployment[];
-  private readonly safeRows: readonly RouteRow[];
-  private readonly onceRows: readonly RouteRow[];
-  private nonces = 0;
-  private readonly idempotencyKeys = new Map<number, string>();
-  private readonly edits: EditRequest[] = [];
+  private readonly calls: HistoryCalls;
+  private readonly edits: HistoryEdits;
   private readonly traps = new Traps((trap, node) => {
     this.simulation.after(0, () => {
       this.spring(trap, node);
@@ -74,8 +57,11 @@
     this.checker = new InvariantChecker(this.simulation);
     this.deployments = world.deployments;
     const rows = world.deployments.flatMap((deployment) => deployment.rows);
-    this.safeRows = rows.filter(({ safeToRepeat }) => safeToRepeat);
-    this.onceRows = rows.filter(({ safeToRepeat }) => !safeToRepeat);
+    const safeRows = rows.filter(({ safeToRepeat }) => safeToRepeat);
+    const onceRows = rows.filter(({ safeToRepeat }) => !safeToRepeat);
+    const nodeName = (index: number): string => this.nodeName(index);
+    this.calls = new HistoryCalls(this.simulation, safeRows, onceRows, nodeName);
+    this.edits = new HistoryEdits(this.simulation, [...safeRows, ...onceRows], nodeName);
     buildWorld(this.simulation, world);
     startNodes(this.simulation);
     this.simulation.runFor(WARM_UP_MS);
@@ -96,15 +82,15 @@
         return;
       case 'query':
       case 'book':
-        this.call(action);
+        this.calls.send(action);
         return;
       case 'leave':
-        this.leave(action);
+        this.calls.leave(action);
         return;
       case 'edit':
       case 'resend-edit':
       case 'race-edits':
-        this.sendEdits(action);
+        this.edits.apply(action);
         return;
       case 'nap':
       case 'crash':
@@ -130,7 +116,9 @@
       node.wake();
     }
     simulation.runFor(SETTLE_MS);
-    this.checkCallsEnded();
+    for (const problem of this.calls.findOverdue()) {
+      this.checker.report('own-answer-only', problem);
+    }
   }
 
   /** A trap that has sprung in the last action acts now, or it would after all is healed. */
@@ -138,57 +126,6 @@
     this.simulation.runFor(0);
   }
 
-  private checkCallsEnded(): void {
-    const { now, calls } = this.simulation;
-    for (const { call, sentAt, endedAt, query, node } of calls) {
-      const deadlineMs = query.deadlineMs ?? this.deadlineOf(query.partner, query.route);
-      const isOverdue = now - sentAt > deadlineMs + CALL_GRACE_MS;
-      if (endedAt === undefined && isOverdue) {
-        this.checker.report('own-answer-only', `${call} at ${node} never got an answer`);
-      }
-    }
-  }
-
-  private deadlineOf(partner: string, route: string): number {
-    const rows = [...this.safeRows, ...this.onceRows];
-    const row = rows.find((each) => each.partner === partner && each.route === route);
-    return row?.deadlineMs ?? 0;
-  }
-
-  private call(action: ActionOf<'query' | 'book'>): void {
-    const row = pick(action.type === 'book' ? this.onceRows : this.safeRows, action.row);
-    this.nonces += 1;
-    const once =
-      action.type === 'book' ? { idempotencyKey: this.idempotencyKeyOf(action.key) } : {};
-    this.simulation.call(this.nodeName(action.node), {
-      partner: row.partner,
-      route: row.route,
-      kind: row.kind,
-      key: `key-${action.key}`,
-      payload: { nonce: `nonce-${this.nonces}` },
-      ...once,
-    });
-  }
-
-  /** The key of a number: made when it is first used, the same whenever it is used again. */
-  private idempotencyKeyOf(number: number): string {
-    const known = this.idempotencyKeys.get(number);
-    if (known !== undefined) {
-      return known;
-    }
-    const createdAt = VIRTUAL_EPOCH_MS + this.simulation.now;
-    const key = createIdempotencyKey(createdAt, createRandom(number).next);
-    this.idempotencyKeys.set(number, key);
-    return key;
-  }
-
-  private leave({ call }: ActionOf<'leave'>): void {
-    const { calls } = this.simulation;
-    if (calls.length > 0) {
-      this.simulation.leave(pick(calls, call));
-    }
-  }
-
   private changeProcess(action: ActionOf<ProcessActionName>): void {
     const target = this.simulation.node(this.nodeName(action.node));
     switch (action.type) {
@@ -343,66 +280,6 @@
     };
   }
 
-  private sendEdits(action: ActionOf<EditActionName>): void {
-    switch (action.type) {
-      case 'edit':
-        this.sendEdit(action.node, this.makeEdit(action));
-        return;
-      case 'resend-edit':
-        this.sendEdit(action.node, this.edits[action.edit]);
-        return;
-      case 'race-edits': {
-        const { row, deadlineMs } = action;
-        const first = this.makeEdit({ row, deadlineMs, stale: false });
-        this.sendEdit(action.first, first);
-        this.sendEdit(
-          action.second,
-          this.makeEdit({ row, deadlineMs: deadlineMs + 1, stale: false }),
-        );
-      }
-    }
-  }
-
-  private sendEdit(node: number, edit: EditRequest | undefined): void {
-    if (edit !== undefined) {
-      this.edits.push(edit);
-      this.simulation.edit(this.nodeName(node), edit);
-    }
-  }
-
-  private makeEdit({
-    row: index,
-    deadlineMs,
-    stale,
-  }: Omit<ActionOf<'edit'>, 'type' | 'node'>): EditRequest {
-    const row = pick([...this.safeRows, ...this.onceRows], index);
-    const object = this.simulation.store.model.read(`sheet/${row.partner}`);
-    const content = object?.content;
-    const rows = content?.type === 'sheet' ? content.sheet.rows : [];
-    const standing = rows.find(
-      (each) => each.row.route === row.route && each.row.kind === row.kind,
-    );
-    const rowVersion = standing?.rowVersion ?? 0;
-    return {
-      edit: identifier<EditId>(`edit-${this.edits.length + 1}`),
-      partner: row.partner,
-      operator: `operator-of-${row.partner}`,
-      reason: 'history',
-      seenVersion: object?.version ?? 0,
-      writtenAt: VIRTUAL_EPOCH_MS + Math.floor(this.simulation.now),
-      action: {
-        type: 'change-rows',
-        changes: [
-          {
-            type: 'set',
-            row: { ...row, deadlineMs },
-            basedOn: stale ? Math.max(0, rowVersion - 1) : rowVersion,
-          },
-        ],
-      },
-    };
-  }
-
   private nodeName(index: number): string {
     return pick([...this.simulation.nodes.keys()], index);
   }
--- a/src/simulation/simulated-store.ts
+++ b/src/simulation/simulated-store.ts
@@ -5,6 +5,7 @@
 import type { Reachability } from './reachability.js';
 import type { Scheduler } from './scheduler.js';
 import type { SimulatedNode } from './simulated-node.js';
+import { StoreDisturbance } from './store-disturbance.js';
 import type { MachineChange } from '../standins/store-model/machine-list.js';
 import type { StoreFaultChange, StoreFaults } from '../standins/store-model/store-faults.js';
 import { StoreModel, type WriteOutcome } from '../standins/store-model/store-model.js';
@@ -17,8 +18,6 @@
 const WATCH_SILENCE_MS = 15_000;
 /** How often a watch without news gets a bookmark. */
 const BOOKMARK_MS = 5_000;
-/** With more delay than this the store counts as disturbed, in milliseconds. */
-const SLOW_STORE_MS = 200;
 /** Where the store stands in the network; cut this zone off to cut the store off. */
 const STORE_PLACE = { name: 'platform', zone: 'platform' } as const;
 
@@ -50,16 +49,20 @@
   private readonly watches = new Map<SimulatedNode, Watch>();
   /** The last watch each node asked for; a node is not told of the end of any before. */
   private readonly wanted = new Map<SimulatedNode, Watch>();
-  private watchersWanted = 0;
-  private lastSlowAnswerAt = 0;
+  private readonly disturbance: StoreDisturbance;
 
   constructor(
     private readonly scheduler: Scheduler,
     private readonly reachability: Reachability,
-    private readonly quiet: Quiet,
+    quiet: Quiet,
     seed: number,
   ) {
     this.model = new StoreModel({ objects: [], seed });
+    this.disturbance = new StoreDisturbance(scheduler, quiet, () => ({
+      down: this.faults.down,
+      delayMs: this.faults.delayMs,
+      watchers: this.countBegunWatches(),
+    }));
   }
 
   /** The faults as they stand. */
@@ -86,7 +89,7 @@
   /** Changes some of the faults; watches end at once when the store goes down. */
   setFaults(change: StoreFaultChange): void {
     this.model.setFaults(change);
-    this.noteDisturbance(change);
+    this.disturbance.noteFaults(change.rollBackTo !== undefined);
     for (const watch of [...this.watches.values()]) {
       if (this.faults.down) {
         this.endWatch(watch, STORE_LATENCY_MS, 'the watch ended');
@@ -184,35 +187,10 @@
     });
   }
 
-  private noteDisturbance(change: StoreFaultChange): void {
-    if (this.faults.down || this.faults.delayMs > SLOW_STORE_MS) {
-      this.quiet.begin('store');
-      this.watchersWanted = Math.max(this.watchersWanted, this.countBegunWatches());
-    } else {
-      this.endDisturbance();
-    }
-    if (change.rollBackTo !== undefined) {
-      this.quiet.begin('store rolled back');
-    }
-  }
-
   private countBegunWatches(): number {
     return [...this.watches.values()].filter(({ begun }) => begun).length;
   }
 
-  /** The store counts as absent until its slow answers and the watches it had are there. */
-  private endDisturbance(): void {
-    const isAbsent = this.faults.down || this.faults.delayMs > SLOW_STORE_MS;
-    if (this.scheduler.now < this.lastSlowAnswerAt) {
-      this.scheduler.schedule(this.lastSlowAnswerAt - this.scheduler.now, () => {
-        this.endDisturbance();
-      });
-    } else if (!isAbsent && this.countBegunWatches() >= this.watchersWanted) {
-      this.watchersWanted = 0;
-      this.quiet.end('store');
-    }
-  }
-
   private write(name: string, expectedVersion: number, content: StoreContent): WriteOutcome {
     const outcome = this.model.write(name, expectedVersion, content);
     const object = this.model.read(name);
@@ -293,7 +271,7 @@
     }
     watch.begun = true;
     this.sendChanges(watch);
-    this.endDisturbance();
+    this.disturbance.endIfOver();
     this.scheduler.schedule(BOOKMARK_MS, () => {
       this.sendBookmark(watch);
     });
@@ -323,10 +301,9 @@
     const through = this.model.revision;
     const objects = this.model.readAll(after);
     watch.through = through;
-    if (this.faults.delayMs > SLOW_STORE_MS) {
-      this.lastSlowAnswerAt = this.scheduler.now + STORE_LATENCY_MS + this.faults.delayMs;
-    }
-    this.scheduler.schedule(STORE_LATENCY_MS + this.faults.delayMs, () => {
+    const delayMs = STORE_LATENCY_MS + this.faults.delayMs;
+    this.disturbance.noteAnswer(this.scheduler.now + delayMs);
+    this.scheduler.schedule(delayMs, () => {
       if (!watch.ended && watch.node.isProcess(watch.process)) {
         watch.heardAt = this.scheduler.now;
         watch.node.deliver({ type: 'store-changed', after, through, objects });
--- a/src/simulation/simulation.ts
+++ b/src/simulation/simulation.ts
@@ -2,19 +2,16 @@
  * A simulated tier: nodes over the real core, replicas, the platform's store, callers and operators,
  * on one virtual clock and network. One seed gives one run, step by step the same.
  */
-import type { ReplicaStatus } from '../catalog/partner-index.js';
 import { type CallId, identifier, type NodeId } from '../core/identifiers.js';
-import type { QueryPolicy } from '../core/query/query-policy.js';
 import type { QueryOutcome, QueryRequest } from '../core/query/query-request.js';
 import { createRandom } from '../core/random.js';
 import { step } from '../core/reducer.js';
 import type { EditOutcome, EditRequest } from '../table/edit.js';
 import type { CallRecord, EditCallRecord, LostCallReason } from './call-record.js';
-import { findConditions, HEALTHY_NETWORK, type NetworkConditions } from './network-conditions.js';
+import { findConditions, HEALTHY_NETWORK } from './network-conditions.js';
 import { addressKey } from './network-endpoint.js';
-import type { NodePlacement, NodeSurroundings, StepFunction } from './node-surroundings.js';
+import type { NodePlacement, NodeSurroundings } from './node-surroundings.js';
 import type { SimulationObserver } from './observer.js';
-import type { HeldSnapshot } from '../standins/replica-model/replica-faults.js';
 import type { RunRecord } from './replica-record.js';
 import { Quiet } from './quiet.js';
 import { Scheduler } from './scheduler.js';
@@ -22,47 +19,14 @@
 import { SimulatedNode } from './simulated-node.js';
 import { SimulatedReplica } from './simulated-replica.js';
 import { SimulatedStore } from './simulated-store.js';
-import { type MeasureMessage, VirtualNetwork } from './virtual-network.js';
+import type { NodeOptions, ReplicaOptions, SimulationOptions } from './simulation-options.js';
+import { VirtualNetwork } from './virtual-network.js';
 
 /** Latency between a caller and a node, one way, in milliseconds. */
 const CLIENT_LATENCY_MS = 1;
 /** The port of every simulated node. */
 const NODE_PORT = 7_000;
 
-/** What a simulation is created from. */
-export interface SimulationOptions {
-  /** Any integer; the same seed and script give the same run. */
-  readonly seed: number;
-  readonly network?: NetworkConditions;
-  readonly clientLatencyMs?: number;
-  /** Counts the bytes of messages where given. */
-  readonly measure?: MeasureMessage;
-  readonly observers?: readonly SimulationObserver[];
-  /** Switches of the query path that differ from the defaults. */
-  readonly policy?: Partial<QueryPolicy>;
-  /** Replaces the core's step, so that a test can break it. */
-  readonly step?: StepFunction;
-}
-
-/** A node to add. */
-export interface NodeOptions {
-  readonly node: string;
-  readonly zone: string;
-  readonly region?: string;
-  /** Nodes it knows at its start. */
-  readonly seeds?: readonly string[];
-}
-
-/** A replica to add. */
-export interface ReplicaOptions {
-  readonly partner: string;
-  readonly service: string;
-  readonly status: ReplicaStatus;
-  readonly snapshots: readonly HeldSnapshot[];
-  readonly medianServiceMs?: number;
-  readonly connectionOpeningMs?: number;
-}
-
 /** A running simulation. */
 export class Simulation {
   readonly scheduler = new Scheduler();
--- a/test/simulation/small-world.ts
+++ b/test/simulation/small-world.ts
@@ -1,7 +1,8 @@
 /** A small tier of two partners for tests. */
 import { identifier, type PartnerId } from '../../src/core/identifiers.js';
 import type { QueryRequest } from '../../src/core/query/query-request.js';
-import { Simulation, type SimulationOptions } from '../../src/simulation/simulation.js';
+import { Simulation } from '../../src/simulation/simulation.js';
+import type { SimulationOptions } from '../../src/simulation/simulation-options.js';
 import { SMALL_DEPLOYMENTS } from '../../src/simulation/small-deployments.js';
 import { buildWorld, startNodes, type World } from '../../src/simulation/world.js';
 
