--- a/src/gateway/effect.ts
+++ b/src/gateway/effect.ts
@@ -5,6 +5,7 @@
 import type { Subquery, SubqueryId, SubqueryPart } from './model/subquery.js';
 import type { ReplicaRecord } from './model/replica-record.js';
 import type { AttemptId, CallerResponse, CallId } from './model/request.js';
+import type { FollowerId, KnownRevisions, ReaderNews } from './readers/reader-news.js';
 import type { CollectionName, StoreCall } from './store/collection.js';
 
 /** Sends a request to a replica; ends in `attempt-ended`, always, also when aborted. */
@@ -131,12 +132,44 @@
   readonly at: number;
 }
 
-/** Sets the timer of the next registration or count of gateways. */
-export interface SetGatewaysTimer {
-  readonly type: 'set-gateways-timer';
+/** Gives up the call by which a collection is followed. */
+export interface DropStoreCall {
+  readonly type: 'drop-store-call';
+  readonly collection: CollectionName;
+}
+
+/** Sets the timer after which this gateway looks whether its entry stands in the store. */
+export interface SetRegistrationTimer {
+  readonly type: 'set-registration-timer';
   readonly at: number;
 }
 
+/** Sets the timer of the next look at who reads the store. */
+export interface SetReadingTimer {
+  readonly type: 'set-reading-timer';
+  readonly at: number;
+}
+
+/** Asks a reader to tell what it reads from the store; `reader-told` follows again and again. */
+export interface FollowReader {
+  readonly type: 'follow-reader';
+  readonly peer: PeerRecord;
+  readonly revisions: KnownRevisions;
+}
+
+/** Tells a reader that nothing is wanted any more. */
+export interface UnfollowReader {
+  readonly type: 'unfollow-reader';
+  readonly reader: string;
+}
+
+/** Tells followers what was read from the store. */
+export interface TellFollowers {
+  readonly type: 'tell-followers';
+  readonly followers: readonly FollowerId[];
+  readonly news: ReaderNews;
+}
+
 /** Sets the timer of the stop. */
 export interface SetStopTimer {
   readonly type: 'set-stop-timer';
@@ -205,7 +238,12 @@
   | CallStore
   | SetCollectionTimer
   | SetProbeTimer
-  | SetGatewaysTimer
+  | DropStoreCall
+  | SetRegistrationTimer
+  | SetReadingTimer
+  | FollowReader
+  | UnfollowReader
+  | TellFollowers
   | SetStopTimer
   | SetReadiness
   | ApplyLimits
--- a/src/gateway/event.ts
+++ b/src/gateway/event.ts
@@ -2,13 +2,12 @@
  * Every event that the gateway's reducer takes. Each carries `at`, the time in milliseconds on the
  * monotonic clock of the process; the reducer reads no other clock.
  */
-import type { GatewayConfiguration } from './model/route.js';
-import type { PeerRecord } from './model/peer-record.js';
 import type { PeerProblem, Subquery, SubqueryId, SubqueryPart } from './model/subquery.js';
-import type { ReplicaRecord } from './model/replica-record.js';
 import type { AttemptId, AttemptResult, CallerRequest, CallId } from './model/request.js';
+import type { FollowerId, KnownRevisions, ReaderNews } from './readers/reader-news.js';
 import type { GatewaySettings } from './settings.js';
 import type { CollectionName } from './store/collection.js';
+import type { StoreChanges, StorePage } from './store/store-objects.js';
 
 /** The process has started and its ports are open. */
 export interface Started {
@@ -91,24 +90,6 @@
   readonly answered: boolean;
 }
 
-/** A page of the gateways was read. */
-export interface GatewaysListed {
-  readonly type: 'gateways-listed';
-  readonly at: number;
-  /** Absent when the store did not answer. */
-  readonly page?: GatewaysPage;
-}
-
-/** A page of the list of gateways. */
-export interface GatewaysPage {
-  readonly gateways: readonly PeerRecord[];
-  /** Entries that another version has written; they count, but nothing is sent to them. */
-  readonly unreadable: number;
-  readonly more: boolean;
-  /** Name of the last gateway of the page. */
-  readonly last: string;
-}
-
 /** Another gateway asks this one for the parts of some shards. */
 export interface SubqueryReceived {
   readonly type: 'subquery-received';
@@ -172,9 +153,40 @@
   readonly at: number;
 }
 
-/** The next registration or count of gateways is due. */
-export interface GatewaysDue {
-  readonly type: 'gateways-due';
+/** Another gateway wants to be told what this one reads from the store. */
+export interface FollowerJoined {
+  readonly type: 'follower-joined';
+  readonly at: number;
+  readonly follower: FollowerId;
+  /** Revisions up to which it knows the collections. */
+  readonly revisions: KnownRevisions;
+}
+
+/** A follower no longer wants to be told, or is gone. */
+export interface FollowerLeft {
+  readonly type: 'follower-left';
+  readonly at: number;
+  readonly follower: FollowerId;
+}
+
+/** A reader has told something. */
+export interface ReaderTold {
+  readonly type: 'reader-told';
+  readonly at: number;
+  /** Name of the reader, as it was followed. */
+  readonly reader: string;
+  readonly news: ReaderNews;
+}
+
+/** It is time to look who reads the store, and to tell followers that this gateway lives. */
+export interface ReadingDue {
+  readonly type: 'reading-due';
+  readonly at: number;
+}
+
+/** It is time to look whether this gateway's entry stands in the store. */
+export interface RegistrationDue {
+  readonly type: 'registration-due';
   readonly at: number;
 }
 
@@ -191,33 +203,6 @@
   readonly at: number;
 }
 
-/** Objects of either collection, by their names. */
-export type StoreObjects =
-  | {
-      readonly collection: 'configuration';
-      readonly objects: readonly Stored<GatewayConfiguration>[];
-    }
-  | { readonly collection: 'replicas'; readonly objects: readonly Stored<ReplicaRecord>[] };
-
-/** An object of the store; `value` is absent where it is gone or could not be read. */
-export interface Stored<Value> {
-  readonly name: string;
-  readonly gone: boolean;
-  readonly value?: Value;
-}
-
-/** A page of a list. */
-export type StorePage = StoreObjects & {
-  readonly more: boolean;
-  /** Name of the last object of the page. */
-  readonly last: string;
-  /** Revision of the store at which the list stands. */
-  readonly revision: number;
-};
-
-/** What has changed since the watched revision. */
-export type StoreChanges = StoreObjects & { readonly revision: number };
-
 /** All events of the gateway. */
 export type GatewayEvent =
   | Started
@@ -233,7 +218,6 @@
   | CollectionDue
   | ProbeEnded
   | ProbeDue
-  | GatewaysListed
   | SubqueryReceived
   | SubqueryCancelled
   | SubqueryAcknowledged
@@ -241,5 +225,9 @@
   | SubqueryFailed
   | PeerLost
   | PeerAlive
-  | GatewaysDue
+  | FollowerJoined
+  | FollowerLeft
+  | ReaderTold
+  | ReadingDue
+  | RegistrationDue
   | StopDue;
--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -147,6 +147,8 @@
       readonly problem: PeerProblem;
     }
   | { readonly event: 'peer-trusted'; readonly peer: string }
+  | { readonly event: 'reader-followed'; readonly reader: string }
+  | { readonly event: 'reading-changed'; readonly isReading: boolean; readonly followers: number }
   | { readonly event: 'gateways-counted'; readonly gateways: number; readonly previous: number }
   | { readonly event: 'lines-dropped'; readonly lines: number };
 
@@ -179,12 +181,15 @@
   'settings-refused': 'Changed settings are wrong; the last good ones stay in force.',
   'configuration-in-force': 'A version of the configuration came into force.',
   'store-lost': 'A probe of the store was not answered in time.',
-  'store-regained': 'The store answers again; both watches are started anew.',
+  'store-regained': 'The store answers again; what is read from it is read on.',
   'store-call-failed': 'A list or watch failed and is repeated after a pause.',
   'replica-changed': 'The store lists a replica, says that it drains, or lists it no more.',
   'replica-ejected': 'A replica failed and is tried only as a last resort for a while.',
   'peer-suspected': 'Another gateway failed to answer and is passed over until it does.',
   'peer-trusted': 'A gateway that was passed over answers promptly again.',
+  'reader-followed': 'Another gateway was asked to tell what it reads from the store.',
+  'reading-changed':
+    'This gateway begins to read the store itself, or leaves that to the gateways that it follows.',
   'gateways-counted': 'The number of gateways that share replicas and budgets has changed.',
   'lines-dropped': 'Lines were left out: more than the bound, or nobody read them.',
 };
--- a/src/gateway/metrics/gateway-metrics.ts
+++ b/src/gateway/metrics/gateway-metrics.ts
@@ -25,6 +25,10 @@
   gauge('gateways_listed', 'Gateways that share budgets.', () => state.gateways),
   gauge('ready', '1 while new callers are wanted.', () => Number(state.ready)),
   gauge('store_reachable', '1 while the store answers.', () => Number(state.store.reachable)),
+  gauge('reading', '1 while this gateway reads the store itself.', () =>
+    Number(state.reading.isReading),
+  ),
+  gauge('followers', 'Gateways that it tells what it reads.', () => state.reading.followers.size),
   gauge(
     'configuration_version',
     'Version of the configuration in force; 0 before the first.',
--- a/src/gateway/peers/feeder-plan.ts
+++ b/src/gateway/peers/feeder-plan.ts
@@ -6,8 +6,8 @@
  * the most processor, as many as the shards ask for; among them weighted rendezvous hashing orders the
  * feeders of each shard, so that a change of members moves few shards.
  */
-import { hash32 } from '../../core/hash.js';
 import type { PeerRecord } from '../model/peer-record.js';
+import { drawFrom, rankByRendezvous } from './rendezvous.js';
 
 /** Shards that one feeder carries on average. */
 const SHARDS_PER_FEEDER = 8;
@@ -24,15 +24,6 @@
 /** Feeders of a shard that are kept in order of preference. */
 const RANKED_FEEDERS = 3;
 
-const UINT32_RANGE = 0x1_0000_0000;
-
-/** Uniform in (0, 1), from the text alone. */
-const drawFrom = (text: string): number => (hash32(text) + 0.5) / UINT32_RANGE;
-
-/** Score of weighted rendezvous hashing: the highest one wins in proportion to its weight. */
-const scoreOf = (service: string, { name, capacity }: PeerRecord): number =>
-  -Math.max(capacity, Number.EPSILON) / Math.log(drawFrom(`${service}/${name}`));
-
 const byCapacity = (left: PeerRecord, right: PeerRecord): number =>
   right.capacity - left.capacity || drawFrom(left.name) - drawFrom(right.name);
 
@@ -66,9 +57,7 @@
     if (known !== undefined) {
       return known;
     }
-    const scored = this.feeders.map((peer) => ({ peer, score: scoreOf(service, peer) }));
-    scored.sort((left, right) => right.score - left.score);
-    const ranked = scored.slice(0, RANKED_FEEDERS).map(({ peer }) => peer);
+    const ranked = rankByRendezvous(service, this.feeders).slice(0, RANKED_FEEDERS);
     this.ranked.set(service, ranked);
     return ranked;
   }
--- a/src/gateway/protocol/protocol.ts
+++ b/src/gateway/protocol/protocol.ts
@@ -3,9 +3,9 @@
  * the store's bodies. Nothing here decides anything.
  */
 import type { Either } from 'purify-ts/Either';
-import type { GatewaysPage, StoreChanges, StorePage } from '../event.js';
 import type { LoadReport } from '../model/request.js';
 import type { ListCall, StoreCall, WatchCall } from '../store/collection.js';
+import type { StoreChanges, StorePage } from '../store/store-objects.js';
 import type { Finding } from '../../table/finding.js';
 
 /** Names of headers, in lower case. */
@@ -42,8 +42,6 @@
   formatCall(call: StoreCall): StoreRequest;
   readPage(call: ListCall, body: string): Either<readonly Finding[], StorePage>;
   readChanges(call: WatchCall, body: string): Either<readonly Finding[], StoreChanges>;
-  /** The page of gateways in the answer to `list-gateways`. */
-  readGateways(body: string): Either<readonly Finding[], GatewaysPage>;
 }
 
 /** A protocol that a gateway speaks. */
--- /dev/null
+++ b/src/gateway/readers/candidates.ts
@@ -0,0 +1,73 @@
+/**
+ * Which gateways may read the store for others: a few of each zone, in an order that all of them work out
+ * alike from the list of gateways. None is appointed: a gateway reads once it is asked to.
+ */
+import type { PeerRecord } from '../model/peer-record.js';
+import { rankByRendezvous } from '../peers/rendezvous.js';
+import type { GatewayState } from '../state.js';
+import type { ReaderOrder } from './reading-state.js';
+
+/** Gateways of the own zone that are asked before those of other zones. */
+const ZONE_CANDIDATES = 3;
+
+/** Gateways of other zones that are asked after them, each the first one of its zone. */
+const OTHER_ZONE_CANDIDATES = 2;
+
+const byZone = (peers: Iterable<PeerRecord>): ReadonlyMap<string, readonly PeerRecord[]> => {
+  const zones = new Map<string, PeerRecord[]>();
+  for (const peer of peers) {
+    const known = zones.get(peer.zone) ?? [];
+    known.push(peer);
+    zones.set(peer.zone, known);
+  }
+  return zones;
+};
+
+const orderPeers = ({ peers, settings }: GatewayState): ReaderOrder => {
+  const { zone, zoneRegions } = settings;
+  const zones = byZone(peers.all());
+  const rankZone = (name: string): readonly PeerRecord[] =>
+    rankByRendezvous(`reader/${name}`, zones.get(name) ?? []);
+  const farAway = (name: string): number => Number(zoneRegions[name] !== zoneRegions[zone]);
+  const others = [...zones.keys()].filter((name) => name !== zone).sort();
+  others.sort((left, right) => farAway(left) - farAway(right));
+  return {
+    generation: peers.generation,
+    ownZone: rankZone(zone),
+    otherZones: others.map(rankZone),
+  };
+};
+
+const orderOf = (state: GatewayState): ReaderOrder => {
+  if (state.reading.order?.generation !== state.peers.generation) {
+    state.reading.order = orderPeers(state);
+  }
+  return state.reading.order;
+};
+
+/** Gateways to ask, the preferred one first; this gateway is among them where it may read for others. */
+export const readerCandidates = (state: GatewayState, at: number): readonly PeerRecord[] => {
+  const { ownZone, otherZones } = orderOf(state);
+  const own = state.settings.node;
+  const isTrusted = ({ name }: PeerRecord): boolean =>
+    name === own || !state.peers.isSuspect(name, at);
+  const others = otherZones.flatMap((zone) => zone.filter(isTrusted).slice(0, 1));
+  return [
+    ...ownZone.filter(isTrusted).slice(0, ZONE_CANDIDATES),
+    ...others.slice(0, OTHER_ZONE_CANDIDATES),
+  ];
+};
+
+/** The gateways that the settings name; asked while no list of gateways is to be had. */
+export const seedCandidates = (state: GatewayState, at: number): readonly PeerRecord[] => {
+  const { seeds, peers, zone } = state.settings;
+  return seeds
+    .filter(({ host }) => host !== peers.host)
+    .map(({ host }) => ({
+      name: `seed ${host}`,
+      zone,
+      address: { host, port: peers.port },
+      capacity: 1,
+    }))
+    .filter(({ name }) => !state.peers.isSuspect(name, at));
+};
--- /dev/null
+++ b/src/gateway/readers/take-news.ts
@@ -0,0 +1,88 @@
+/** Takes what a reader tells of the store. */
+import type { GatewayEffect } from '../effect.js';
+import type { ReaderTold } from '../event.js';
+import { registerIfMissing, takeGatewaysList } from '../peers/follow-gateways.js';
+import type { GatewayState } from '../state.js';
+import { applyObjects, applyWholeList, forgetGoneReplicas } from '../store/apply-objects.js';
+import { COLLECTION_NAMES } from '../store/collection.js';
+import type { CollectionChanges, CollectionSnapshot, KnownRevisions } from './reader-news.js';
+import type { Source } from './reading-state.js';
+
+/** Revisions up to which this gateway knows the collections. */
+export const knownRevisions = ({ collections }: GatewayState): KnownRevisions =>
+  Object.fromEntries(
+    COLLECTION_NAMES.flatMap((name) => {
+      const { revision } = collections[name];
+      return revision === undefined ? [] : [[name, revision]];
+    }),
+  );
+
+const takeSnapshot = (
+  state: GatewayState,
+  snapshot: CollectionSnapshot,
+  at: number,
+): GatewayEffect[] => {
+  const { collection, revision, objects } = snapshot;
+  const progress = state.collections[collection];
+  if (progress.revision !== undefined && revision <= progress.revision) {
+    return [];
+  }
+  progress.revision = revision;
+  progress.isListed = true;
+  const listed = new Set(objects.map(({ name }) => name));
+  return [
+    ...applyObjects(state, snapshot, at),
+    ...applyWholeList(state, collection, listed, at),
+    ...(collection === 'gateways' ? takeGatewaysList(state, at) : []),
+  ];
+};
+
+/** Asks for a snapshot of what was missed. */
+const askAgain = (state: GatewayState, { peer }: Source): GatewayEffect => ({
+  type: 'follow-reader',
+  peer,
+  revisions: knownRevisions(state),
+});
+
+const takeReaderChanges = (
+  state: GatewayState,
+  source: Source,
+  changes: CollectionChanges,
+  at: number,
+): GatewayEffect[] => {
+  const { collection, revision, after } = changes;
+  const progress = state.collections[collection];
+  if (progress.revision === undefined || after > progress.revision) {
+    return [askAgain(state, source)];
+  }
+  if (revision <= progress.revision) {
+    return [];
+  }
+  progress.revision = revision;
+  return [
+    ...applyObjects(state, changes, at),
+    ...forgetGoneReplicas(state, at),
+    ...(collection === 'gateways' ? registerIfMissing(state, at) : []),
+  ];
+};
+
+/** Handles `reader-told`; what comes from a gateway that is no longer followed is dropped. */
+export const takeReaderNews = (
+  state: GatewayState,
+  { reader, news, at }: ReaderTold,
+): GatewayEffect[] => {
+  const source = state.reading.sources.get(reader);
+  if (source === undefined) {
+    return [];
+  }
+  source.heardAt = at;
+  switch (news.type) {
+    case 'currency':
+      source.isCurrent = news.isCurrent;
+      return [];
+    case 'snapshot':
+      return takeSnapshot(state, news, at);
+    case 'changes':
+      return takeReaderChanges(state, source, news, at);
+  }
+};
--- /dev/null
+++ b/src/gateway/readers/tell-followers.ts
@@ -0,0 +1,135 @@
+/** Tells the gateways that follow this one what it reads from the store. */
+import type { GatewayEffect } from '../effect.js';
+import type { FollowerJoined, FollowerLeft } from '../event.js';
+import type { GatewayState } from '../state.js';
+import { COLLECTION_NAMES, type CollectionName } from '../store/collection.js';
+import type { StoreChanges, StoreObjects } from '../store/store-objects.js';
+import type { CollectionSnapshot, FollowerId, ReaderNews } from './reader-news.js';
+import { followTiming } from './reading-state.js';
+
+/** Name of the one object of the configuration where a reader tells it. */
+const CONFIGURATION_OBJECT = 'configuration';
+
+const objectsOf = (state: GatewayState, collection: CollectionName, at: number): StoreObjects => {
+  switch (collection) {
+    case 'configuration': {
+      const value = state.inForce?.configuration;
+      const objects =
+        value === undefined ? [] : [{ name: CONFIGURATION_OBJECT, gone: false, value }];
+      return { collection, objects };
+    }
+    case 'replicas': {
+      const listed = [...state.replicas.all()].filter(({ goneAt }) => goneAt === undefined);
+      const objects = listed.map(({ record, coldUntil }) => ({
+        name: record.id,
+        gone: false,
+        value: { ...record, coldMs: Math.max(0, coldUntil - at) },
+      }));
+      return { collection, objects };
+    }
+    case 'gateways': {
+      const objects = state.peers.names().map((name) => {
+        const value = state.peers.find(name);
+        return value === undefined ? { name, gone: false } : { name, gone: false, value };
+      });
+      return { collection, objects };
+    }
+  }
+};
+
+const snapshotOf = (
+  state: GatewayState,
+  collection: CollectionName,
+  at: number,
+): CollectionSnapshot | undefined => {
+  const { revision } = state.collections[collection];
+  return revision === undefined
+    ? undefined
+    : { type: 'snapshot', ...objectsOf(state, collection, at), revision };
+};
+
+const isComplete = ({ collections }: GatewayState): boolean =>
+  COLLECTION_NAMES.every((name) => collections[name].revision !== undefined);
+
+/** Whether what this gateway tells is all that the store holds. */
+const isCurrent = (state: GatewayState): boolean =>
+  state.reading.isReading && state.store.reachable && isComplete(state);
+
+const tell = (followers: readonly FollowerId[], news: ReaderNews): GatewayEffect[] =>
+  followers.length === 0 ? [] : [{ type: 'tell-followers', followers, news }];
+
+const toldFollowers = ({ reading }: GatewayState): readonly FollowerId[] =>
+  [...reading.followers].filter(([, { isTold }]) => isTold).map(([id]) => id);
+
+const lacking = (
+  { reading, collections }: GatewayState,
+  followers: readonly FollowerId[],
+  name: CollectionName,
+): readonly FollowerId[] =>
+  followers.filter(
+    (id) => reading.followers.get(id)?.revisions[name] !== collections[name].revision,
+  );
+
+/** Tells those that have just come all that they lack, once this gateway knows it. */
+export const tellNewcomers = (state: GatewayState, at: number): GatewayEffect[] => {
+  const { followers } = state.reading;
+  const newcomers = [...followers].filter(([, { isTold }]) => !isTold).map(([id]) => id);
+  if (newcomers.length === 0 || !isComplete(state)) {
+    return [];
+  }
+  const snapshots = COLLECTION_NAMES.flatMap((name) => {
+    const lackingIt = lacking(state, newcomers, name);
+    const snapshot = lackingIt.length === 0 ? undefined : snapshotOf(state, name, at);
+    return snapshot === undefined ? [] : tell(lackingIt, snapshot);
+  });
+  newcomers.forEach((id) => followers.set(id, { revisions: {}, isTold: true }));
+  return [...snapshots, ...tell(newcomers, { type: 'currency', isCurrent: isCurrent(state) })];
+};
+
+/** Tells a collection that was listed anew. */
+export const tellSnapshot = (
+  state: GatewayState,
+  collection: CollectionName,
+  at: number,
+): GatewayEffect[] => {
+  const followers = toldFollowers(state);
+  const snapshot = followers.length === 0 ? undefined : snapshotOf(state, collection, at);
+  const told = snapshot === undefined ? [] : tell(followers, snapshot);
+  return [...told, ...tellNewcomers(state, at)];
+};
+
+/** Tells what a watch has returned. */
+export const tellChanges = (
+  state: GatewayState,
+  changes: StoreChanges,
+  after: number,
+): GatewayEffect[] => tell(toldFollowers(state), { type: 'changes', ...changes, after });
+
+/** Tells followers that this gateway lives and whether it is current, where that is due or has changed. */
+export const tellCurrency = (state: GatewayState, at: number): GatewayEffect[] => {
+  const { reading, settings } = state;
+  const current = isCurrent(state);
+  const { heartbeatMs } = followTiming(settings.bounds);
+  const isDue = at - reading.toldAt >= heartbeatMs || reading.toldCurrent !== current;
+  const followers = isDue ? toldFollowers(state) : [];
+  if (followers.length === 0) {
+    return [];
+  }
+  reading.toldAt = at;
+  reading.toldCurrent = current;
+  return tell(followers, { type: 'currency', isCurrent: current });
+};
+
+/** Handles `follower-joined`; one that missed something joins again. */
+export const takeFollower = (
+  state: GatewayState,
+  { follower, revisions, at }: FollowerJoined,
+): GatewayEffect[] => {
+  state.reading.followers.set(follower, { revisions, isTold: false });
+  return tellNewcomers(state, at);
+};
+
+/** Handles `follower-left`. */
+export const takeFollowerLeft = (state: GatewayState, { follower }: FollowerLeft): void => {
+  state.reading.followers.delete(follower);
+};
--- a/src/gateway/reducer.ts
+++ b/src/gateway/reducer.ts
@@ -4,9 +4,17 @@
  */
 import { match } from 'ts-pattern';
 import type { GatewayEffect } from './effect.js';
-import type { GatewayEvent } from './event.js';
+import type { GatewayEvent, Started } from './event.js';
 import { beginStop, continueStop, updateReadiness } from './lifecycle.js';
-import { listGateways, takeGateways } from './peers/follow-gateways.js';
+import { takeRegistrationDue } from './peers/follow-gateways.js';
+import { takeReaderNews } from './readers/take-news.js';
+import { takeFollower, takeFollowerLeft } from './readers/tell-followers.js';
+import {
+  dropSource,
+  FOLLOW_SPREAD_MS,
+  takeReadingDue,
+  updateReading,
+} from './readers/update-reading.js';
 import { preconnectReplicas } from './replicas/preconnect.js';
 import { acceptHeldRequests, acceptRequest } from './requests/accept-request.js';
 import { acceptSubquery, takeSubqueryCancelled } from './requests/accept-subquery.js';
@@ -20,20 +28,31 @@
 import { takeCallerLeft, takeRequestDue, takeResult } from './requests/take-result.js';
 import type { GatewayState } from './state.js';
 import {
-  followCollections,
+  listCollections,
   takeChanges,
   takeCollectionDue,
   takePage,
   takeStoreFailure,
 } from './store/apply-collections.js';
-import { probeNow, takeProbe } from './store/probe-store.js';
+import { takeProbe, takeProbeDue } from './store/probe-store.js';
+
+const start = (state: GatewayState, { at }: Started): GatewayEffect[] => {
+  state.startedAt = at;
+  state.reading.followFrom = at + state.random.next() * FOLLOW_SPREAD_MS;
+  return [...listCollections(state), ...takeReadingDue(state, at)];
+};
+
+/** What follows when more of the store is known, wherever it came from. */
+const useKnowledge = (state: GatewayState, at: number): GatewayEffect[] => [
+  ...acceptHeldRequests(state, at),
+  ...preconnectReplicas(state),
+  ...updateReadiness(state),
+  ...updateReading(state, at),
+];
 
 const dispatch = (state: GatewayState, event: GatewayEvent): GatewayEffect[] =>
   match(event)
-    .with({ type: 'started' }, ({ at }) => {
-      state.startedAt = at;
-      return [...followCollections(state), probeNow(), listGateways()];
-    })
+    .with({ type: 'started' }, (started) => start(state, started))
     .with({ type: 'stop-requested' }, (stop) => beginStop(state, stop))
     .with({ type: 'stop-due' }, (due) => continueStop(state, due))
     .with({ type: 'settings-reloaded' }, ({ settings }) => {
@@ -46,22 +65,33 @@
     .with({ type: 'request-due' }, (due) => takeRequestDue(state, due))
     .with({ type: 'page-read' }, (read) => [
       ...takePage(state, read),
-      ...acceptHeldRequests(state, read.at),
-      ...preconnectReplicas(state),
-      ...updateReadiness(state),
+      ...useKnowledge(state, read.at),
     ])
     .with({ type: 'changes-read' }, (read) => [
       ...takeChanges(state, read),
-      ...acceptHeldRequests(state, read.at),
-      ...preconnectReplicas(state),
-      ...updateReadiness(state),
+      ...useKnowledge(state, read.at),
     ])
     .with({ type: 'store-call-failed' }, (failed) => takeStoreFailure(state, failed))
     .with({ type: 'collection-due' }, (due) => takeCollectionDue(state, due))
-    .with({ type: 'probe-due' }, () => [probeNow()])
-    .with({ type: 'probe-ended' }, ({ answered, at }) => takeProbe(state, answered, at))
-    .with({ type: 'gateways-due' }, () => [listGateways()])
-    .with({ type: 'gateways-listed' }, (listed) => takeGateways(state, listed))
+    .with({ type: 'probe-due' }, () => takeProbeDue(state))
+    .with({ type: 'probe-ended' }, ({ answered, at }) => [
+      ...takeProbe(state, answered, at),
+      ...updateReading(state, at),
+    ])
+    .with({ type: 'registration-due' }, (due) => takeRegistrationDue(state, due))
+    .with({ type: 'reading-due' }, ({ at }) => takeReadingDue(state, at))
+    .with({ type: 'follower-joined' }, (joined) => [
+      ...takeFollower(state, joined),
+      ...updateReading(state, joined.at),
+    ])
+    .with({ type: 'follower-left' }, (left) => {
+      takeFollowerLeft(state, left);
+      return updateReading(state, left.at);
+    })
+    .with({ type: 'reader-told' }, (told) => [
+      ...takeReaderNews(state, told),
+      ...useKnowledge(state, told.at),
+    ])
     .with({ type: 'subquery-received' }, (received) => acceptSubquery(state, received))
     .with({ type: 'subquery-cancelled' }, (cancelled) => takeSubqueryCancelled(state, cancelled))
     .with({ type: 'subquery-acknowledged' }, (acknowledged) =>
@@ -69,8 +99,14 @@
     )
     .with({ type: 'subquery-answered' }, (answered) => takeSubqueryAnswer(state, answered))
     .with({ type: 'subquery-failed' }, (failed) => takeSubqueryFailure(state, failed))
-    .with({ type: 'peer-lost' }, (lost) => takePeerLost(state, lost))
-    .with({ type: 'peer-alive' }, (alive) => takePeerAlive(state, alive))
+    .with({ type: 'peer-lost' }, (lost) => {
+      dropSource(state, lost.peer);
+      return [...takePeerLost(state, lost), ...updateReading(state, lost.at)];
+    })
+    .with({ type: 'peer-alive' }, (alive) => [
+      ...takePeerAlive(state, alive),
+      ...updateReading(state, alive.at),
+    ])
     .exhaustive();
 
 /** Takes one event. Ends of attempts, the most frequent, go past the match. */
--- a/src/gateway/runtime/gateway-timers.ts
+++ b/src/gateway/runtime/gateway-timers.ts
@@ -5,7 +5,7 @@
 import type { CollectionName } from '../store/collection.js';
 import type { GatewayEventSink } from './gateway-loop.js';
 
-type TimerKey = CallId | CollectionName | 'stop' | 'probe' | 'gateways';
+type TimerKey = CallId | CollectionName | 'stop' | 'probe' | 'reading' | 'registration';
 
 /** Sets timers and emits their events. */
 export class GatewayTimers {
@@ -47,10 +47,13 @@
         return this.sink.emit({ type: 'stop-due', at });
       case 'probe':
         return this.sink.emit({ type: 'probe-due', at });
-      case 'gateways':
-        return this.sink.emit({ type: 'gateways-due', at });
+      case 'reading':
+        return this.sink.emit({ type: 'reading-due', at });
+      case 'registration':
+        return this.sink.emit({ type: 'registration-due', at });
       case 'configuration':
       case 'replicas':
+      case 'gateways':
         return this.sink.emit({ type: 'collection-due', at, collection: key });
       default:
         return this.sink.emit({ type: 'request-due', at, call: key });
--- /dev/null
+++ b/src/gateway/runtime/peers/news-shape.ts
@@ -0,0 +1,118 @@
+/** The shapes of what readers tell: configurations, replicas and gateways as they lie in messages. */
+import {
+  type Fields,
+  isCount,
+  isFields,
+  isFiniteNumber,
+  isListOf,
+  isOptional,
+  isText,
+} from '../../../protocol/codec/shape.js';
+
+type Check = (value: unknown) => boolean;
+
+const isFlag: Check = (value) => typeof value === 'boolean';
+
+const hasTexts = (fields: Fields, names: readonly string[]): boolean =>
+  names.every((name) => isText(fields[name]));
+
+const hasNumbers = (fields: Fields, names: readonly string[]): boolean =>
+  names.every((name) => isFiniteNumber(fields[name]));
+
+const isSplitPart: Check = (value) =>
+  isFields(value) && isText(value['service']) && isFiniteNumber(value['weight']);
+
+const isTarget: Check = (value) => {
+  if (!isFields(value)) {
+    return false;
+  }
+  switch (value['type']) {
+    case 'service':
+      return isText(value['service']);
+    case 'split':
+      return isListOf(value['parts'], isSplitPart);
+    case 'gather':
+      return isListOf(value['shards'], isText) && hasNumbers(value, ['maxRecords', 'minCoverage']);
+    default:
+      return false;
+  }
+};
+
+const isRoute: Check = (value) =>
+  isFields(value) &&
+  hasTexts(value, ['name', 'host', 'pathPrefix']) &&
+  isFlag(value['repeatable']) &&
+  hasNumbers(value, ['timeoutMs', 'objectiveMs', 'maxAttempts', 'priority']) &&
+  isTarget(value['target']);
+
+const isService: Check = (value) =>
+  isFields(value) && isText(value['name']) && isFiniteNumber(value['maxConnections']);
+
+/** Services are a map by name, in the process and in CBOR. */
+const isServices: Check = (value) =>
+  value instanceof Map && [...value].every(([name, service]) => isText(name) && isService(service));
+
+const isLimits: Check = (value) =>
+  isFields(value) &&
+  hasNumbers(value, ['maxHeaderBytes', 'maxBodyBytes', 'headerTimeoutMs', 'idleTimeoutMs']);
+
+const isConfiguration: Check = (value) =>
+  isFields(value) &&
+  isFiniteNumber(value['version']) &&
+  isListOf(value['routes'], isRoute) &&
+  isServices(value['services']) &&
+  isLimits(value['limits']);
+
+const isReplica: Check = (value) =>
+  isFields(value) &&
+  hasTexts(value, ['id', 'service', 'host', 'zone']) &&
+  hasNumbers(value, ['port', 'slots', 'coldMs']) &&
+  isFlag(value['draining']);
+
+const isAddress: Check = (value) =>
+  isFields(value) && isText(value['host']) && isCount(value['port']);
+
+const isGateway: Check = (value) =>
+  isFields(value) &&
+  hasTexts(value, ['name', 'zone']) &&
+  isAddress(value['address']) &&
+  isFiniteNumber(value['capacity']);
+
+const VALUE_CHECKS: Readonly<Record<string, Check>> = {
+  configuration: isConfiguration,
+  replicas: isReplica,
+  gateways: isGateway,
+};
+
+const isObjectWith =
+  (isValue: Check): Check =>
+  (object) =>
+    isFields(object) &&
+    isText(object['name']) &&
+    isFlag(object['gone']) &&
+    isOptional(object['value'], isValue);
+
+const hasObjects = ({ collection, objects }: Fields): boolean => {
+  const check =
+    isText(collection) && Object.hasOwn(VALUE_CHECKS, collection)
+      ? VALUE_CHECKS[collection]
+      : undefined;
+  return check !== undefined && isListOf(objects, isObjectWith(check));
+};
+
+/** Whether a value is news of a reader. */
+export const isNews: Check = (value) => {
+  if (!isFields(value)) {
+    return false;
+  }
+  switch (value['type']) {
+    case 'currency':
+      return isFlag(value['isCurrent']);
+    case 'snapshot':
+      return hasObjects(value) && isFiniteNumber(value['revision']);
+    case 'changes':
+      return hasObjects(value) && hasNumbers(value, ['revision', 'after']);
+    default:
+      return false;
+  }
+};
--- a/src/gateway/runtime/peers/peer-client.ts
+++ b/src/gateway/runtime/peers/peer-client.ts
@@ -1,7 +1,10 @@
-/** Sends subqueries to other gateways, over one connection to each that is kept and watched. */
+/**
+ * Sends subqueries to other gateways, and follows those that read the store, over one connection to each
+ * that is kept and watched.
+ */
 import { connect } from 'node:net';
 import type { MonotonicClock } from '../../../runtime/monotonic-clock.js';
-import type { CancelSubquery, SendSubquery } from '../../effect.js';
+import type { CancelSubquery, FollowReader, SendSubquery } from '../../effect.js';
 import type { PeerRecord } from '../../model/peer-record.js';
 import type { PeerProblem, SubqueryId } from '../../model/subquery.js';
 import type { CallerRequests } from '../caller-requests.js';
@@ -81,7 +84,7 @@
   readonly wanted: number;
 }
 
-/** Carries out `send-subquery` and `cancel-subquery`. */
+/** Carries out the effects that are addressed to peers. */
 export class PeerClient {
   private readonly links = new Map<string, Link>();
   private readonly linkOf = new Map<SubqueryId, Link>();
@@ -129,6 +132,17 @@
     }
   }
 
+  /** Asks a reader of the store to tell what it reads. */
+  follow({ peer, revisions }: FollowReader): void {
+    const link = this.links.get(peer.name) ?? this.open(peer);
+    link.connection.send({ type: 'follow', revisions });
+  }
+
+  /** Tells a reader that nothing is wanted any more. */
+  unfollow(reader: string): void {
+    this.links.get(reader)?.connection.send({ type: 'unfollow' });
+  }
+
   /** Asks a peer with each look whether it lives, until it answers promptly. */
   check(peer: PeerRecord): void {
     if (!this.suspects.has(peer.name)) {
@@ -204,6 +218,10 @@
       case 'stopping':
         sink.emit({ type: 'peer-lost', at, peer: link.peer, problem: 'stopping' });
         return;
+      case 'news':
+        link.usedAt = at;
+        sink.emit({ type: 'reader-told', at, reader: link.peer, news: message.news });
+        return;
       default:
     }
   }
--- a/src/gateway/runtime/peers/peer-connection.ts
+++ b/src/gateway/runtime/peers/peer-connection.ts
@@ -11,6 +11,9 @@
 /** Most bytes that wait to be written; a peer that reads slower loses the connection. */
 const MAX_WAITING_BYTES = 8 * 1024 * 1024;
 
+/** The bytes of a message as they go over a connection. */
+export const frameOf = (message: PeerMessage): Buffer => frameBytes(encodePeerMessage(message));
+
 /** What a connection tells its owner. */
 export interface PeerConnectionListener {
   onMessage(message: PeerMessage): void;
@@ -42,11 +45,16 @@
 
   /** Sends a message; what is sent before the connection opens waits. */
   send(message: PeerMessage): void {
+    this.sendFrame(frameOf(message));
+  }
+
+  /** Sends a message that was encoded before, for several connections. */
+  sendFrame(frame: Buffer): void {
     if (this.closed) {
       return;
     }
     this.sentAt = this.clock.now();
-    this.socket.write(frameBytes(encodePeerMessage(message)));
+    this.socket.write(frame);
     if (this.socket.writableLength > MAX_WAITING_BYTES) {
       this.close();
     }
--- a/src/gateway/runtime/peers/peer-message.ts
+++ b/src/gateway/runtime/peers/peer-message.ts
@@ -5,6 +5,8 @@
 import { type Either, Left, Right } from 'purify-ts/Either';
 import type { Subquery, SubqueryId, SubqueryPart } from '../../model/subquery.js';
 import { decodeCbor, encodeCbor } from '../../../protocol/codec/cbor.js';
+import type { KnownRevisions, ReaderNews } from '../../readers/reader-news.js';
+import { isNews } from './news-shape.js';
 import {
   isCount,
   isFields,
@@ -65,6 +67,23 @@
   readonly isServing: boolean;
 }
 
+/** The sender wants to be told what the receiver reads from the store. */
+export interface FollowMessage {
+  readonly type: 'follow';
+  readonly revisions: KnownRevisions;
+}
+
+/** The sender no longer wants it. */
+export interface UnfollowMessage {
+  readonly type: 'unfollow';
+}
+
+/** What a reader of the store tells. */
+export interface NewsMessage {
+  readonly type: 'news';
+  readonly news: ReaderNews;
+}
+
 /** Every message between gateways. */
 export type PeerMessage =
   | SubqueryMessage
@@ -73,7 +92,10 @@
   | RefusedMessage
   | PartsMessage
   | PongMessage
-  | SignalMessage;
+  | SignalMessage
+  | FollowMessage
+  | UnfollowMessage
+  | NewsMessage;
 
 type Check = (fields: Fields) => boolean;
 
@@ -114,6 +136,9 @@
   ping: () => true,
   pong: ({ isServing }) => typeof isServing === 'boolean',
   stopping: () => true,
+  follow: ({ revisions }) => isFields(revisions) && Object.values(revisions).every(isFiniteNumber),
+  unfollow: () => true,
+  news: ({ news }) => isNews(news),
 };
 
 /** Encodes a message. */
--- a/src/gateway/runtime/peers/peer-port.ts
+++ b/src/gateway/runtime/peers/peer-port.ts
@@ -1,15 +1,16 @@
-/** The port on which other gateways send subqueries. */
+/** The port on which other gateways send subqueries and ask to be told what is read from the store. */
 import { createServer, type Server, type Socket } from 'node:net';
 import type { MonotonicClock } from '../../../runtime/monotonic-clock.js';
 import type { HostPort } from '../../../settings/node-settings.js';
-import type { AnswerSubquery } from '../../effect.js';
+import type { AnswerSubquery, TellFollowers } from '../../effect.js';
 import type { CallId } from '../../model/request.js';
 import type { SubqueryId } from '../../model/subquery.js';
 import type { CallerRequests } from '../caller-requests.js';
 import type { GatewayEventSink } from '../gateway-loop.js';
 import { listenOn } from '../sockets.js';
-import { PeerConnection } from './peer-connection.js';
-import type { CancelMessage, PeerMessage, SubqueryMessage } from './peer-message.js';
+import type { FollowerId } from '../../readers/reader-news.js';
+import { frameOf, PeerConnection } from './peer-connection.js';
+import type { CancelMessage, FollowMessage, PeerMessage, SubqueryMessage } from './peer-message.js';
 
 /** What the port needs of its process. */
 export interface PeerPortContext {
@@ -24,6 +25,8 @@
   readonly calls: Map<SubqueryId, CallId>;
   /** Subqueries that were read and have not begun. */
   readonly arrived: Set<SubqueryId>;
+  /** Its name as a follower; undefined before it follows. */
+  follower: FollowerId | undefined;
 }
 
 interface OpenCall {
@@ -37,6 +40,8 @@
   private readonly server: Server;
   private readonly coordinators = new Set<Coordinator>();
   private readonly openCalls = new Map<CallId, OpenCall>();
+  private readonly followers = new Map<FollowerId, PeerConnection>();
+  private nextFollower: FollowerId = 1;
 
   constructor(private readonly context: PeerPortContext) {
     this.server = createServer((socket) => this.accept(socket));
@@ -71,6 +76,12 @@
     this.forget(call);
   }
 
+  /** Tells followers something; it is encoded once for all of them. */
+  tell({ followers, news }: TellFollowers): void {
+    const frame = frameOf({ type: 'news', news });
+    followers.forEach((follower) => this.followers.get(follower)?.sendFrame(frame));
+  }
+
   /** The call is over. */
   forget(call: CallId): void {
     const open = this.openCalls.get(call);
@@ -97,7 +108,12 @@
       onMessage: (message) => this.take(coordinator, message),
       onClosed: () => this.noteClosed(coordinator),
     });
-    const coordinator: Coordinator = { connection, calls: new Map(), arrived: new Set() };
+    const coordinator: Coordinator = {
+      connection,
+      calls: new Map(),
+      arrived: new Set(),
+      follower: undefined,
+    };
     this.coordinators.add(coordinator);
   }
 
@@ -112,10 +128,37 @@
       case 'ping':
         coordinator.connection.send({ type: 'pong', isServing: this.isServing });
         return;
+      case 'follow':
+        this.takeFollower(coordinator, message);
+        return;
+      case 'unfollow':
+        this.dropFollower(coordinator);
+        return;
       default:
     }
   }
 
+  private takeFollower(coordinator: Coordinator, { revisions }: FollowMessage): void {
+    if (coordinator.follower === undefined) {
+      coordinator.follower = this.nextFollower;
+      this.nextFollower += 1;
+      this.followers.set(coordinator.follower, coordinator.connection);
+    }
+    const { follower } = coordinator;
+    const at = this.context.clock.now();
+    this.context.sink.emit({ type: 'follower-joined', at, follower, revisions });
+  }
+
+  private dropFollower(coordinator: Coordinator): void {
+    const { follower } = coordinator;
+    if (follower !== undefined) {
+      coordinator.follower = undefined;
+      this.followers.delete(follower);
+      const at = this.context.clock.now();
+      this.context.sink.emit({ type: 'follower-left', at, follower });
+    }
+  }
+
   /**
    * A subquery begins once all that has arrived is read: a process that stood still finds it together
    * with its cancellation, and must not begin it then.
@@ -151,6 +194,7 @@
   private noteClosed(coordinator: Coordinator): void {
     this.coordinators.delete(coordinator);
     coordinator.arrived.clear();
+    this.dropFollower(coordinator);
     const at = this.context.clock.now();
     for (const call of [...coordinator.calls.values()]) {
       this.context.sink.emit({ type: 'subquery-cancelled', at, call, withinMs: 0 });
--- a/src/gateway/runtime/start-gateway.ts
+++ b/src/gateway/runtime/start-gateway.ts
@@ -159,7 +159,15 @@
         this.timers.set(collection, at),
       )
       .with({ type: 'set-probe-timer' }, ({ at }) => this.timers.set('probe', at))
-      .with({ type: 'set-gateways-timer' }, ({ at }) => this.timers.set('gateways', at))
+      .with({ type: 'drop-store-call' }, ({ collection }) => {
+        this.timers.cancel(collection);
+        this.store.drop(collection);
+      })
+      .with({ type: 'set-registration-timer' }, ({ at }) => this.timers.set('registration', at))
+      .with({ type: 'set-reading-timer' }, ({ at }) => this.timers.set('reading', at))
+      .with({ type: 'follow-reader' }, (follow) => this.peerClient.follow(follow))
+      .with({ type: 'unfollow-reader' }, ({ reader }) => this.peerClient.unfollow(reader))
+      .with({ type: 'tell-followers' }, (tell) => this.peerPort.tell(tell))
       .with({ type: 'set-stop-timer' }, ({ at }) => this.timers.set('stop', at))
       .with({ type: 'set-readiness' }, ({ ready }) => {
         this.readiness.setReady(ready);
--- a/src/gateway/runtime/store-client.ts
+++ b/src/gateway/runtime/store-client.ts
@@ -8,7 +8,6 @@
 import type {
   CollectionCall,
   CollectionName,
-  ListGatewaysCall,
   ProbeCall,
   RegisterCall,
   StoreCall,
@@ -37,7 +36,7 @@
 }
 
 /** What a connection is for. */
-type Purpose = CollectionName | 'probe' | 'gateways';
+type Purpose = CollectionName | 'probe' | 'registration';
 
 const problemOf = (status: number): StoreCallFailed['problem'] => {
   if (status === GONE_STATUS) {
@@ -64,8 +63,13 @@
         return void this.probe(call);
       case 'register':
         return void this.register(call);
-      case 'list-gateways':
-        return void this.listGateways(call);
+    }
+  }
+
+  /** Gives up the call by which a collection is followed. */
+  drop(collection: CollectionName): void {
+    if (this.newest.delete(collection)) {
+      this.dropClient(collection);
     }
   }
 
@@ -109,17 +113,7 @@
 
   /** Whether the entry stands in the store is seen in the next list. */
   private async register(call: RegisterCall): Promise<void> {
-    await this.tryAsk('gateways', call);
-  }
-
-  private async listGateways(call: ListGatewaysCall): Promise<void> {
-    const answer = await this.tryAsk('gateways', call);
-    const page =
-      answer?.status === OK_STATUS
-        ? this.context.format.readGateways(answer.body).toMaybe().extract()
-        : undefined;
-    const listed = page === undefined ? {} : { page };
-    this.emit((at) => ({ type: 'gateways-listed', at, ...listed }));
+    await this.tryAsk('registration', call);
   }
 
   private emit(create: (at: number) => Parameters<GatewayEventSink['emit']>[0]): void {
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -5,10 +5,10 @@
 import { createGatewayCounters, type GatewayCounters } from './metrics/gateway-counters.js';
 import type { GatewayConfiguration } from './model/route.js';
 import type { AttemptId, CallId } from './model/request.js';
-import type { PeerRecord } from './model/peer-record.js';
 import type { SubqueryId } from './model/subquery.js';
 import type { FeederPlan } from './peers/feeder-plan.js';
 import { PeerDirectory } from './peers/peer-directory.js';
+import { createReadingState, type ReadingState } from './readers/reading-state.js';
 import { ReplicaDirectory } from './replicas/directory.js';
 import type { ActiveAttempt, ActiveRequest } from './requests/request-state.js';
 import type { RouteLatency } from './requests/route-latency.js';
@@ -44,8 +44,20 @@
 /** Whether the store can be reached, as this gateway knows it. */
 export interface StoreReachability {
   reachable: boolean;
+  /** A probe is under way, or its timer is set. */
+  isProbed: boolean;
   /** When the store was first found out of reach. */
   lostSince: number;
+  /** When it was found again. */
+  regainedAt: number;
+}
+
+/** This gateway's own entry among the gateways. */
+export interface Registration {
+  /** When it was last written. */
+  writtenAt: number;
+  /** The generation of the peers when their list was last complete; undefined before the first list. */
+  listedGeneration: number | undefined;
 }
 
 /** Everything that a gateway knows. */
@@ -58,10 +70,9 @@
   readonly peers: PeerDirectory;
   /** The list of gateways is complete, as far as this gateway can tell. */
   gatewaysSettled: boolean;
-  /** Pages of a list of gateways that is still being read. */
-  listedGateways: PeerRecord[];
-  /** Entries of that list that another version has written. */
-  unreadableGateways: number;
+  readonly registration: Registration;
+  /** Who reads the store for this gateway, and for whom it reads. */
+  readonly reading: ReadingState;
   /** The plan of feeders, with what it was made from. */
   feeders: KnownFeederPlan | undefined;
   /** The plan to whose feeders connections were opened. */
@@ -98,13 +109,18 @@
   gateways: ASSUMED_GATEWAYS,
   peers: new PeerDirectory(),
   gatewaysSettled: false,
-  listedGateways: [],
-  unreadableGateways: 0,
+  registration: { writtenAt: Number.NEGATIVE_INFINITY, listedGeneration: undefined },
+  reading: createReadingState(),
   feeders: undefined,
   connectedPlan: undefined,
   subqueries: new Map(),
   nextSubquery: 1,
-  store: { reachable: true, lostSince: Number.NEGATIVE_INFINITY },
+  store: {
+    reachable: true,
+    isProbed: false,
+    lostSince: Number.NEGATIVE_INFINITY,
+    regainedAt: Number.NEGATIVE_INFINITY,
+  },
   phase: 'starting',
   stoppingSince: Number.POSITIVE_INFINITY,
   ready: false,
@@ -112,6 +128,7 @@
   collections: {
     configuration: createCollectionProgress('configuration'),
     replicas: createCollectionProgress('replicas'),
+    gateways: createCollectionProgress('gateways'),
   },
   replicasListed: false,
   replicas: new ReplicaDirectory(),
--- a/src/gateway/store/apply-collections.ts
+++ b/src/gateway/store/apply-collections.ts
@@ -1,144 +1,73 @@
-/** Takes what the store returned: puts configurations in force and keeps the replicas. */
+/** Takes what calls to the store returned, and makes the next ones. */
 import type { GatewayEffect } from '../effect.js';
-import type { ChangesRead, CollectionDue, PageRead, StoreCallFailed, Stored } from '../event.js';
+import type { ChangesRead, CollectionDue, PageRead, StoreCallFailed } from '../event.js';
 import type { BeliefChange } from '../log/log-event.js';
-import { type GatewayConfiguration, shardsOf } from '../model/route.js';
-import type { ReplicaRecord } from '../model/replica-record.js';
-import type { Replica } from '../replicas/replica.js';
-import { RouteTable } from '../routing/route-table.js';
+import { registerIfMissing, takeGatewaysList } from '../peers/follow-gateways.js';
+import { tellChanges, tellSnapshot } from '../readers/tell-followers.js';
 import type { GatewayState } from '../state.js';
+import { applyObjects, applyWholeList, forgetGoneReplicas } from './apply-objects.js';
 import { COLLECTION_NAMES } from './collection.js';
-import { callNow, noteChanges, noteFailure, notePage } from './follow-collection.js';
+import {
+  callNow,
+  type CollectionProgress,
+  followNow,
+  listStale,
+  noteFailure,
+  notePage,
+  watchAgain,
+} from './follow-collection.js';
 
-/** Gone replicas are forgotten after this part of the time for which they still serve. */
-const FORGET_SHARE = 0.5;
+/** Lists all collections once, from a copy that may be old. */
+export const listCollections = (state: GatewayState): GatewayEffect[] =>
+  COLLECTION_NAMES.map((name) => listStale(state.collections[name]));
 
-/** Begins to follow all collections. */
-export const followCollections = (state: GatewayState): GatewayEffect[] =>
-  COLLECTION_NAMES.map((name) => callNow(state.collections[name]));
-
-/** Puts a configuration in force unless it is older than the one that is. */
-const applyConfiguration = (
-  state: GatewayState,
-  configuration: GatewayConfiguration,
-  at: number,
-): GatewayEffect[] => {
-  const previous = state.inForce?.configuration.version;
-  if (previous !== undefined && configuration.version <= previous) {
-    return [];
-  }
-  const change: BeliefChange = {
-    event: 'configuration-in-force',
-    version: configuration.version,
-    ...(previous !== undefined && { previous }),
-    routes: configuration.routes.length,
-  };
-  const shards = shardsOf(configuration.routes);
-  state.inForce = { configuration, table: new RouteTable(configuration.routes), shards, since: at };
-  forgetOldRoutes(state, configuration);
-  return [
-    { type: 'apply-limits', limits: configuration.limits },
-    { type: 'write-log', level: 'info', part: 'configuration', change },
-  ];
-};
-
-const forgetOldRoutes = (state: GatewayState, configuration: GatewayConfiguration): void => {
-  const names = new Set(configuration.routes.map((route) => route.name));
-  for (const known of [state.latencies, state.splits]) {
-    for (const name of known.keys()) {
-      if (!names.has(name)) {
-        known.delete(name);
-      }
-    }
-  }
-};
-
-type ReplicaState = 'listed' | 'draining' | 'gone';
-
-const stateOf = (replica: Replica | undefined): ReplicaState | undefined => {
-  if (replica === undefined) {
-    return undefined;
-  }
-  if (replica.goneAt !== undefined) {
-    return 'gone';
-  }
-  return replica.record.draining ? 'draining' : 'listed';
-};
-
-/** Takes what the store says of one replica, and logs whether that changes anything. */
-const applyReplica = (
-  state: GatewayState,
-  { name, gone, value }: Stored<ReplicaRecord>,
-  at: number,
-): GatewayEffect[] => {
-  const before = stateOf(state.replicas.find(name));
-  if (gone) {
-    state.replicas.markGone(name, at);
-  } else if (value !== undefined) {
-    state.replicas.put(value, at);
-  }
-  const replica = state.replicas.find(name);
-  const after = stateOf(replica);
-  if (replica === undefined || after === undefined || after === before) {
-    return [];
-  }
-  const { service } = replica.record;
-  const change: BeliefChange = { event: 'replica-changed', replica: name, service, state: after };
-  return [{ type: 'write-log', level: 'info', part: 'replica', change }];
-};
-
-const applyObjects = (
-  state: GatewayState,
-  read: PageRead['page'] | ChangesRead['changes'],
-  at: number,
-): GatewayEffect[] => {
-  if (read.collection === 'replicas') {
-    return read.objects.flatMap((object) => applyReplica(state, object, at));
-  }
-  return read.objects.flatMap(({ value }) =>
-    value === undefined ? [] : applyConfiguration(state, value, at),
-  );
-};
-
-/** Replicas that a complete list does not hold are gone. */
-const markUnlisted = (state: GatewayState, at: number): void => {
-  const { listed } = state.collections.replicas;
-  for (const replica of state.replicas.all()) {
-    if (!listed.has(replica.record.id)) {
-      state.replicas.markGone(replica.record.id, at);
-    }
-  }
-  listed.clear();
-  state.replicasListed = true;
-};
-
-const forgetGoneReplicas = (state: GatewayState, at: number): GatewayEffect[] => {
-  const before = at - state.settings.bounds.drainMs * FORGET_SHARE;
-  return state.replicas
-    .forgetGone(before)
-    .map((replica): GatewayEffect => ({ type: 'close-replica', replica }));
-};
+/** A collection that was listed is followed at the store only by gateways that read it. */
+const continueAfterList = (
+  { reading }: GatewayState,
+  progress: CollectionProgress,
+): GatewayEffect[] => (reading.isReading ? [followNow(progress)] : []);
 
 /** Handles `page-read`. */
 export const takePage = (state: GatewayState, { page, at }: PageRead): GatewayEffect[] => {
   const progress = state.collections[page.collection];
-  const effects = applyObjects(state, page, at);
+  const applied = applyObjects(state, page, at);
   const names = page.objects.map(({ name }) => name);
-  const isComplete = notePage(progress, names, page, at);
-  if (isComplete && page.collection === 'replicas') {
-    markUnlisted(state, at);
+  const listed = notePage(progress, names, page);
+  if (listed === undefined) {
+    return [...applied, callNow(progress)];
   }
-  return [...effects, callNow(progress)];
+  const removed = applyWholeList(state, page.collection, listed, at);
+  const settled = page.collection === 'gateways' ? takeGatewaysList(state, at) : [];
+  return [
+    ...applied,
+    ...removed,
+    ...tellSnapshot(state, page.collection, at),
+    ...settled,
+    ...continueAfterList(state, progress),
+  ];
 };
 
-/** Handles `changes-read`. */
+/**
+ * Handles `changes-read`. A reader may have told later changes meanwhile: what a watch returns is dropped
+ * unless it goes further.
+ */
 export const takeChanges = (state: GatewayState, { changes, at }: ChangesRead): GatewayEffect[] => {
   const progress = state.collections[changes.collection];
+  const { revision: known = Number.NEGATIVE_INFINITY } = progress;
+  const isNews = changes.revision > known;
+  progress.failures = 0;
+  if (isNews) {
+    progress.revision = changes.revision;
+  }
+  const effects = isNews
+    ? [...applyObjects(state, changes, at), ...tellChanges(state, changes, known)]
+    : [];
   const hasChanges = changes.objects.length > 0;
   return [
-    ...applyObjects(state, changes, at),
+    ...effects,
     ...forgetGoneReplicas(state, at),
-    noteChanges(progress, changes.revision, hasChanges, state.settings.bounds, at),
+    ...(changes.collection === 'gateways' ? registerIfMissing(state, at) : []),
+    watchAgain(progress, hasChanges, state.settings.bounds, at),
   ];
 };
 
@@ -158,8 +87,27 @@
   return state.store.reachable || problem === 'history-gone' ? [log, next] : [log];
 };
 
+/** Whether this gateway calls the store for a collection: it reads, or has not listed it yet. */
+const isWanted = ({ reading }: GatewayState, { isListed }: CollectionProgress): boolean =>
+  reading.isReading || !isListed;
+
 /** Handles `collection-due`. */
 export const takeCollectionDue = (
   state: GatewayState,
   { collection }: CollectionDue,
-): GatewayEffect[] => (state.store.reachable ? [callNow(state.collections[collection])] : []);
+): GatewayEffect[] => {
+  const progress = state.collections[collection];
+  if (!state.store.reachable) {
+    return [];
+  }
+  if (collection === 'gateways' && !state.gatewaysSettled) {
+    return [listStale(progress)];
+  }
+  return isWanted(state, progress) ? [callNow(progress)] : [];
+};
+
+/** Makes the calls again that were lost while the store was out of reach. */
+export const resumeCollections = (state: GatewayState): GatewayEffect[] =>
+  COLLECTION_NAMES.map((name) => state.collections[name])
+    .filter((progress) => isWanted(state, progress))
+    .map((progress) => (state.reading.isReading ? followNow(progress) : callNow(progress)));
--- /dev/null
+++ b/src/gateway/store/apply-objects.ts
@@ -0,0 +1,168 @@
+/** Takes objects of the store, however they came: configurations, replicas and gateways. */
+import type { GatewayEffect } from '../effect.js';
+import type { BeliefChange } from '../log/log-event.js';
+import type { PeerRecord } from '../model/peer-record.js';
+import { type GatewayConfiguration, shardsOf } from '../model/route.js';
+import type { ReplicaRecord } from '../model/replica-record.js';
+import type { Replica } from '../replicas/replica.js';
+import { RouteTable } from '../routing/route-table.js';
+import type { GatewayState } from '../state.js';
+import type { CollectionName } from './collection.js';
+import type { Stored, StoreObjects } from './store-objects.js';
+
+/** Gone replicas are forgotten after this part of the time for which they still serve. */
+const FORGET_SHARE = 0.5;
+
+const forgetOldRoutes = (state: GatewayState, configuration: GatewayConfiguration): void => {
+  const names = new Set(configuration.routes.map((route) => route.name));
+  for (const known of [state.latencies, state.splits]) {
+    for (const name of known.keys()) {
+      if (!names.has(name)) {
+        known.delete(name);
+      }
+    }
+  }
+};
+
+/** Puts a configuration in force unless it is older than the one that is. */
+const applyConfiguration = (
+  state: GatewayState,
+  configuration: GatewayConfiguration,
+  at: number,
+): GatewayEffect[] => {
+  const previous = state.inForce?.configuration.version;
+  if (previous !== undefined && configuration.version <= previous) {
+    return [];
+  }
+  const change: BeliefChange = {
+    event: 'configuration-in-force',
+    version: configuration.version,
+    ...(previous !== undefined && { previous }),
+    routes: configuration.routes.length,
+  };
+  const shards = shardsOf(configuration.routes);
+  state.inForce = { configuration, table: new RouteTable(configuration.routes), shards, since: at };
+  forgetOldRoutes(state, configuration);
+  return [
+    { type: 'apply-limits', limits: configuration.limits },
+    { type: 'write-log', level: 'info', part: 'configuration', change },
+  ];
+};
+
+type ReplicaState = 'listed' | 'draining' | 'gone';
+
+const stateOf = (replica: Replica | undefined): ReplicaState | undefined => {
+  if (replica === undefined) {
+    return undefined;
+  }
+  if (replica.goneAt !== undefined) {
+    return 'gone';
+  }
+  return replica.record.draining ? 'draining' : 'listed';
+};
+
+/** Takes what the store says of one replica, and logs whether that changes anything. */
+const applyReplica = (
+  state: GatewayState,
+  { name, gone, value }: Stored<ReplicaRecord>,
+  at: number,
+): GatewayEffect[] => {
+  const before = stateOf(state.replicas.find(name));
+  if (gone) {
+    state.replicas.markGone(name, at);
+  } else if (value !== undefined) {
+    state.replicas.put(value, at);
+  }
+  const replica = state.replicas.find(name);
+  const after = stateOf(replica);
+  if (replica === undefined || after === undefined || after === before) {
+    return [];
+  }
+  const { service } = replica.record;
+  const change: BeliefChange = { event: 'replica-changed', replica: name, service, state: after };
+  return [{ type: 'write-log', level: 'info', part: 'replica', change }];
+};
+
+const applyGateway = (
+  { peers }: GatewayState,
+  { name, gone, value }: Stored<PeerRecord>,
+): boolean => {
+  if (gone) {
+    return peers.remove(name);
+  }
+  return value === undefined ? peers.putUnreadable(name) : peers.put(value);
+};
+
+/** Counts the gateways; before all are listed, no fewer than were assumed. */
+export const countGateways = (state: GatewayState): GatewayEffect[] => {
+  const previous = state.gateways;
+  const least = state.gatewaysSettled ? 1 : previous;
+  state.gateways = Math.max(least, state.peers.listedCount);
+  if (state.gateways === previous) {
+    return [];
+  }
+  const change: BeliefChange = { event: 'gateways-counted', gateways: state.gateways, previous };
+  return [{ type: 'write-log', level: 'info', part: 'lifecycle', change }];
+};
+
+/** Takes objects of a collection. */
+export const applyObjects = (
+  state: GatewayState,
+  read: StoreObjects,
+  at: number,
+): GatewayEffect[] => {
+  switch (read.collection) {
+    case 'configuration':
+      return read.objects.flatMap(({ value }) =>
+        value === undefined ? [] : applyConfiguration(state, value, at),
+      );
+    case 'replicas':
+      return read.objects.flatMap((object) => applyReplica(state, object, at));
+    case 'gateways':
+      read.objects.forEach((object) => applyGateway(state, object));
+      return countGateways(state);
+  }
+};
+
+const markUnlistedReplicas = (
+  state: GatewayState,
+  listed: ReadonlySet<string>,
+  at: number,
+): void => {
+  for (const { record } of state.replicas.all()) {
+    if (!listed.has(record.id)) {
+      state.replicas.markGone(record.id, at);
+    }
+  }
+  state.replicasListed = true;
+};
+
+/** Objects that a complete list does not hold are gone. */
+export const applyWholeList = (
+  state: GatewayState,
+  collection: CollectionName,
+  listed: ReadonlySet<string>,
+  at: number,
+): GatewayEffect[] => {
+  switch (collection) {
+    case 'configuration':
+      return [];
+    case 'replicas':
+      markUnlistedReplicas(state, listed, at);
+      return [];
+    case 'gateways':
+      state.peers
+        .names()
+        .filter((name) => !listed.has(name))
+        .forEach((name) => state.peers.remove(name));
+      return countGateways(state);
+  }
+};
+
+/** Forgets replicas that have been gone for long, and closes the connections to them. */
+export const forgetGoneReplicas = (state: GatewayState, at: number): GatewayEffect[] => {
+  const before = at - state.settings.bounds.drainMs * FORGET_SHARE;
+  return state.replicas
+    .forgetGone(before)
+    .map((replica): GatewayEffect => ({ type: 'close-replica', replica }));
+};
--- a/src/gateway/store/collection.ts
+++ b/src/gateway/store/collection.ts
@@ -2,17 +2,26 @@
 
 import type { PeerRecord } from '../model/peer-record.js';
 
-/** `configuration` has one object; `replicas` has one for each live incarnation. */
-export type CollectionName = 'configuration' | 'replicas';
+/**
+ * `configuration` has one object; `replicas` has one for each live incarnation; `gateways` has one for
+ * each gateway, written by itself.
+ */
+export type CollectionName = 'configuration' | 'replicas' | 'gateways';
 
 /** All collections that are followed. */
-export const COLLECTION_NAMES: readonly CollectionName[] = ['configuration', 'replicas'];
+export const COLLECTION_NAMES: readonly CollectionName[] = [
+  'configuration',
+  'replicas',
+  'gateways',
+];
 
 /** Reads a page of all objects, those after the name `after`. */
 export interface ListCall {
   readonly type: 'list';
   readonly collection: CollectionName;
   readonly after?: string;
+  /** From a copy that may be seconds old, at a tenth of the price. */
+  readonly stale: boolean;
   readonly timeoutMs: number;
 }
 
@@ -43,15 +52,8 @@
   readonly timeoutMs: number;
 }
 
-/** Reads a page of the gateways that have registered, from a copy that may be old. */
-export interface ListGatewaysCall {
-  readonly type: 'list-gateways';
-  readonly after?: string;
-  readonly timeoutMs: number;
-}
-
 /** A call by which a collection is followed. */
 export type CollectionCall = ListCall | WatchCall;
 
 /** A call to the store. */
-export type StoreCall = CollectionCall | ProbeCall | RegisterCall | ListGatewaysCall;
+export type StoreCall = CollectionCall | ProbeCall | RegisterCall;
--- a/src/gateway/store/follow-collection.ts
+++ b/src/gateway/store/follow-collection.ts
@@ -1,6 +1,7 @@
 /**
  * Follows one collection of the store: lists it, then watches it from the revision of the list, and
- * lists it again when the store has forgotten the history since.
+ * lists it again when the store has forgotten the history since. The first list of a process comes from
+ * a copy that may be old: it is cheap and serves until a reader, or the store itself, tells what is new.
  */
 import type { GatewayEffect } from '../effect.js';
 import type { Random } from '../../core/random.js';
@@ -34,10 +35,14 @@
   listAfter: string | undefined;
   /** Names seen in the list so far. */
   listed: Set<string>;
+  /** Revision at which the list began: what has changed while its pages were read is watched for. */
+  listRevision: number;
+  /** The list that is being read comes from a copy that may be old. */
+  isStaleList: boolean;
+  /** A list has been read to its end, if only an old one. */
+  isListed: boolean;
   /** Calls that failed in a row. */
   failures: number;
-  /** When the store last answered, on this process's clock. */
-  answeredAt: number;
 }
 
 /** Creates the progress of a collection that has not been read. */
@@ -46,16 +51,17 @@
   revision: undefined,
   listAfter: undefined,
   listed: new Set(),
+  listRevision: Number.POSITIVE_INFINITY,
+  isStaleList: true,
+  isListed: false,
   failures: 0,
-  answeredAt: Number.NEGATIVE_INFINITY,
 });
 
-const nextCall = ({ collection, revision, listAfter }: CollectionProgress): CollectionCall => {
+const nextCall = (progress: CollectionProgress): CollectionCall => {
+  const { collection, revision, listAfter, isStaleList: stale } = progress;
   if (revision === undefined) {
-    const timeoutMs = ANSWER_MS;
-    return listAfter === undefined
-      ? { type: 'list', collection, timeoutMs }
-      : { type: 'list', collection, after: listAfter, timeoutMs };
+    const after = listAfter === undefined ? {} : { after: listAfter };
+    return { type: 'list', collection, ...after, stale, timeoutMs: ANSWER_MS };
   }
   const timeoutMs = WATCH_WAIT_MS + ANSWER_MS;
   return { type: 'watch', collection, revision, waitMs: WATCH_WAIT_MS, timeoutMs };
@@ -67,36 +73,68 @@
   call: nextCall(progress),
 });
 
-/** Notes a page of the list; returns true when the list is complete. */
+/** Forgets a list that was begun: the next call begins another. */
+const beginList = (progress: CollectionProgress, stale: boolean): void => {
+  progress.revision = undefined;
+  progress.listAfter = undefined;
+  progress.listed.clear();
+  progress.listRevision = Number.POSITIVE_INFINITY;
+  progress.isStaleList = stale;
+};
+
+/** Reads a new list from a copy that may be old. */
+export const listStale = (progress: CollectionProgress): GatewayEffect => {
+  beginList(progress, true);
+  return callNow(progress);
+};
+
+/** Follows the collection at the store from what is known of it; an old list is read anew. */
+export const followNow = (progress: CollectionProgress): GatewayEffect => {
+  if (progress.revision === undefined) {
+    beginList(progress, false);
+  }
+  return callNow(progress);
+};
+
+/** A page of a list, as far as following it is concerned. */
+interface ListPage {
+  readonly more: boolean;
+  readonly last: string;
+  readonly revision: number;
+}
+
+/**
+ * Notes a page of the list; returns the names that the list holds when it is complete. The pages stand at
+ * different revisions, and the collection is known up to that of the first one only.
+ */
 export const notePage = (
   progress: CollectionProgress,
   names: readonly string[],
-  page: { readonly more: boolean; readonly last: string; readonly revision: number },
-  at: number,
-): boolean => {
+  page: ListPage,
+): ReadonlySet<string> | undefined => {
   progress.failures = 0;
-  progress.answeredAt = at;
   names.forEach((name) => progress.listed.add(name));
+  progress.listRevision = Math.min(progress.listRevision, page.revision);
   if (page.more) {
     progress.listAfter = page.last;
-    return false;
+    return undefined;
   }
+  const { listed, listRevision, isStaleList } = progress;
+  progress.listed = new Set();
+  progress.listRevision = Number.POSITIVE_INFINITY;
   progress.listAfter = undefined;
-  progress.revision = page.revision;
-  return true;
+  progress.isListed = true;
+  progress.revision = isStaleList ? undefined : listRevision;
+  return listed;
 };
 
-/** Notes what a watch returned, and pauses before the next one. */
-export const noteChanges = (
+/** Pauses before the next watch after one that returned changes. */
+export const watchAgain = (
   progress: CollectionProgress,
-  revision: number,
   hasChanges: boolean,
   bounds: GatewayBounds,
   at: number,
 ): GatewayEffect => {
-  progress.failures = 0;
-  progress.answeredAt = at;
-  progress.revision = Math.max(progress.revision ?? 0, revision);
   if (!hasChanges) {
     return callNow(progress);
   }
@@ -115,9 +153,7 @@
 ): GatewayEffect => {
   const { collection } = progress;
   if (historyGone) {
-    progress.revision = undefined;
-    progress.listAfter = undefined;
-    progress.listed.clear();
+    beginList(progress, false);
     progress.failures = 0;
     return callNow(progress);
   }
--- a/test/gateway/feeders.test.ts
+++ b/test/gateway/feeders.test.ts
@@ -409,7 +409,7 @@
 
   /** Each lists the others alike, so that their plans are the same. */
   const sameView = (gateway: VirtualGateway): VirtualGateway => {
-    gateway.state.peers.replaceAll(GATEWAYS);
+    GATEWAYS.forEach((record) => gateway.state.peers.put(record));
     return gateway;
   };
 
--- /dev/null
+++ b/test/gateway/peer-port.test.ts
@@ -0,0 +1,103 @@
+import { connect, type Socket } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import type { GatewayEvent } from '../../src/gateway/event.js';
+import type { ReaderNews } from '../../src/gateway/readers/reader-news.js';
+import { CallerRequests } from '../../src/gateway/runtime/caller-requests.js';
+import { PeerConnection } from '../../src/gateway/runtime/peers/peer-connection.js';
+import type { PeerMessage } from '../../src/gateway/runtime/peers/peer-message.js';
+import { PeerPort } from '../../src/gateway/runtime/peers/peer-port.js';
+import { platformProtocol } from '../../platform/protocol.js';
+import { freeAddress } from '../platform/gateway-fixture.js';
+import { configurationOf } from './virtual-store.js';
+
+const clock = { now: () => performance.now() };
+
+let port: PeerPort;
+let address: { host: string; port: number };
+let events: GatewayEvent[];
+let sockets: Socket[];
+
+const PORT_TRIES = 5;
+
+/** Listens on a port of the kernel's; another one is asked for when a test beside has taken it. */
+const listen = async (tries = PORT_TRIES): Promise<void> => {
+  address = await freeAddress();
+  try {
+    await port.listen(address);
+  } catch (error) {
+    if (tries <= 1) {
+      throw error;
+    }
+    await listen(tries - 1);
+  }
+};
+
+beforeEach(async () => {
+  events = [];
+  sockets = [];
+  const requests = new CallerRequests(platformProtocol.headers);
+  port = new PeerPort({ requests, clock, sink: { emit: (event) => events.push(event) } });
+  await listen();
+});
+
+afterEach(() => {
+  sockets.forEach((socket) => socket.destroy());
+  port.destroy();
+});
+
+const follow = (heard: PeerMessage[]): PeerConnection => {
+  const socket = connect(address);
+  sockets.push(socket);
+  const connection = new PeerConnection(socket, clock, {
+    onMessage: (message) => heard.push(message),
+    onClosed: () => undefined,
+  });
+  connection.send({ type: 'follow', revisions: { configuration: 7 } });
+  return connection;
+};
+
+const until = async (condition: () => boolean): Promise<void> => {
+  for (let tries = 0; !condition(); tries += 1) {
+    if (tries > 1_000) {
+      throw new Error('waited in vain');
+    }
+    await delay(5);
+  }
+};
+
+const typesOf = (): readonly string[] => events.map(({ type }) => type);
+
+describe('a gateway that follows this one', () => {
+  it('is told what it is told, and no longer once it has left', async () => {
+    const heard: PeerMessage[] = [];
+    const connection = follow(heard);
+    await until(() => typesOf().includes('follower-joined'));
+    const [joined] = events;
+    const followers = joined?.type === 'follower-joined' ? [joined.follower] : [];
+    expect(joined).toMatchObject({ revisions: { configuration: 7 } });
+    const news: ReaderNews = {
+      type: 'snapshot',
+      collection: 'configuration',
+      objects: [{ name: 'main', gone: false, value: configurationOf(8) }],
+      revision: 8,
+    };
+    port.tell({ type: 'tell-followers', followers, news });
+    await until(() => heard.length === 1);
+    expect(heard).toEqual([{ type: 'news', news }]);
+    connection.send({ type: 'unfollow' });
+    await until(() => typesOf().includes('follower-left'));
+    port.tell({ type: 'tell-followers', followers, news });
+    await delay(50);
+    expect(heard).toHaveLength(1);
+  });
+
+  it('has left when its connection closes', async () => {
+    follow([]).close();
+    sockets[0]?.destroy();
+    const again = follow([]);
+    await until(() => typesOf().includes('follower-joined'));
+    again.close();
+    await until(() => typesOf().includes('follower-left'));
+  });
+});
--- /dev/null
+++ b/test/gateway/readers.test.ts
@@ -0,0 +1,217 @@
+import { describe, expect, it } from 'vitest';
+import { ReaderNetwork, type VirtualNode } from './reader-network.js';
+import { configurationOf, replicaOf } from './virtual-store.js';
+
+/** The bound within which a change must be known, in milliseconds. */
+const BOUND_MS = 3_000;
+
+/** Enough for a start, and for the lists of gateways to settle. */
+const SETTLED_MS = 8_000;
+
+const ZONES = ['bole', 'arada', 'hall'];
+
+/** Five gateways in each of three zones, over a store that holds a configuration and replicas. */
+const networkOf = (perZone = 5): ReaderNetwork => {
+  const network = new ReaderNetwork();
+  network.store.put('configuration', 'main', configurationOf(1));
+  for (let index = 0; index < 60; index += 1) {
+    network.store.put('replicas', `r-${String(index).padStart(2, '0')}`, replicaOf(`r-${index}`));
+  }
+  for (const zone of ZONES) {
+    for (let index = 0; index < perZone; index += 1) {
+      network.add(`${zone}-${index}`, zone, 1, BOUND_MS);
+    }
+  }
+  network.startAll();
+  network.advance(SETTLED_MS);
+  return network;
+};
+
+const versionsOf = (network: ReaderNetwork): readonly number[] => [
+  ...new Set(network.nodes.filter(({ alive }) => alive).map(({ version }) => version)),
+];
+
+/** The reader of a zone. */
+const readerOf = (network: ReaderNetwork, zone: string): VirtualNode => {
+  const [name] = network.readers().filter((each) => each.startsWith(zone));
+  return network.find(name ?? '');
+};
+
+/** Puts another version in the store. */
+const configure = (network: ReaderNetwork, version: number): void =>
+  network.put('configuration', 'main', configurationOf(version));
+
+const storeCalls = (network: ReaderNetwork, type: string): number =>
+  network.calls.filter((call) => call.type === type).length;
+
+describe('readers of the store', () => {
+  it('are one in each zone, and all others learn from them', () => {
+    const network = networkOf();
+    expect(network.readers()).toHaveLength(ZONES.length);
+    configure(network, 2);
+    network.advance(BOUND_MS);
+    expect(versionsOf(network)).toEqual([2]);
+  });
+
+  it('make calls that do not grow with the gateways of a zone', () => {
+    const watchesOf = (perZone: number): number => {
+      const network = networkOf(perZone);
+      network.calls.length = 0;
+      for (let version = 2; version < 8; version += 1) {
+        configure(network, version);
+        network.advance(2_000);
+      }
+      expect(versionsOf(network)).toEqual([7]);
+      return storeCalls(network, 'watch');
+    };
+    expect(watchesOf(9)).toBe(watchesOf(3));
+  });
+
+  it('are replaced when they are killed', () => {
+    const network = networkOf();
+    network.kill(readerOf(network, 'bole'));
+    configure(network, 2);
+    network.advance(BOUND_MS);
+    expect(versionsOf(network)).toEqual([2]);
+  });
+
+  it('are replaced one after the other, until a gateway reads for itself', () => {
+    const network = networkOf(4);
+    for (let version = 2; version < 5; version += 1) {
+      network.kill(readerOf(network, 'bole'));
+      network.advance(200);
+      configure(network, version);
+      network.advance(BOUND_MS);
+      expect(versionsOf(network)).toEqual([version]);
+    }
+  });
+
+  it('are replaced when the store turns them away, and come back', () => {
+    const network = networkOf();
+    const reader = readerOf(network, 'arada');
+    network.setStore(reader, false);
+    configure(network, 2);
+    network.advance(BOUND_MS);
+    expect(versionsOf(network)).toEqual([2]);
+    network.setStore(reader, true);
+    network.advance(BOUND_MS);
+    expect(network.readers()).toHaveLength(ZONES.length);
+    configure(network, 3);
+    network.advance(BOUND_MS);
+    expect(versionsOf(network)).toEqual([3]);
+  });
+
+  it('are replaced for those that hear nothing more from them', () => {
+    const network = networkOf();
+    const reader = readerOf(network, 'hall');
+    const others = network.nodes.filter((node) => node !== reader);
+    others.forEach((other) => network.setCut(reader, other, true));
+    configure(network, 2);
+    network.advance(BOUND_MS);
+    expect(versionsOf(network)).toEqual([2]);
+  });
+
+  it('are gateways of other zones where the store turns a whole zone away', () => {
+    const network = networkOf(3);
+    network.nodes
+      .filter(({ settings }) => settings.zone === 'bole')
+      .forEach((node) => network.setStore(node, false));
+    network.advance(BOUND_MS);
+    configure(network, 2);
+    network.advance(BOUND_MS);
+    expect(versionsOf(network)).toEqual([2]);
+  });
+
+  it('tell what was missed while a gateway heard nothing', () => {
+    const network = networkOf();
+    const reader = readerOf(network, 'bole');
+    const deaf = network.nodes.find(
+      (node) => node !== reader && node.settings.zone === 'bole',
+    ) as VirtualNode;
+    network.setCut(reader, deaf, true);
+    network.put('replicas', 'r-07', replicaOf('r-7', true));
+    network.advance(400);
+    network.setCut(reader, deaf, false);
+    network.put('replicas', 'r-08', undefined);
+    network.advance(BOUND_MS);
+    expect(deaf.state.replicas.find('r-7')?.record.draining).toBe(true);
+  });
+
+  it('bring nothing back that a gateway has read to be gone', () => {
+    const network = networkOf();
+    network.put('replicas', 'r-07', replicaOf('r-7', true));
+    network.advance(BOUND_MS);
+    network.kill(readerOf(network, 'bole'));
+    network.kill(readerOf(network, 'arada'));
+    network.advance(BOUND_MS);
+    const draining = network.nodes
+      .filter(({ alive }) => alive)
+      .map(({ state }) => state.replicas.find('r-7')?.record.draining);
+    expect(new Set(draining)).toEqual(new Set([true]));
+  });
+
+  it('are asked again by hundreds of gateways only once after the store was away', () => {
+    const network = networkOf();
+    network.nodes.forEach((node) => network.setStore(node, false));
+    network.advance(5_000);
+    network.calls.length = 0;
+    network.nodes.forEach((node) => network.setStore(node, true));
+    configure(network, 2);
+    network.advance(BOUND_MS);
+    expect(versionsOf(network)).toEqual([2]);
+    expect(network.readers()).toHaveLength(ZONES.length);
+    const followed = storeCalls(network, 'watch') + storeCalls(network, 'list');
+    expect(followed).toBeLessThanOrEqual(5 * ZONES.length * 3);
+  });
+});
+
+describe('a gateway that starts', () => {
+  it('while the store is away learns all from the gateways that its settings name', () => {
+    const network = networkOf();
+    const late = network.add('bole-late', 'bole', 1, BOUND_MS);
+    network.nodes.forEach((node) => network.setStore(node, false));
+    network.advance(3_000);
+    network.start(late);
+    network.advance(BOUND_MS);
+    expect(late.version).toBe(1);
+    expect(late.state.ready).toBe(true);
+  });
+
+  it('for good is counted by all others', () => {
+    const network = networkOf();
+    network.start(network.add('bole-late', 'bole', 1, BOUND_MS));
+    network.advance(BOUND_MS);
+    expect(new Set(network.nodes.map(({ state }) => state.gateways))).toEqual(new Set([16]));
+  });
+
+  it('with all others serves again within a second', () => {
+    const network = networkOf();
+    network.nodes.forEach((node) => network.kill(node));
+    network.advance(1_000);
+    network.startAll();
+    network.advance(1_000);
+    expect(network.nodes.every(({ state }) => state.ready)).toBe(true);
+    network.advance(SETTLED_MS);
+    expect(network.readers()).toHaveLength(ZONES.length);
+  });
+});
+
+describe('a list in several pages', () => {
+  it('misses nothing that changes while its pages are read', () => {
+    const network = new ReaderNetwork();
+    network.store.put('configuration', 'main', configurationOf(1));
+    for (let index = 0; index < 200; index += 1) {
+      const name = `r-${String(index).padStart(3, '0')}`;
+      network.store.put('replicas', name, replicaOf(name));
+    }
+    const alone = network.add('bole-0', 'bole', 1, BOUND_MS);
+    network.start(alone);
+    while (!alone.state.reading.isReading) {
+      network.advance(1);
+    }
+    network.advance(6);
+    network.put('replicas', 'r-000', replicaOf('r-000', true));
+    network.advance(2_000);
+    expect(alone.state.replicas.find('r-000')?.record.draining).toBe(true);
+  });
+});
--- a/test/gateway/store.test.ts
+++ b/test/gateway/store.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest';
 import type { GatewayEffect } from '../../src/gateway/effect.js';
+import { ownRecord } from '../../src/gateway/peers/follow-gateways.js';
 import { VirtualGateway } from './virtual-gateway.js';
 
 const collectionCalls = (effects: readonly GatewayEffect[]): readonly string[] =>
@@ -9,10 +10,12 @@
       : [],
   );
 
+/** A gateway that is the only one, so that it reads the store itself. */
 const following = (): VirtualGateway => {
   const gateway = new VirtualGateway();
   gateway.configure(1, []);
   gateway.listReplicas(['s0']);
+  gateway.listGateways([ownRecord(gateway.state.settings)]);
   gateway.effects.splice(0);
   return gateway;
 };
@@ -38,7 +41,7 @@
     expect(collectionCalls(gateway.effects)).toEqual([]);
     expect(gateway.effects.map(({ type }) => type)).not.toContain('set-collection-timer');
     probe(gateway, true);
-    expect(collectionCalls(gateway.effects)).toEqual(['configuration', 'replicas']);
+    expect(collectionCalls(gateway.effects)).toEqual(['configuration', 'replicas', 'gateways']);
   });
 
   it('is watched again after a pause where only the watch failed', () => {
--- a/test/gateway/virtual-gateway.ts
+++ b/test/gateway/virtual-gateway.ts
@@ -135,9 +135,10 @@
 
   /** Takes the list of gateways from the store, twice: it has settled then. */
   listGateways(gateways: readonly PeerRecord[]): void {
-    const page = { gateways, unreadable: 0, more: false, last: '' };
-    this.emit({ type: 'gateways-listed', at: this.now, page });
-    this.emit({ type: 'gateways-listed', at: this.now, page });
+    const objects = gateways.map((value) => ({ name: value.name, gone: false, value }));
+    const list = { collection: 'gateways', objects, more: false, last: '', revision: 1 } as const;
+    this.emit({ type: 'page-read', at: this.now, page: list });
+    this.emit({ type: 'page-read', at: this.now, page: list });
   }
 
   /** Another gateway asks this one for parts. */
--- /dev/null
+++ b/test/gateway/virtual-store.ts
@@ -0,0 +1,104 @@
+/** The users' store in virtual time: collections with one counter of revisions, lists and watches. */
+import type { PeerRecord } from '../../src/gateway/model/peer-record.js';
+import type { ReplicaRecord } from '../../src/gateway/model/replica-record.js';
+import type { GatewayConfiguration } from '../../src/gateway/model/route.js';
+import type { CollectionName, ListCall, WatchCall } from '../../src/gateway/store/collection.js';
+import type { StoreChanges, StorePage } from '../../src/gateway/store/store-objects.js';
+
+const PAGE_SIZE = 50;
+
+type Value = GatewayConfiguration | ReplicaRecord | PeerRecord;
+
+interface StoredEvent {
+  readonly collection: CollectionName;
+  readonly revision: number;
+  readonly name: string;
+  readonly value: Value | undefined;
+}
+
+/** A configuration without routes. */
+export const configurationOf = (version: number): GatewayConfiguration => ({
+  version,
+  routes: [],
+  services: new Map([['s0', { name: 's0', maxConnections: 8 }]]),
+  limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+});
+
+/** A replica of `s0`. */
+export const replicaOf = (id: string, draining = false): ReplicaRecord => ({
+  id,
+  service: 's0',
+  host: '127.0.0.1',
+  port: 1,
+  zone: 'bole',
+  slots: 2,
+  draining,
+  coldMs: 0,
+});
+
+/** Objects with their history. */
+export class VirtualStore {
+  revision = 0;
+  private readonly objects: Record<CollectionName, Map<string, Value>> = {
+    configuration: new Map(),
+    replicas: new Map(),
+    gateways: new Map(),
+  };
+  private readonly history: StoredEvent[] = [];
+
+  put(collection: CollectionName, name: string, value: Value | undefined): void {
+    this.revision += 1;
+    this.history.push({ collection, revision: this.revision, name, value });
+    if (value === undefined) {
+      this.objects[collection].delete(name);
+    } else {
+      this.objects[collection].set(name, value);
+    }
+  }
+
+  has(collection: CollectionName, name: string): boolean {
+    return this.objects[collection].has(name);
+  }
+
+  names(collection: CollectionName): readonly string[] {
+    return [...this.objects[collection].keys()].sort();
+  }
+
+  list({ collection, after = '' }: ListCall): StorePage {
+    const names = this.names(collection).filter((name) => name > after);
+    const page = names.slice(0, PAGE_SIZE);
+    const objects = page.map((name) => ({
+      name,
+      gone: false,
+      value: this.objects[collection].get(name),
+    }));
+    return {
+      collection,
+      objects,
+      more: names.length > PAGE_SIZE,
+      last: page.at(-1) ?? '',
+      revision: this.revision,
+    } as StorePage;
+  }
+
+  /** What a watch returns now; undefined while there is nothing. */
+  changes({ collection, revision }: WatchCall): StoreChanges | undefined {
+    const events = this.history.filter(
+      (event) => event.collection === collection && event.revision > revision,
+    );
+    if (events.length === 0) {
+      return undefined;
+    }
+    const objects = events.map(({ name, value }) => ({
+      name,
+      gone: value === undefined,
+      ...(value !== undefined && { value }),
+    }));
+    return { collection, objects, revision: this.revision } as StoreChanges;
+  }
+
+  /** What a watch returns when its time is over. */
+  noChanges({ collection }: WatchCall): StoreChanges {
+    return { collection, objects: [], revision: this.revision } as StoreChanges;
+  }
+}
--- a/test/platform/gateway-fixture.ts
+++ b/test/platform/gateway-fixture.ts
@@ -39,7 +39,11 @@
   return port;
 };
 
-const freeAddress = async (): Promise<HostPort> => ({ host: '127.0.0.1', port: await freePort() });
+/** An address on loopback whose port was free a moment ago. */
+export const freeAddress = async (): Promise<HostPort> => ({
+  host: '127.0.0.1',
+  port: await freePort(),
+});
 
 /** Addresses for all ports of a gateway. */
 const freeAddresses = async () => ({
--- a/test/platform/gateway-metrics.test.ts
+++ b/test/platform/gateway-metrics.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { CounterMetric, HistogramMetric } from '../../src/gateway/metrics/metric-series.js';
-import { GatewayFixture, routeSpec } from './gateway-fixture.js';
+import { GatewayFixture, routeSpec, until } from './gateway-fixture.js';
 
 let fixture: GatewayFixture;
 
@@ -24,6 +24,7 @@
 
 describe('the metrics of a gateway', () => {
   it('count requests, attempts, latencies and calls to the store', async () => {
+    await until(() => fixture.gateway.state.reading.isReading, 'the store is watched');
     await fixture.ask({ id: 'r-1', path: '/one/a' });
     await fixture.ask({ id: 'r-2', path: '/one/b' });
     await fixture.ask({ id: 'r-3', path: '/none/' });
