Feed shards from gateways beside their replicas; ask and warm up peers less

Feeders stood in all six zones, the replicas in two; each new connection of 195 gateways to each feeder was warmed up with 20 subqueries, again with each new plan; each of these connections asked whether its peer lives every 0.8 s.

Change: a plan takes feeders from the zones that hold about as many replicas of the index as any other, where these have enough gateways. A new connection is warmed up with 3 subqueries, once. Questions come after 2 s without a message. A gateway that went without a word is dropped by those it followed after 15 s. A plan with the same feeders stays the same object.

Ruled out: feeders chosen for each shard by its own replicas (ranks would change with each crash, and shares with them).

--- a/src/gateway/peers/feeder-plan.ts
+++ b/src/gateway/peers/feeder-plan.ts
@@ -3,7 +3,7 @@
  * connections are few and warm, and what one of them knows of a replica is fresh.
  *
  * Every gateway works the plan out by itself from the listed gateways. Feeders are the gateways with
- * the most processor, as many as the shards ask for; among them weighted rendezvous hashing orders the
+ * the most processor in the zones that hold the replicas, as many as the shards ask for; among them weighted rendezvous hashing orders the
  * feeders of each shard, so that a change of members moves few shards.
  */
 import type { PeerRecord } from '../model/peer-record.js';
@@ -22,11 +22,35 @@
 const MIN_FEEDERS = 3;
 
 /** Feeders of a shard that are kept in order of preference. */
-const RANKED_FEEDERS = 3;
+const RANKED_FEEDERS = 4;
+
+/** A zone with less than this part of the replicas that the fullest zone has holds the index only in part. */
+const FULL_ZONE_PART = 0.5;
 
 const byCapacity = (left: PeerRecord, right: PeerRecord): number =>
   right.capacity - left.capacity || drawFrom(left.name) - drawFrom(right.name);
 
+/** Zones that hold about as many replicas as any other. */
+const fullZones = (replicasByZone: ReadonlyMap<string, number>): ReadonlySet<string> => {
+  const most = Math.max(0, ...replicasByZone.values());
+  const full = [...replicasByZone].filter(([, count]) => count >= most * FULL_ZONE_PART);
+  return new Set(full.map(([zone]) => zone));
+};
+
+/**
+ * Gateways beside the replicas, where there are enough of them: the parts of replicas are by far the most
+ * bytes of a gather, and a feeder sends on only the greatest records.
+ */
+const besideReplicas = (
+  gatewaysOfRegion: readonly PeerRecord[],
+  replicasByZone: ReadonlyMap<string, number>,
+  enough: number,
+): readonly PeerRecord[] => {
+  const zones = fullZones(replicasByZone);
+  const beside = gatewaysOfRegion.filter(({ zone }) => zones.has(zone));
+  return beside.length >= enough ? beside : gatewaysOfRegion;
+};
+
 /**
  * The gateways with the most processor. Much weaker ones are left out where enough others remain: a
  * message to one costs the gateway that asks as much as a message to a strong one.
@@ -34,11 +58,13 @@
 const selectFeeders = (
   gatewaysOfRegion: readonly PeerRecord[],
   shards: number,
+  replicasByZone: ReadonlyMap<string, number>,
 ): readonly PeerRecord[] => {
   const wanted = Math.max(MIN_FEEDERS, Math.ceil(shards / SHARDS_PER_FEEDER));
-  const strongest = [...gatewaysOfRegion].sort(byCapacity).slice(0, wanted);
-  const least = (strongest[0]?.capacity ?? 0) * WEAK_PART;
   const enough = Math.max(MIN_FEEDERS, Math.ceil(shards / MOST_SHARDS_PER_FEEDER));
+  const candidates = besideReplicas(gatewaysOfRegion, replicasByZone, enough);
+  const strongest = [...candidates].sort(byCapacity).slice(0, wanted);
+  const least = (strongest[0]?.capacity ?? 0) * WEAK_PART;
   return strongest.filter(({ capacity }, index) => capacity >= least || index < enough);
 };
 
@@ -47,8 +73,15 @@
   readonly feeders: readonly PeerRecord[];
   private readonly ranked = new Map<string, readonly PeerRecord[]>();
 
-  constructor(gatewaysOfRegion: readonly PeerRecord[], shards: number) {
-    this.feeders = selectFeeders(gatewaysOfRegion, shards);
+  /**
+   * @param replicasByZone - replicas of these shards in each zone of the region
+   */
+  constructor(
+    gatewaysOfRegion: readonly PeerRecord[],
+    shards: number,
+    replicasByZone: ReadonlyMap<string, number> = new Map(),
+  ) {
+    this.feeders = selectFeeders(gatewaysOfRegion, shards, replicasByZone);
   }
 
   /** The feeders of a shard, the preferred one first. */
--- a/src/gateway/peers/service-share.ts
+++ b/src/gateway/peers/service-share.ts
@@ -3,7 +3,8 @@
  * gateways together may use of a service: the connections of each replica and the slack of the retry
  * budget.
  */
-import type { GatewayState } from '../state.js';
+import type { PeerRecord } from '../model/peer-record.js';
+import type { GatewayState, KnownFeederPlan } from '../state.js';
 import { FeederPlan } from './feeder-plan.js';
 
 /** Connections of one replica where its service says nothing. */
@@ -36,17 +37,51 @@
 const regionOf = (state: GatewayState, zone: string): string =>
   state.settings.zoneRegions[zone] ?? '';
 
-/** The plan for this gateway's region; made anew when the gateways or the shards have changed. */
+/** Listed replicas of the shards in each zone of this gateway's region. */
+const replicasByZone = (state: GatewayState): ReadonlyMap<string, number> => {
+  const region = regionOf(state, state.settings.zone);
+  const counts = new Map<string, number>();
+  for (const service of state.inForce?.shards ?? []) {
+    for (const { record, goneAt } of state.replicas.of(service)) {
+      if (goneAt === undefined && regionOf(state, record.zone) === region) {
+        counts.set(record.zone, (counts.get(record.zone) ?? 0) + 1);
+      }
+    }
+  }
+  return counts;
+};
+
+const isCurrentPlan = (
+  { peers, replicas, inForce }: GatewayState,
+  known: KnownFeederPlan,
+): boolean =>
+  known.peersGeneration === peers.generation &&
+  known.replicasGeneration === replicas.generation &&
+  known.inForce === inForce;
+
+const isSameList = (left: readonly PeerRecord[], right: readonly PeerRecord[]): boolean =>
+  left.length === right.length && left.every((peer, index) => peer === right[index]);
+
+/**
+ * The plan for this gateway's region; made anew when the gateways, the replicas or the shards have
+ * changed. A plan with the same feeders stays the same object.
+ */
 export const feederPlan = (state: GatewayState): FeederPlan => {
-  const { peers, inForce } = state;
-  const known = state.feeders;
-  if (known?.generation === peers.generation && known.inForce === inForce) {
+  const { peers, replicas, inForce, feeders: known } = state;
+  if (known !== undefined && isCurrentPlan(state, known)) {
     return known.plan;
   }
   const region = regionOf(state, state.settings.zone);
   const gateways = [...peers.all()].filter(({ zone }) => regionOf(state, zone) === region);
-  const plan = new FeederPlan(gateways, inForce?.shards.size ?? 0);
-  state.feeders = { plan, generation: peers.generation, inForce };
+  const made = new FeederPlan(gateways, inForce?.shards.size ?? 0, replicasByZone(state));
+  const isSame = known !== undefined && isSameList(known.plan.feeders, made.feeders);
+  const plan = isSame ? known.plan : made;
+  state.feeders = {
+    plan,
+    peersGeneration: peers.generation,
+    replicasGeneration: replicas.generation,
+    inForce,
+  };
   return plan;
 };
 
--- a/src/gateway/replicas/directory.ts
+++ b/src/gateway/replicas/directory.ts
@@ -6,6 +6,8 @@
 export class ReplicaDirectory {
   private readonly byId = new Map<string, Replica>();
   private readonly byService = new Map<string, Replica[]>();
+  /** Rises whenever a replica is listed or is gone. */
+  generation = 0;
 
   get size(): number {
     return this.byId.size;
@@ -29,6 +31,7 @@
     const known = this.byId.get(record.id);
     if (known === undefined) {
       const replica = createReplica(record, at);
+      this.generation += 1;
       this.byId.set(record.id, replica);
       const siblings = this.byService.get(record.service) ?? [];
       siblings.push(replica);
@@ -37,6 +40,7 @@
     }
     known.record = record;
     known.coldUntil = Math.min(known.coldUntil, at + record.coldMs);
+    this.generation += Number(known.goneAt !== undefined);
     known.goneAt = undefined;
     known.drainingSince = record.draining ? (known.drainingSince ?? at) : undefined;
   }
@@ -44,8 +48,9 @@
   /** The store no longer lists the replica. */
   markGone(id: string, at: number): void {
     const known = this.byId.get(id);
-    if (known !== undefined) {
-      known.goneAt ??= at;
+    if (known !== undefined && known.goneAt === undefined) {
+      known.goneAt = at;
+      this.generation += 1;
     }
   }
 
--- a/src/gateway/runtime/peers/peer-client.ts
+++ b/src/gateway/runtime/peers/peer-client.ts
@@ -18,11 +18,15 @@
 /** This process itself stood still when a look comes so late: peers are not judged then. */
 const STOOD_STILL_MS = 1_000;
 
-/** A connection on which nothing was sent for so long asks whether the peer lives. */
-const PING_AFTER_MS = 800;
+/**
+ * A connection on which nothing was sent for so long asks whether the peer lives, in milliseconds. A
+ * feeder that is silent is found out by the first subquery that it does not acknowledge; questions only
+ * see to it that most are found before.
+ */
+const PING_AFTER_MS = 2_000;
 
 /** A peer that has said nothing for so long is taken for lost, in milliseconds. */
-const SILENCE_MS = 2_000;
+const SILENCE_MS = 4_500;
 
 /** A suspect that answers a question so soon is trusted again, in milliseconds. */
 const PROMPT_MS = 60;
@@ -36,8 +40,11 @@
 /** A connection without subqueries for so long is closed, in milliseconds. */
 const IDLE_MS = 60_000;
 
-/** Subqueries for no shard, sent over a new connection before it is needed. */
-const WARM_UP_SUBQUERIES = 20;
+/**
+ * Subqueries for no shard, sent over a new connection before it is needed, so that the code on both sides
+ * has been compiled. After all machines have lost power a feeder gets as many from each gateway at once.
+ */
+const WARM_UP_SUBQUERIES = 3;
 const WARM_UP: SubqueryMessage = {
   type: 'subquery',
   id: 0,
@@ -126,7 +133,10 @@
 
   /** Opens a connection before it is needed, and has the code on both sides compiled. */
   prepare(peer: PeerRecord): void {
-    const link = this.links.get(peer.name) ?? this.open(peer);
+    if (this.links.has(peer.name)) {
+      return;
+    }
+    const link = this.open(peer);
     for (let count = 0; count < WARM_UP_SUBQUERIES; count += 1) {
       link.connection.send(WARM_UP);
     }
--- a/src/gateway/runtime/peers/peer-port.ts
+++ b/src/gateway/runtime/peers/peer-port.ts
@@ -12,6 +12,18 @@
 import { frameOf, PeerConnection } from './peer-connection.js';
 import type { CancelMessage, FollowMessage, PeerMessage, SubqueryMessage } from './peer-message.js';
 
+/** How often connections are looked over, in milliseconds. */
+const SWEEP_MS = 5_000;
+
+/**
+ * A gateway that keeps a connection asks each 2 s whether this one lives (see `peer-client.ts`). One that
+ * has said nothing for so long is gone without a word, in milliseconds.
+ */
+const SILENCE_MS = 15_000;
+
+/** This process itself stood still when a look comes so late: nobody is judged then. */
+const STOOD_STILL_MS = 6_000;
+
 /** What the port needs of its process. */
 export interface PeerPortContext {
   readonly requests: CallerRequests;
@@ -42,9 +54,13 @@
   private readonly openCalls = new Map<CallId, OpenCall>();
   private readonly followers = new Map<FollowerId, PeerConnection>();
   private nextFollower: FollowerId = 1;
+  private readonly sweepTimer: NodeJS.Timeout;
+  private sweptAt: number;
 
   constructor(private readonly context: PeerPortContext) {
     this.server = createServer((socket) => this.accept(socket));
+    this.sweptAt = context.clock.now();
+    this.sweepTimer = setInterval(() => this.sweep(), SWEEP_MS).unref();
   }
 
   /** Listens on `address`; rejects when the address cannot be had. */
@@ -99,10 +115,24 @@
 
   /** Closes everything at once. */
   destroy(): void {
+    clearInterval(this.sweepTimer);
     this.server.close();
     this.coordinators.forEach(({ connection }) => connection.close());
   }
 
+  /** Closes the connections of gateways that have gone without a word. */
+  private sweep(): void {
+    const now = this.context.clock.now();
+    const stoodStill = now - this.sweptAt > STOOD_STILL_MS;
+    this.sweptAt = now;
+    const silent = [...this.coordinators].filter(
+      ({ connection }) => now - connection.heardAt > SILENCE_MS,
+    );
+    if (!stoodStill) {
+      silent.forEach(({ connection }) => connection.close());
+    }
+  }
+
   private accept(socket: Socket): void {
     const connection = new PeerConnection(socket, this.context.clock, {
       onMessage: (message) => this.take(coordinator, message),
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -6,6 +6,7 @@
 import type { GatewayConfiguration } from './model/route.js';
 import type { AttemptId, CallId } from './model/request.js';
 import type { SubqueryId } from './model/subquery.js';
+import { createFeederDelay, type FeederDelay } from './peers/feeder-delay.js';
 import type { FeederPlan } from './peers/feeder-plan.js';
 import { PeerDirectory } from './peers/peer-directory.js';
 import { createReadingState, type ReadingState } from './readers/reading-state.js';
@@ -36,8 +37,9 @@
 /** A plan of feeders and what it was made from. */
 export interface KnownFeederPlan {
   readonly plan: FeederPlan;
-  /** The generation of the peers. */
-  readonly generation: number;
+  /** The generations of the peers and of the replicas. */
+  readonly peersGeneration: number;
+  readonly replicasGeneration: number;
   readonly inForce: ConfigurationInForce | undefined;
 }
 
@@ -77,6 +79,7 @@
   feeders: KnownFeederPlan | undefined;
   /** The plan to whose feeders connections were opened. */
   connectedPlan: FeederPlan | undefined;
+  readonly feederDelay: FeederDelay;
   readonly subqueries: Map<SubqueryId, CallId>;
   nextSubquery: SubqueryId;
   readonly store: StoreReachability;
@@ -113,6 +116,7 @@
   reading: createReadingState(),
   feeders: undefined,
   connectedPlan: undefined,
+  feederDelay: createFeederDelay(),
   subqueries: new Map(),
   nextSubquery: 1,
   store: {
