Judge feeders by the others' words and by the usual delay

Cause: on machines of 0.12 cores a feeder needs longer than 30 ms for its first word.

Change: a feeder is judged once at least as many feeders of the request have said something as have not, or late in the objective; the wait follows the mean and deviation of first words, as TCP estimates its retransmission timeout (RFC 6298).

Ruled out: a longer fixed wait (fast fleets would find lost feeders later).

Tests: test/gateway/feeders.test.ts, "feeders that say nothing"; the first of the three fails on the code before (all moved after 35 ms).

--- a/src/gateway/requests/check-subqueries.ts
+++ b/src/gateway/requests/check-subqueries.ts
@@ -3,6 +3,7 @@
 import type { BeliefChange } from '../log/log-event.js';
 import { trace } from '../log/trace.js';
 import type { PeerProblem } from '../model/subquery.js';
+import { noteFirstWord, usualPatience } from '../peers/feeder-delay.js';
 import type { GatewayState } from '../state.js';
 import { type ActiveRequest, type ActiveSubquery, openLegsOf } from './request-state.js';
 import { sendLegs } from './send-legs.js';
@@ -13,6 +14,23 @@
 /** A look that comes so late says that this process is busy, not that the feeder is, in milliseconds. */
 const LATE_LOOK_MS = 4;
 
+/** From this part of the objective on, feeders are judged even when most of them are silent. */
+const JUDGE_ALL_SHARE = 0.55;
+
+/**
+ * A feeder is judged only once at least as many feeders of the request have said something as have not:
+ * when most are silent, the time is lost here, in the network or at all of them, and asking others for the
+ * same would only add to it.
+ */
+const mayJudge = (state: GatewayState, request: ActiveRequest, at: number): boolean => {
+  const silent = [...request.subqueries.values()].filter(
+    ({ acknowledgeBy }) => acknowledgeBy !== undefined,
+  ).length;
+  const { receivedAt, route, heardSubqueries } = request;
+  const patience = Math.max(route.objectiveMs * JUDGE_ALL_SHARE, usualPatience(state.feederDelay));
+  return heardSubqueries >= silent || at >= receivedAt + patience;
+};
+
 /** Passes a peer over until it says promptly that it serves. */
 export const suspectPeer = (
   state: GatewayState,
@@ -71,11 +89,12 @@
     return [];
   }
   const isBusyHere = at - acknowledgeBy > LATE_LOOK_MS;
-  if (!subquery.isOverdue || isBusyHere) {
+  if (!subquery.isOverdue || isBusyHere || !mayJudge(state, request, at)) {
     subquery.isOverdue = true;
     subquery.acknowledgeBy = at + SECOND_LOOK_MS;
     return [];
   }
+  noteFirstWord(state.feederDelay, at - subquery.sentAt);
   return [
     ...suspectPeer(state, subquery.peer, 'unacknowledged', at),
     ...moveLegs(state, request, subquery, true, at),
--- a/src/gateway/requests/request-state.ts
+++ b/src/gateway/requests/request-state.ts
@@ -79,6 +79,8 @@
   /** When the request's timer is due; undefined before it is first set. */
   timerAt: number | undefined;
   readonly subqueries: Map<SubqueryId, ActiveSubquery>;
+  /** Subqueries of which a feeder has said something. */
+  heardSubqueries: number;
   /** Feeders that failed this request. */
   readonly failedFeeders: Set<string>;
   /** When the gateway that asked is told that this feeder is at work; undefined once it knows. */
@@ -148,6 +150,7 @@
   openLegs: start.legs.length,
   timerAt: undefined,
   subqueries: new Map(),
+  heardSubqueries: 0,
   failedFeeders: new Set(),
   fedRecords: [],
   decisions: [],
--- a/src/gateway/requests/send-legs.ts
+++ b/src/gateway/requests/send-legs.ts
@@ -8,12 +8,16 @@
 import type { PeerRecord } from '../model/peer-record.js';
 import type { GatherTarget, Route } from '../model/route.js';
 import type { Subquery } from '../model/subquery.js';
+import { usualPatience } from '../peers/feeder-delay.js';
 import { feederPlan, isFed } from '../peers/service-share.js';
 import { budgetOf, type GatewayState } from '../state.js';
 import type { ActiveRequest, ActiveSubquery, Leg } from './request-state.js';
 import { retryLeg } from './retry-leg.js';
 
-/** Time within which a feeder says that it has a subquery: a part of the objective, at least so long. */
+/**
+ * Time within which a feeder says that it has a subquery: a part of the objective, at least so long, and
+ * longer where feeders usually take longer.
+ */
 const ACKNOWLEDGE_SHARE = 0.3;
 const LEAST_ACKNOWLEDGE_MS = 30;
 
@@ -63,8 +67,8 @@
   return retryLeg(state, request, leg, isRepeat ? 'retry' : 'first', at);
 };
 
-const acknowledgeWithin = ({ objectiveMs }: Route): number =>
-  Math.max(LEAST_ACKNOWLEDGE_MS, objectiveMs * ACKNOWLEDGE_SHARE);
+const acknowledgeWithin = ({ feederDelay }: GatewayState, { objectiveMs }: Route): number =>
+  Math.max(LEAST_ACKNOWLEDGE_MS, objectiveMs * ACKNOWLEDGE_SHARE, usualPatience(feederDelay));
 
 const createSubquery = (
   { route, objectiveAt, deadlineAt }: ActiveRequest,
@@ -102,7 +106,7 @@
     legs,
     isRepeat,
     sentAt: at,
-    acknowledgeBy: at + acknowledgeWithin(request.route),
+    acknowledgeBy: at + acknowledgeWithin(state, request.route),
     isOverdue: false,
   };
   request.subqueries.set(id, active);
--- a/src/gateway/requests/take-subquery-result.ts
+++ b/src/gateway/requests/take-subquery-result.ts
@@ -10,6 +10,7 @@
 import type { BeliefChange } from '../log/log-event.js';
 import { trace } from '../log/trace.js';
 import type { SubqueryId, SubqueryPart } from '../model/subquery.js';
+import { noteFirstWord } from '../peers/feeder-delay.js';
 import type { GatewayState } from '../state.js';
 import { moveLegs, suspectPeer } from './check-subqueries.js';
 import { progressRequest } from './progress.js';
@@ -30,14 +31,24 @@
   return request === undefined || subquery === undefined ? undefined : { request, subquery };
 };
 
+/** A feeder has said something of a subquery: it is at work. */
+const noteHeard = (state: GatewayState, found: FoundSubquery, at: number): void => {
+  const { request, subquery } = found;
+  if (subquery.acknowledgeBy !== undefined) {
+    subquery.acknowledgeBy = undefined;
+    request.heardSubqueries += 1;
+    noteFirstWord(state.feederDelay, at - subquery.sentAt);
+  }
+};
+
 /** Handles `subquery-acknowledged`. */
 export const takeAcknowledgement = (
   state: GatewayState,
-  { subquery: id }: SubqueryAcknowledged,
+  { subquery: id, at }: SubqueryAcknowledged,
 ): GatewayEffect[] => {
   const found = findSubquery(state, id);
   if (found !== undefined) {
-    found.subquery.acknowledgeBy = undefined;
+    noteHeard(state, found, at);
   }
   return [];
 };
@@ -102,7 +113,7 @@
     return [];
   }
   const { request, subquery } = found;
-  subquery.acknowledgeBy = undefined;
+  noteHeard(state, found, at);
   takeParts(request, subquery, part);
   const elapsedMs = Math.round(at - subquery.sentAt);
   const { isFinal, unsent = [] } = part;
--- a/test/gateway/feeders.test.ts
+++ b/test/gateway/feeders.test.ts
@@ -221,6 +221,79 @@
   });
 });
 
+describe('feeders that say nothing', () => {
+  it('are not judged while most of them are silent: the time is lost elsewhere', () => {
+    const gateway = coordinator();
+    gateway.request();
+    const sent = gateway.subqueries.length;
+    gateway.advanceTo(50);
+    expect([gateway.subqueries.length, ofType(gateway, 'check-peer').length]).toEqual([sent, 0]);
+  });
+
+  it('are judged all together late in the objective', () => {
+    const gateway = coordinator();
+    gateway.request();
+    const sent = gateway.subqueries.length;
+    gateway.advanceTo(75);
+    expect(gateway.subqueries.length).toBeGreaterThan(sent);
+  });
+
+  it('are waited for as long as feeders usually take', () => {
+    const gateway = coordinator();
+    for (let request = 0; request < 20; request += 1) {
+      gateway.subqueries.splice(0);
+      gateway.request();
+      const sent = gateway.subqueries.slice();
+      gateway.now += request % 2 === 0 ? 20 : 45;
+      sent.forEach((each) => answer(gateway, each));
+    }
+    gateway.subqueries.splice(0);
+    gateway.request();
+    const [silent, ...others] = gateway.subqueries.slice();
+    others.forEach((each) => acknowledge(gateway, each));
+    const suspects = ofType(gateway, 'check-peer').length;
+    gateway.advanceTo(gateway.now + 45);
+    expect(silent).toBeDefined();
+    expect(ofType(gateway, 'check-peer')).toHaveLength(suspects);
+  });
+});
+
+describe('the feeders of an index', () => {
+  /** Four zones with strong gateways in each; replicas stand in the zones that are named. */
+  const planWith = (replicaZones: readonly string[]): readonly PeerRecord[] => {
+    const gateway = new VirtualGateway(40, SMALL.name, SMALL.capacity);
+    gateway.configure(1, [routeTo(gatherOf(SHARDS, 0.9))], 54);
+    gateway.listReplicas(NAMES, replicaZones);
+    const peers = GATEWAYS.map((peer, index) => ({
+      ...peer,
+      zone: ['bole', 'arada', 'kirkos', 'yeka'][index % 4] ?? '',
+      capacity: index < 16 ? 1 : 0.3,
+    }));
+    gateway.state.settings = {
+      ...gateway.state.settings,
+      zoneRegions: { bole: 'addis', arada: 'addis', kirkos: 'addis', yeka: 'addis' },
+    };
+    gateway.listGateways([SMALL, ...peers]);
+    return feederPlan(gateway.state).feeders;
+  };
+
+  const zonesOf = (feeders: readonly PeerRecord[]): readonly string[] =>
+    [...new Set(feeders.map(({ zone }) => zone))].sort();
+
+  it('stand in the zones that hold its replicas', () => {
+    expect(zonesOf(planWith(['bole', 'arada']))).toEqual(['arada', 'bole']);
+  });
+
+  it('stand anywhere where its replicas do', () => {
+    const zones = ['arada', 'bole', 'kirkos', 'yeka'];
+    expect(zonesOf(planWith(zones))).toEqual(zones);
+  });
+
+  it('stand elsewhere too where the zones of its replicas have too few gateways', () => {
+    expect(planWith(['gulele']).length).toBeGreaterThanOrEqual(3);
+  });
+});
+
 describe('a feeder', () => {
   const feeder = (slack?: number): VirtualGateway => {
     const gateway = new VirtualGateway(slack);
