--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -129,6 +129,7 @@
       readonly problem: string;
       readonly detail: string;
     }
+  | { readonly event: 'replicas-listed'; readonly replicas: number }
   | {
       readonly event: 'replica-changed';
       readonly replica: string;
@@ -183,6 +184,7 @@
   'store-lost': 'A probe of the store was not answered in time.',
   'store-regained': 'The store answers again; what is read from it is read on.',
   'store-call-failed': 'A list or watch failed and is repeated after a pause.',
+  'replicas-listed': 'The replicas were listed for the first time; changes are logged from now on.',
   'replica-changed': 'The store lists a replica, says that it drains, or lists it no more.',
   'replica-ejected': 'A replica failed and is tried only as a last resort for a while.',
   'peer-suspected': 'Another gateway failed to answer and is passed over until it does.',
--- a/src/gateway/readers/tell-followers.ts
+++ b/src/gateway/readers/tell-followers.ts
@@ -3,6 +3,7 @@
 import type { FollowerJoined, FollowerLeft } from '../event.js';
 import type { GatewayState } from '../state.js';
 import { COLLECTION_NAMES, type CollectionName } from '../store/collection.js';
+import { isDeaf } from '../store/follow-collection.js';
 import type { StoreChanges, StoreObjects } from '../store/store-objects.js';
 import type { CollectionSnapshot, FollowerId, ReaderNews } from './reader-news.js';
 import { followTiming } from './reading-state.js';
@@ -51,9 +52,16 @@
 const isComplete = ({ collections }: GatewayState): boolean =>
   COLLECTION_NAMES.every((name) => collections[name].revision !== undefined);
 
+/**
+ * Whether this gateway can read the store. Probes alone do not show it: the store may refuse new connections
+ * and serve those that are open.
+ */
+export const canRead = ({ store, collections }: GatewayState): boolean =>
+  store.reachable && !COLLECTION_NAMES.some((name) => isDeaf(collections[name]));
+
 /** Whether what this gateway tells is all that the store holds. */
 const isCurrent = (state: GatewayState): boolean =>
-  state.reading.isReading && state.store.reachable && isComplete(state);
+  state.reading.isReading && canRead(state) && isComplete(state);
 
 const tell = (followers: readonly FollowerId[], news: ReaderNews): GatewayEffect[] =>
   followers.length === 0 ? [] : [{ type: 'tell-followers', followers, news }];
--- a/src/gateway/readers/update-reading.ts
+++ b/src/gateway/readers/update-reading.ts
@@ -14,7 +14,7 @@
 import { readerCandidates, seedCandidates } from './candidates.js';
 import { followTiming, type Source } from './reading-state.js';
 import { knownRevisions } from './take-news.js';
-import { tellCurrency } from './tell-followers.js';
+import { canRead, tellCurrency } from './tell-followers.js';
 
 /**
  * Time in which the list of gateways must have come from the store, in milliseconds. When all start for
@@ -55,30 +55,36 @@
 const mayReadAlone = ({ store, settings }: GatewayState, at: number): boolean =>
   store.reachable && at - store.regainedAt >= followTiming(settings.bounds).regainMs;
 
+/**
+ * Goes through the candidates up to the first that is current, or may be. A gateway that comes before it
+ * goes on trying to read the store.
+ */
 const chooseAmong = (
   state: GatewayState,
   candidates: readonly PeerRecord[],
   at: number,
 ): Choice => {
-  const { reading, settings, store } = state;
+  const { reading, settings } = state;
   const follow: PeerRecord[] = [];
+  let isPreferred = false;
   for (const candidate of candidates) {
     if (candidate.name === settings.node) {
-      if (store.reachable) {
+      if (canRead(state)) {
         return { follow, reads: true };
       }
+      isPreferred = true;
       continue;
     }
     follow.push(candidate);
     const status = statusOf(state, reading.sources.get(candidate.name), at);
     if (status === 'current') {
-      return { follow, reads: false };
+      return { follow, reads: isPreferred };
     }
     if (status === 'pending') {
-      return { follow, reads: reading.isReading };
+      return { follow, reads: isPreferred || reading.isReading };
     }
   }
-  return { follow, reads: reading.isReading || mayReadAlone(state, at) };
+  return { follow, reads: isPreferred || reading.isReading || mayReadAlone(state, at) };
 };
 
 const isAlone = ({ peers, settings }: GatewayState): boolean =>
--- a/src/gateway/store/apply-objects.ts
+++ b/src/gateway/store/apply-objects.ts
@@ -61,7 +61,10 @@
   return replica.record.draining ? 'draining' : 'listed';
 };
 
-/** Takes what the store says of one replica, and logs whether that changes anything. */
+/**
+ * Takes what the store says of one replica, and logs whether that changes anything. The first list is not
+ * logged line by line: hundreds of lines would hold up the start.
+ */
 const applyReplica = (
   state: GatewayState,
   { name, gone, value }: Stored<ReplicaRecord>,
@@ -75,7 +78,8 @@
   }
   const replica = state.replicas.find(name);
   const after = stateOf(replica);
-  if (replica === undefined || after === undefined || after === before) {
+  const isChanged = replica !== undefined && after !== undefined && after !== before;
+  if (!isChanged || !state.replicasListed) {
     return [];
   }
   const { service } = replica.record;
@@ -128,13 +132,18 @@
   state: GatewayState,
   listed: ReadonlySet<string>,
   at: number,
-): void => {
+): GatewayEffect[] => {
   for (const { record } of state.replicas.all()) {
     if (!listed.has(record.id)) {
       state.replicas.markGone(record.id, at);
     }
   }
+  if (state.replicasListed) {
+    return [];
+  }
   state.replicasListed = true;
+  const change: BeliefChange = { event: 'replicas-listed', replicas: state.replicas.size };
+  return [{ type: 'write-log', level: 'info', part: 'replica', change }];
 };
 
 /** Objects that a complete list does not hold are gone. */
@@ -148,8 +157,7 @@
     case 'configuration':
       return [];
     case 'replicas':
-      markUnlistedReplicas(state, listed, at);
-      return [];
+      return markUnlistedReplicas(state, listed, at);
     case 'gateways':
       state.peers
         .names()
--- a/src/gateway/store/follow-collection.ts
+++ b/src/gateway/store/follow-collection.ts
@@ -11,6 +11,9 @@
 /** How long a watch waits at the store, in milliseconds; probes find out earlier if it is lost. */
 const WATCH_WAIT_MS = 25_000;
 
+/** How long a watch waits that shows whether the store takes watches again. */
+const SHORT_WAIT_MS = 1;
+
 /**
  * Pause between two watches of a collection, as a part of the time within which a change must be in
  * force: changes that come together are read together, and each call to the store is paid for. The rest
@@ -57,14 +60,20 @@
   failures: 0,
 });
 
+/** So many calls in a row fail before the store counts as deaf to them: a watch may be cut now and then. */
+const DEAF_FAILURES = 2;
+
+/** Whether calls for a collection fail again and again, though the store may answer others. */
+export const isDeaf = ({ failures }: CollectionProgress): boolean => failures >= DEAF_FAILURES;
+
 const nextCall = (progress: CollectionProgress): CollectionCall => {
   const { collection, revision, listAfter, isStaleList: stale } = progress;
   if (revision === undefined) {
     const after = listAfter === undefined ? {} : { after: listAfter };
     return { type: 'list', collection, ...after, stale, timeoutMs: ANSWER_MS };
   }
-  const timeoutMs = WATCH_WAIT_MS + ANSWER_MS;
-  return { type: 'watch', collection, revision, waitMs: WATCH_WAIT_MS, timeoutMs };
+  const waitMs = isDeaf(progress) ? SHORT_WAIT_MS : WATCH_WAIT_MS;
+  return { type: 'watch', collection, revision, waitMs, timeoutMs: waitMs + ANSWER_MS };
 };
 
 /** Makes the next call for the collection at once. */
--- a/test/gateway/readers.test.ts
+++ b/test/gateway/readers.test.ts
@@ -1,4 +1,7 @@
 import { describe, expect, it } from 'vitest';
+import type { GatewayEffect } from '../../src/gateway/effect.js';
+import type { ReaderNews } from '../../src/gateway/readers/reader-news.js';
+import { step } from '../../src/gateway/reducer.js';
 import { ReaderNetwork, type VirtualNode } from './reader-network.js';
 import { configurationOf, replicaOf } from './virtual-store.js';
 
@@ -101,6 +104,19 @@
     expect(versionsOf(network)).toEqual([3]);
   });
 
+  it('are replaced when the store refuses their watches though it answers their probes', () => {
+    const network = networkOf();
+    const reader = readerOf(network, 'bole');
+    network.setRefused(reader, true);
+    network.advance(1_000);
+    configure(network, 2);
+    network.advance(BOUND_MS);
+    expect(versionsOf(network)).toEqual([2]);
+    network.setRefused(reader, false);
+    network.advance(BOUND_MS);
+    expect(network.readers()).toHaveLength(ZONES.length);
+  });
+
   it('are replaced for those that hear nothing more from them', () => {
     const network = networkOf();
     const reader = readerOf(network, 'hall');
@@ -165,6 +181,36 @@
   });
 });
 
+describe('news of a reader', () => {
+  it('that are older than what is known change nothing', () => {
+    const network = networkOf();
+    const follower = network.nodes.find(
+      ({ state }) => !state.reading.isReading && state.reading.sources.size > 0,
+    ) as VirtualNode;
+    const [reader] = [...follower.state.reading.sources.keys()];
+    const { revision = 0 } = follower.state.collections.replicas;
+    const objects = [{ name: 'r-07', gone: false, value: replicaOf('r-7', true) }];
+    const told = (
+      news: Extract<ReaderNews, { type: 'changes' | 'snapshot' }>,
+    ): readonly GatewayEffect[] =>
+      step(follower.state, { type: 'reader-told', at: network.now, reader: reader ?? '', news });
+    const collection = 'replicas';
+    told({ type: 'changes', collection, objects, after: revision, revision: revision + 5 });
+    const older = [{ name: 'r-07', gone: false, value: replicaOf('r-7') }];
+    told({ type: 'changes', collection, objects: older, after: revision, revision: revision + 2 });
+    told({ type: 'snapshot', collection, objects: older, revision: revision + 2 });
+    expect(follower.state.replicas.find('r-7')?.record.draining).toBe(true);
+    const asked = told({
+      type: 'changes',
+      collection,
+      objects: older,
+      after: revision + 6,
+      revision: revision + 7,
+    });
+    expect(asked.map(({ type }) => type)).toContain('follow-reader');
+  });
+});
+
 describe('a gateway that starts', () => {
   it('while the store is away learns all from the gateways that its settings name', () => {
     const network = networkOf();
