--- a/src/gateway/runtime/peers/peer-connection.ts
+++ b/src/gateway/runtime/peers/peer-connection.ts
@@ -3,7 +3,8 @@
 import type { MonotonicClock } from '../../../runtime/monotonic-clock.js';
 import { frameBytes } from '../../../protocol/codec/frame.js';
 import { FrameReader } from '../../../protocol/codec/frame-reader.js';
-import { decodePeerMessage, encodePeerMessage, type PeerMessage } from './peer-message.js';
+import { decodePeerMessage, encodePeerMessage } from './peer-codec.js';
+import type { PeerMessage } from './peer-message.js';
 
 /** Longest message, in bytes. */
 const MAX_MESSAGE_BYTES = 16 * 1024 * 1024;
--- a/src/gateway/runtime/peers/peer-message.ts
+++ b/src/gateway/runtime/peers/peer-message.ts
@@ -1,21 +1,6 @@
-/**
- * Messages between gateways, and their encoding: CBOR with the names of the fields, but for those of
- * subqueries, which are lists (see `pack-message.ts`). A message of an unknown type or of the wrong shape
- * spoils its connection.
- */
-import { type Either, Left, Right } from 'purify-ts/Either';
-import type { Subquery, SubqueryId, SubqueryPart } from '../../model/subquery.js';
-import { decodeCbor, encodeCbor } from '../../../protocol/codec/cbor.js';
+/** Messages between gateways. Their encoding is in `peer-codec.ts`. */
 import type { KnownRevisions, ReaderNews } from '../../readers/reader-news.js';
-import { isNews } from './news-shape.js';
-import { isPacked, packParts, packSubquery, unpackMessage } from './pack-message.js';
-import {
-  isCount,
-  isFields,
-  isFiniteNumber,
-  isText,
-  type Fields,
-} from '../../../protocol/codec/shape.js';
+import type { Subquery, SubqueryId, SubqueryPart } from '../../model/subquery.js';
 
 /** Asks for the parts of some shards; the request's bytes go with it. */
 export interface SubqueryMessage {
@@ -97,55 +82,3 @@
   | FollowMessage
   | UnfollowMessage
   | NewsMessage;
-
-type Check = (fields: Fields) => boolean;
-
-const hasId: Check = ({ id }) => isCount(id);
-
-/** Messages that go as they are; those of subqueries are packed. */
-type NamedMessage = Exclude<PeerMessage, SubqueryMessage | PartsMessage>;
-
-const CHECKS: Readonly<Record<NamedMessage['type'], Check>> = {
-  cancel: (fields) => hasId(fields) && isFiniteNumber(fields['withinMs']),
-  acknowledged: hasId,
-  refused: hasId,
-  ping: () => true,
-  pong: ({ isServing }) => typeof isServing === 'boolean',
-  stopping: () => true,
-  follow: ({ revisions }) => isFields(revisions) && Object.values(revisions).every(isFiniteNumber),
-  unfollow: () => true,
-  news: ({ news }) => isNews(news),
-};
-
-const packed = (message: PeerMessage): unknown => {
-  switch (message.type) {
-    case 'subquery':
-      return packSubquery(message);
-    case 'parts':
-      return packParts(message);
-    default:
-      return message;
-  }
-};
-
-/** Encodes a message. */
-export const encodePeerMessage = (message: PeerMessage): Buffer => encodeCbor(packed(message));
-
-const readNamed = (fields: Fields): Either<string, PeerMessage> => {
-  const { type } = fields;
-  const check =
-    isText(type) && Object.hasOwn(CHECKS, type) ? CHECKS[type as NamedMessage['type']] : undefined;
-  return check?.(fields) === true
-    ? Right(fields as unknown as NamedMessage)
-    : Left(`is no ${isText(type) ? type : 'message'}`);
-};
-
-/** Decodes a message; the problem says what is wrong with the bytes. */
-export const decodePeerMessage = (bytes: Uint8Array): Either<string, PeerMessage> => {
-  const decoded = decodeCbor(bytes).toMaybe().extract();
-  if (isPacked(decoded)) {
-    const message = unpackMessage(decoded);
-    return message === undefined ? Left('is no packed message') : Right(message);
-  }
-  return isFields(decoded) ? readNamed(decoded) : Left('is no message');
-};
--- a/test/gateway/peer-message.test.ts
+++ b/test/gateway/peer-message.test.ts
@@ -2,9 +2,11 @@
 import {
   decodePeerMessage,
   encodePeerMessage,
-  type NewsMessage,
-  type PartsMessage,
-  type SubqueryMessage,
+} from '../../src/gateway/runtime/peers/peer-codec.js';
+import type {
+  NewsMessage,
+  PartsMessage,
+  SubqueryMessage,
 } from '../../src/gateway/runtime/peers/peer-message.js';
 import { encodeCbor } from '../../src/protocol/codec/cbor.js';
 import { gatherOf, routeTo } from './virtual-gateway.js';
