--- a/src/gateway/runtime/peers/peer-client.ts
+++ b/src/gateway/runtime/peers/peer-client.ts
@@ -11,6 +11,7 @@
 import type { GatewayEventSink } from '../gateway-loop.js';
 import { PeerConnection } from './peer-connection.js';
 import type { PeerMessage, SubqueryMessage } from './peer-message.js';
+import { SuspectChecks } from './suspect-checks.js';
 
 /** How often connections are looked over, in milliseconds. */
 const SWEEP_MS = 500;
@@ -28,15 +29,6 @@
 /** A peer that has said nothing for so long is taken for lost, in milliseconds. */
 const SILENCE_MS = 4_500;
 
-/** A suspect that answers a question so soon is trusted again, in milliseconds. */
-const PROMPT_MS = 60;
-
-/** Prompt answers in a row after which any peer is trusted again. */
-const MOST_PROMPT_ANSWERS = 8;
-
-/** Failures so far apart have nothing to do with each other, in milliseconds. */
-const FAILURE_MEMORY_MS = 15_000;
-
 /** A connection without subqueries for so long is closed, in milliseconds. */
 const IDLE_MS = 60_000;
 
@@ -81,22 +73,11 @@
   problem: PeerProblem;
 }
 
-/** A peer that is asked whether it lives. */
-interface Suspect {
-  readonly peer: PeerRecord;
-  /** When it was last asked, in milliseconds on the process's clock; minus infinity before the first time. */
-  askedAt: number;
-  /** Prompt answers in a row, and how many make it trusted. */
-  promptAnswers: number;
-  readonly wanted: number;
-}
-
 /** Carries out the effects that are addressed to peers. */
 export class PeerClient {
   private readonly links = new Map<string, Link>();
   private readonly linkOf = new Map<SubqueryId, Link>();
-  private readonly suspects = new Map<string, Suspect>();
-  private readonly failures = new Map<string, { readonly at: number; readonly count: number }>();
+  private readonly suspects = new SuspectChecks();
   private sweepTimer: NodeJS.Timeout | undefined;
   private sweptAt = 0;
   private destroyed = false;
@@ -155,11 +136,7 @@
 
   /** Asks a peer with each look whether it lives, until it answers promptly. */
   check(peer: PeerRecord): void {
-    if (!this.suspects.has(peer.name)) {
-      const wanted = this.answersWanted(peer.name);
-      const askedAt = Number.NEGATIVE_INFINITY;
-      this.suspects.set(peer.name, { peer, wanted, askedAt, promptAnswers: 0 });
-    }
+    this.suspects.add(peer, this.now);
     this.watch();
   }
 
@@ -223,7 +200,9 @@
         sink.emit({ type: 'subquery-answered', at, subquery: message.id, part: message.part });
         return;
       case 'pong':
-        this.takePong(link.peer, message.isServing, at);
+        if (this.suspects.takeAnswer(link.peer, message.isServing, at)) {
+          sink.emit({ type: 'peer-alive', at, peer: link.peer });
+        }
         return;
       case 'stopping':
         sink.emit({ type: 'peer-lost', at, peer: link.peer, problem: 'stopping' });
@@ -236,34 +215,11 @@
     }
   }
 
-  /** A peer that fails again and again must answer promptly more often: doubled each time. */
-  private answersWanted(peer: string): number {
-    const { now } = this;
-    const known = this.failures.get(peer);
-    const isRecent = known !== undefined && now - known.at < FAILURE_MEMORY_MS;
-    const count = isRecent ? known.count + 1 : 1;
-    this.failures.set(peer, { at: now, count });
-    return Math.min(MOST_PROMPT_ANSWERS, 2 ** (count - 1));
-  }
-
-  private takePong(peer: string, isServing: boolean, at: number): void {
-    const suspect = this.suspects.get(peer);
-    if (suspect === undefined) {
-      return;
-    }
-    const isPrompt = isServing && at - suspect.askedAt <= PROMPT_MS;
-    suspect.promptAnswers = isPrompt ? suspect.promptAnswers + 1 : 0;
-    if (suspect.promptAnswers >= suspect.wanted) {
-      this.suspects.delete(peer);
-      this.context.sink.emit({ type: 'peer-alive', at, peer });
-    }
-  }
-
   /** Asks a suspect once more. A new connection is asked with the next look, when it is open. */
-  private ask(suspect: Suspect, now: number): void {
-    const link = this.links.get(suspect.peer.name) ?? this.open(suspect.peer);
+  private ask(peer: PeerRecord, now: number): void {
+    const link = this.links.get(peer.name) ?? this.open(peer);
     if (link.isOpen) {
-      suspect.askedAt = now;
+      this.suspects.noteAsked(peer.name, now);
       link.connection.send({ type: 'ping' });
     }
   }
@@ -302,7 +258,7 @@
     for (const link of this.links.values()) {
       this.sweepLink(link, now, stoodStill);
     }
-    this.suspects.forEach((suspect) => this.ask(suspect, now));
+    this.suspects.peers().forEach((peer) => this.ask(peer, now));
   }
 
   private sweepLink(link: Link, now: number, stoodStill: boolean): void {
