--- a/src/gateway/explain/find-cause.ts
+++ b/src/gateway/explain/find-cause.ts
@@ -58,6 +58,10 @@
   const time = `after ${elapsedMs} of ${objectiveMs} ms`;
   switch (outcome) {
     case 'refused':
+      if (answer.noRoute !== undefined) {
+        const { host, path, version } = answer.noRoute;
+        return `refused: no route of version ${version} fits ${host}${path}`;
+      }
       return `refused ${time} (${answer.reason ?? 'unknown'}); ${describeMissing(lines, missing)}`;
     case 'partial':
       return `answered ${time} without ${missing.length} shards; ${describeMissing(lines, missing)}`;
--- a/src/gateway/requests/finish.ts
+++ b/src/gateway/requests/finish.ts
@@ -88,6 +88,15 @@
   ];
 };
 
+const describeNoRoute = (
+  { inForce }: GatewayState,
+  { host, path }: RequestReceived['request'],
+): NonNullable<AnswerDecision['noRoute']> => ({
+  host,
+  path,
+  version: inForce?.configuration.version ?? 0,
+});
+
 /** Refuses a call before anything was sent to a replica; `at` is now, when the call was held. */
 export const refuseCall = (
   state: GatewayState,
@@ -103,6 +112,7 @@
     outcome: 'refused',
     reason,
     mayHaveRun: false,
+    ...(reason === 'no-route' && { noRoute: describeNoRoute(state, request) }),
     missing: [],
     objectiveMs: 0,
     elapsedMs: Math.round(at - receivedAt),
--- a/test/gateway/explain.test.ts
+++ b/test/gateway/explain.test.ts
@@ -41,6 +41,12 @@
     expect(explain([sent(1, 'a'), denied, refused])).toContain('denied by the retry budget');
   });
 
+  it('names what fits no route', () => {
+    const noRoute = { host: 'shop.example', path: '/none/x', version: 7 };
+    const refused = answered({ outcome: 'refused', reason: 'no-route', noRoute });
+    expect(explain([refused])).toBe('refused: no route of version 7 fits shop.example/none/x');
+  });
+
   it('tells a late answer by its last part, and a caller that left', () => {
     expect(explain([sent(1, 'a'), ended(1, 'a', 'answered'), answered({ outcome: 'whole' })])).toBe(
       'answered whole after 87 of 100 ms; the last part came from a after 40 ms',
