Call what a reader says of itself a status; say plainly who may read alone

Cause: read as a newcomer would, 'currency' is money and 'without leave' is not engineers' English.

Change: ReaderStatus and tellStatus in place of ReaderCurrency and tellCurrency; one comment.

Measured: nothing runs differently; test/gateway/reader*.test.ts and peer-message.test.ts pass (25).

--- a/src/gateway/readers/reader-news.ts
+++ b/src/gateway/readers/reader-news.ts
@@ -22,11 +22,11 @@
 };
 
 /** Sent at regular times, and at once when it changes. */
-export interface ReaderCurrency {
-  readonly type: 'currency';
+export interface ReaderStatus {
+  readonly type: 'status';
   /** The reader is in touch with the store and has told all that it knows. */
   readonly isCurrent: boolean;
 }
 
 /** Everything that a reader tells. */
-export type ReaderNews = CollectionSnapshot | CollectionChanges | ReaderCurrency;
+export type ReaderNews = CollectionSnapshot | CollectionChanges | ReaderStatus;
--- a/src/gateway/readers/take-news.ts
+++ b/src/gateway/readers/take-news.ts
@@ -77,7 +77,7 @@
   }
   source.heardAt = at;
   switch (news.type) {
-    case 'currency':
+    case 'status':
       source.isCurrent = news.isCurrent;
       return [];
     case 'snapshot':
--- a/src/gateway/readers/tell-followers.ts
+++ b/src/gateway/readers/tell-followers.ts
@@ -91,7 +91,7 @@
     return snapshot === undefined ? [] : tell(lackingIt, snapshot);
   });
   newcomers.forEach((id) => followers.set(id, { revisions: {}, isTold: true }));
-  return [...snapshots, ...tell(newcomers, { type: 'currency', isCurrent: isCurrent(state) })];
+  return [...snapshots, ...tell(newcomers, { type: 'status', isCurrent: isCurrent(state) })];
 };
 
 /** Tells a collection that was listed anew. */
@@ -114,7 +114,7 @@
 ): GatewayEffect[] => tell(toldFollowers(state), { type: 'changes', ...changes, after });
 
 /** Tells followers that this gateway lives and whether it is current, where that is due or has changed. */
-export const tellCurrency = (state: GatewayState, at: number): GatewayEffect[] => {
+export const tellStatus = (state: GatewayState, at: number): GatewayEffect[] => {
   const { reading, settings } = state;
   const current = isCurrent(state);
   const { heartbeatMs } = followTiming(settings.bounds);
@@ -125,7 +125,7 @@
   }
   reading.toldAt = at;
   reading.toldCurrent = current;
-  return tell(followers, { type: 'currency', isCurrent: current });
+  return tell(followers, { type: 'status', isCurrent: current });
 };
 
 /** Handles `follower-joined`; one that missed something joins again. */
--- a/src/gateway/readers/update-reading.ts
+++ b/src/gateway/readers/update-reading.ts
@@ -14,7 +14,7 @@
 import { readerCandidates, seedCandidates } from './candidates.js';
 import { followTiming, type Source } from './reading-state.js';
 import { knownRevisions } from './take-news.js';
-import { canRead, tellCurrency } from './tell-followers.js';
+import { canRead, tellStatus } from './tell-followers.js';
 
 /**
  * Time in which the list of gateways must have come from the store, in milliseconds. When all start for
@@ -51,7 +51,7 @@
   return source.isCurrent && at - source.heardAt <= silenceMs ? 'current' : 'lost';
 };
 
-/** Whether the store may be read without leave of the candidates, all of which have failed. */
+/** Whether a gateway that is no candidate may read the store itself, now that all candidates have failed. */
 const mayReadAlone = ({ store, settings }: GatewayState, at: number): boolean =>
   store.reachable && at - store.regainedAt >= followTiming(settings.bounds).regainMs;
 
@@ -155,14 +155,14 @@
   const isEnding = state.phase === 'stopping' || state.phase === 'ended';
   const choice = isEnding ? undefined : choose(state, at);
   if (choice === undefined) {
-    return [...probeIfWanted(state), ...tellCurrency(state, at)];
+    return [...probeIfWanted(state), ...tellStatus(state, at)];
   }
   const reads = choice.reads || state.reading.followers.size > 0;
   return [
     ...followThese(state, choice.follow, at),
     ...setReading(state, reads),
     ...probeIfWanted(state),
-    ...tellCurrency(state, at),
+    ...tellStatus(state, at),
   ];
 };
 
--- a/src/gateway/runtime/peers/news-shape.ts
+++ b/src/gateway/runtime/peers/news-shape.ts
@@ -106,7 +106,7 @@
     return false;
   }
   switch (value['type']) {
-    case 'currency':
+    case 'status':
       return isFlag(value['isCurrent']);
     case 'snapshot':
       return hasObjects(value) && isFiniteNumber(value['revision']);
--- a/test/gateway/peer-message.test.ts
+++ b/test/gateway/peer-message.test.ts
@@ -88,7 +88,7 @@
   const route = routeTo(gatherOf(2, 0.5));
   const configuration = { ...configurationOf(3), routes: [route] };
   const messages = [
-    newsOf({ type: 'currency', isCurrent: true }),
+    newsOf({ type: 'status', isCurrent: true }),
     newsOf({
       type: 'snapshot',
       collection: 'configuration',
