Keep evacuated zones and regions that a route does not allow free of requests; divide splits fairly

Ruled out: moving the feeders away from an evacuated zone: their warm connections to the replicas of other zones are worth more than the bytes saved. Keeping the rotation and drawing only its first step: the run after it is not even then.

Change: the collection of evacuations is followed like the others where the settings give a bound, told by readers, and needed before a gateway serves; one place (replicas/eligible-replicas.ts) says which replicas a request may go to, for first attempts, hedges, retries, parts for other gateways and connections opened ahead; a subquery carries the regions of its route. The place on a circle of the weights, moved by the golden ratio, replaces the rotation. A replica may turn cold again.

--- a/scenarios/platform/play.sh
+++ b/scenarios/platform/play.sh
@@ -3,7 +3,8 @@
 # Usage: scenarios/platform/play.sh BENCH SITE OUT [JOBS] [PATTERN]
 #   BENCH    the users' bench          SITE     a site file
 #   OUT      a folder for the reports  JOBS     days at once (2)
-#   PATTERN  days to play (*.toml); those named grown-* need a site with health checks
+#   PATTERN  days to play (*.toml); those named grown-* need a site with health checks, places-* one with
+#            zones that are evacuated
 set -u
 bench=$1
 site=$2
--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -142,6 +142,7 @@
       readonly service: string;
       readonly state: 'listed' | 'draining' | 'gone';
     }
+  | { readonly event: 'zone-evacuated'; readonly zone: string; readonly evacuated: boolean }
   | {
       readonly event: 'replica-ejected';
       readonly replica: string;
@@ -192,6 +193,7 @@
   'store-call-failed': 'A list or watch failed and is repeated after a pause.',
   'replicas-listed': 'The replicas were listed for the first time; changes are logged from now on.',
   'replica-changed': 'The store lists a replica, says that it drains, or lists it no more.',
+  'zone-evacuated': 'The replicas of a zone get no more requests, or get them again.',
   'replica-ejected': 'A replica failed and is tried only as a last resort for a while.',
   'peer-suspected': 'Another gateway failed to answer and is passed over until it does.',
   'peer-trusted': 'A gateway that was passed over answers promptly again.',
--- a/src/gateway/model/request.ts
+++ b/src/gateway/model/request.ts
@@ -69,6 +69,8 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /** How much longer than usual work takes there now, 1 for as usual; absent where it does not say. */
+  readonly slowdown?: number;
 }
 
 /** A whole answer of a replica that belongs to the request. */
--- a/src/gateway/model/route.ts
+++ b/src/gateway/model/route.ts
@@ -49,6 +49,8 @@
   readonly maxAttempts: number;
   /** Rank under load; 0 is the most urgent. */
   readonly priority: number;
+  /** Regions in which requests may be served; absent where all will do. */
+  readonly allowedRegions?: readonly string[];
   readonly target: RouteTarget;
 }
 
@@ -57,6 +59,8 @@
   readonly name: string;
   /** Connections that one replica accepts from all callers together. */
   readonly maxConnections: number;
+  /** Requests a second that a cold replica bears from all callers; absent where that is not limited. */
+  readonly coldRequestsPerSecond?: number;
 }
 
 /** Bounds on what callers may send. */
--- a/src/gateway/model/subquery.ts
+++ b/src/gateway/model/subquery.ts
@@ -19,6 +19,8 @@
   readonly deadlineMs: number;
   /** Another feeder may have sent the request to replicas before. */
   readonly isRepeat: boolean;
+  /** Regions in which the request may be served; absent where all will do. */
+  readonly allowedRegions?: readonly string[];
 }
 
 /** The part of one shard; its records are merged with those of the others. */
--- a/src/gateway/read-settings.ts
+++ b/src/gateway/read-settings.ts
@@ -25,6 +25,7 @@
   drainMs: fields.number('drainMs', 0),
   graceMs: fields.number('graceSeconds', 0) * MS_PER_SECOND,
   configurationMs: fields.number('configurationMs', 0),
+  ...(fields.has('evacuationMs') && { evacuationMs: fields.number('evacuationMs', 0) }),
   retryRatio: fields.number('retryRatio', 0),
   retryWindowMs: fields.number('retryWindowSeconds', 0) * MS_PER_SECOND,
   retrySlack: fields.number('retrySlack', 0),
--- a/src/gateway/readers/take-news.ts
+++ b/src/gateway/readers/take-news.ts
@@ -2,17 +2,16 @@
 import type { GatewayEffect } from '../effect.js';
 import type { ReaderTold } from '../event.js';
 import { registerIfMissing, takeGatewaysList } from '../peers/follow-gateways.js';
-import type { GatewayState } from '../state.js';
+import { collectionsOf, type GatewayState } from '../state.js';
 import { applyObjects, applyWholeList, forgetGoneReplicas } from '../store/apply-objects.js';
-import { COLLECTION_NAMES } from '../store/collection.js';
 import type { CollectionChanges, CollectionSnapshot, KnownRevisions } from './reader-news.js';
 import type { Source } from './reading-state.js';
 
 /** Revisions up to which this gateway knows the collections. */
-export const knownRevisions = ({ collections }: GatewayState): KnownRevisions =>
+export const knownRevisions = (state: GatewayState): KnownRevisions =>
   Object.fromEntries(
-    COLLECTION_NAMES.flatMap((name) => {
-      const { revision } = collections[name];
+    collectionsOf(state).flatMap((name) => {
+      const { revision } = state.collections[name];
       return revision === undefined ? [] : [[name, revision]];
     }),
   );
--- a/src/gateway/readers/tell-followers.ts
+++ b/src/gateway/readers/tell-followers.ts
@@ -1,8 +1,8 @@
 /** Tells the gateways that follow this one what it reads from the store. */
 import type { GatewayEffect } from '../effect.js';
 import type { FollowerJoined, FollowerLeft } from '../event.js';
-import type { GatewayState } from '../state.js';
-import { COLLECTION_NAMES, type CollectionName } from '../store/collection.js';
+import { collectionsOf, type GatewayState } from '../state.js';
+import type { CollectionName } from '../store/collection.js';
 import { isDeaf } from '../store/follow-collection.js';
 import type { StoreChanges, StoreObjects } from '../store/store-objects.js';
 import type { CollectionSnapshot, FollowerId, ReaderNews } from './reader-news.js';
@@ -35,6 +35,13 @@
       });
       return { collection, objects };
     }
+    case 'evacuations': {
+      const zones = [...state.evacuatedZones];
+      return {
+        collection,
+        objects: zones.map((zone) => ({ name: zone, gone: false, value: { zone } })),
+      };
+    }
   }
 };
 
@@ -49,15 +56,15 @@
     : { type: 'snapshot', ...objectsOf(state, collection, at), revision };
 };
 
-const isComplete = ({ collections }: GatewayState): boolean =>
-  COLLECTION_NAMES.every((name) => collections[name].revision !== undefined);
+const isComplete = (state: GatewayState): boolean =>
+  collectionsOf(state).every((name) => state.collections[name].revision !== undefined);
 
 /**
  * Whether this gateway can read the store. Probes alone do not show it: the store may refuse new connections
  * and serve those that are open.
  */
-export const canRead = ({ store, collections }: GatewayState): boolean =>
-  store.reachable && !COLLECTION_NAMES.some((name) => isDeaf(collections[name]));
+export const canRead = (state: GatewayState): boolean =>
+  state.store.reachable && !collectionsOf(state).some((name) => isDeaf(state.collections[name]));
 
 /** Whether what this gateway tells is all that the store holds. */
 const isCurrent = (state: GatewayState): boolean =>
@@ -85,7 +92,7 @@
   if (newcomers.length === 0 || !isComplete(state)) {
     return [];
   }
-  const snapshots = COLLECTION_NAMES.flatMap((name) => {
+  const snapshots = collectionsOf(state).flatMap((name) => {
     const lackingIt = lacking(state, newcomers, name);
     const snapshot = lackingIt.length === 0 ? undefined : snapshotOf(state, name, at);
     return snapshot === undefined ? [] : tell(lackingIt, snapshot);
--- a/src/gateway/readers/update-reading.ts
+++ b/src/gateway/readers/update-reading.ts
@@ -7,9 +7,8 @@
 import type { GatewayEffect } from '../effect.js';
 import type { BeliefChange } from '../log/log-event.js';
 import type { PeerRecord } from '../model/peer-record.js';
-import { type GatewayState, isInformed } from '../state.js';
+import { collectionsOf, type GatewayState, isInformed } from '../state.js';
 import { resumeCollections } from '../store/apply-collections.js';
-import { COLLECTION_NAMES } from '../store/collection.js';
 import { probeIfWanted } from '../store/probe-store.js';
 import { readerCandidates, seedCandidates } from './candidates.js';
 import { followTiming, type Source } from './reading-state.js';
@@ -132,8 +131,8 @@
   ];
 };
 
-const dropCalls = (): GatewayEffect[] =>
-  COLLECTION_NAMES.map((collection) => ({ type: 'drop-store-call', collection }));
+const dropCalls = (state: GatewayState): GatewayEffect[] =>
+  collectionsOf(state).map((collection) => ({ type: 'drop-store-call', collection }));
 
 const setReading = (state: GatewayState, isReading: boolean): GatewayEffect[] => {
   const { reading, store } = state;
@@ -145,7 +144,7 @@
   const change: BeliefChange = { event: 'reading-changed', isReading, followers };
   const log: GatewayEffect = { type: 'write-log', level: 'info', part: 'store', change };
   if (!isReading) {
-    return [log, ...dropCalls()];
+    return [log, ...dropCalls(state)];
   }
   return store.reachable ? [log, ...resumeCollections(state)] : [log];
 };
--- a/src/gateway/replicas/directory.ts
+++ b/src/gateway/replicas/directory.ts
@@ -38,8 +38,10 @@
       this.byService.set(record.service, siblings);
       return;
     }
+    if (record.coldMs !== known.record.coldMs) {
+      known.coldUntil = at + record.coldMs;
+    }
     known.record = record;
-    known.coldUntil = Math.min(known.coldUntil, at + record.coldMs);
     this.generation += Number(known.goneAt !== undefined);
     known.goneAt = undefined;
     known.drainingSince = record.draining ? (known.drainingSince ?? at) : undefined;
--- a/src/gateway/replicas/preconnect.ts
+++ b/src/gateway/replicas/preconnect.ts
@@ -6,6 +6,7 @@
 import { servicesOf } from '../model/route.js';
 import { feederPlan, isFed } from '../peers/service-share.js';
 import type { GatewayState } from '../state.js';
+import { isZoneOpen } from './eligible-replicas.js';
 import type { Replica } from './replica.js';
 
 /** Services that routes send single requests to: a new connection matters little there. */
@@ -44,7 +45,9 @@
 };
 
 const preconnectShards = (state: GatewayState): GatewayEffect[] => {
-  const fresh = [...state.replicas.all()].filter(isWanted);
+  const fresh = [...state.replicas.all()].filter(
+    (replica) => isWanted(replica) && isZoneOpen(state, replica.record.zone),
+  );
   if (fresh.length === 0) {
     return [];
   }
--- a/src/gateway/requests/accept-subquery.ts
+++ b/src/gateway/requests/accept-subquery.ts
@@ -27,6 +27,7 @@
   objectiveMs: subquery.objectiveMs,
   maxAttempts: subquery.maxAttempts,
   priority: 0,
+  ...(subquery.allowedRegions !== undefined && { allowedRegions: subquery.allowedRegions }),
   target: {
     type: 'gather',
     shards: subquery.shards,
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -13,6 +13,7 @@
   slowdownNow,
 } from '../replicas/replica.js';
 import { isFed, shareOf } from '../peers/service-share.js';
+import { eligibleReplicas } from '../replicas/eligible-replicas.js';
 import { preferredReplicas } from '../replicas/preferred-replicas.js';
 import { connectionShare } from '../replicas/connection-share.js';
 import { selectReplica, type SelectionPlace } from '../replicas/select-replica.js';
@@ -59,7 +60,7 @@
   }
   const { zone, zoneRegions } = state.settings;
   const isNear = (other: string): boolean => zoneRegions[other] === zoneRegions[zone];
-  const replicas = state.replicas.of(service);
+  const replicas = eligibleReplicas(state, service, route.allowedRegions);
   return preferredReplicas(replicas, request.requestId, route.maxAttempts, isNear);
 };
 
@@ -136,7 +137,7 @@
   if (!hasTriesLeft(request, leg) || request.deadlineAt - at < 1) {
     return undefined;
   }
-  const replicas = state.replicas.of(leg.service);
+  const replicas = eligibleReplicas(state, leg.service, request.route.allowedRegions);
   const place = placeOf(state, request, leg.service, at);
   const replica = selectReplica(replicas, leg.tried, place, state.random, at);
   if (replica === undefined || !takeBudget(state, request, leg, at)) {
--- a/src/gateway/requests/retry-leg.ts
+++ b/src/gateway/requests/retry-leg.ts
@@ -2,6 +2,7 @@
 import type { GatewayEffect } from '../effect.js';
 import type { AttemptReason } from '../log/log-event.js';
 import { trace } from '../log/trace.js';
+import { eligibleReplicas } from '../replicas/eligible-replicas.js';
 import type { GatewayState } from '../state.js';
 import { sendAttempt } from './attempts.js';
 import type { ActiveRequest, Leg, LegOutcome } from './request-state.js';
@@ -31,8 +32,8 @@
 /** Pauses a leg that may be tried again later; false when it has paused enough. */
 const pauseLeg = (state: GatewayState, request: ActiveRequest, leg: Leg, at: number): boolean => {
   const resumeAt = at + FIRST_PAUSE_MS * 2 ** leg.pauses;
-  const hasReplicas = state.replicas.of(leg.service).length > 0;
-  const { repeatable, maxAttempts } = request.route;
+  const { repeatable, maxAttempts, allowedRegions } = request.route;
+  const hasReplicas = eligibleReplicas(state, leg.service, allowedRegions).length > 0;
   const mayRunAgain = leg.runs === 0 || (repeatable && leg.runs < maxAttempts);
   const isWorthwhile = hasReplicas && mayRunAgain && leg.pauses < MAX_PAUSES;
   if (!isWorthwhile || resumeAt >= latestPause(request)) {
--- a/src/gateway/requests/send-legs.ts
+++ b/src/gateway/requests/send-legs.ts
@@ -85,6 +85,7 @@
   partsWithinMs: Math.max(1, objectiveAt - at - PARTS_MARGIN_MS),
   deadlineMs: Math.max(1, deadlineAt - at - DEADLINE_MARGIN_MS),
   isRepeat,
+  ...(route.allowedRegions !== undefined && { allowedRegions: route.allowedRegions }),
 });
 
 const sendSubquery = (
--- a/src/gateway/routing/split-cursor.ts
+++ b/src/gateway/routing/split-cursor.ts
@@ -1,45 +1,34 @@
 /**
- * Divides requests among the parts of a split by smooth weighted round robin: in any run of requests
- * each part's count stays within one of its weight's share.
+ * Divides requests among the parts of a split. The cursor walks round a circle that the parts cover in
+ * proportion to their weights, by steps of the golden ratio: wherever it starts, any run of requests is
+ * spread evenly over the circle.
+ *
+ * Gateways start at drawn places. So the first request of each already goes to a part with the
+ * probability of its weight, and shares hold over many gateways with a request each, over gateways that
+ * have just started, and right after the weights have changed.
  */
 import type { SplitPart } from '../model/route.js';
 
-/** The position in the rotation of one split. */
-export class SplitCursor {
-  private readonly credits: number[];
-  private readonly total: number;
+/** Step on a circle of length 1 that spreads any number of points most evenly. */
+const GOLDEN_STEP = (Math.sqrt(5) - 1) / 2;
 
-  /** @param phase - 0 to 1; where the rotation begins, so that gateways do not move in step */
-  constructor(
-    readonly parts: readonly SplitPart[],
-    phase: number,
-  ) {
-    this.total = parts.reduce((sum, part) => sum + part.weight, 0);
-    this.credits = parts.map((part, index) => part.weight * ((phase + index / parts.length) % 1));
-  }
+/** The place of one gateway in one split. */
+export class SplitCursor {
+  /** @param place - where on the circle it starts, 0 to 1 */
+  constructor(private place: number) {}
 
   /** The service of the next request; undefined when no part has a weight. */
-  next(): string | undefined {
-    if (this.total <= 0) {
-      return undefined;
-    }
-    let best = -1;
-    this.parts.forEach((part, index) => {
-      this.credits[index] = (this.credits[index] ?? 0) + part.weight;
-      const isAhead = best < 0 || (this.credits[index] ?? 0) > (this.credits[best] ?? 0);
-      if (part.weight > 0 && isAhead) {
-        best = index;
+  next(parts: readonly SplitPart[]): string | undefined {
+    const total = parts.reduce((sum, { weight }) => sum + weight, 0);
+    const target = this.place * total;
+    this.place = (this.place + GOLDEN_STEP) % 1;
+    let covered = 0;
+    for (const { service, weight } of parts) {
+      covered += weight;
+      if (target < covered) {
+        return service;
       }
-    });
-    this.credits[best] = (this.credits[best] ?? 0) - this.total;
-    return this.parts[best]?.service;
+    }
+    return undefined;
   }
 }
-
-/** Whether two splits divide alike, so that the rotation may go on. */
-export const isSameSplit = (left: readonly SplitPart[], right: readonly SplitPart[]): boolean =>
-  left.length === right.length &&
-  left.every((part, index) => {
-    const other = right[index];
-    return other?.service === part.service && other.weight === part.weight;
-  });
--- a/src/gateway/runtime/gateway-timers.ts
+++ b/src/gateway/runtime/gateway-timers.ts
@@ -54,6 +54,7 @@
       case 'configuration':
       case 'replicas':
       case 'gateways':
+      case 'evacuations':
         return this.sink.emit({ type: 'collection-due', at, collection: key });
       default:
         return this.sink.emit({ type: 'request-due', at, call: key });
--- a/src/gateway/runtime/peers/news-shape.ts
+++ b/src/gateway/runtime/peers/news-shape.ts
@@ -19,6 +19,8 @@
 const hasNumbers = (fields: Fields, names: readonly string[]): boolean =>
   names.every((name) => isFiniteNumber(fields[name]));
 
+const isTexts: Check = (value) => isListOf(value, isText);
+
 const isSplitPart: Check = (value) =>
   isFields(value) && isText(value['service']) && isFiniteNumber(value['weight']);
 
@@ -43,10 +45,14 @@
   hasTexts(value, ['name', 'host', 'pathPrefix']) &&
   isFlag(value['repeatable']) &&
   hasNumbers(value, ['timeoutMs', 'objectiveMs', 'maxAttempts', 'priority']) &&
+  isOptional(value['allowedRegions'], isTexts) &&
   isTarget(value['target']);
 
 const isService: Check = (value) =>
-  isFields(value) && isText(value['name']) && isFiniteNumber(value['maxConnections']);
+  isFields(value) &&
+  isText(value['name']) &&
+  isFiniteNumber(value['maxConnections']) &&
+  isOptional(value['coldRequestsPerSecond'], isFiniteNumber);
 
 /** Services are a map by name, in the process and in CBOR. */
 const isServices: Check = (value) =>
@@ -78,10 +84,13 @@
   isAddress(value['address']) &&
   isFiniteNumber(value['capacity']);
 
+const isEvacuation: Check = (value) => isFields(value) && isText(value['zone']);
+
 const VALUE_CHECKS: Readonly<Record<string, Check>> = {
   configuration: isConfiguration,
   replicas: isReplica,
   gateways: isGateway,
+  evacuations: isEvacuation,
 };
 
 const isObjectWith =
--- a/src/gateway/runtime/peers/pack-message.ts
+++ b/src/gateway/runtime/peers/pack-message.ts
@@ -37,6 +37,7 @@
     subquery.partsWithinMs,
     subquery.deadlineMs,
     subquery.isRepeat,
+    ...(subquery.allowedRegions === undefined ? [] : [subquery.allowedRegions]),
   ];
 };
 
@@ -75,7 +76,7 @@
 
 const unpackDetails = (values: readonly unknown[]): Subquery | undefined => {
   const [route, shards, maxRecords, maxAttempts, objectiveMs, ...rest] = values;
-  const [partsWithinMs, deadlineMs, isRepeat] = rest;
+  const [partsWithinMs, deadlineMs, isRepeat, allowedRegions] = rest;
   const isWhole =
     isText(route) &&
     isTexts(shards) &&
@@ -84,7 +85,8 @@
     isFiniteNumber(objectiveMs) &&
     isFiniteNumber(partsWithinMs) &&
     isFiniteNumber(deadlineMs) &&
-    isFlag(isRepeat);
+    isFlag(isRepeat) &&
+    (allowedRegions === undefined || isTexts(allowedRegions));
   return isWhole
     ? {
         route,
@@ -95,6 +97,7 @@
         partsWithinMs,
         deadlineMs,
         isRepeat,
+        ...(allowedRegions !== undefined && { allowedRegions }),
       }
     : undefined;
 };
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -10,6 +10,11 @@
   readonly graceMs: number;
   /** Time within which an accepted configuration must be in force, in milliseconds. */
   readonly configurationMs: number;
+  /**
+   * Time within which the replicas of a zone must get no more requests after the operator's order, in
+   * milliseconds; absent where zones are not evacuated.
+   */
+  readonly evacuationMs?: number;
   /** Extra arrivals at a service that each request allows, over all gateways. */
   readonly retryRatio: number;
   /** Sliding window of that ratio, in milliseconds. */
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -16,7 +16,7 @@
 import type { RouteTable } from './routing/route-table.js';
 import type { SplitCursor } from './routing/split-cursor.js';
 import type { GatewaySettings } from './settings.js';
-import type { CollectionName } from './store/collection.js';
+import { type CollectionName, followedCollections } from './store/collection.js';
 import { type CollectionProgress, createCollectionProgress } from './store/follow-collection.js';
 
 /** Gateways that are assumed to run until others are known. */
@@ -93,6 +93,8 @@
   /** All replicas have been listed once. */
   replicasListed: boolean;
   readonly replicas: ReplicaDirectory;
+  /** Zones whose replicas get no requests. */
+  readonly evacuatedZones: Set<string>;
   /** Requests that wait for the first configuration. */
   readonly held: Map<CallId, RequestReceived>;
   readonly requests: Map<CallId, ActiveRequest>;
@@ -133,9 +135,11 @@
     configuration: createCollectionProgress('configuration'),
     replicas: createCollectionProgress('replicas'),
     gateways: createCollectionProgress('gateways'),
+    evacuations: createCollectionProgress('evacuations'),
   },
   replicasListed: false,
   replicas: new ReplicaDirectory(),
+  evacuatedZones: new Set(),
   held: new Map(),
   requests: new Map(),
   attempts: new Map(),
@@ -146,9 +150,19 @@
   counters: createGatewayCounters(),
 });
 
-/** Whether this gateway knows a configuration and the replicas, so that it can serve requests. */
-export const isInformed = ({ inForce, replicasListed }: GatewayState): boolean =>
-  inForce !== undefined && replicasListed;
+/** Names of the collections that this gateway follows. */
+export const collectionsOf = ({ settings }: GatewayState): readonly CollectionName[] =>
+  followedCollections(settings.bounds);
+
+const knowsEvacuations = ({ settings, collections }: GatewayState): boolean =>
+  settings.bounds.evacuationMs === undefined || collections.evacuations.isListed;
+
+/**
+ * Whether this gateway knows a configuration, the replicas and which of them may get requests, so that it
+ * can serve.
+ */
+export const isInformed = (state: GatewayState): boolean =>
+  state.inForce !== undefined && state.replicasListed && knowsEvacuations(state);
 
 /** The retry budget of a service. */
 export const budgetOf = (state: GatewayState, service: string): RetryBudget => {
--- a/src/gateway/store/apply-collections.ts
+++ b/src/gateway/store/apply-collections.ts
@@ -4,9 +4,8 @@
 import type { BeliefChange } from '../log/log-event.js';
 import { registerIfMissing, takeGatewaysList } from '../peers/follow-gateways.js';
 import { tellChanges, tellSnapshot } from '../readers/tell-followers.js';
-import type { GatewayState } from '../state.js';
+import { collectionsOf, type GatewayState } from '../state.js';
 import { applyObjects, applyWholeList, forgetGoneReplicas } from './apply-objects.js';
-import { COLLECTION_NAMES } from './collection.js';
 import {
   callNow,
   type CollectionProgress,
@@ -19,7 +18,7 @@
 
 /** Lists all collections once, from a copy that may be old. */
 export const listCollections = (state: GatewayState): GatewayEffect[] =>
-  COLLECTION_NAMES.map((name) => listStale(state.collections[name]));
+  collectionsOf(state).map((name) => listStale(state.collections[name]));
 
 /** A collection that was listed is followed at the store only by gateways that read it. */
 const continueAfterList = (
@@ -108,6 +107,7 @@
 
 /** Makes the calls again that were lost while the store was out of reach. */
 export const resumeCollections = (state: GatewayState): GatewayEffect[] =>
-  COLLECTION_NAMES.map((name) => state.collections[name])
+  collectionsOf(state)
+    .map((name) => state.collections[name])
     .filter((progress) => isWanted(state, progress))
     .map((progress) => (state.reading.isReading ? followNow(progress) : callNow(progress)));
--- a/src/gateway/store/apply-objects.ts
+++ b/src/gateway/store/apply-objects.ts
@@ -1,6 +1,7 @@
 /** Takes objects of the store, however they came: configurations, replicas and gateways. */
 import type { GatewayEffect } from '../effect.js';
 import type { BeliefChange } from '../log/log-event.js';
+import type { Evacuation } from '../model/evacuation.js';
 import type { PeerRecord } from '../model/peer-record.js';
 import { type GatewayConfiguration, shardsOf } from '../model/route.js';
 import type { ReplicaRecord } from '../model/replica-record.js';
@@ -97,6 +98,23 @@
   return value === undefined ? peers.putUnreadable(name) : peers.put(value);
 };
 
+/** Takes an order about a zone; its replicas get requests again once the order is gone. */
+const applyEvacuation = (
+  { evacuatedZones }: GatewayState,
+  { name: zone, gone }: Stored<Evacuation>,
+): GatewayEffect[] => {
+  if (gone !== evacuatedZones.has(zone)) {
+    return [];
+  }
+  if (gone) {
+    evacuatedZones.delete(zone);
+  } else {
+    evacuatedZones.add(zone);
+  }
+  const change: BeliefChange = { event: 'zone-evacuated', zone, evacuated: !gone };
+  return [{ type: 'write-log', level: 'info', part: 'replica', change }];
+};
+
 /** Counts the gateways; before all are listed, no fewer than were assumed. */
 export const countGateways = (state: GatewayState): GatewayEffect[] => {
   const previous = state.gateways;
@@ -125,6 +143,8 @@
     case 'gateways':
       read.objects.forEach((object) => applyGateway(state, object));
       return countGateways(state);
+    case 'evacuations':
+      return read.objects.flatMap((object) => applyEvacuation(state, object));
   }
 };
 
@@ -164,6 +184,10 @@
         .filter((name) => !listed.has(name))
         .forEach((name) => state.peers.remove(name));
       return countGateways(state);
+    case 'evacuations':
+      return [...state.evacuatedZones]
+        .filter((zone) => !listed.has(zone))
+        .flatMap((zone) => applyEvacuation(state, { name: zone, gone: true }));
   }
 };
 
--- a/src/gateway/store/collection.ts
+++ b/src/gateway/store/collection.ts
@@ -1,19 +1,19 @@
 /** The collections of the store that a gateway follows, and the calls by which it does. */
 
 import type { PeerRecord } from '../model/peer-record.js';
+import type { GatewayBounds } from '../settings.js';
 
 /**
  * `configuration` has one object; `replicas` has one for each live incarnation; `gateways` has one for
- * each gateway, written by itself.
+ * each gateway, written by itself; `evacuations` has one for each zone whose replicas get no requests.
  */
-export type CollectionName = 'configuration' | 'replicas' | 'gateways';
-
-/** All collections that are followed. */
-export const COLLECTION_NAMES: readonly CollectionName[] = [
-  'configuration',
-  'replicas',
-  'gateways',
-];
+export type CollectionName = 'configuration' | 'replicas' | 'gateways' | 'evacuations';
+
+const ALWAYS_FOLLOWED: readonly CollectionName[] = ['configuration', 'replicas', 'gateways'];
+
+/** The collections that are followed: zones are evacuated only where the settings give a bound for it. */
+export const followedCollections = ({ evacuationMs }: GatewayBounds): readonly CollectionName[] =>
+  evacuationMs === undefined ? ALWAYS_FOLLOWED : [...ALWAYS_FOLLOWED, 'evacuations'];
 
 /** Reads a page of all objects, those after the name `after`. */
 export interface ListCall {
--- a/src/gateway/store/follow-collection.ts
+++ b/src/gateway/store/follow-collection.ts
@@ -137,6 +137,19 @@
   return listed;
 };
 
+/** Time within which all gateways must act on a change of a collection, in milliseconds. */
+const knownWithin = (collection: CollectionName, bounds: GatewayBounds): number => {
+  const { drainMs, configurationMs, evacuationMs = configurationMs } = bounds;
+  switch (collection) {
+    case 'replicas':
+      return drainMs;
+    case 'evacuations':
+      return evacuationMs;
+    default:
+      return configurationMs;
+  }
+};
+
 /** Pauses before the next watch after one that returned changes. */
 export const watchAgain = (
   progress: CollectionProgress,
@@ -148,8 +161,7 @@
     return callNow(progress);
   }
   const { collection } = progress;
-  const inForceWithinMs = collection === 'replicas' ? bounds.drainMs : bounds.configurationMs;
-  const gapMs = inForceWithinMs * WATCH_GAP_SHARE;
+  const gapMs = knownWithin(collection, bounds) * WATCH_GAP_SHARE;
   return { type: 'set-collection-timer', collection, at: at + gapMs };
 };
 
--- a/src/gateway/store/store-objects.ts
+++ b/src/gateway/store/store-objects.ts
@@ -1,4 +1,5 @@
 /** Objects of the store's collections, as they are read from it and as readers tell them. */
+import type { Evacuation } from '../model/evacuation.js';
 import type { PeerRecord } from '../model/peer-record.js';
 import type { ReplicaRecord } from '../model/replica-record.js';
 import type { GatewayConfiguration } from '../model/route.js';
@@ -10,7 +11,8 @@
       readonly objects: readonly Stored<GatewayConfiguration>[];
     }
   | { readonly collection: 'replicas'; readonly objects: readonly Stored<ReplicaRecord>[] }
-  | { readonly collection: 'gateways'; readonly objects: readonly Stored<PeerRecord>[] };
+  | { readonly collection: 'gateways'; readonly objects: readonly Stored<PeerRecord>[] }
+  | { readonly collection: 'evacuations'; readonly objects: readonly Stored<Evacuation>[] };
 
 /** An object of the store; `value` is absent where it is gone or could not be read. */
 export interface Stored<Value> {
--- a/test/gateway/reader-fuzz.test.ts
+++ b/test/gateway/reader-fuzz.test.ts
@@ -19,6 +19,7 @@
   | { readonly type: NodeFault; readonly node: number }
   | { readonly type: 'cut' | 'heal'; readonly node: number; readonly other: number }
   | { readonly type: 'configure' | 'drain' | 'remove'; readonly replica: number }
+  | { readonly type: 'evacuate' | 'reopen'; readonly zone: string }
   | { readonly type: 'advance'; readonly ms: number };
 
 const node = fc.nat(29);
@@ -28,6 +29,10 @@
   fc.record({ type: fc.constantFrom('lose-store', 'regain-store', 'refuse', 'admit'), node }),
   fc.record({ type: fc.constantFrom('cut', 'heal'), node, other: node }),
   fc.record({ type: fc.constantFrom('configure', 'drain', 'remove'), replica: fc.nat(9) }),
+  fc.record({
+    type: fc.constantFrom('evacuate', 'reopen'),
+    zone: fc.constantFrom('bole', 'arada', 'hall'),
+  }),
   fc.record({ type: fc.constant('advance'), ms: fc.oneof(fc.nat(50), fc.nat(4_000)) }),
 ) as fc.Arbitrary<Fault>;
 
@@ -59,6 +64,10 @@
       case 'drain':
       case 'remove':
         return this.write(step.type, `r-${step.replica}`);
+      case 'evacuate':
+        return this.network.put('evacuations', step.zone, { zone: step.zone });
+      case 'reopen':
+        return this.network.put('evacuations', step.zone, undefined);
       case 'cut':
       case 'heal':
         return this.link(this.nodeAt(step.node), this.nodeAt(step.other), step.type === 'cut');
@@ -128,6 +137,8 @@
               .map(({ record }) => record.id)
               .sort();
             expect([name, listed]).toEqual([name, replicasOf(network)]);
+            const evacuated = [...state.evacuatedZones].sort();
+            expect([name, evacuated]).toEqual([name, network.store.names('evacuations')]);
           }
           expect(network.readers().length).toBeLessThanOrEqual(3);
         },
@@ -147,10 +158,12 @@
           const run = new Run(network);
           faults.filter(({ type }) => type !== 'advance').forEach((step) => run.apply(step));
           run.apply({ type: 'configure', replica: 0 });
+          run.apply({ type: 'evacuate', zone: 'hall' });
           network.advance(BOUND_MS);
-          for (const { name, alive, storeReachable, isRefused, version } of network.nodes) {
+          for (const { name, alive, storeReachable, isRefused, version, state } of network.nodes) {
             if (alive && storeReachable && !isRefused) {
               expect([name, version]).toEqual([name, run.version]);
+              expect([name, state.evacuatedZones.has('hall')]).toEqual([name, true]);
             }
           }
         },
--- a/test/gateway/reader-network.ts
+++ b/test/gateway/reader-network.ts
@@ -102,6 +102,7 @@
         drainMs: boundMs,
         graceMs: 6_000,
         configurationMs: boundMs,
+        evacuationMs: boundMs,
         retryRatio: 0.2,
         retryWindowMs: 10_000,
         retrySlack: 40,
--- a/test/gateway/readers.test.ts
+++ b/test/gateway/readers.test.ts
@@ -260,4 +260,31 @@
     network.advance(2_000);
     expect(alone.state.replicas.find('r-000')?.record.draining).toBe(true);
   });
+
+  it('tell which zones are evacuated, also to gateways that start meanwhile', () => {
+    const network = networkOf();
+    const evacuated = (): readonly string[] => [
+      ...new Set(network.nodes.map(({ state }) => [...state.evacuatedZones].join())),
+    ];
+    network.put('evacuations', 'hall', { zone: 'hall' });
+    network.advance(BOUND_MS / 3);
+    expect(evacuated()).toEqual(['hall']);
+    const late = network.find('bole-4');
+    network.kill(late);
+    network.start(late);
+    network.advance(100);
+    expect(evacuated()).toEqual(['hall']);
+    network.put('evacuations', 'hall', undefined);
+    network.advance(BOUND_MS / 3);
+    expect(evacuated()).toEqual(['']);
+  });
+
+  it('are replaced when they are cut off right after a zone was evacuated', () => {
+    const network = networkOf();
+    const reader = readerOf(network, 'arada');
+    network.setStore(reader, false);
+    network.put('evacuations', 'bole', { zone: 'bole' });
+    network.advance(BOUND_MS);
+    expect(network.nodes.every(({ state }) => state.evacuatedZones.has('bole'))).toBe(true);
+  });
 });
--- a/test/gateway/virtual-gateway.ts
+++ b/test/gateway/virtual-gateway.ts
@@ -56,6 +56,7 @@
   readonly effects: GatewayEffect[] = [];
   now = 0;
   private nextCall = 1;
+  private revision = 1;
 
   constructor(retrySlack = 40, node = 'front-1', capacity = 1) {
     this.state = createGatewayState(
@@ -133,6 +134,14 @@
     });
   }
 
+  /** The operator orders that the replicas of a zone get no requests, or takes that back. */
+  evacuate(zone: string, gone = false): void {
+    this.revision += 1;
+    const objects = [{ name: zone, gone, ...(!gone && { value: { zone } }) }];
+    const changes = { collection: 'evacuations', objects, revision: this.revision } as const;
+    this.emit({ type: 'changes-read', at: this.now, changes });
+  }
+
   /** Takes the list of gateways from the store, twice: it has settled then. */
   listGateways(gateways: readonly PeerRecord[]): void {
     const objects = gateways.map((value) => ({ name: value.name, gone: false, value }));
--- a/test/gateway/virtual-store.ts
+++ b/test/gateway/virtual-store.ts
@@ -1,4 +1,5 @@
 /** The users' store in virtual time: collections with one counter of revisions, lists and watches. */
+import type { Evacuation } from '../../src/gateway/model/evacuation.js';
 import type { PeerRecord } from '../../src/gateway/model/peer-record.js';
 import type { ReplicaRecord } from '../../src/gateway/model/replica-record.js';
 import type { GatewayConfiguration } from '../../src/gateway/model/route.js';
@@ -7,7 +8,7 @@
 
 const PAGE_SIZE = 50;
 
-type Value = GatewayConfiguration | ReplicaRecord | PeerRecord;
+type Value = GatewayConfiguration | ReplicaRecord | PeerRecord | Evacuation;
 
 interface StoredEvent {
   readonly collection: CollectionName;
@@ -43,6 +44,7 @@
     configuration: new Map(),
     replicas: new Map(),
     gateways: new Map(),
+    evacuations: new Map(),
   };
   private readonly history: StoredEvent[] = [];
 
