Choose replicas by the pace that they report, beside what was observed

Cause: on the shifted deployment replicas say in each answer how long work takes now; a feeder learnt of a slow one only from an attempt that was late, and forgot it again.

A report never outweighs what was seen, and one that claims to be quicker than usual is not believed.

--- a/src/gateway/replicas/replica.ts
+++ b/src/gateway/replicas/replica.ts
@@ -65,15 +65,31 @@
   answeredAt: at,
 });
 
-/** How much longer than usual an attempt is expected to take; old knowledge fades towards 1. */
-export const slowdownNow = (replica: Replica, at: number): number => {
-  const age = Math.max(0, at - replica.slowdownAt);
-  return 1 + (replica.slowdown - 1) * Math.exp(-age / SLOWDOWN_MEMORY_MS);
+/** A slowdown that was known at one time, as it counts later: it fades towards 1. */
+const fadedSlowdown = (slowdown: number, knownAt: number, at: number): number => {
+  const age = Math.max(0, at - knownAt);
+  return 1 + (slowdown - 1) * Math.exp(-age / SLOWDOWN_MEMORY_MS);
 };
 
+const observedSlowdown = ({ slowdown, slowdownAt }: Replica, at: number): number =>
+  fadedSlowdown(slowdown, slowdownAt, at);
+
+/** What the replica says itself; one that claims to be quicker than usual is not believed. */
+const reportedSlowdown = ({ load, loadAt }: Replica, at: number): number => {
+  const slowdown = Math.min(MAX_SAMPLE_RATIO, Math.max(1, load?.slowdown ?? 1));
+  return fadedSlowdown(slowdown, loadAt, at);
+};
+
+/**
+ * How much longer than usual an attempt is expected to take: what the replica says or what attempts have
+ * shown, whichever is worse, so that no report outweighs what was seen.
+ */
+export const slowdownNow = (replica: Replica, at: number): number =>
+  Math.max(observedSlowdown(replica, at), reportedSlowdown(replica, at));
+
 const addSlowdownSample = (replica: Replica, ratio: number, at: number): void => {
   const sample = Math.min(MAX_SAMPLE_RATIO, ratio);
-  const known = slowdownNow(replica, at);
+  const known = observedSlowdown(replica, at);
   replica.slowdown = known + SLOWDOWN_WEIGHT * (sample - known);
   replica.slowdownAt = at;
 };
@@ -83,7 +99,7 @@
  * to what is usual. One that was given up early says nothing.
  */
 export const noteUnfinished = (replica: Replica, leastRatio: number, at: number): void => {
-  if (leastRatio > slowdownNow(replica, at)) {
+  if (leastRatio > observedSlowdown(replica, at)) {
     addSlowdownSample(replica, leastRatio, at);
   }
 };
