Let the first feeder of a shard choose one replica freely

Cause: all feeders of a request kept a shard to the two replicas (of three) that its identifier draws, so that a second feeder after a failed one could not send it to a third.

Ruled out: telling the next feeder which replicas were tried (a feeder that is silent cannot tell, and a message for each attempt costs more than the gain); no bound at all (a frozen feeder and its successor then use three replicas).

Change: one replica fewer than the route allows is drawn alike by all feeders. The first feeder may choose one besides, the best it knows of; it and those after it keep to the drawn ones otherwise. The sum holds without a message; the test that feeders one after the other keep to two replicas passes unchanged.

--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -13,8 +13,9 @@
   slowdownNow,
 } from '../replicas/replica.js';
 import { isFed, shareOf } from '../peers/service-share.js';
+import { bearsOneMore, noteColdSend } from '../replicas/cold-rate.js';
 import { eligibleReplicas } from '../replicas/eligible-replicas.js';
-import { preferredReplicas } from '../replicas/preferred-replicas.js';
+import { drawReplicas, listedReplicas } from '../replicas/shared-replicas.js';
 import { connectionShare } from '../replicas/connection-share.js';
 import { selectReplica, type SelectionPlace } from '../replicas/select-replica.js';
 import { budgetOf, type GatewayState } from '../state.js';
@@ -49,32 +50,49 @@
   return latency;
 };
 
-/** Feeders keep a request to the same replicas of a shard, whichever of them sends it. */
-const preferredOf = (
+/**
+ * The replicas that all feeders draw for a shard of a request, one fewer than its route allows; undefined
+ * where any will do.
+ */
+const sharedReplicas = (
   state: GatewayState,
   { request, route }: ActiveRequest,
-  service: string,
+  { service }: Leg,
 ): ReadonlySet<string> | undefined => {
   if (route.target.type !== 'gather' || !isFed(state, service)) {
     return undefined;
   }
+  const listed = listedReplicas(eligibleReplicas(state, service, route.allowedRegions));
+  if (listed.length <= route.maxAttempts) {
+    return undefined;
+  }
   const { zone, zoneRegions } = state.settings;
   const isNear = (other: string): boolean => zoneRegions[other] === zoneRegions[zone];
-  const replicas = eligibleReplicas(state, service, route.allowedRegions);
-  return preferredReplicas(replicas, request.requestId, route.maxAttempts, isNear);
+  return drawReplicas(listed, request.requestId, route.maxAttempts - 1, isNear);
+};
+
+/** The first feeder of a shard chooses one replica freely, and keeps to it and the shared ones. */
+const preferredOf = (
+  { isRepeat, ownChoice }: Leg,
+  shared: ReadonlySet<string> | undefined,
+): ReadonlySet<string> | undefined => {
+  if (shared === undefined || (!isRepeat && ownChoice === undefined)) {
+    return undefined;
+  }
+  return ownChoice === undefined ? shared : new Set([...shared, ownChoice]);
 };
 
 const placeOf = (
   state: GatewayState,
-  request: ActiveRequest,
-  service: string,
+  leg: Leg,
+  shared: ReadonlySet<string> | undefined,
   at: number,
 ): SelectionPlace => ({
   zone: state.settings.zone,
   zoneRegions: state.settings.zoneRegions,
   leavingMs: state.settings.bounds.drainMs * LEAVING_SHARE,
-  maxConnections: connectionShare(state, service, at),
-  preferred: preferredOf(state, request, service),
+  maxConnections: connectionShare(state, leg.service, at),
+  preferred: preferredOf(leg, shared),
 });
 
 /** Whether the retry budget allows one more arrival; the first of a leg is free. */
@@ -137,12 +155,18 @@
   if (!hasTriesLeft(request, leg) || request.deadlineAt - at < 1) {
     return undefined;
   }
-  const replicas = eligibleReplicas(state, leg.service, request.route.allowedRegions);
-  const place = placeOf(state, request, leg.service, at);
+  const replicas = eligibleReplicas(state, leg.service, request.route.allowedRegions).filter(
+    (replica) => bearsOneMore(state, replica, at),
+  );
+  const shared = sharedReplicas(state, request, leg);
+  const place = placeOf(state, leg, shared, at);
   const replica = selectReplica(replicas, leg.tried, place, state.random, at);
   if (replica === undefined || !takeBudget(state, request, leg, at)) {
     return undefined;
   }
+  if (shared?.has(replica.record.id) === false) {
+    leg.ownChoice = replica.record.id;
+  }
   state.counters.attempts.add(leg.service, reason);
   traceAttempt(state, request, replica, reason, at);
   return startAttempt(state, request, leg, replica, place.maxConnections, at);
@@ -160,6 +184,7 @@
   state.nextAttempt += 1;
   const { record } = replica;
   const { call, route, deadlineAt } = request;
+  noteColdSend(state, replica, at);
   leg.tried.add(record.id);
   leg.wasSent = true;
   leg.running.add(attempt);
@@ -175,7 +200,15 @@
     repeatable: route.repeatable,
     sentAt: at,
   });
-  return { type: 'send-attempt', attempt, call, replica: record, deadlineAt, maxConnections };
+  return {
+    type: 'send-attempt',
+    attempt,
+    call,
+    replica: record,
+    deadlineAt,
+    maxConnections,
+    repeatable: route.repeatable,
+  };
 };
 
 const noteAtReplica = (
@@ -249,7 +282,7 @@
   }
   state.attempts.delete(attempt.id);
   attempt.leg.running.delete(attempt.id);
-  countOutcome(attempt.leg, attempt.repeatable, event);
+  countOutcome(attempt, event);
   const replica = state.replicas.find(attempt.replica);
   if (replica !== undefined) {
     replica.pending.delete(attempt.id);
@@ -263,7 +296,12 @@
  * is reset before any answer on it is one too many for its replica: nothing says that the request
  * has not run, but one that may be repeated is tried again.
  */
-const countOutcome = (leg: Leg, repeatable: boolean, { result }: AttemptEnded): void => {
+const countOutcome = (attempt: ActiveAttempt, { result }: AttemptEnded): void => {
+  const { leg, repeatable, replica } = attempt;
+  const hasNotRun = result.type === 'refused' || (result.type === 'failed' && !result.mayHaveRun);
+  if (hasNotRun && leg.ownChoice === replica) {
+    leg.ownChoice = undefined;
+  }
   if (result.type === 'refused') {
     leg.runs -= 1;
     leg.refusedAsFull = result.reason === 'full';
--- a/src/gateway/requests/request-state.ts
+++ b/src/gateway/requests/request-state.ts
@@ -11,6 +11,10 @@
   readonly tried: Set<string>;
   /** An attempt was sent from here; unlike `tried`, this stays when all replicas are tried again. */
   wasSent: boolean;
+  /** Replicas may have run it before, for a feeder that has failed. */
+  isRepeat: boolean;
+  /** The replica that was chosen outside those that all feeders share; undefined while there is none. */
+  ownChoice: string | undefined;
   /** Attempts that run. */
   readonly running: Set<AttemptId>;
   /** Attempts that reached a replica, or may have. */
@@ -107,6 +111,8 @@
   service,
   tried: new Set(),
   wasSent: false,
+  isRepeat: false,
+  ownChoice: undefined,
   running: new Set(),
   arrivals: 0,
   runs: 0,
--- a/src/gateway/requests/send-legs.ts
+++ b/src/gateway/requests/send-legs.ts
@@ -59,6 +59,7 @@
   at: number,
 ): GatewayEffect[] => {
   if (isRepeat) {
+    leg.isRepeat = true;
     leg.arrivals += 1;
     leg.runs += 1;
   } else {
--- a/test/gateway/feeders.test.ts
+++ b/test/gateway/feeders.test.ts
@@ -3,7 +3,7 @@
 import type { PeerRecord } from '../../src/gateway/model/peer-record.js';
 import type { SubqueryPart } from '../../src/gateway/model/subquery.js';
 import type { AttemptResult } from '../../src/gateway/model/request.js';
-import { preferredReplicas } from '../../src/gateway/replicas/preferred-replicas.js';
+import { drawReplicas } from '../../src/gateway/replicas/shared-replicas.js';
 import { connectionShare } from '../../src/gateway/replicas/connection-share.js';
 import { feederPlan, shareOf } from '../../src/gateway/peers/service-share.js';
 import { gatherOf, routeTo, success, VirtualGateway } from './virtual-gateway.js';
@@ -461,8 +461,8 @@
     const isNear = (zone: string): boolean => zone !== 'hall';
     const drawn = new Set<string>();
     for (let request = 0; request < 40; request += 1) {
-      const one = preferredReplicas(replicas, `r-${request}`, 1, isNear) ?? [];
-      const three = preferredReplicas(replicas, `r-${request}`, 3, isNear) ?? new Set();
+      const one = drawReplicas(replicas, `r-${request}`, 1, isNear);
+      const three = drawReplicas(replicas, `r-${request}`, 3, isNear);
       [...one].forEach((id) => drawn.add(id));
       expect(three.has('s0-arada-1') && three.has('s0-bole-2')).toBe(true);
     }
