--- a/src/gateway/effect.ts
+++ b/src/gateway/effect.ts
@@ -18,6 +18,8 @@
   readonly deadlineAt: number;
   /** Connections that this gateway may hold to the replica. */
   readonly maxConnections: number;
+  /** Whether the request may run more than once. */
+  readonly repeatable: boolean;
 }
 
 /** Opens a connection to a replica ahead of its first attempt. */
--- a/src/gateway/replicas/replica.ts
+++ b/src/gateway/replicas/replica.ts
@@ -27,6 +27,8 @@
   record: ReplicaRecord;
   /** When it stops being slow after its start. */
   coldUntil: number;
+  /** When requests were sent to it while it was cold, over the last second. */
+  sentWhileCold: readonly number[];
   /** When this gateway learnt that it is gone from the store; undefined while it is listed. */
   goneAt: number | undefined;
   /** When this gateway learnt that it drains; long ago when it was first seen draining. */
@@ -52,6 +54,7 @@
 export const createReplica = (record: ReplicaRecord, at: number): Replica => ({
   record,
   coldUntil: at + record.coldMs,
+  sentWhileCold: [],
   goneAt: undefined,
   drainingSince: record.draining ? Number.NEGATIVE_INFINITY : undefined,
   pending: new Map(),
--- a/src/gateway/runtime/peers/peer-client.ts
+++ b/src/gateway/runtime/peers/peer-client.ts
@@ -29,6 +29,12 @@
 /** A peer that has said nothing for so long is taken for lost, in milliseconds. */
 const SILENCE_MS = 4_500;
 
+/**
+ * A suspect that answers nothing for so long after it was asked is asked over a new connection, in
+ * milliseconds: the old one may have gone silent for good while the peer lives.
+ */
+const SUSPECT_SILENCE_MS = 1_000;
+
 /** A connection without subqueries for so long is closed, in milliseconds. */
 const IDLE_MS = 60_000;
 
@@ -69,10 +75,19 @@
   readonly connection: PeerConnection;
   readonly pending: Set<SubqueryId>;
   usedAt: number;
+  /** Since when a question has no answer; undefined while there is none. */
+  unansweredSince: number | undefined;
   isOpen: boolean;
   problem: PeerProblem;
 }
 
+/** What a reader tells unasked says nothing of whether questions arrive. */
+const noteAnswer = (link: Link, { type }: PeerMessage): void => {
+  if (type !== 'news') {
+    link.unansweredSince = undefined;
+  }
+};
+
 /** Carries out the effects that are addressed to peers. */
 export class PeerClient {
   private readonly links = new Map<string, Link>();
@@ -170,6 +185,7 @@
       connection,
       pending: new Set(),
       usedAt: this.now,
+      unansweredSince: undefined,
       isOpen: false,
       problem: 'disconnected',
     };
@@ -184,6 +200,7 @@
   private take(link: Link, message: PeerMessage): void {
     const { sink } = this.context;
     const at = this.now;
+    noteAnswer(link, message);
     switch (message.type) {
       case 'acknowledged':
         sink.emit({ type: 'subquery-acknowledged', at, subquery: message.id });
@@ -218,10 +235,17 @@
   /** Asks a suspect once more. A new connection is asked with the next look, when it is open. */
   private ask(peer: PeerRecord, now: number): void {
     const link = this.links.get(peer.name) ?? this.open(peer);
-    if (link.isOpen) {
-      this.suspects.noteAsked(peer.name, now);
-      link.connection.send({ type: 'ping' });
+    if (!link.isOpen) {
+      return;
+    }
+    link.unansweredSince ??= now;
+    if (now - link.unansweredSince >= SUSPECT_SILENCE_MS) {
+      link.problem = 'silent';
+      link.connection.close();
+      return;
     }
+    this.suspects.noteAsked(peer.name, now);
+    link.connection.send({ type: 'ping' });
   }
 
   private forget(link: Link, id: SubqueryId): void {
--- a/src/gateway/runtime/replica-client.ts
+++ b/src/gateway/runtime/replica-client.ts
@@ -113,7 +113,11 @@
     if (known !== undefined) {
       return known;
     }
-    const pool = new ReplicaPool({ host: replica.host, port: replica.port }, this);
+    const pool = new ReplicaPool(
+      { host: replica.host, port: replica.port },
+      this.context.clock,
+      this,
+    );
     this.pools.set(replica.id, pool);
     return pool;
   }
--- a/src/gateway/runtime/replica-pool.ts
+++ b/src/gateway/runtime/replica-pool.ts
@@ -1,9 +1,24 @@
 /** The connections to one replica, and the attempts that wait for one. */
+import type { MonotonicClock } from '../../runtime/monotonic-clock.js';
 import type { HostPort } from '../../settings/node-settings.js';
 import type { SendAttempt } from '../effect.js';
 import type { AttemptId, AttemptProblem } from '../model/request.js';
 import { ReplicaConnection } from './replica-connection.js';
 
+/**
+ * A connection that has rested for longer may have gone silent without a sign. A request that may run only
+ * once is not sent over it: nothing could be done for it any more, while a new connection takes some
+ * milliseconds. In milliseconds; replicas pause for less.
+ */
+const TRUSTED_REST_MS = 1_000;
+
+/** A connection that no request runs over. */
+interface IdleConnection {
+  readonly connection: ReplicaConnection;
+  /** When it was opened, or last brought an answer. */
+  readonly since: number;
+}
+
 /** What a pool tells its client. */
 export interface PoolListener {
   /** A connection is free for the attempt; its time left is counted from now. */
@@ -17,7 +32,7 @@
  * is sent over the first connection that is free, whether it is a new one or one given back.
  */
 export class ReplicaPool {
-  private readonly idle: ReplicaConnection[] = [];
+  private readonly idle: IdleConnection[] = [];
   private readonly waiting: SendAttempt[] = [];
   private open = 0;
   private opening = 0;
@@ -26,6 +41,7 @@
 
   constructor(
     private readonly address: HostPort,
+    private readonly clock: MonotonicClock,
     private readonly listener: PoolListener,
   ) {}
 
@@ -60,7 +76,7 @@
       if (this.closed) {
         connection.destroy();
       } else if (!connection.isClosed) {
-        this.idle.push(connection);
+        this.rest(connection);
         this.serveWaiting();
       }
     });
@@ -69,24 +85,43 @@
   /** Closes idle connections; the others close when they are given back. */
   close(): void {
     this.closed = true;
-    this.idle.splice(0).forEach((connection) => connection.destroy());
+    this.idle.splice(0).forEach(({ connection }) => connection.destroy());
     this.waiting.splice(0).forEach((attempt) => {
       this.listener.onUnreachable(attempt, 'aborted');
     });
   }
 
   private serveWaiting(): void {
-    while (this.waiting.length > 0) {
-      const connection = this.idle.pop();
+    for (;;) {
+      const [attempt] = this.waiting;
+      if (attempt === undefined) {
+        return;
+      }
+      const connection = this.takeIdle(attempt);
       if (connection === undefined) {
         this.openForWaiting();
         return;
       }
-      const attempt = this.waiting.shift();
-      if (attempt !== undefined) {
-        this.listener.onFree(attempt, connection, this);
-      }
+      this.waiting.shift();
+      this.listener.onFree(attempt, connection, this);
+    }
+  }
+
+  private rest(connection: ReplicaConnection): void {
+    this.idle.push({ connection, since: this.clock.now() });
+  }
+
+  /** The connection that rested last; where the request may run only once, one that is surely alive. */
+  private takeIdle({ repeatable }: SendAttempt): ReplicaConnection | undefined {
+    const newest = this.idle.pop();
+    if (newest === undefined) {
+      return undefined;
+    }
+    if (repeatable || this.clock.now() - newest.since <= TRUSTED_REST_MS) {
+      return newest.connection;
     }
+    newest.connection.destroy();
+    return undefined;
   }
 
   private openForWaiting(): void {
@@ -101,7 +136,7 @@
     const connection = new ReplicaConnection(this.address, {
       onOpened: () => {
         this.opening -= 1;
-        this.idle.push(connection);
+        this.rest(connection);
         this.serveWaiting();
       },
       onClosed: (problem) => this.noteClosed(connection, problem),
@@ -110,7 +145,7 @@
 
   private noteClosed(connection: ReplicaConnection, problem: AttemptProblem): void {
     this.open -= 1;
-    const index = this.idle.indexOf(connection);
+    const index = this.idle.findIndex((each) => each.connection === connection);
     if (index >= 0) {
       this.idle.splice(index, 1);
     }
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -15,6 +15,10 @@
    * milliseconds; absent where zones are not evacuated.
    */
   readonly evacuationMs?: number;
+  /** How far the requests to a cold replica may exceed its rate; absent for not at all. */
+  readonly coldOvershoot?: number;
+  /** Requests a second to a cold replica besides; absent for none. */
+  readonly coldSlack?: number;
   /** Extra arrivals at a service that each request allows, over all gateways. */
   readonly retryRatio: number;
   /** Sliding window of that ratio, in milliseconds. */
--- a/src/gateway/store/follow-collection.ts
+++ b/src/gateway/store/follow-collection.ts
@@ -8,8 +8,19 @@
 import type { GatewayBounds } from '../settings.js';
 import type { CollectionCall, CollectionName } from './collection.js';
 
-/** How long a watch waits at the store, in milliseconds; probes find out earlier if it is lost. */
-const WATCH_WAIT_MS = 25_000;
+/**
+ * How long a watch waits at the store where nothing depends on hearing of a change in time, in
+ * milliseconds; probes find out earlier if the store is lost.
+ */
+const LONGEST_WAIT_MS = 25_000;
+
+/**
+ * A watch waits for no longer than this part of the time within which a change must be acted on. A
+ * connection that has gone silent looks like a watch that waits, and probes over another one are answered:
+ * only the end of the wait tells. With bounds of 5 s a change behind a silent connection is read after 3.6 s
+ * at most; the rest is for telling it to the other gateways.
+ */
+const WAIT_SHARE = 0.5;
 
 /** How long a watch waits that shows whether the store takes watches again. */
 const SHORT_WAIT_MS = 1;
@@ -32,6 +43,8 @@
 /** How far one collection has been read. */
 export interface CollectionProgress {
   readonly collection: CollectionName;
+  /** How long its watches wait at the store, in milliseconds. */
+  readonly waitMs: number;
   /** All changes up to this revision are held; undefined while the list is incomplete. */
   revision: number | undefined;
   /** The list goes on after this name. */
@@ -48,9 +61,32 @@
   failures: number;
 }
 
+/** Time within which all gateways must act on a change of a collection, in milliseconds. */
+const knownWithin = (collection: CollectionName, bounds: GatewayBounds): number => {
+  const { drainMs, configurationMs, evacuationMs = configurationMs } = bounds;
+  switch (collection) {
+    case 'replicas':
+      return drainMs;
+    case 'evacuations':
+      return evacuationMs;
+    default:
+      return configurationMs;
+  }
+};
+
+/** Nothing has to be done in time when a gateway comes or goes. */
+const waitOf = (collection: CollectionName, bounds: GatewayBounds): number =>
+  collection === 'gateways'
+    ? LONGEST_WAIT_MS
+    : Math.min(LONGEST_WAIT_MS, Math.floor(knownWithin(collection, bounds) * WAIT_SHARE));
+
 /** Creates the progress of a collection that has not been read. */
-export const createCollectionProgress = (collection: CollectionName): CollectionProgress => ({
+export const createCollectionProgress = (
+  collection: CollectionName,
+  bounds: GatewayBounds,
+): CollectionProgress => ({
   collection,
+  waitMs: waitOf(collection, bounds),
   revision: undefined,
   listAfter: undefined,
   listed: new Set(),
@@ -72,7 +108,7 @@
     const after = listAfter === undefined ? {} : { after: listAfter };
     return { type: 'list', collection, ...after, stale, timeoutMs: ANSWER_MS };
   }
-  const waitMs = isDeaf(progress) ? SHORT_WAIT_MS : WATCH_WAIT_MS;
+  const waitMs = isDeaf(progress) ? SHORT_WAIT_MS : progress.waitMs;
   return { type: 'watch', collection, revision, waitMs, timeoutMs: waitMs + ANSWER_MS };
 };
 
@@ -137,19 +173,6 @@
   return listed;
 };
 
-/** Time within which all gateways must act on a change of a collection, in milliseconds. */
-const knownWithin = (collection: CollectionName, bounds: GatewayBounds): number => {
-  const { drainMs, configurationMs, evacuationMs = configurationMs } = bounds;
-  switch (collection) {
-    case 'replicas':
-      return drainMs;
-    case 'evacuations':
-      return evacuationMs;
-    default:
-      return configurationMs;
-  }
-};
-
 /** Pauses before the next watch after one that returned changes. */
 export const watchAgain = (
   progress: CollectionProgress,
--- a/test/gateway/peer-client.test.ts
+++ b/test/gateway/peer-client.test.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events';
 import { type AddressInfo, createServer, type Server, type Socket } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
@@ -96,6 +97,17 @@
     expect(events).toMatchObject([{ type: 'peer-lost', peer: 'front-2', problem: 'silent' }]);
   });
 
+  it('that goes silent is replaced by another one, over which the peer is trusted again', async () => {
+    answersPings = false;
+    client.check(peer);
+    await delay(700);
+    expect(sockets).toHaveLength(1);
+    await once(server, 'connection');
+    answersPings = true;
+    await untilEvent('peer-alive');
+    expect(events[0]).toMatchObject({ type: 'peer-lost', problem: 'silent' });
+  });
+
   it('that cannot be opened tells so', async () => {
     server.close();
     client.prepare({ ...peer, address: { host: '127.0.0.1', port: 1 } });
--- a/test/gateway/reader-network.ts
+++ b/test/gateway/reader-network.ts
@@ -183,6 +183,11 @@
     }
   }
 
+  /** The connections over which gateways watch go silent; nobody is told, and new ones work. */
+  silenceWatches(): void {
+    this.nodes.forEach((node) => node.watches.clear());
+  }
+
   /** Writes to the store, as the operator and the replicas do. */
   put(collection: CollectionName, name: string, value: Parameters<VirtualStore['put']>[2]): void {
     this.store.put(collection, name, value);
--- a/test/gateway/readers.test.ts
+++ b/test/gateway/readers.test.ts
@@ -261,6 +261,14 @@
     expect(alone.state.replicas.find('r-000')?.record.draining).toBe(true);
   });
 
+  it('hear of a change in time though the connections of all watches have gone silent', () => {
+    const network = networkOf();
+    network.silenceWatches();
+    configure(network, 2);
+    network.advance(BOUND_MS);
+    expect(versionsOf(network)).toEqual([2]);
+  });
+
   it('tell which zones are evacuated, also to gateways that start meanwhile', () => {
     const network = networkOf();
     const evacuated = (): readonly string[] => [
--- /dev/null
+++ b/test/gateway/replica-pool.test.ts
@@ -0,0 +1,83 @@
+import { setTimeout as delay } from 'node:timers/promises';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import type { SendAttempt } from '../../src/gateway/effect.js';
+import { ReplicaPool } from '../../src/gateway/runtime/replica-pool.js';
+import type { ReplicaConnection } from '../../src/gateway/runtime/replica-connection.js';
+import { RawReplica } from './raw-replica.js';
+
+let now = 0;
+let replica: RawReplica;
+let pool: ReplicaPool;
+let free: ReplicaConnection[];
+
+const attemptOf = (repeatable: boolean): SendAttempt => ({
+  type: 'send-attempt',
+  attempt: 1,
+  call: 1,
+  replica: {
+    id: 'i-1',
+    service: 's0',
+    ...replica.address,
+    zone: 'bole',
+    slots: 2,
+    draining: false,
+    coldMs: 0,
+  },
+  deadlineAt: 10_000,
+  maxConnections: 1,
+  repeatable,
+});
+
+/** Takes a connection for an attempt, and gives it back as if it had been answered. */
+const use = async (repeatable: boolean): Promise<void> => {
+  const before = free.length;
+  pool.submit(attemptOf(repeatable));
+  while (free.length === before) {
+    await delay(1);
+  }
+  pool.giveBack(free.at(-1) as ReplicaConnection);
+  await delay(1);
+};
+
+beforeEach(async () => {
+  now = 0;
+  free = [];
+  replica = await RawReplica.start(() => undefined);
+  pool = new ReplicaPool(
+    replica.address,
+    { now: () => now },
+    {
+      onFree: (_attempt, connection) => free.push(connection),
+      onUnreachable: () => undefined,
+    },
+  );
+});
+
+afterEach(async () => {
+  pool.close();
+  await replica.stop();
+});
+
+describe('a connection that has rested', () => {
+  it('is used again for a request that may run more than once', async () => {
+    await use(true);
+    now = 30_000;
+    await use(true);
+    expect(replica.connections).toBe(1);
+  });
+
+  it('is used again shortly afterwards for one that may run only once', async () => {
+    await use(false);
+    now = 900;
+    await use(false);
+    expect(replica.connections).toBe(1);
+  });
+
+  it('is replaced after a longer rest for one that may run only once', async () => {
+    await use(true);
+    now = 1_100;
+    await use(false);
+    expect(replica.connections).toBe(2);
+    expect(free[0]?.isClosed).toBe(true);
+  });
+});
--- a/test/gateway/virtual-gateway.ts
+++ b/test/gateway/virtual-gateway.ts
@@ -94,14 +94,23 @@
   }
 
   /** Puts a version with these routes in force. */
-  configure(version: number, routes: readonly Route[], maxConnections = 32): void {
+  configure(
+    version: number,
+    routes: readonly Route[],
+    maxConnections = 32,
+    coldRequestsPerSecond?: number,
+  ): void {
+    const policy = {
+      maxConnections,
+      ...(coldRequestsPerSecond !== undefined && { coldRequestsPerSecond }),
+    };
     const configuration: GatewayConfiguration = {
       version,
       routes,
       services: new Map(
         routes
           .flatMap(({ target }) => servicesOf(target))
-          .map((name) => [name, { name, maxConnections }]),
+          .map((name) => [name, { name, ...policy }]),
       ),
       limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
     };
@@ -119,11 +128,15 @@
   }
 
   /** Lists one replica in each zone for each of `services`. */
-  listReplicas(services: readonly string[], zones: readonly string[] = ['bole', 'arada']): void {
+  listReplicas(
+    services: readonly string[],
+    zones: readonly string[] = ['bole', 'arada'],
+    coldMs = 0,
+  ): void {
     const objects = services.flatMap((service) =>
       zones.map((zone, index) => {
         const id = `${service}-${zone}-${index}`;
-        const value = { id, service, ...HOST, zone, slots: 2, draining: false, coldMs: 0 };
+        const value = { id, service, ...HOST, zone, slots: 2, draining: false, coldMs };
         return { name: id, gone: false, value };
       }),
     );
