Hedge only at a replica expected to be quicker than the attempt that runs

Change: requests/hedge-legs.ts, out of progress.ts: the second attempt is sent once the running one has taken, or is known to take, longer than the other replica is expected to.

--- a/src/gateway/replicas/select-replica.ts
+++ b/src/gateway/replicas/select-replica.ts
@@ -72,10 +72,15 @@
   return partial + Math.max(waiting / slots, waitingHere / maxConnections);
 };
 
+/** How long one more attempt at a replica is expected to take, in usual latencies. */
+export const expectedRatio = (replica: Replica, maxConnections: number, at: number): number => {
+  const cold = replica.coldUntil > at ? COLD_FACTOR : 1;
+  return slowdownNow(replica, at) * cold * (1 + loadCost(replica, maxConnections, at));
+};
+
 /** The cost of one more attempt at a replica, in usual latencies. */
 const costOf = (replica: Replica, place: SelectionPlace, at: number): number => {
-  const cold = replica.coldUntil > at ? COLD_FACTOR : 1;
-  const base = slowdownNow(replica, at) * cold * (1 + loadCost(replica, place.maxConnections, at));
+  const base = expectedRatio(replica, place.maxConnections, at);
   const ejected = replica.ejectedUntil > at ? EJECTED_COST : 0;
   const isLeaving = replica.record.draining || replica.goneAt !== undefined;
   const leaving = isLeaving ? LEAVING_COST : 0;
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -17,7 +17,7 @@
 import { eligibleReplicas } from '../replicas/eligible-replicas.js';
 import { drawReplicas, listedReplicas } from '../replicas/shared-replicas.js';
 import { connectionShare } from '../replicas/connection-share.js';
-import { selectReplica, type SelectionPlace } from '../replicas/select-replica.js';
+import { expectedRatio, selectReplica, type SelectionPlace } from '../replicas/select-replica.js';
 import { budgetOf, type GatewayState } from '../state.js';
 import type { ActiveAttempt, ActiveRequest, Leg } from './request-state.js';
 import { addLatency, createRouteLatency, type RouteLatency } from './route-latency.js';
@@ -141,9 +141,14 @@
   return leg.runs < maxRuns && leg.tried.size < maxAttempts + EXTRA_TRIES;
 };
 
+/** Whether an attempt at a replica is worth its cost; it is expected to take `ratio` usual latencies. */
+export type Acceptance = (ratio: number) => boolean;
+
+const acceptAny: Acceptance = () => true;
+
 /**
- * Sends one more attempt for a leg. Returns undefined when none may be sent: no replica is left, the
- * route's attempts are used up, or the retry budget is.
+ * Sends one more attempt for a leg. Returns undefined when none may be sent: no replica is left or
+ * accepted, the route's attempts are used up, or the retry budget is.
  */
 export const sendAttempt = (
   state: GatewayState,
@@ -151,6 +156,7 @@
   leg: Leg,
   reason: AttemptReason,
   at: number,
+  accepts = acceptAny,
 ): SendAttempt | undefined => {
   if (!hasTriesLeft(request, leg) || request.deadlineAt - at < 1) {
     return undefined;
@@ -161,7 +167,10 @@
   const shared = sharedReplicas(state, request, leg);
   const place = placeOf(state, leg, shared, at);
   const replica = selectReplica(replicas, leg.tried, place, state.random, at);
-  if (replica === undefined || !takeBudget(state, request, leg, at)) {
+  if (replica === undefined || !accepts(expectedRatio(replica, place.maxConnections, at))) {
+    return undefined;
+  }
+  if (!takeBudget(state, request, leg, at)) {
     return undefined;
   }
   if (shared?.has(replica.record.id) === false) {
--- a/src/gateway/requests/progress.ts
+++ b/src/gateway/requests/progress.ts
@@ -2,18 +2,13 @@
 import type { GatewayEffect } from '../effect.js';
 import type { GatherTarget } from '../model/route.js';
 import type { GatewayState } from '../state.js';
-import { sendAttempt } from './attempts.js';
 import { checkSubqueries } from './check-subqueries.js';
+import { hedgeLegs } from './hedge-legs.js';
 import { retryLeg } from './retry-leg.js';
 import { finishGather, finishRequest, giveUp } from './finish.js';
 import { finishSubquery, hasUnsent, reportParts } from './report-parts.js';
 import type { ActiveRequest, Leg } from './request-state.js';
 
-/** A hedge waits while more than this part of the legs is open, in steps, and for so long. */
-const MOST_OPEN_LEGS = 0.4;
-const HEDGE_STEP_MS = 4;
-const LATEST_HEDGE = 0.55;
-
 /** Slack of the comparison of shares, for products such as 0.89 x 100. */
 const COVERAGE_EPSILON = 1e-9;
 
@@ -75,35 +70,6 @@
   return leg.refusedAsFull ? 'replicas-full' : 'no-replica';
 };
 
-/**
- * When most legs are open, the time is lost here or in the network, and doubling them all would only
- * add to it: the hedge waits until the slow ones stand out.
- */
-const shouldWaitToHedge = (request: ActiveRequest, at: number): boolean => {
-  const isMostlyOpen = request.openLegs > request.legs.length * MOST_OPEN_LEGS;
-  const latest = request.receivedAt + request.route.objectiveMs * LATEST_HEDGE;
-  return request.legs.length > 1 && isMostlyOpen && at < latest;
-};
-
-const hedgeLegs = (state: GatewayState, request: ActiveRequest, at: number): GatewayEffect[] => {
-  if (shouldWaitToHedge(request, at)) {
-    request.hedgeAt = at + HEDGE_STEP_MS;
-    return [];
-  }
-  request.hedged = true;
-  if (!request.route.repeatable) {
-    return [];
-  }
-  return request.legs.flatMap((leg) => {
-    const isWaiting = leg.resumeAt !== undefined || leg.subquery !== undefined;
-    if (leg.outcome !== undefined || isWaiting) {
-      return [];
-    }
-    const attempt = sendAttempt(state, request, leg, 'hedge', at);
-    return attempt === undefined ? [] : [attempt];
-  });
-};
-
 /** Legs whose pause is over try all replicas again. */
 const resumeLegs = (state: GatewayState, request: ActiveRequest, at: number): GatewayEffect[] =>
   request.legs.flatMap((leg) => {
