Wait only where waits have been served; refuse at once while the store fails; say when to come back

A request waited at a start for its full hold though the store had already failed; a single request paused for a fifth of its objective however such pauses had ended; every refusal said 50 ms.

Change: - Held requests are refused as soon as a call to the store has failed, and those that follow at once; the longest hold says whom it is for. - requests/pause-outcomes.ts: a single request pauses while at least every second such pause for its service was served lately, and one in ten to learn whether that has changed. - requests/retry-after.ts: Retry-After from the next chance (the end of the shortest pause of a replica that failed, a usual latency of a full one, the next call to the store), spread over as long again.

--- a/src/gateway/reducer.ts
+++ b/src/gateway/reducer.ts
@@ -25,6 +25,7 @@
   takeSubqueryAnswer,
   takeSubqueryFailure,
 } from './requests/take-subquery-result.js';
+import { refuseAllHeld } from './requests/hold-request.js';
 import { takeCallerLeft, takeRequestDue, takeResult } from './requests/take-result.js';
 import type { GatewayState } from './state.js';
 import {
@@ -71,11 +72,15 @@
       ...takeChanges(state, read),
       ...useKnowledge(state, read.at),
     ])
-    .with({ type: 'store-call-failed' }, (failed) => takeStoreFailure(state, failed))
+    .with({ type: 'store-call-failed' }, (failed) => [
+      ...takeStoreFailure(state, failed),
+      ...refuseAllHeld(state, failed.at),
+    ])
     .with({ type: 'collection-due' }, (due) => takeCollectionDue(state, due))
     .with({ type: 'probe-due' }, () => takeProbeDue(state))
     .with({ type: 'probe-ended' }, ({ answered, at }) => [
       ...takeProbe(state, answered, at),
+      ...refuseAllHeld(state, at),
       ...updateReading(state, at),
     ])
     .with({ type: 'registration-due' }, (due) => takeRegistrationDue(state, due))
--- a/src/gateway/requests/finish.ts
+++ b/src/gateway/requests/finish.ts
@@ -8,9 +8,7 @@
 import { giveUpAttempts, LINGER_MS } from './give-up-attempts.js';
 import { mergeRecords } from './merge-records.js';
 import { type ActiveRequest, isAnswered, type Leg } from './request-state.js';
-
-/** When a caller whose request has not run should come back, in milliseconds. */
-const RETRY_AFTER_MS = 50;
+import { retryAfter, retryAfterUnread } from './retry-after.js';
 
 type AnswerDecision = Extract<Decision, { event: 'request-answered' }>;
 
@@ -105,7 +103,7 @@
   comeBack: boolean,
   at = receivedAt,
 ): GatewayEffect[] => {
-  const retry = comeBack ? { retryAfterMs: RETRY_AFTER_MS } : {};
+  const retry = comeBack ? { retryAfterMs: retryAfterUnread(state) } : {};
   const response = { type: 'refusal', reason, mayHaveRun: false, ...retry } as const;
   const decision: Decision = {
     event: 'request-answered',
@@ -135,7 +133,7 @@
   at: number,
 ): GatewayEffect[] => {
   const ran = mayHaveRun(request);
-  const retry = ran ? {} : { retryAfterMs: RETRY_AFTER_MS };
+  const retry = ran ? {} : { retryAfterMs: retryAfter(state, request, reason, at) };
   const response = { type: 'refusal', reason, mayHaveRun: ran, ...retry } as const;
   return finishRequest(state, request, response, at);
 };
--- a/src/gateway/requests/hold-request.ts
+++ b/src/gateway/requests/hold-request.ts
@@ -6,12 +6,13 @@
 import type { GatewayEffect } from '../effect.js';
 import type { RequestReceived } from '../event.js';
 import type { CallId } from '../model/request.js';
-import type { GatewayState } from '../state.js';
+import { collectionsOf, type GatewayState, isInformed } from '../state.js';
 import { refuseCall } from './finish.js';
 
 /**
- * Longest time that a request is held, in milliseconds. The first configuration and the replicas were in
- * force 45 to 75 ms after the ports were open (the users' bench, logs of two closing losses of power).
+ * Longest time that a request is held, in milliseconds. After a loss of power of all gateways, the first
+ * configuration and the replicas are in force 45 to 75 ms after the ports are open; the rest is for machines
+ * that are slower or busier.
  */
 const LONGEST_HOLD_MS = 200;
 
@@ -21,8 +22,22 @@
  */
 const HOLD_SHARE = 0.1;
 
-/** Holds a request; it is refused when nothing is known by the time its timer is due. */
+/** Whether the store has failed to tell what is needed: it is not known how long that goes on. */
+const isStoreFailing = (state: GatewayState): boolean =>
+  !state.store.reachable ||
+  collectionsOf(state).some((name) => {
+    const { isListed, failures } = state.collections[name];
+    return !isListed && failures > 0;
+  });
+
+/**
+ * Holds a request; it is refused when nothing is known by the time its timer is due, and at once while the
+ * store fails.
+ */
 export const holdRequest = (state: GatewayState, event: RequestReceived): GatewayEffect[] => {
+  if (isStoreFailing(state)) {
+    return refuseCall(state, event, 'no-configuration', true);
+  }
   const { call, request, at } = event;
   const patienceMs = request.budgetMs ?? Number.POSITIVE_INFINITY;
   const holdMs = Math.min(LONGEST_HOLD_MS, patienceMs * HOLD_SHARE);
@@ -43,3 +58,9 @@
   state.held.delete(call);
   return refuseCall(state, event, 'no-configuration', true, at);
 };
+
+/** Refuses all requests that are held, once the store has failed. */
+export const refuseAllHeld = (state: GatewayState, at: number): GatewayEffect[] =>
+  isInformed(state) || !isStoreFailing(state)
+    ? []
+    : [...state.held.keys()].flatMap((call) => refuseHeldRequest(state, call, at));
--- a/src/gateway/requests/retry-leg.ts
+++ b/src/gateway/requests/retry-leg.ts
@@ -3,8 +3,9 @@
 import type { AttemptReason } from '../log/log-event.js';
 import { trace } from '../log/trace.js';
 import { eligibleReplicas } from '../replicas/eligible-replicas.js';
-import type { GatewayState } from '../state.js';
+import { type GatewayState, pauseOutcomesOf } from '../state.js';
 import { sendAttempt } from './attempts.js';
+import { doesPausePay, notePauseOutcome } from './pause-outcomes.js';
 import type { ActiveRequest, Leg, LegOutcome } from './request-state.js';
 
 /** Pauses before all replicas are tried again, in milliseconds: doubled each time. */
@@ -25,6 +26,17 @@
   }
 };
 
+/** A leg that has paused shows whether pauses pay. */
+export const notePauses = (state: GatewayState, { pauses, service, outcome }: Leg): void => {
+  if (pauses > 0) {
+    notePauseOutcome(pauseOutcomesOf(state, service), outcome?.type !== 'unanswered');
+  }
+};
+
+/** Legs beside others cost nobody time: the request waits for those all the same. */
+const doesWaitingPay = (state: GatewayState, { legs }: ActiveRequest, { service }: Leg): boolean =>
+  legs.length > 1 || doesPausePay(pauseOutcomesOf(state, service), state.random.next());
+
 /** Until when the leg may pause: for long only beside others that replicas work on. */
 const latestPause = ({ legs, receivedAt, deadlineAt, route }: ActiveRequest): number =>
   legs.length > 1 ? deadlineAt : receivedAt + route.objectiveMs * UNTRIED_SHARE;
@@ -36,7 +48,8 @@
   const hasReplicas = eligibleReplicas(state, leg.service, allowedRegions).length > 0;
   const mayRunAgain = leg.runs === 0 || (repeatable && leg.runs < maxAttempts);
   const isWorthwhile = hasReplicas && mayRunAgain && leg.pauses < MAX_PAUSES;
-  if (!isWorthwhile || resumeAt >= latestPause(request)) {
+  const isTooLate = resumeAt >= latestPause(request);
+  if (!isWorthwhile || isTooLate || !doesWaitingPay(state, request, leg)) {
     return false;
   }
   leg.pauses += 1;
@@ -65,6 +78,7 @@
       runs: leg.runs,
     });
     endLeg(request, leg, { type: 'unanswered' });
+    notePauses(state, leg);
   }
   return [];
 };
--- a/src/gateway/requests/take-result.ts
+++ b/src/gateway/requests/take-result.ts
@@ -10,7 +10,7 @@
 import { refuseHeldRequest } from './hold-request.js';
 import { progressRequest } from './progress.js';
 import type { ActiveAttempt, ActiveRequest, Leg } from './request-state.js';
-import { endLeg, retryLeg } from './retry-leg.js';
+import { endLeg, notePauses, retryLeg } from './retry-leg.js';
 
 const isSuccess = ({ status }: ReplicaAnswer): boolean => status >= 200 && status < 300;
 
@@ -35,6 +35,7 @@
 ): GatewayEffect[] => {
   if (result.type === 'answered' && isUsable(request, result.answer)) {
     endLeg(request, leg, { type: 'answered', answer: result.answer });
+    notePauses(state, leg);
     return abortLeg(leg, LINGER_MS);
   }
   if (result.type === 'answered' && result.answer.status >= FIRST_FAILURE_STATUS) {
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -12,6 +12,7 @@
 import { createReadingState, type ReadingState } from './readers/reading-state.js';
 import { ReplicaDirectory } from './replicas/directory.js';
 import type { ActiveAttempt, ActiveRequest } from './requests/request-state.js';
+import { createPauseOutcomes, type PauseOutcomes } from './requests/pause-outcomes.js';
 import type { RouteLatency } from './requests/route-latency.js';
 import type { RouteTable } from './routing/route-table.js';
 import type { SplitCursor } from './routing/split-cursor.js';
@@ -102,6 +103,8 @@
   nextAttempt: AttemptId;
   readonly budgets: Map<string, RetryBudget>;
   readonly latencies: Map<string, RouteLatency>;
+  /** How waits for a replica have ended, by service. */
+  readonly pauseOutcomes: Map<string, PauseOutcomes>;
   readonly splits: Map<string, SplitCursor>;
   readonly counters: GatewayCounters;
 }
@@ -146,6 +149,7 @@
   nextAttempt: 1,
   budgets: new Map(),
   latencies: new Map(),
+  pauseOutcomes: new Map(),
   splits: new Map(),
   counters: createGatewayCounters(),
 });
@@ -174,3 +178,10 @@
   state.budgets.set(service, budget);
   return budget;
 };
+
+/** How waits for a replica of a service have ended. */
+export const pauseOutcomesOf = (state: GatewayState, service: string): PauseOutcomes => {
+  const known = state.pauseOutcomes.get(service) ?? createPauseOutcomes();
+  state.pauseOutcomes.set(service, known);
+  return known;
+};
