Pass a node over that does not know a replica yet

A node that has just started is a member, and so a feeder, before it has read what the platform lists. It refuses the leg at once; both retries chose the same feeder for the shard's other replica where rendezvous hashing gives it that one too, within milliseconds, and the shard was missing.

Ruled out: load (it is brought about in virtual time without any); a fault of the replicas.

Change: a coordinator that hears unknown-replica passes the node over for a second, whatever else it reports; the retry goes to the next feeder.

--- a/src/core/query/peer-observation.ts
+++ b/src/core/query/peer-observation.ts
@@ -14,6 +14,8 @@
   heardAt: number;
   /** It is passed over until then. */
   avoidUntil: number;
+  /** It knows a replica too little to feed it, and is passed over until then, whatever it reports. */
+  unawareUntil: number;
   /** It has been passed over and not reported since: it is given one attempt at a time. */
   doubted: boolean;
 }
@@ -29,7 +31,7 @@
   if (known !== undefined) {
     return known;
   }
-  const created = { inFlight: 0, heardAt: 0, avoidUntil: 0, doubted: false };
+  const created = { inFlight: 0, heardAt: 0, avoidUntil: 0, unawareUntil: 0, doubted: false };
   peers.set(node, created);
   return created;
 };
@@ -70,12 +72,23 @@
   avoid(peers, observePeer(peers, node), at);
 };
 
+/**
+ * Notes that `node` was handed a leg for a replica that it does not know: a process that has just started is
+ * a member before it has read what the platform lists.
+ */
+export const recordUnaware = (peers: PeerObservations, node: NodeId, at: number): void => {
+  observePeer(peers, node).unawareUntil = at + AVOID_PEER_MS;
+};
+
 /** Whether `node` should be given no legs; one that has fallen silent is noted as such. */
 export const isPeerAvoided = (peers: PeerObservations, node: NodeId, at: number): boolean => {
   const peer = peers.get(node);
   if (peer === undefined) {
     return false;
   }
+  if (peer.unawareUntil > at) {
+    return true;
+  }
   if (peer.inFlight > 0 && at - peer.heardAt > PEER_SILENCE_MS) {
     avoid(peers, peer, at);
   }
--- a/src/core/query/record-outcome.ts
+++ b/src/core/query/record-outcome.ts
@@ -5,6 +5,7 @@
 import type { CoreState } from '../state.js';
 import type { AttemptRecord } from './active-query.js';
 import { addRatio } from './latency-histogram.js';
+import { recordUnaware } from './peer-observation.js';
 import { invalidatePlans } from './build-query-plan.js';
 import { noteCongestion, noteWait } from './overload-limit.js';
 import {
@@ -41,6 +42,18 @@
   }
 };
 
+/** A feeder that does not know the replica is to blame for the failure, not the replica. */
+const noteFeeder = (
+  state: CoreState,
+  { feeder }: AttemptRecord,
+  { reason }: Failed,
+  at: number,
+): void => {
+  if (reason === 'unknown-replica') {
+    recordUnaware(state.query.peers, feeder.node, at);
+  }
+};
+
 /** Notes a failed attempt. */
 export const recordFailed = (
   state: CoreState,
@@ -50,6 +63,7 @@
   effects: Effect[],
 ): void => {
   const { observed, status } = record.target;
+  noteFeeder(state, record, outcome, at);
   switch (outcome.reason) {
     case 'shedding': {
       const { retryAfterMs } = outcome as Extract<Failed, { type: 'not-run' }>;
