--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -1,17 +1,9 @@
-/** Sends attempts to replicas and takes note of how they end. */
+/** Sends attempts to replicas. */
 import type { SendAttempt } from '../effect.js';
-import type { AttemptEnded } from '../event.js';
-import type { AttemptId, AttemptProblem } from '../model/request.js';
+import type { AttemptId } from '../model/request.js';
 import type { AttemptReason } from '../log/log-event.js';
 import { trace } from '../log/trace.js';
-import {
-  type Replica,
-  noteLatency,
-  noteLoad,
-  noteReplicaFailure,
-  noteUnfinished,
-  slowdownNow,
-} from '../replicas/replica.js';
+import { type Replica, slowdownNow } from '../replicas/replica.js';
 import { isFed, shareOf } from '../peers/service-share.js';
 import { bearsOneMore, noteColdSend } from '../replicas/cold-rate.js';
 import { eligibleReplicas } from '../replicas/eligible-replicas.js';
@@ -19,8 +11,8 @@
 import { connectionShare } from '../replicas/connection-share.js';
 import { expectedRatio, selectReplica, type SelectionPlace } from '../replicas/select-replica.js';
 import { budgetOf, type GatewayState } from '../state.js';
-import type { ActiveAttempt, ActiveRequest, Leg } from './request-state.js';
-import { addLatency, createRouteLatency, type RouteLatency } from './route-latency.js';
+import type { ActiveRequest, Leg } from './request-state.js';
+import { createRouteLatency, type RouteLatency } from './route-latency.js';
 
 /** Part of the time for which a leaving replica serves that is used, as a last resort. */
 const LEAVING_SHARE = 0.3;
@@ -31,13 +23,6 @@
 /** Tries of one leg beyond its runs: refusals and connections that failed. */
 const EXTRA_TRIES = 2;
 
-/** Problems that say nothing about the replica's health. */
-const HARMLESS_PROBLEMS: ReadonlySet<AttemptProblem> = new Set<AttemptProblem>([
-  'aborted',
-  'foreign-answer',
-  'refused-connection',
-]);
-
 /** How long attempts for the route usually take. */
 export const latencyOf = (state: GatewayState, request: ActiveRequest): RouteLatency => {
   const { route } = request;
@@ -219,109 +204,3 @@
     repeatable: route.repeatable,
   };
 };
-
-const noteAtReplica = (
-  state: GatewayState,
-  attempt: ActiveAttempt,
-  replica: Replica,
-  { result, at }: AttemptEnded,
-): void => {
-  switch (result.type) {
-    case 'answered': {
-      noteLoad(replica, result.load, at);
-      noteAnswer(state, attempt, replica, result.answer.status, at);
-      return;
-    }
-    case 'refused':
-      noteLoad(replica, result.load, at);
-      noteReplicaFailure(replica, at);
-      return;
-    case 'failed':
-      if (result.problem === 'aborted' && result.mayHaveRun) {
-        noteGivenUp(state, attempt, replica, at);
-      }
-      if (!HARMLESS_PROBLEMS.has(result.problem)) {
-        noteReplicaFailure(replica, at);
-      }
-  }
-};
-
-/** What an attempt that was sent and not waited for says of its replica. */
-const noteGivenUp = (
-  state: GatewayState,
-  attempt: ActiveAttempt,
-  replica: Replica,
-  at: number,
-): void => {
-  const latency = state.latencies.get(attempt.route);
-  if (latency !== undefined) {
-    noteUnfinished(replica, (at - attempt.sentAt) / latency.median, at);
-  }
-};
-
-const FIRST_FAILURE_STATUS = 500;
-
-const noteAnswer = (
-  state: GatewayState,
-  attempt: ActiveAttempt,
-  replica: Replica,
-  status: number,
-  at: number,
-): void => {
-  if (status >= FIRST_FAILURE_STATUS) {
-    noteReplicaFailure(replica, at);
-    return;
-  }
-  const latency = state.latencies.get(attempt.route);
-  if (latency !== undefined) {
-    const elapsedMs = at - attempt.sentAt;
-    noteLatency(replica, elapsedMs / latency.median, at);
-    addLatency(latency, elapsedMs);
-  }
-};
-
-/** Takes an ended attempt out of the state, and notes what it says of its replica. */
-export const settleAttempt = (
-  state: GatewayState,
-  event: AttemptEnded,
-): ActiveAttempt | undefined => {
-  const attempt = state.attempts.get(event.attempt);
-  if (attempt === undefined) {
-    return undefined;
-  }
-  state.attempts.delete(attempt.id);
-  attempt.leg.running.delete(attempt.id);
-  countOutcome(attempt, event);
-  const replica = state.replicas.find(attempt.replica);
-  if (replica !== undefined) {
-    replica.pending.delete(attempt.id);
-    noteAtReplica(state, attempt, replica, event);
-  }
-  return attempt;
-};
-
-/**
- * An attempt that did not arrive, or was not run, is taken off the counts again. A connection that
- * is reset before any answer on it is one too many for its replica: nothing says that the request
- * has not run, but one that may be repeated is tried again.
- */
-const countOutcome = (attempt: ActiveAttempt, { result }: AttemptEnded): void => {
-  const { leg, repeatable, replica } = attempt;
-  const hasNotRun = result.type === 'refused' || (result.type === 'failed' && !result.mayHaveRun);
-  if (hasNotRun && leg.ownChoice === replica) {
-    leg.ownChoice = undefined;
-  }
-  if (result.type === 'refused') {
-    leg.runs -= 1;
-    leg.refusedAsFull = result.reason === 'full';
-  }
-  if (result.type !== 'failed') {
-    return;
-  }
-  if (!result.mayHaveRun) {
-    leg.runs -= 1;
-    leg.arrivals -= 1;
-  } else if (result.problem === 'refused-connection' && repeatable) {
-    leg.runs -= 1;
-  }
-};
--- a/src/gateway/requests/take-result.ts
+++ b/src/gateway/requests/take-result.ts
@@ -5,12 +5,12 @@
 import { trace, writeTrace } from '../log/trace.js';
 import type { AttemptProblem, AttemptResult, ReplicaAnswer } from '../model/request.js';
 import type { GatewayState } from '../state.js';
-import { settleAttempt } from './attempts.js';
 import { abortLeg, giveUpAttempts, LINGER_MS } from './give-up-attempts.js';
 import { refuseHeldRequest } from './hold-request.js';
 import { progressRequest } from './progress.js';
 import type { ActiveAttempt, ActiveRequest, Leg } from './request-state.js';
 import { endLeg, notePauses, retryLeg } from './retry-leg.js';
+import { settleAttempt } from './settle-attempt.js';
 
 const isSuccess = ({ status }: ReplicaAnswer): boolean => status >= 200 && status < 300;
 
--- a/src/gateway/runtime/peers/peer-client.ts
+++ b/src/gateway/runtime/peers/peer-client.ts
@@ -10,8 +10,9 @@
 import type { CallerRequests } from '../caller-requests.js';
 import type { GatewayEventSink } from '../gateway-loop.js';
 import { PeerConnection } from './peer-connection.js';
-import type { PeerMessage, SubqueryMessage } from './peer-message.js';
+import type { PeerMessage } from './peer-message.js';
 import { SuspectChecks } from './suspect-checks.js';
+import { WARM_UP, WARM_UP_SUBQUERIES } from './warm-up.js';
 
 /** How often connections are looked over, in milliseconds. */
 const SWEEP_MS = 500;
@@ -38,31 +39,6 @@
 /** A connection without subqueries for so long is closed, in milliseconds. */
 const IDLE_MS = 60_000;
 
-/**
- * Subqueries for no shard, sent over a new connection before it is needed, so that the code on both sides
- * has been compiled. After all machines have lost power a feeder gets as many from each gateway at once.
- */
-const WARM_UP_SUBQUERIES = 3;
-const WARM_UP: SubqueryMessage = {
-  type: 'subquery',
-  id: 0,
-  requestId: '',
-  method: 'GET',
-  path: '/',
-  headers: [],
-  body: null,
-  subquery: {
-    route: '',
-    shards: [],
-    maxRecords: 0,
-    maxAttempts: 1,
-    objectiveMs: 1,
-    partsWithinMs: 1,
-    deadlineMs: 1,
-    isRepeat: false,
-  },
-};
-
 /** What the client needs of its process. */
 export interface PeerClientContext {
   readonly requests: CallerRequests;
--- a/test/gateway/cold-rate.test.ts
+++ b/test/gateway/cold-rate.test.ts
@@ -120,6 +120,21 @@
     expect(play(fleet, [[60_001, 0], ...requests])).toBe(41);
   });
 
+  it('is limited again when it has turned cold again', () => {
+    const { gateways } = fleetOf(1, SINGLE);
+    const [gateway] = gateways as [VirtualGateway];
+    gateway.listReplicas(['s0'], ['bole'], 0);
+    gateway.listReplicas(['s0'], ['bole'], 3_000);
+    const replica = gateway.state.replicas.of('s0')[0];
+    expect(replica?.coldUntil).toBe(3_000);
+    expect(
+      play(
+        { gateways },
+        Array.from({ length: 30 }, () => [1, 0] as const),
+      ),
+    ).toBe(RATE);
+  });
+
   it('has requests refused as not run where no other is left', () => {
     const { gateways } = fleetOf(1, SINGLE);
     const [gateway] = gateways as [VirtualGateway];
