Judge silent feeders at the objective; leave slack to the third and fourth feeder of a shard

Gateways judged all of them at 0.55 of the objective, took their work away and asked others, as busy, for the same. The third feeder of a shard had no retry slack at all (165 arrivals shared by 90 gateways come to none each), so legs paused, denied, until the deadline: requests ended refused after 1.3 s. With a zone's feeders lost the same happens to what they had sent.

Change: where most feeders of a request are silent they are judged once the objective has passed. The four ranked feeders of a shard hold 0.4, 0.25, 0.15 and 0.1 of its slack and connections (0.5, 0.25, 0, 0).

--- a/src/gateway/peers/service-share.ts
+++ b/src/gateway/peers/service-share.ts
@@ -19,10 +19,13 @@
 /** A replica hears too seldom from each of more gateways to keep connections warm. */
 const MAX_DIRECT_GATEWAYS = 16;
 
-/** Parts of the first and the second feeder of a shard; all others share the rest. */
-const FIRST_FEEDER_PART = 0.5;
-const SECOND_FEEDER_PART = 0.25;
-const REST_PART = 1 - FIRST_FEEDER_PART - SECOND_FEEDER_PART;
+/**
+ * Parts of the feeders of a shard in their order; all other gateways share the rest. The third and the
+ * fourth step in when a zone with the first two is lost: without slack of their own they could repeat
+ * nothing that those had sent.
+ */
+const FEEDER_PARTS: readonly number[] = [0.4, 0.25, 0.15, 0.1];
+const REST_PART = 1 - FEEDER_PARTS.reduce((sum, part) => sum + part, 0);
 
 /** Connections that one replica of `service` accepts from all callers together. */
 export const maxConnectionsOf = (state: GatewayState, service: string): number =>
@@ -85,12 +88,7 @@
   return plan;
 };
 
-const partOfRank = (rank: number): number => {
-  if (rank === 0) {
-    return FIRST_FEEDER_PART;
-  }
-  return rank === 1 ? SECOND_FEEDER_PART : 0;
-};
+const partOfRank = (rank: number): number => FEEDER_PARTS[rank] ?? 0;
 
 const isShard = (state: GatewayState, service: string): boolean =>
   state.inForce?.shards.has(service) ?? false;
--- a/src/gateway/requests/check-subqueries.ts
+++ b/src/gateway/requests/check-subqueries.ts
@@ -14,8 +14,13 @@
 /** A look that comes so late says that this process is busy, not that the feeder is, in milliseconds. */
 const LATE_LOOK_MS = 4;
 
-/** From this part of the objective on, feeders are judged even when most of them are silent. */
-const JUDGE_ALL_SHARE = 0.55;
+/**
+ * Feeders are judged even when most of them are silent once this part of the objective has passed: the
+ * answer is late by then, and others may still make it one. Earlier, right after a return of all machines,
+ * feeders that were merely busy were given up at 0.55 of the objective, all their work was asked for again,
+ * and requests ended without an answer because the retry budget was spent.
+ */
+const JUDGE_ALL_SHARE = 1;
 
 /**
  * A feeder is judged only once at least as many feeders of the request have said something as have not:
