Give connections to replicas up by how long others take, and fail all that wait for a dark replica

Ruled out: a shorter fixed wait (replicas that are merely slow take long to accept).

Change: runtime/connect-patience.ts waits for the mean and four mean deviations of the connections that opened (the estimate that feeders are judged by, moved to delay-estimate.ts), 250 ms at least; a busy process reads first what has arrived. Where no connection to a replica is open, one that fails fails all attempts that wait.

--- a/src/gateway/requests/check-subqueries.ts
+++ b/src/gateway/requests/check-subqueries.ts
@@ -3,7 +3,7 @@
 import type { BeliefChange } from '../log/log-event.js';
 import { trace } from '../log/trace.js';
 import type { PeerProblem } from '../model/subquery.js';
-import { noteFirstWord, usualPatience } from '../peers/feeder-delay.js';
+import { noteDelay, usualPatience } from '../delay-estimate.js';
 import type { GatewayState } from '../state.js';
 import { type ActiveRequest, type ActiveSubquery, openLegsOf } from './request-state.js';
 import { sendLegs } from './send-legs.js';
@@ -99,7 +99,7 @@
     subquery.acknowledgeBy = at + SECOND_LOOK_MS;
     return [];
   }
-  noteFirstWord(state.feederDelay, at - subquery.sentAt);
+  noteDelay(state.feederDelay, at - subquery.sentAt);
   return [
     ...suspectPeer(state, subquery.peer, 'unacknowledged', at),
     ...moveLegs(state, request, subquery, true, at),
--- a/src/gateway/requests/send-legs.ts
+++ b/src/gateway/requests/send-legs.ts
@@ -8,7 +8,7 @@
 import type { PeerRecord } from '../model/peer-record.js';
 import type { GatherTarget, Route } from '../model/route.js';
 import type { Subquery } from '../model/subquery.js';
-import { usualPatience } from '../peers/feeder-delay.js';
+import { usualPatience } from '../delay-estimate.js';
 import { feederPlan, isFed } from '../peers/service-share.js';
 import { budgetOf, type GatewayState } from '../state.js';
 import type { ActiveRequest, ActiveSubquery, Leg } from './request-state.js';
--- a/src/gateway/requests/take-subquery-result.ts
+++ b/src/gateway/requests/take-subquery-result.ts
@@ -10,7 +10,7 @@
 import type { BeliefChange } from '../log/log-event.js';
 import { trace } from '../log/trace.js';
 import type { SubqueryId, SubqueryPart } from '../model/subquery.js';
-import { noteFirstWord } from '../peers/feeder-delay.js';
+import { noteDelay } from '../delay-estimate.js';
 import type { GatewayState } from '../state.js';
 import { moveLegs, suspectPeer } from './check-subqueries.js';
 import { progressRequest } from './progress.js';
@@ -37,7 +37,7 @@
   if (subquery.acknowledgeBy !== undefined) {
     subquery.acknowledgeBy = undefined;
     request.heardSubqueries += 1;
-    noteFirstWord(state.feederDelay, at - subquery.sentAt);
+    noteDelay(state.feederDelay, at - subquery.sentAt);
   }
 };
 
--- /dev/null
+++ b/src/gateway/runtime/connect-patience.ts
@@ -0,0 +1,35 @@
+/**
+ * How long to wait for a new connection to a replica, from how long others took. A replica that has gone
+ * dark answers nothing; an attempt that waits for a connection to it keeps its part of a gather open and
+ * may use up the replicas that the request may be sent to, though it was never sent.
+ */
+import { createDelayEstimate, noteDelay, usualPatience } from '../delay-estimate.js';
+
+/**
+ * Bounds of the wait, in milliseconds. A replica that is ten times slower than usual, and works on two
+ * requests before it takes a new connection, needs the shortest; an opening packet that was lost is sent
+ * again after a second.
+ */
+const SHORTEST_MS = 250;
+const LONGEST_MS = 1_000;
+
+/** Connections that must have opened before the wait is taken from them. */
+const MIN_SAMPLES = 8;
+
+/** The wait for new connections of one process. */
+export class ConnectPatience {
+  private readonly delay = createDelayEstimate();
+  private samples = 0;
+
+  /** A connection has opened after `elapsedMs`. */
+  note(elapsedMs: number): void {
+    this.samples += 1;
+    noteDelay(this.delay, elapsedMs);
+  }
+
+  /** Time after which a connection is given up, in milliseconds. */
+  get timeoutMs(): number {
+    const usual = this.samples < MIN_SAMPLES ? LONGEST_MS : usualPatience(this.delay);
+    return Math.min(LONGEST_MS, Math.max(SHORTEST_MS, usual));
+  }
+}
--- a/src/gateway/runtime/replica-client.ts
+++ b/src/gateway/runtime/replica-client.ts
@@ -7,6 +7,7 @@
 import { AnswerReader, type ExchangeEnd } from './answer-reader.js';
 import type { CallerRequests, HeldRequest } from './caller-requests.js';
 import type { GatewayEventSink } from './gateway-loop.js';
+import { ConnectPatience } from './connect-patience.js';
 import type { ReplicaConnection, WireRequest } from './replica-connection.js';
 import { type PoolListener, ReplicaPool } from './replica-pool.js';
 
@@ -40,6 +41,7 @@
 export class ReplicaClient implements PoolListener {
   private readonly pools = new Map<string, ReplicaPool>();
   private readonly running = new Map<AttemptId, RunningAttempt>();
+  private readonly patience = new ConnectPatience();
 
   constructor(private readonly context: ReplicaClientContext) {}
 
@@ -116,6 +118,7 @@
     const pool = new ReplicaPool(
       { host: replica.host, port: replica.port },
       this.context.clock,
+      this.patience,
       this,
     );
     this.pools.set(replica.id, pool);
--- a/src/gateway/runtime/replica-connection.ts
+++ b/src/gateway/runtime/replica-connection.ts
@@ -7,9 +7,6 @@
 import { ConnectTimeoutError, openConnection, wasReset } from './sockets.js';
 import { Client } from './undici-client.js';
 
-/** Longest time to open a connection, in milliseconds. */
-const CONNECT_TIMEOUT_MS = 1_000;
-
 /** Time an idle connection is kept unless the replica says less, in milliseconds. */
 const KEEP_ALIVE_MS = 60_000;
 
@@ -47,9 +44,10 @@
 
   constructor(
     address: HostPort,
+    connectTimeoutMs: number,
     private readonly listener: ConnectionListener,
   ) {
-    this.socket = openConnection(address, CONNECT_TIMEOUT_MS, (error) => this.noteOpened(error));
+    this.socket = openConnection(address, connectTimeoutMs, (error) => this.noteOpened(error));
     this.socket.once('close', () => this.noteClosed());
     this.client = new Client(`http://${formatHostPort(address)}`, {
       pipelining: 1,
--- a/src/gateway/runtime/replica-pool.ts
+++ b/src/gateway/runtime/replica-pool.ts
@@ -3,6 +3,7 @@
 import type { HostPort } from '../../settings/node-settings.js';
 import type { SendAttempt } from '../effect.js';
 import type { AttemptId, AttemptProblem } from '../model/request.js';
+import type { ConnectPatience } from './connect-patience.js';
 import { ReplicaConnection } from './replica-connection.js';
 
 /**
@@ -42,6 +43,7 @@
   constructor(
     private readonly address: HostPort,
     private readonly clock: MonotonicClock,
+    private readonly patience: ConnectPatience,
     private readonly listener: PoolListener,
   ) {}
 
@@ -133,8 +135,10 @@
   private openConnection(): void {
     this.open += 1;
     this.opening += 1;
-    const connection = new ReplicaConnection(this.address, {
+    const openedFrom = this.clock.now();
+    const connection = new ReplicaConnection(this.address, this.patience.timeoutMs, {
       onOpened: () => {
+        this.patience.note(this.clock.now() - openedFrom);
         this.opening -= 1;
         this.rest(connection);
         this.serveWaiting();
@@ -151,16 +155,18 @@
     }
     if (!connection.wasOpened) {
       this.opening -= 1;
-      this.failOldest(problem);
+      this.failWaiting(problem);
     }
     this.serveWaiting();
   }
 
-  /** The attempt for which the connection was to be opened goes to another replica. */
-  private failOldest(problem: AttemptProblem): void {
-    const attempt = this.waiting.shift();
-    if (attempt !== undefined) {
-      this.listener.onUnreachable(attempt, problem);
-    }
+  /**
+   * The attempt for which the connection was to be opened goes to another replica; so do all that wait where
+   * no connection is open: the replica cannot be reached.
+   */
+  private failWaiting(problem: AttemptProblem): void {
+    const isUnreachable = this.open === 0;
+    const failed = this.waiting.splice(0, isUnreachable ? this.waiting.length : 1);
+    failed.forEach((attempt) => this.listener.onUnreachable(attempt, problem));
   }
 }
--- a/src/gateway/runtime/sockets.ts
+++ b/src/gateway/runtime/sockets.ts
@@ -8,6 +8,15 @@
   override readonly name = 'ConnectTimeoutError';
 }
 
+/** A process that was busy reads first what has arrived meanwhile: the connection may be open. */
+const giveUpUnlessOpen = (socket: Socket): void => {
+  setImmediate(() => {
+    if (socket.connecting) {
+      socket.destroy(new ConnectTimeoutError('no connection'));
+    }
+  });
+};
+
 /** Opens a connection; `callback` learns once whether it opened. */
 export const openConnection = (
   { host, port }: HostPort,
@@ -16,7 +25,7 @@
 ): Socket => {
   const socket = connect({ host, port, noDelay: true });
   const failed = (error: Error): void => callback(error);
-  socket.setTimeout(timeoutMs, () => socket.destroy(new ConnectTimeoutError('no connection')));
+  socket.setTimeout(timeoutMs, () => giveUpUnlessOpen(socket));
   socket.once('error', failed);
   socket.once('connect', () => {
     socket.setTimeout(0);
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -6,7 +6,7 @@
 import type { GatewayConfiguration } from './model/route.js';
 import type { AttemptId, CallId } from './model/request.js';
 import type { SubqueryId } from './model/subquery.js';
-import { createFeederDelay, type FeederDelay } from './peers/feeder-delay.js';
+import { createDelayEstimate, type DelayEstimate } from './delay-estimate.js';
 import type { FeederPlan } from './peers/feeder-plan.js';
 import { PeerDirectory } from './peers/peer-directory.js';
 import { createReadingState, type ReadingState } from './readers/reading-state.js';
@@ -80,7 +80,8 @@
   feeders: KnownFeederPlan | undefined;
   /** The plan to whose feeders connections were opened. */
   connectedPlan: FeederPlan | undefined;
-  readonly feederDelay: FeederDelay;
+  /** After what time feeders say their first word. */
+  readonly feederDelay: DelayEstimate;
   readonly subqueries: Map<SubqueryId, CallId>;
   nextSubquery: SubqueryId;
   readonly store: StoreReachability;
@@ -121,7 +122,7 @@
   reading: createReadingState(),
   feeders: undefined,
   connectedPlan: undefined,
-  feederDelay: createFeederDelay(),
+  feederDelay: createDelayEstimate(),
   subqueries: new Map(),
   nextSubquery: 1,
   store: {
--- a/test/gateway/answer-reader.test.ts
+++ b/test/gateway/answer-reader.test.ts
@@ -32,7 +32,7 @@
 /** Opens a connection; resolves also when it could not be opened. */
 const open = (address: HostPort): Promise<ReplicaConnection> =>
   new Promise((resolve) => {
-    const opened: ReplicaConnection = new ReplicaConnection(address, {
+    const opened: ReplicaConnection = new ReplicaConnection(address, 1_000, {
       onOpened: () => resolve(opened),
       onClosed: (problem) => {
         closedWith = problem;
--- a/test/gateway/replica-pool.test.ts
+++ b/test/gateway/replica-pool.test.ts
@@ -1,6 +1,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { SendAttempt } from '../../src/gateway/effect.js';
+import { ConnectPatience } from '../../src/gateway/runtime/connect-patience.js';
 import { ReplicaPool } from '../../src/gateway/runtime/replica-pool.js';
 import type { ReplicaConnection } from '../../src/gateway/runtime/replica-connection.js';
 import { RawReplica } from './raw-replica.js';
@@ -43,14 +44,10 @@
   now = 0;
   free = [];
   replica = await RawReplica.start(() => undefined);
-  pool = new ReplicaPool(
-    replica.address,
-    { now: () => now },
-    {
-      onFree: (_attempt, connection) => free.push(connection),
-      onUnreachable: () => undefined,
-    },
-  );
+  pool = new ReplicaPool(replica.address, { now: () => now }, new ConnectPatience(), {
+    onFree: (_attempt, connection) => free.push(connection),
+    onUnreachable: () => undefined,
+  });
 });
 
 afterEach(async () => {
@@ -81,3 +78,32 @@
     expect(free[0]?.isClosed).toBe(true);
   });
 });
+
+describe('the wait for a new connection', () => {
+  it('is long at first, and follows from how long connections take', () => {
+    const patience = new ConnectPatience();
+    expect(patience.timeoutMs).toBe(1_000);
+    Array.from({ length: 20 }, () => patience.note(7));
+    expect(patience.timeoutMs).toBe(250);
+    Array.from({ length: 20 }, (_, index) => patience.note(index % 2 === 0 ? 50 : 250));
+    expect(patience.timeoutMs).toBeGreaterThan(300);
+    expect(patience.timeoutMs).toBeLessThan(900);
+  });
+
+  it('ends for all attempts at a replica that cannot be reached', async () => {
+    await replica.stop();
+    const failed: SendAttempt[] = [];
+    const unreachable = new ReplicaPool(
+      replica.address,
+      { now: () => now },
+      new ConnectPatience(),
+      {
+        onFree: () => undefined,
+        onUnreachable: (attempt) => failed.push(attempt),
+      },
+    );
+    [1, 2, 3].forEach((attempt) => unreachable.submit({ ...attemptOf(true), attempt }));
+    await delay(100);
+    expect(failed.map(({ attempt }) => attempt)).toEqual([1, 2, 3]);
+  });
+});
