Let as many gateways send to a cold replica as it bears, where no feeder speaks to it

Cause: read as a newcomer, cold-rate.ts said that replicas without feeders get requests from as many gateways as there are requests a second. On large fleets the test for feeders alone holds for every service, so that one gateway of a region could use a cold replica of a single service and no other.

Ruled out: nothing is broken by it (the bound holds all the more); it wastes what the replica bears.

Change: the question is whether the service is a shard that feeders speak to (service-share.ts).

--- a/src/gateway/peers/service-share.ts
+++ b/src/gateway/peers/service-share.ts
@@ -93,10 +93,14 @@
 const isShard = (state: GatewayState, service: string): boolean =>
   state.inForce?.shards.has(service) ?? false;
 
+/** Whether a service is a shard whose replicas only feeders speak to. */
+export const isFedShard = (state: GatewayState, service: string): boolean =>
+  isShard(state, service) && isFed(state, service);
+
 /** This gateway's share of a service, 0 to 1; the shares of all gateways together are at most 1. */
 export const shareOf = (state: GatewayState, service: string): number => {
   const { gateways, settings } = state;
-  if (!isShard(state, service) || !isFed(state, service)) {
+  if (!isFedShard(state, service)) {
     return 1 / gateways;
   }
   const rank = feederPlan(state).rankOf(service, settings.node);
--- a/src/gateway/replicas/cold-rate.ts
+++ b/src/gateway/replicas/cold-rate.ts
@@ -10,7 +10,7 @@
  * gateways hold no more than two views of who is listed.
  */
 import { rankByRendezvous } from '../peers/rendezvous.js';
-import { feederPlan, isFed } from '../peers/service-share.js';
+import { feederPlan, isFedShard } from '../peers/service-share.js';
 import type { GatewayState } from '../state.js';
 import type { Replica } from './replica.js';
 
@@ -49,7 +49,7 @@
 /** Requests a second that this gateway may send to a replica while it is cold. */
 const ownRate = (state: GatewayState, { record }: Replica, ratePerSecond: number): number => {
   const total = rateOfAll(state, ratePerSecond);
-  return isFed(state, record.service)
+  return isFedShard(state, record.service)
     ? partOfFeeder(state, record.service, total)
     : partOfGateway(state, record.id, total);
 };
--- a/test/gateway/cold-rate.test.ts
+++ b/test/gateway/cold-rate.test.ts
@@ -96,6 +96,16 @@
     );
   });
 
+  it('gets requests from as many gateways as it bears a second, where feeders do not speak to it', () => {
+    const fleet = fleetOf(60, SINGLE);
+    play(
+      fleet,
+      fleet.gateways.map((_, index) => [1, index] as const),
+    );
+    const senders = fleet.gateways.filter(({ sent }) => sent.length > 0);
+    expect(senders).toHaveLength(RATE);
+  });
+
   it('gets requests of the first feeder only where feeders speak to it', () => {
     const target = gatherOf(40, 0.5);
     const fleet = fleetOf(40, target);
