Hedge a leg once; hold requests while only the list of gateways fails; forget waits of services gone

A request whose hedges were partly put off looked at all its legs again and could hedge one a second time where its route allows three attempts. Held requests were refused when only the list of gateways failed, which they do not need. How waits of a service ended was kept for ever.

Change: a leg with two attempts under way is not hedged; the list of gateways does not count; services that left the configuration are forgotten.

--- a/src/gateway/requests/hedge-legs.ts
+++ b/src/gateway/requests/hedge-legs.ts
@@ -54,7 +54,8 @@
  */
 const hedgeLeg = (state: GatewayState, request: ActiveRequest, leg: Leg, at: number): LegHedge => {
   const isWaiting = leg.resumeAt !== undefined || leg.subquery !== undefined;
-  if (leg.outcome !== undefined || isWaiting) {
+  const isHedged = leg.running.size > 1;
+  if (leg.outcome !== undefined || isWaiting || isHedged) {
     return NO_HEDGE;
   }
   const runningRatio = ratioOfLeg(state, leg, latencyOf(state, request).median, at);
--- a/src/gateway/requests/hold-request.ts
+++ b/src/gateway/requests/hold-request.ts
@@ -7,6 +7,7 @@
 import type { RequestReceived } from '../event.js';
 import type { CallId } from '../model/request.js';
 import { collectionsOf, type GatewayState, isInformed } from '../state.js';
+import type { CollectionName } from '../store/collection.js';
 import { refuseCall } from './finish.js';
 
 /**
@@ -22,13 +23,18 @@
  */
 const HOLD_SHARE = 0.1;
 
+/** Requests can be served without the list of gateways. */
+const isNeeded = (name: CollectionName): boolean => name !== 'gateways';
+
 /** Whether the store has failed to tell what is needed: it is not known how long that goes on. */
 const isStoreFailing = (state: GatewayState): boolean =>
   !state.store.reachable ||
-  collectionsOf(state).some((name) => {
-    const { isListed, failures } = state.collections[name];
-    return !isListed && failures > 0;
-  });
+  collectionsOf(state)
+    .filter(isNeeded)
+    .some((name) => {
+      const { isListed, failures } = state.collections[name];
+      return !isListed && failures > 0;
+    });
 
 /**
  * Holds a request; it is refused when nothing is known by the time its timer is due, and at once while the
--- a/src/gateway/store/apply-objects.ts
+++ b/src/gateway/store/apply-objects.ts
@@ -15,6 +15,11 @@
 const FORGET_SHARE = 0.5;
 
 const forgetOldRoutes = (state: GatewayState, configuration: GatewayConfiguration): void => {
+  for (const service of state.pauseOutcomes.keys()) {
+    if (!configuration.services.has(service)) {
+      state.pauseOutcomes.delete(service);
+    }
+  }
   const names = new Set(configuration.routes.map((route) => route.name));
   for (const known of [state.latencies, state.splits]) {
     for (const name of known.keys()) {
--- a/test/gateway/requests.test.ts
+++ b/test/gateway/requests.test.ts
@@ -227,6 +227,19 @@
     expect(gateway.sent).toEqual([]);
   });
 
+  it('is held on when only the list of gateways fails, which it does not need', () => {
+    const gateway = new VirtualGateway();
+    const call = gateway.request(900);
+    gateway.now = 20;
+    const failure = {
+      collection: 'gateways',
+      problem: 'unavailable',
+      detail: 'status 503',
+    } as const;
+    gateway.emit({ type: 'store-call-failed', at: 20, ...failure });
+    expect(gateway.answers.has(call)).toBe(false);
+  });
+
   it('is refused at once when the store turns out to fail, and so are those that follow', () => {
     const gateway = new VirtualGateway();
     const first = gateway.request(900);
