Test evacuations and allowed regions over real sockets

Change: test/platform/evacuation.test.ts, against the stand-in store: an order closes a zone and opens it again, is known to a gateway that starts later before it serves, and a route outside its regions is refused with Retry-After.

--- /dev/null
+++ b/test/platform/evacuation.test.ts
@@ -0,0 +1,63 @@
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { GatewayFixture, routeSpec, until } from './gateway-fixture.js';
+
+const EVACUATION_MS = 3_000;
+
+let fixture: GatewayFixture;
+
+beforeEach(async () => {
+  fixture = await GatewayFixture.create();
+  const { settings } = fixture;
+  fixture.settings = {
+    ...settings,
+    bounds: { ...settings.bounds, evacuationMs: EVACUATION_MS },
+  };
+  const routes = [
+    routeSpec({ path_prefix: '/desk/', service: 'desk' }),
+    routeSpec({ path_prefix: '/far/', service: 'desk', allowed_regions: ['wales'] }),
+  ];
+  fixture.configure(routes, ['desk']);
+  await fixture.addReplica('desk-1', 'desk');
+  await fixture.serve();
+});
+
+afterEach(async () => {
+  await fixture.stop();
+});
+
+const statusOf = async (path: string): Promise<number> =>
+  (await fixture.ask({ id: `${path}-${Math.random()}`, path })).status;
+
+const knowsEvacuation = (isEvacuated: boolean): Promise<void> =>
+  until(
+    () => fixture.gateway.state.evacuatedZones.has('bole') === isEvacuated,
+    `the zone ${isEvacuated ? 'is' : 'is no longer'} evacuated`,
+  );
+
+describe('an evacuation in the store', () => {
+  it('closes a zone until it is taken away', async () => {
+    expect(await statusOf('/desk/')).toBe(200);
+    fixture.store.put('evacuations', 'bole', {});
+    await knowsEvacuation(true);
+    expect(await statusOf('/desk/')).toBe(503);
+    fixture.store.remove('evacuations', 'bole');
+    await knowsEvacuation(false);
+    expect(await statusOf('/desk/')).toBe(200);
+  });
+
+  it('is known to a gateway that starts later before it serves', async () => {
+    fixture.store.put('evacuations', 'bole', {});
+    fixture.gateway.kill();
+    await fixture.startGateway();
+    await until(() => fixture.gateway.state.ready, 'the gateway is ready');
+    expect(await statusOf('/desk/')).toBe(503);
+  });
+});
+
+describe('the allowed regions of a route', () => {
+  it('are read from the configuration, and the request is refused where no replica is in them', async () => {
+    const answer = await fixture.ask({ id: 'far', path: '/far/' });
+    expect(answer.status).toBe(503);
+    expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0);
+  });
+});
