Log who told a version and for how long nothing had confirmed the last one; name objects that cannot be read

Cause: nothing in the logs told the incident's hypotheses apart. A gateway that serves by an older configuration looks like one that follows a current reader, an object that the decoder refuses is left out without a word, and the currency of a reader is not logged.

Change: configuration-in-force tells from whom and unconfirmedMs; object-unreadable; reader-status; the gauge store_confirmed_age_seconds, which followers have from their reader (an optional field of its status, so that gateways of an earlier build are understood). No logic reads any of it.

--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -126,7 +126,12 @@
       readonly version: number;
       readonly previous?: number;
       readonly routes: number;
+      /** Who told it: `store`, or the name of a reader. */
+      readonly from: string;
+      /** How long before this it was last known that nothing newer is in the store; absent at first. */
+      readonly unconfirmedMs?: number;
     }
+  | { readonly event: 'object-unreadable'; readonly collection: string; readonly name: string }
   | { readonly event: 'store-lost' }
   | { readonly event: 'store-regained'; readonly lostForMs: number }
   | {
@@ -156,6 +161,7 @@
     }
   | { readonly event: 'peer-trusted'; readonly peer: string }
   | { readonly event: 'reader-followed'; readonly reader: string }
+  | { readonly event: 'reader-status'; readonly reader: string; readonly isCurrent: boolean }
   | { readonly event: 'reading-changed'; readonly isReading: boolean; readonly followers: number }
   | { readonly event: 'gateways-counted'; readonly gateways: number; readonly previous: number }
   | { readonly event: 'lines-dropped'; readonly lines: number };
@@ -187,7 +193,10 @@
   ended: 'The process ends.',
   'settings-reloaded': 'Changed settings were taken.',
   'settings-refused': 'Changed settings are wrong; the last good ones stay in force.',
-  'configuration-in-force': 'A version of the configuration came into force.',
+  'configuration-in-force':
+    'A version of the configuration came into force; it is late by `unconfirmedMs` at most.',
+  'object-unreadable':
+    'An object of the store has content that this gateway cannot read; what was known of it stays in force.',
   'store-lost': 'A probe of the store was not answered in time.',
   'store-regained': 'The store answers again; what is read from it is read on.',
   'store-call-failed': 'A list or watch failed and is repeated after a pause.',
@@ -198,6 +207,8 @@
   'peer-suspected': 'Another gateway failed to answer and is passed over until it does.',
   'peer-trusted': 'A gateway that was passed over answers promptly again.',
   'reader-followed': 'Another gateway was asked to tell what it reads from the store.',
+  'reader-status':
+    'A gateway that is followed says whether it knows all that the store holds; told when that changes.',
   'reading-changed':
     'This gateway begins to read the store itself, or leaves that to the gateways that it follows.',
   'gateways-counted': 'The number of gateways that share replicas and budgets has changed.',
--- a/src/gateway/metrics/gateway-metrics.ts
+++ b/src/gateway/metrics/gateway-metrics.ts
@@ -1,5 +1,6 @@
 /** All metrics of a gateway: its counters, and gauges of what it knows. */
 import type { GatewayState } from '../state.js';
+import { confirmedAt } from '../store/confirmation.js';
 import { GaugeMetric, type Metric } from './metric-series.js';
 
 const MS_PER_SECOND = 1_000;
@@ -39,5 +40,10 @@
     'How long that version is in force.',
     () => (now() - (state.inForce?.since ?? now())) / MS_PER_SECOND,
   ),
+  gauge(
+    'store_confirmed_age_seconds',
+    'How long ago it was last known that the store holds nothing newer, of the collection for which that is longest.',
+    () => (now() - Math.max(state.startedAt, confirmedAt(state))) / MS_PER_SECOND,
+  ),
   gauge('resident_memory_bytes', 'Resident memory of the process.', residentBytes),
 ];
--- a/src/gateway/readers/reader-news.ts
+++ b/src/gateway/readers/reader-news.ts
@@ -26,6 +26,11 @@
   readonly type: 'status';
   /** The reader is in touch with the store and has told all that it knows. */
   readonly isCurrent: boolean;
+  /**
+   * How long ago the store last showed the reader that it holds nothing newer, in milliseconds; absent
+   * before it has, and from readers of an earlier build.
+   */
+  readonly confirmedMsAgo?: number;
 }
 
 /** Everything that a reader tells. */
--- a/src/gateway/readers/take-news.ts
+++ b/src/gateway/readers/take-news.ts
@@ -1,10 +1,16 @@
 /** Takes what a reader tells of the store. */
 import type { GatewayEffect } from '../effect.js';
 import type { ReaderTold } from '../event.js';
+import type { BeliefChange } from '../log/log-event.js';
 import { registerIfMissing, takeGatewaysList } from '../peers/follow-gateways.js';
 import { collectionsOf, type GatewayState } from '../state.js';
 import { applyObjects, applyWholeList, forgetGoneReplicas } from '../store/apply-objects.js';
-import type { CollectionChanges, CollectionSnapshot, KnownRevisions } from './reader-news.js';
+import type {
+  CollectionChanges,
+  CollectionSnapshot,
+  KnownRevisions,
+  ReaderStatus,
+} from './reader-news.js';
 import type { Source } from './reading-state.js';
 
 /** Revisions up to which this gateway knows the collections. */
@@ -18,6 +24,7 @@
 
 const takeSnapshot = (
   state: GatewayState,
+  { peer }: Source,
   snapshot: CollectionSnapshot,
   at: number,
 ): GatewayEffect[] => {
@@ -30,7 +37,7 @@
   progress.isListed = true;
   const listed = new Set(objects.map(({ name }) => name));
   return [
-    ...applyObjects(state, snapshot, at),
+    ...applyObjects(state, snapshot, at, peer.name),
     ...applyWholeList(state, collection, listed, at),
     ...(collection === 'gateways' ? takeGatewaysList(state, at) : []),
   ];
@@ -59,12 +66,34 @@
   }
   progress.revision = revision;
   return [
-    ...applyObjects(state, changes, at),
+    ...applyObjects(state, changes, at, source.peer.name),
     ...forgetGoneReplicas(state, at),
     ...(collection === 'gateways' ? registerIfMissing(state, at) : []),
   ];
 };
 
+/** A reader that is current has told all that the store holds. */
+const takeStatus = (
+  state: GatewayState,
+  source: Source,
+  { isCurrent, confirmedMsAgo = 0 }: ReaderStatus,
+  at: number,
+): GatewayEffect[] => {
+  const wasCurrent = source.isCurrent;
+  source.isCurrent = isCurrent;
+  if (isCurrent) {
+    collectionsOf(state).forEach((name) => {
+      const progress = state.collections[name];
+      progress.confirmedAt = Math.max(progress.confirmedAt, at - confirmedMsAgo);
+    });
+  }
+  if (isCurrent === wasCurrent) {
+    return [];
+  }
+  const change: BeliefChange = { event: 'reader-status', reader: source.peer.name, isCurrent };
+  return [{ type: 'write-log', level: 'info', part: 'store', change }];
+};
+
 /** Handles `reader-told`; what comes from a gateway that is no longer followed is dropped. */
 export const takeReaderNews = (
   state: GatewayState,
@@ -77,10 +106,9 @@
   source.heardAt = at;
   switch (news.type) {
     case 'status':
-      source.isCurrent = news.isCurrent;
-      return [];
+      return takeStatus(state, source, news, at);
     case 'snapshot':
-      return takeSnapshot(state, news, at);
+      return takeSnapshot(state, source, news, at);
     case 'changes':
       return takeReaderChanges(state, source, news, at);
   }
--- a/src/gateway/readers/tell-followers.ts
+++ b/src/gateway/readers/tell-followers.ts
@@ -3,9 +3,10 @@
 import type { FollowerJoined, FollowerLeft } from '../event.js';
 import { collectionsOf, type GatewayState } from '../state.js';
 import type { CollectionName } from '../store/collection.js';
+import { confirmedAt } from '../store/confirmation.js';
 import { isDeaf } from '../store/follow-collection.js';
 import type { StoreChanges, StoreObjects } from '../store/store-objects.js';
-import type { CollectionSnapshot, FollowerId, ReaderNews } from './reader-news.js';
+import type { CollectionSnapshot, FollowerId, ReaderNews, ReaderStatus } from './reader-news.js';
 import { followTiming } from './reading-state.js';
 
 /** Name of the one object of the configuration where a reader tells it. */
@@ -70,6 +71,15 @@
 const isCurrent = (state: GatewayState): boolean =>
   state.reading.isReading && canRead(state) && isComplete(state);
 
+const statusOf = (state: GatewayState, at: number): ReaderStatus => {
+  const confirmedMsAgo = at - confirmedAt(state);
+  return {
+    type: 'status',
+    isCurrent: isCurrent(state),
+    ...(Number.isFinite(confirmedMsAgo) && { confirmedMsAgo }),
+  };
+};
+
 const tell = (followers: readonly FollowerId[], news: ReaderNews): GatewayEffect[] =>
   followers.length === 0 ? [] : [{ type: 'tell-followers', followers, news }];
 
@@ -98,7 +108,7 @@
     return snapshot === undefined ? [] : tell(lackingIt, snapshot);
   });
   newcomers.forEach((id) => followers.set(id, { revisions: {}, isTold: true }));
-  return [...snapshots, ...tell(newcomers, { type: 'status', isCurrent: isCurrent(state) })];
+  return [...snapshots, ...tell(newcomers, statusOf(state, at))];
 };
 
 /** Tells a collection that was listed anew. */
@@ -123,16 +133,16 @@
 /** Tells followers that this gateway lives and whether it is current, where that is due or has changed. */
 export const tellStatus = (state: GatewayState, at: number): GatewayEffect[] => {
   const { reading, settings } = state;
-  const current = isCurrent(state);
+  const status = statusOf(state, at);
   const { heartbeatMs } = followTiming(settings.bounds);
-  const isDue = at - reading.toldAt >= heartbeatMs || reading.toldCurrent !== current;
+  const isDue = at - reading.toldAt >= heartbeatMs || reading.toldCurrent !== status.isCurrent;
   const followers = isDue ? toldFollowers(state) : [];
   if (followers.length === 0) {
     return [];
   }
   reading.toldAt = at;
-  reading.toldCurrent = current;
-  return tell(followers, { type: 'status', isCurrent: current });
+  reading.toldCurrent = status.isCurrent;
+  return tell(followers, status);
 };
 
 /** Handles `follower-joined`; one that missed something joins again. */
--- a/src/gateway/runtime/peers/news-shape.ts
+++ b/src/gateway/runtime/peers/news-shape.ts
@@ -116,7 +116,7 @@
   }
   switch (value['type']) {
     case 'status':
-      return isFlag(value['isCurrent']);
+      return isFlag(value['isCurrent']) && isOptional(value['confirmedMsAgo'], isFiniteNumber);
     case 'snapshot':
       return hasObjects(value) && isFiniteNumber(value['revision']);
     case 'changes':
--- a/src/gateway/store/apply-collections.ts
+++ b/src/gateway/store/apply-collections.ts
@@ -29,9 +29,9 @@
 /** Handles `page-read`. */
 export const takePage = (state: GatewayState, { page, at }: PageRead): GatewayEffect[] => {
   const progress = state.collections[page.collection];
-  const applied = applyObjects(state, page, at);
+  const applied = applyObjects(state, page, at, 'store');
   const names = page.objects.map(({ name }) => name);
-  const listed = notePage(progress, names, page);
+  const listed = notePage(progress, names, page, at);
   if (listed === undefined) {
     return [...applied, callNow(progress)];
   }
@@ -59,8 +59,9 @@
     progress.revision = changes.revision;
   }
   const effects = isNews
-    ? [...applyObjects(state, changes, at), ...tellChanges(state, changes, known)]
+    ? [...applyObjects(state, changes, at, 'store'), ...tellChanges(state, changes, known)]
     : [];
+  progress.confirmedAt = at;
   const hasChanges = changes.objects.length > 0;
   return [
     ...effects,
--- a/src/gateway/store/apply-objects.ts
+++ b/src/gateway/store/apply-objects.ts
@@ -35,16 +35,20 @@
   state: GatewayState,
   configuration: GatewayConfiguration,
   at: number,
+  from: string,
 ): GatewayEffect[] => {
   const previous = state.inForce?.configuration.version;
   if (previous !== undefined && configuration.version <= previous) {
     return [];
   }
+  const { confirmedAt } = state.collections.configuration;
   const change: BeliefChange = {
     event: 'configuration-in-force',
     version: configuration.version,
     ...(previous !== undefined && { previous }),
     routes: configuration.routes.length,
+    from,
+    ...(Number.isFinite(confirmedAt) && { unconfirmedMs: Math.round(at - confirmedAt) }),
   };
   const shards = shardsOf(configuration.routes);
   state.inForce = { configuration, table: new RouteTable(configuration.routes), shards, since: at };
@@ -132,16 +136,37 @@
   return [{ type: 'write-log', level: 'info', part: 'lifecycle', change }];
 };
 
-/** Takes objects of a collection. */
+/** Says which objects have content that this gateway cannot read, so that they were left out. */
+const logUnreadable = ({ collection, objects }: StoreObjects): GatewayEffect[] => {
+  const unreadable = objects.filter(({ gone, value }) => !gone && value === undefined);
+  return unreadable.map(({ name }): GatewayEffect => {
+    const change: BeliefChange = { event: 'object-unreadable', collection, name };
+    return { type: 'write-log', level: 'warn', part: 'store', change };
+  });
+};
+
+/**
+ * Takes objects of a collection.
+ *
+ * @param from - who told them: `store`, or the name of a reader
+ */
 export const applyObjects = (
   state: GatewayState,
   read: StoreObjects,
   at: number,
+  from: string,
+): GatewayEffect[] => [...logUnreadable(read), ...applyReadable(state, read, at, from)];
+
+const applyReadable = (
+  state: GatewayState,
+  read: StoreObjects,
+  at: number,
+  from: string,
 ): GatewayEffect[] => {
   switch (read.collection) {
     case 'configuration':
       return read.objects.flatMap(({ value }) =>
-        value === undefined ? [] : applyConfiguration(state, value, at),
+        value === undefined ? [] : applyConfiguration(state, value, at, from),
       );
     case 'replicas':
       return read.objects.flatMap((object) => applyReplica(state, object, at));
--- a/src/gateway/store/follow-collection.ts
+++ b/src/gateway/store/follow-collection.ts
@@ -59,6 +59,11 @@
   isListed: boolean;
   /** Calls that failed in a row. */
   failures: number;
+  /**
+   * When an answer of the store, or a reader that is current, last showed that nothing newer is known there.
+   * A watch that waits shows nothing.
+   */
+  confirmedAt: number;
 }
 
 /** Time within which all gateways must act on a change of a collection, in milliseconds. */
@@ -94,6 +99,7 @@
   isStaleList: true,
   isListed: false,
   failures: 0,
+  confirmedAt: Number.NEGATIVE_INFINITY,
 });
 
 /** So many calls in a row fail before the store counts as deaf to them: a watch may be cut now and then. */
@@ -156,6 +162,7 @@
   progress: CollectionProgress,
   names: readonly string[],
   page: ListPage,
+  at: number,
 ): ReadonlySet<string> | undefined => {
   progress.failures = 0;
   names.forEach((name) => progress.listed.add(name));
@@ -169,7 +176,12 @@
   progress.listRevision = Number.POSITIVE_INFINITY;
   progress.listAfter = undefined;
   progress.isListed = true;
-  progress.revision = isStaleList ? undefined : listRevision;
+  if (isStaleList) {
+    progress.revision = undefined;
+  } else {
+    progress.revision = listRevision;
+    progress.confirmedAt = at;
+  }
   return listed;
 };
 
--- /dev/null
+++ b/test/gateway/reader-logs.test.ts
@@ -0,0 +1,100 @@
+/** What the logs say of how a gateway came to know what is in the store, and how late that may have been. */
+import { describe, expect, it } from 'vitest';
+import type { GatewayEffect } from '../../src/gateway/effect.js';
+import type { ReaderNews } from '../../src/gateway/readers/reader-news.js';
+import { step } from '../../src/gateway/reducer.js';
+import { confirmedAt } from '../../src/gateway/store/confirmation.js';
+import { ReaderNetwork, type VirtualNode } from './reader-network.js';
+import { configurationOf } from './virtual-store.js';
+
+const BOUND_MS = 3_000;
+const SETTLED_MS = 8_000;
+
+const networkOf = (): ReaderNetwork => {
+  const network = new ReaderNetwork();
+  network.store.put('configuration', 'main', configurationOf(1));
+  ['bole-0', 'bole-1', 'bole-2'].forEach((name) => network.add(name, 'bole', 1, BOUND_MS));
+  network.startAll();
+  network.advance(SETTLED_MS);
+  return network;
+};
+
+const followerOf = (network: ReaderNetwork): VirtualNode =>
+  network.nodes.find(({ state }) => !state.reading.isReading) as VirtualNode;
+
+const changesOf = (effects: readonly GatewayEffect[]): readonly unknown[] =>
+  effects.flatMap((effect) => (effect.type === 'write-log' ? [effect.change] : []));
+
+describe('the log of a gateway', () => {
+  it('says who told a version, and for how long nothing had shown that there was none', () => {
+    const network = networkOf();
+    const follower = followerOf(network);
+    const [reader = ''] = follower.state.reading.sources.keys();
+    const { revision = 0, confirmedAt: shownAt } = follower.state.collections.configuration;
+    const at = shownAt + 7_000;
+    const news: ReaderNews = {
+      type: 'changes',
+      collection: 'configuration',
+      objects: [{ name: 'main', gone: false, value: configurationOf(2) }],
+      after: revision,
+      revision: revision + 1,
+    };
+    const effects = step(follower.state, { type: 'reader-told', at, reader, news });
+    expect(changesOf(effects)).toContainEqual({
+      event: 'configuration-in-force',
+      version: 2,
+      previous: 1,
+      routes: 0,
+      from: reader,
+      unconfirmedMs: 7_000,
+    });
+  });
+
+  it('says that a reader is no longer current, once', () => {
+    const network = networkOf();
+    const follower = followerOf(network);
+    const [reader = ''] = follower.state.reading.sources.keys();
+    const tell = (): readonly unknown[] => {
+      const news: ReaderNews = { type: 'status', isCurrent: false };
+      return changesOf(
+        step(follower.state, { type: 'reader-told', at: network.now, reader, news }),
+      );
+    };
+    const change = { event: 'reader-status', reader, isCurrent: false };
+    expect(tell()).toContainEqual(change);
+    expect(tell()).not.toContainEqual(change);
+  });
+
+  it('names an object whose content cannot be read, and keeps what was known of it', () => {
+    const network = networkOf();
+    const follower = followerOf(network);
+    const effects = step(follower.state, {
+      type: 'changes-read',
+      at: network.now,
+      changes: {
+        collection: 'configuration',
+        objects: [{ name: 'main', gone: false }],
+        revision: 1_000,
+      },
+    });
+    expect(changesOf(effects)).toContainEqual({
+      event: 'object-unreadable',
+      collection: 'configuration',
+      name: 'main',
+    });
+    expect(follower.version).toBe(1);
+  });
+});
+
+describe('the age of what a gateway knows', () => {
+  it('grows at a follower while no answer of the store reaches its reader', () => {
+    const network = networkOf();
+    const follower = followerOf(network);
+    const age = (): number => network.now - confirmedAt(follower.state);
+    network.advance(BOUND_MS);
+    expect(age()).toBeLessThan(BOUND_MS);
+    network.nodes.forEach((node) => network.setStore(node, false));
+    network.advance(10_000);
+    expect(age()).toBeGreaterThan(9_000);
+  });
+});
