Tests of the incident: readers whose watches are cut while changes go unheard (fail)

Cause: a reader's watch that the store accepts between the cut of all watches and the loss of its history hears nothing, and the reader says that it is current meanwhile.

--- a/test/gateway/reader-network.ts
+++ b/test/gateway/reader-network.ts
@@ -3,7 +3,7 @@
  * Processes are killed and started, links cut, and the store is taken away from some.
  */
 import type { FollowReader, GatewayEffect, TellFollowers } from '../../src/gateway/effect.js';
-import type { GatewayEvent } from '../../src/gateway/event.js';
+import type { GatewayEvent, StoreCallFailed } from '../../src/gateway/event.js';
 import type { FollowerId } from '../../src/gateway/readers/reader-news.js';
 import { step } from '../../src/gateway/reducer.js';
 import type { GatewaySettings } from '../../src/gateway/settings.js';
@@ -12,6 +12,8 @@
 import { VirtualStore } from './virtual-store.js';
 
 const STORE_MS = 4;
+
+type CollectionStoreCall = Extract<StoreCall, { collection: unknown }>;
 const LINK_MS = 1;
 
 /** A peer whose link is cut is found silent after this time, as the client of peers does it. */
@@ -49,6 +51,8 @@
   storeReachable = true;
   /** The store refuses new connections: lists and watches fail, probes over the open one do not. */
   isRefused = false;
+  /** Answers of the store take so long to reach this gateway. */
+  storeMs = STORE_MS;
   readonly timers = new Map<string, object>();
   readonly calls = new Map<CollectionName, object>();
   readonly watches = new Map<CollectionName, PendingWatch>();
@@ -78,6 +82,10 @@
   readonly calls: StoreCall[] = [];
   private readonly queue: Scheduled[] = [];
   private readonly cuts = new Set<string>();
+  /** Watches that wait hear of no changes. */
+  private isDeaf = false;
+  /** Watches that are made get no answer. */
+  private losesWatches = false;
   private follows: Follow[] = [];
   private nextFollower = 1;
   private order = 0;
@@ -183,6 +191,29 @@
     }
   }
 
+  /** Watches wait on, and hear nothing of what changes. */
+  deafenWatches(): void {
+    this.isDeaf = true;
+  }
+
+  /** Lets all watches that are made from now on get no answer, or an answer again. */
+  setLosesWatches(losesWatches: boolean): void {
+    this.losesWatches = losesWatches;
+  }
+
+  /** Resets the connections of all watches that wait. */
+  cutWatches(): void {
+    for (const node of this.nodes) {
+      [...node.watches.values()].forEach(({ call, token }) => this.refuse(node, call, token));
+    }
+  }
+
+  /** Drops the history of the store; watches hear again of what changes from now on. */
+  forgetHistory(): void {
+    this.store.forgetHistory();
+    this.isDeaf = false;
+  }
+
   /** The connections over which gateways watch go silent; nobody is told, and new ones work. */
   silenceWatches(): void {
     this.nodes.forEach((node) => node.watches.clear());
@@ -334,7 +365,7 @@
     this.later(inMs, node, { type: 'probe-ended', at: 0, answered });
   }
 
-  private followStore(node: VirtualNode, call: Extract<StoreCall, { collection: unknown }>): void {
+  private followStore(node: VirtualNode, call: CollectionStoreCall): void {
     const { collection } = call;
     const token = {};
     const { life } = node;
@@ -353,32 +384,47 @@
   }
 
   /** A call that is still wanted ends without an answer. */
-  private refuse(node: VirtualNode, { collection }: { collection: CollectionName }, token: object) {
+  private refuse(node: VirtualNode, call: CollectionStoreCall, token: object): void {
+    this.failCall(node, call, token, 'no-answer');
+  }
+
+  private failCall(
+    node: VirtualNode,
+    { collection }: CollectionStoreCall,
+    token: object,
+    problem: StoreCallFailed['problem'],
+  ): void {
     if (node.alive && node.calls.get(collection) === token) {
       node.calls.delete(collection);
       node.watches.delete(collection);
       const event = { type: 'store-call-failed', at: this.now, collection } as const;
-      this.emit(node, { ...event, problem: 'no-answer', detail: 'refused' });
+      this.emit(node, { ...event, problem, detail: problem });
     }
   }
 
-  private answerStore(
-    node: VirtualNode,
-    call: Extract<StoreCall, { collection: unknown }>,
-    token: object,
-  ): void {
+  private answerStore(node: VirtualNode, call: CollectionStoreCall, token: object): void {
     if (call.type === 'list') {
       node.calls.delete(call.collection);
       this.emit(node, { type: 'page-read', at: this.now, page: this.store.list(call) });
       return;
     }
+    if (this.losesWatches) {
+      return;
+    }
+    if (this.store.hasForgotten(call)) {
+      this.failCall(node, call, token, 'history-gone');
+      return;
+    }
     node.watches.set(call.collection, { call, token });
     this.wakeWatches();
     this.schedule(call.waitMs, () => this.endWatch(node, call, token));
   }
 
   private endWatch(node: VirtualNode, call: WatchCall, token: object): void {
-    if (node.watches.get(call.collection)?.token === token && node.storeReachable) {
+    const isWaiting = node.watches.get(call.collection)?.token === token;
+    if (isWaiting && node.storeReachable && this.store.hasForgotten(call)) {
+      this.failCall(node, call, token, 'history-gone');
+    } else if (isWaiting && node.storeReachable) {
       node.watches.delete(call.collection);
       node.calls.delete(call.collection);
       this.emit(node, { type: 'changes-read', at: this.now, changes: this.store.noChanges(call) });
@@ -386,21 +432,33 @@
   }
 
   private wakeWatches(): void {
+    if (this.isDeaf) {
+      return;
+    }
     for (const node of this.nodes) {
-      for (const [collection, { call, token }] of [...node.watches]) {
-        const changes = this.store.changes(call);
-        if (changes !== undefined && node.storeReachable) {
-          node.watches.delete(collection);
-          const { life } = node;
-          this.schedule(STORE_MS, () => {
-            if (node.alive && node.life === life && node.calls.get(collection) === token) {
-              node.calls.delete(collection);
-              this.emit(node, { type: 'changes-read', at: this.now, changes });
-            }
-          });
-        }
-      }
+      [...node.watches.values()].forEach((watch) => this.wakeWatch(node, watch));
+    }
+  }
+
+  private wakeWatch(node: VirtualNode, { call, token }: PendingWatch): void {
+    const { collection } = call;
+    const changes = this.store.changes(call);
+    if (changes === undefined || !node.storeReachable) {
+      return;
     }
+    node.watches.delete(collection);
+    const { life } = node;
+    this.schedule(node.storeMs, () => {
+      if (!node.alive || node.life !== life || node.calls.get(collection) !== token) {
+        return;
+      }
+      if (this.store.hasForgotten(call)) {
+        this.failCall(node, call, token, 'history-gone');
+        return;
+      }
+      node.calls.delete(collection);
+      this.emit(node, { type: 'changes-read', at: this.now, changes });
+    });
   }
 
   private isLinked(left: VirtualNode, right: VirtualNode): boolean {
--- a/test/gateway/virtual-store.ts
+++ b/test/gateway/virtual-store.ts
@@ -2,7 +2,7 @@
 import type { Evacuation } from '../../src/gateway/model/evacuation.js';
 import type { PeerRecord } from '../../src/gateway/model/peer-record.js';
 import type { ReplicaRecord } from '../../src/gateway/model/replica-record.js';
-import type { GatewayConfiguration } from '../../src/gateway/model/route.js';
+import type { GatewayConfiguration, Route } from '../../src/gateway/model/route.js';
 import type { CollectionName, ListCall, WatchCall } from '../../src/gateway/store/collection.js';
 import type { StoreChanges, StorePage } from '../../src/gateway/store/store-objects.js';
 
@@ -17,10 +17,13 @@
   readonly value: Value | undefined;
 }
 
-/** A configuration without routes. */
-export const configurationOf = (version: number): GatewayConfiguration => ({
+/** A configuration; without routes unless some are given. */
+export const configurationOf = (
+  version: number,
+  routes: readonly Route[] = [],
+): GatewayConfiguration => ({
   version,
-  routes: [],
+  routes,
   services: new Map([['s0', { name: 's0', maxConnections: 8 }]]),
   limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
 });
@@ -40,13 +43,15 @@
 /** Objects with their history. */
 export class VirtualStore {
   revision = 0;
+  /** Changes up to this revision are forgotten: a watch from before it is told that the history is gone. */
+  forgottenUpTo = 0;
   private readonly objects: Record<CollectionName, Map<string, Value>> = {
     configuration: new Map(),
     replicas: new Map(),
     gateways: new Map(),
     evacuations: new Map(),
   };
-  private readonly history: StoredEvent[] = [];
+  private history: StoredEvent[] = [];
 
   put(collection: CollectionName, name: string, value: Value | undefined): void {
     this.revision += 1;
@@ -58,6 +63,16 @@
     }
   }
 
+  /** Drops all history; watches that wait are not told before something changes. */
+  forgetHistory(): void {
+    this.forgottenUpTo = this.revision;
+    this.history = [];
+  }
+
+  hasForgotten({ revision }: WatchCall): boolean {
+    return revision < this.forgottenUpTo;
+  }
+
   has(collection: CollectionName, name: string): boolean {
     return this.objects[collection].has(name);
   }
