List a collection anew when its watch was cut; tell followers only what the list changed

Cause: a cut watch was made again from the last known revision. A store that is about to drop its history accepts it and feeds it nothing, until something changes or its time is over; the reader said meanwhile that it was current. Class: the absence of news taken for the absence of change.

Change: a watch that ends without its answer puts all collections of the reader in doubt, and they are listed, the cut one after its pause, the others with it. What is known stays known until the list is complete, so that a reader stays current and goes on telling newcomers meanwhile (before, followers went to others for 10 to 50 ms and made them list as well). Followers are told what a list has changed, not all of it. A page that is older than what a reader has told is dropped. Cuts in a row lengthen the pause whatever lists between them came to. A watch after a pause waits for what is left of the half of the bound.

--- a/src/gateway/model/replica-record.ts
+++ b/src/gateway/model/replica-record.ts
@@ -15,3 +15,14 @@
   /** How much longer it is slow after its start, in milliseconds, when it wrote this. */
   readonly coldMs: number;
 }
+
+/** Whether two records tell the same. */
+export const isSameReplicaRecord = (left: ReplicaRecord, right: ReplicaRecord): boolean =>
+  left.id === right.id &&
+  left.service === right.service &&
+  left.host === right.host &&
+  left.port === right.port &&
+  left.zone === right.zone &&
+  left.slots === right.slots &&
+  left.draining === right.draining &&
+  left.coldMs === right.coldMs;
--- a/src/gateway/store/apply-collections.ts
+++ b/src/gateway/store/apply-collections.ts
@@ -3,18 +3,25 @@
 import type { ChangesRead, CollectionDue, PageRead, StoreCallFailed } from '../event.js';
 import type { BeliefChange } from '../log/log-event.js';
 import { registerIfMissing, takeGatewaysList } from '../peers/follow-gateways.js';
-import { tellChanges, tellSnapshot } from '../readers/tell-followers.js';
+import { tellChanges, tellNewcomers, tellSnapshot } from '../readers/tell-followers.js';
 import { collectionsOf, type GatewayState } from '../state.js';
 import { applyObjects, applyWholeList, forgetGoneReplicas } from './apply-objects.js';
+import type { CollectionName } from './collection.js';
 import {
+  type CallFailure,
   callNow,
   type CollectionProgress,
+  doubt,
+  endOvertakenList,
   followNow,
+  isOvertaken,
   listStale,
   noteFailure,
   notePage,
   watchAgain,
 } from './follow-collection.js';
+import { changedObjects, joinObjects, unlistedObjects } from './list-changes.js';
+import type { StoreObjects } from './store-objects.js';
 
 /** Lists all collections once, from a copy that may be old. */
 export const listCollections = (state: GatewayState): GatewayEffect[] =>
@@ -26,21 +33,48 @@
   progress: CollectionProgress,
 ): GatewayEffect[] => (reading.isReading ? [followNow(progress)] : []);
 
+/**
+ * Tells followers what a complete list has changed since `after`: nothing goes to them again that they know.
+ * Before the first list they are told all of it.
+ */
+const tellListed = (
+  state: GatewayState,
+  progress: CollectionProgress,
+  gone: StoreObjects,
+  after: number | undefined,
+  at: number,
+): GatewayEffect[] => {
+  const { collection, revision, untold } = progress;
+  progress.untold = [];
+  if (after === undefined || revision === undefined) {
+    return tellSnapshot(state, collection, at);
+  }
+  const changes = { ...joinObjects(collection, [...untold, gone]), revision };
+  return [...tellChanges(state, changes, after), ...tellNewcomers(state, at)];
+};
+
 /** Handles `page-read`. */
 export const takePage = (state: GatewayState, { page, at }: PageRead): GatewayEffect[] => {
   const progress = state.collections[page.collection];
+  if (isOvertaken(progress, page.revision)) {
+    endOvertakenList(progress);
+    return continueAfterList(state, progress);
+  }
+  const { revision: before } = progress;
+  progress.untold.push(changedObjects(state, page));
   const applied = applyObjects(state, page, at, 'store');
   const names = page.objects.map(({ name }) => name);
   const listed = notePage(progress, names, page, at);
   if (listed === undefined) {
     return [...applied, callNow(progress)];
   }
+  const gone = unlistedObjects(state, page.collection, listed);
   const removed = applyWholeList(state, page.collection, listed, at);
   const settled = page.collection === 'gateways' ? takeGatewaysList(state, at) : [];
   return [
     ...applied,
     ...removed,
-    ...tellSnapshot(state, page.collection, at),
+    ...tellListed(state, progress, gone, before, at),
     ...settled,
     ...continueAfterList(state, progress),
   ];
@@ -83,10 +117,34 @@
   state.counters.storeFailures.add(collection, problem);
   const change: BeliefChange = { event: 'store-call-failed', collection, problem, detail };
   const log: GatewayEffect = { type: 'write-log', level: 'warn', part: 'store', change };
-  const next = noteFailure(progress, problem === 'history-gone', state.random, at);
-  return state.store.reachable || problem === 'history-gone' ? [log, next] : [log];
+  const failure = failureOf(state, problem);
+  const dueAt = noteFailure(progress, failure, state.random, at);
+  if (failure === 'away') {
+    return [log];
+  }
+  const again = failure === 'history-gone' ? [callNow(progress)] : listAt([collection], dueAt);
+  return [log, ...again, ...listAt(doubtOthers(state, collection), dueAt)];
 };
 
+const failureOf = ({ store }: GatewayState, problem: StoreCallFailed['problem']): CallFailure => {
+  if (problem === 'history-gone') {
+    return 'history-gone';
+  }
+  return store.reachable ? 'cut' : 'away';
+};
+
+const listAt = (collections: readonly CollectionName[], at: number): GatewayEffect[] =>
+  collections.map((collection) => ({ type: 'set-collection-timer', collection, at }));
+
+/**
+ * What cut a watch, or dropped the history, has mostly done so to the watches of all collections: one that was
+ * made meanwhile waits as if nothing had happened.
+ */
+const doubtOthers = (state: GatewayState, failed: CollectionName): readonly CollectionName[] =>
+  state.reading.isReading
+    ? collectionsOf(state).filter((name) => name !== failed && doubt(state.collections[name]))
+    : [];
+
 /** Whether this gateway calls the store for a collection: it reads, or has not listed it yet. */
 const isWanted = ({ reading }: GatewayState, { isListed }: CollectionProgress): boolean =>
   reading.isReading || !isListed;
--- a/src/gateway/store/follow-collection.ts
+++ b/src/gateway/store/follow-collection.ts
@@ -1,12 +1,14 @@
 /**
  * Follows one collection of the store: lists it, then watches it from the revision of the list, and
- * lists it again when the store has forgotten the history since. The first list of a process comes from
- * a copy that may be old: it is cheap and serves until a reader, or the store itself, tells what is new.
+ * lists it again when a watch was cut or the store has forgotten the history since. The first list of a
+ * process comes from a copy that may be old: it is cheap and serves until a reader, or the store itself, tells
+ * what is new.
  */
 import type { GatewayEffect } from '../effect.js';
 import type { Random } from '../../core/random.js';
 import type { GatewayBounds } from '../settings.js';
 import type { CollectionCall, CollectionName } from './collection.js';
+import type { StoreObjects } from './store-objects.js';
 
 /**
  * How long a watch waits at the store where nothing depends on hearing of a change in time, in
@@ -22,9 +24,6 @@
  */
 const WAIT_SHARE = 0.5;
 
-/** How long a watch waits that shows whether the store takes watches again. */
-const SHORT_WAIT_MS = 1;
-
 /**
  * Pause between two watches of a collection, as a part of the time within which a change must be in
  * force: changes that come together are read together, and each call to the store is paid for. The rest
@@ -45,8 +44,12 @@
   readonly collection: CollectionName;
   /** How long its watches wait at the store, in milliseconds. */
   readonly waitMs: number;
-  /** All changes up to this revision are held; undefined while the list is incomplete. */
+  /** How long the next one waits: a pause before it counts as waiting too. */
+  nextWaitMs: number;
+  /** All changes up to this revision are held; undefined before the first list from the store or a reader. */
   revision: number | undefined;
+  /** Changes after the revision may have been missed: the next call lists the collection. */
+  mustList: boolean;
   /** The list goes on after this name. */
   listAfter: string | undefined;
   /** Names seen in the list so far. */
@@ -55,10 +58,14 @@
   listRevision: number;
   /** The list that is being read comes from a copy that may be old. */
   isStaleList: boolean;
+  /** What the pages of the list have changed so far, to be told to followers when the list is complete. */
+  untold: StoreObjects[];
   /** A list has been read to its end, if only an old one. */
   isListed: boolean;
   /** Calls that failed in a row. */
   failures: number;
+  /** Watches that ended without an answer in a row, whatever lists between them came to. */
+  brokenWatches: number;
   /**
    * When an answer of the store, or a reader that is current, last showed that nothing newer is known there.
    * A watch that waits shows nothing.
@@ -92,13 +99,17 @@
 ): CollectionProgress => ({
   collection,
   waitMs: waitOf(collection, bounds),
+  nextWaitMs: waitOf(collection, bounds),
   revision: undefined,
+  mustList: false,
   listAfter: undefined,
   listed: new Set(),
   listRevision: Number.POSITIVE_INFINITY,
   isStaleList: true,
+  untold: [],
   isListed: false,
   failures: 0,
+  brokenWatches: 0,
   confirmedAt: Number.NEGATIVE_INFINITY,
 });
 
@@ -109,12 +120,12 @@
 export const isDeaf = ({ failures }: CollectionProgress): boolean => failures >= DEAF_FAILURES;
 
 const nextCall = (progress: CollectionProgress): CollectionCall => {
-  const { collection, revision, listAfter, isStaleList: stale } = progress;
-  if (revision === undefined) {
+  const { collection, revision, mustList, listAfter, isStaleList: stale } = progress;
+  if (revision === undefined || mustList) {
     const after = listAfter === undefined ? {} : { after: listAfter };
     return { type: 'list', collection, ...after, stale, timeoutMs: ANSWER_MS };
   }
-  const waitMs = isDeaf(progress) ? SHORT_WAIT_MS : progress.waitMs;
+  const { nextWaitMs: waitMs } = progress;
   return { type: 'watch', collection, revision, waitMs, timeoutMs: waitMs + ANSWER_MS };
 };
 
@@ -124,29 +135,51 @@
   call: nextCall(progress),
 });
 
-/** Forgets a list that was begun: the next call begins another. */
-const beginList = (progress: CollectionProgress, stale: boolean): void => {
-  progress.revision = undefined;
+/** Forgets a list that was begun. */
+const endList = (progress: CollectionProgress): void => {
+  progress.mustList = false;
   progress.listAfter = undefined;
-  progress.listed.clear();
+  progress.listed = new Set();
   progress.listRevision = Number.POSITIVE_INFINITY;
-  progress.isStaleList = stale;
+  progress.nextWaitMs = progress.waitMs;
+};
+
+/** The next call begins a list; what is known stays known until it is complete. */
+const beginList = (progress: CollectionProgress): void => {
+  endList(progress);
+  progress.mustList = true;
+  progress.isStaleList = false;
 };
 
 /** Reads a new list from a copy that may be old. */
 export const listStale = (progress: CollectionProgress): GatewayEffect => {
-  beginList(progress, true);
+  endList(progress);
+  progress.revision = undefined;
+  progress.isStaleList = true;
   return callNow(progress);
 };
 
 /** Follows the collection at the store from what is known of it; an old list is read anew. */
 export const followNow = (progress: CollectionProgress): GatewayEffect => {
   if (progress.revision === undefined) {
-    beginList(progress, false);
+    beginList(progress);
   }
   return callNow(progress);
 };
 
+/** Whether a page is older than what a reader has told since the list began: it must bring nothing back. */
+export const isOvertaken = (
+  { revision, isStaleList }: CollectionProgress,
+  pageRevision: number,
+): boolean => revision !== undefined && (isStaleList || pageRevision < revision);
+
+/** Gives up a list that was overtaken: what was told holds all that it could. */
+export const endOvertakenList = (progress: CollectionProgress): void => {
+  endList(progress);
+  progress.failures = 0;
+  progress.untold = [];
+};
+
 /** A page of a list, as far as following it is concerned. */
 interface ListPage {
   readonly more: boolean;
@@ -172,9 +205,7 @@
     return undefined;
   }
   const { listed, listRevision, isStaleList } = progress;
-  progress.listed = new Set();
-  progress.listRevision = Number.POSITIVE_INFINITY;
-  progress.listAfter = undefined;
+  endList(progress);
   progress.isListed = true;
   if (isStaleList) {
     progress.revision = undefined;
@@ -192,29 +223,57 @@
   bounds: GatewayBounds,
   at: number,
 ): GatewayEffect => {
-  if (!hasChanges) {
+  const { collection, waitMs } = progress;
+  progress.nextWaitMs = waitMs;
+  progress.brokenWatches = 0;
+  if (!hasChanges || progress.mustList) {
     return callNow(progress);
   }
-  const { collection } = progress;
   const gapMs = knownWithin(collection, bounds) * WATCH_GAP_SHARE;
+  progress.nextWaitMs = Math.floor(waitMs - gapMs);
   return { type: 'set-collection-timer', collection, at: at + gapMs };
 };
 
-/** Notes a failed call: lists again when the history is gone, and backs off. */
+/**
+ * How a call failed; `cut`: the store is in reach and its answer did not come, `away`: the store is known to be
+ * out of reach.
+ */
+export type CallFailure = 'cut' | 'away' | 'history-gone';
+
+/**
+ * Notes a failed call, and returns when the next one is due. A watch that was cut says nothing of what it
+ * should have delivered, and one that is made from the same revision may be accepted and fed nothing, by a store
+ * that is about to drop its history: only a list shows what is current. Watching on instead has cost up to the
+ * whole wait of a watch, in one of thirty interruptions. After an outage the collection is watched on: all
+ * readers would list at once.
+ */
 export const noteFailure = (
   progress: CollectionProgress,
-  historyGone: boolean,
+  failure: CallFailure,
   random: Random,
   at: number,
-): GatewayEffect => {
-  const { collection } = progress;
-  if (historyGone) {
-    beginList(progress, false);
+): number => {
+  const isWatch = progress.revision !== undefined && !progress.mustList;
+  const isCut = isWatch && failure === 'cut';
+  if (isCut || failure === 'history-gone') {
+    beginList(progress);
+  }
+  if (failure === 'history-gone') {
     progress.failures = 0;
-    return callNow(progress);
+    return at;
   }
-  const backoff = Math.min(LONGEST_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** progress.failures);
+  const inRow = Math.max(progress.failures, progress.brokenWatches);
+  const backoff = Math.min(LONGEST_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** inRow);
   progress.failures += 1;
-  const jittered = backoff * (0.5 + random.next());
-  return { type: 'set-collection-timer', collection, at: at + jittered };
+  progress.brokenWatches += Number(isWatch);
+  return at + backoff * (0.5 + random.next());
+};
+
+/** Has the collection listed, unless that is under way; returns whether a call is to be made for it. */
+export const doubt = (progress: CollectionProgress): boolean => {
+  if (progress.revision === undefined || progress.mustList) {
+    return false;
+  }
+  beginList(progress);
+  return true;
 };
--- a/test/gateway/reader-interruptions.test.ts
+++ b/test/gateway/reader-interruptions.test.ts
@@ -15,6 +15,7 @@
 import { describe, expect, it } from 'vitest';
 import type { GatewayEffect } from '../../src/gateway/effect.js';
 import type { Route } from '../../src/gateway/model/route.js';
+import type { ReaderNews } from '../../src/gateway/readers/reader-news.js';
 import { step } from '../../src/gateway/reducer.js';
 import { ReaderNetwork, type VirtualNode } from './reader-network.js';
 import { configurationOf, replicaOf } from './virtual-store.js';
@@ -124,3 +125,71 @@
     expect(new Set(reasons)).toEqual(new Set([undefined]));
   });
 });
+
+describe('a list after a cut', () => {
+  it('is told to followers as what it has changed', () => {
+    const network = threeZones();
+    const told: ReaderNews[] = [];
+    network.onTold = (news) => told.push(news);
+    changeUnheard(network);
+    network.advance(READ_AGAIN_MS);
+    const objects = told.flatMap((news) => (news.type === 'status' ? [] : [news]));
+    expect(objects.every(({ type }) => type === 'changes')).toBe(true);
+    const replicas = objects.filter(({ collection }) => collection === 'replicas');
+    expect(new Set(replicas.flatMap((news) => news.objects.map(({ name }) => name)))).toEqual(
+      new Set(['r-0']),
+    );
+  });
+
+  it('tells what is gone since the watch was cut', () => {
+    const network = threeZones();
+    network.deafenWatches();
+    network.put('replicas', 'r-1', undefined);
+    network.advance(DEAF_MS);
+    network.cutWatches();
+    network.advance(READ_AGAIN_MS);
+    for (const { state } of network.nodes) {
+      expect(state.replicas.find('r-1')?.goneAt).toBeDefined();
+    }
+  });
+
+  it('is repeated ever less often where the store cuts each watch that is made', () => {
+    const network = threeZones();
+    network.calls.length = 0;
+    for (let ms = 0; ms < 10_000; ms += 10) {
+      network.cutWatches();
+      network.advance(10);
+    }
+    const readers = 3;
+    const lists = network.calls.filter(({ type }) => type === 'list').length;
+    const longestPauses = 10_000 / 800;
+    expect(lists / readers / 4).toBeLessThan(2 * longestPauses);
+    network.put('configuration', 'main', configurationOf(2));
+    network.advance(BOUND_MS);
+    expect(versionsOf(network)).toEqual([2]);
+  });
+
+  it('brings nothing back where a reader has told more meanwhile', () => {
+    const network = threeZones();
+    const follower = network.nodes.find(({ state }) => !state.reading.isReading) as VirtualNode;
+    const [reader = ''] = follower.state.reading.sources.keys();
+    const page = network.store.list({
+      type: 'list',
+      collection: 'replicas',
+      stale: false,
+      timeoutMs: 1_000,
+    });
+    const at = network.now;
+    const { revision = 0 } = follower.state.collections.replicas;
+    const news: ReaderNews = {
+      type: 'changes',
+      collection: 'replicas',
+      objects: [{ name: 'r-0', gone: false, value: replicaOf('r-0', true) }],
+      after: revision,
+      revision: page.revision + 1,
+    };
+    step(follower.state, { type: 'reader-told', at, reader, news });
+    step(follower.state, { type: 'page-read', at, page });
+    expect(follower.state.replicas.find('r-0')?.record.draining).toBe(true);
+  });
+});
--- a/test/gateway/reader-network.ts
+++ b/test/gateway/reader-network.ts
@@ -4,7 +4,7 @@
  */
 import type { FollowReader, GatewayEffect, TellFollowers } from '../../src/gateway/effect.js';
 import type { GatewayEvent, StoreCallFailed } from '../../src/gateway/event.js';
-import type { FollowerId } from '../../src/gateway/readers/reader-news.js';
+import type { FollowerId, ReaderNews } from '../../src/gateway/readers/reader-news.js';
 import { step } from '../../src/gateway/reducer.js';
 import type { GatewaySettings } from '../../src/gateway/settings.js';
 import { createGatewayState, type GatewayState } from '../../src/gateway/state.js';
@@ -80,6 +80,8 @@
   now = 0;
   /** Calls to the store, by their type. */
   readonly calls: StoreCall[] = [];
+  /** Sees what readers tell their followers. */
+  onTold: (news: ReaderNews) => void = () => undefined;
   private readonly queue: Scheduled[] = [];
   private readonly cuts = new Set<string>();
   /** Watches that wait hear of no changes. */
@@ -512,6 +514,7 @@
   }
 
   private tell(node: VirtualNode, { followers, news }: TellFollowers): void {
+    this.onTold(news);
     for (const { from, to, id } of this.follows) {
       if (to === node && followers.includes(id) && this.isLinked(from, to)) {
         const reader = this.nameOf(from, to);
