Log what one page or watch answer says of many replicas in one line

Ruled out: no line at all (docs/OPERATIONS.md looks replicas up by it); a list of identifiers (400 take more than the 4,096 bytes that a pipe takes whole, or several lines). 'explain' and the scripts of scenarios/ read no such line; test/platform/process.test.ts changes one replica, which keeps its line.

Change: more than four changes of one page, watch answer or reader's news are one line 'replicas-changed' with counts by state and service, of 3,000 characters of services at most. Replicas that a whole list no longer holds were not logged; they are now, by the same function.

Measured: in test/gateway/replica-log.test.ts 400 lines before and 1 after; five of its six tests failed before. test/gateway passed.

--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -113,6 +113,9 @@
 /** Why the decisions of a request are logged. */
 export type TraceReason = 'failed' | 'sampled';
 
+/** What the store says of a replica. */
+export type ReplicaState = 'listed' | 'draining' | 'gone';
+
 /** A change of what the gateway believes, or of its own life. */
 export type BeliefChange =
   | { readonly event: 'started' }
@@ -140,7 +143,17 @@
       readonly event: 'replica-changed';
       readonly replica: string;
       readonly service: string;
-      readonly state: 'listed' | 'draining' | 'gone';
+      readonly state: ReplicaState;
+    }
+  | {
+      readonly event: 'replicas-changed';
+      readonly replicas: number;
+      /** The replicas by state and service. */
+      readonly listed?: Readonly<Record<string, number>>;
+      readonly draining?: Readonly<Record<string, number>>;
+      readonly gone?: Readonly<Record<string, number>>;
+      /** Replicas of services for which the line has no room. */
+      readonly unnamed?: number;
     }
   | { readonly event: 'zone-evacuated'; readonly zone: string; readonly evacuated: boolean }
   | {
@@ -193,6 +206,7 @@
   'store-call-failed': 'A list or watch failed and is repeated after a pause.',
   'replicas-listed': 'The replicas were listed for the first time; changes are logged from now on.',
   'replica-changed': 'The store lists a replica, says that it drains, or lists it no more.',
+  'replicas-changed': 'The same of many replicas at once, counted by state and service.',
   'zone-evacuated': 'The replicas of a zone get no more requests, or get them again.',
   'replica-ejected': 'A replica failed and is tried only as a last resort for a while.',
   'peer-suspected': 'Another gateway failed to answer and is passed over until it does.',
--- a/src/gateway/store/apply-objects.ts
+++ b/src/gateway/store/apply-objects.ts
@@ -1,6 +1,6 @@
 /** Takes objects of the store, however they came: configurations, replicas and gateways. */
 import type { GatewayEffect } from '../effect.js';
-import type { BeliefChange } from '../log/log-event.js';
+import type { BeliefChange, ReplicaState } from '../log/log-event.js';
 import type { Evacuation } from '../model/evacuation.js';
 import type { PeerRecord } from '../model/peer-record.js';
 import { type GatewayConfiguration, shardsOf } from '../model/route.js';
@@ -9,6 +9,7 @@
 import { RouteTable } from '../routing/route-table.js';
 import type { GatewayState } from '../state.js';
 import type { CollectionName } from './collection.js';
+import { logReplicaChanges, type ReplicaChange } from './log-replica-changes.js';
 import type { Stored, StoreObjects } from './store-objects.js';
 
 /** Gone replicas are forgotten after this part of the time for which they still serve. */
@@ -55,8 +56,6 @@
   ];
 };
 
-type ReplicaState = 'listed' | 'draining' | 'gone';
-
 const stateOf = (replica: Replica | undefined): ReplicaState | undefined => {
   if (replica === undefined) {
     return undefined;
@@ -67,30 +66,33 @@
   return replica.record.draining ? 'draining' : 'listed';
 };
 
-/**
- * Takes what the store says of one replica, and logs whether that changes anything. The first list is not
- * logged line by line: hundreds of lines would hold up the start.
- */
+/** Takes what the store says of one replica; returns what that changes. */
 const applyReplica = (
-  state: GatewayState,
+  { replicas }: GatewayState,
   { name, gone, value }: Stored<ReplicaRecord>,
   at: number,
-): GatewayEffect[] => {
-  const before = stateOf(state.replicas.find(name));
+): readonly ReplicaChange[] => {
+  const before = stateOf(replicas.find(name));
   if (gone) {
-    state.replicas.markGone(name, at);
+    replicas.markGone(name, at);
   } else if (value !== undefined) {
-    state.replicas.put(value, at);
+    replicas.put(value, at);
   }
-  const replica = state.replicas.find(name);
+  const replica = replicas.find(name);
   const after = stateOf(replica);
-  const isChanged = replica !== undefined && after !== undefined && after !== before;
-  if (!isChanged || !state.replicasListed) {
-    return [];
-  }
-  const { service } = replica.record;
-  const change: BeliefChange = { event: 'replica-changed', replica: name, service, state: after };
-  return [{ type: 'write-log', level: 'info', part: 'replica', change }];
+  return replica === undefined || after === undefined || after === before
+    ? []
+    : [{ replica: name, service: replica.record.service, state: after }];
+};
+
+/** Takes what the store says of replicas. The first list is not logged as changes. */
+const applyReplicas = (
+  state: GatewayState,
+  objects: readonly Stored<ReplicaRecord>[],
+  at: number,
+): GatewayEffect[] => {
+  const changes = objects.flatMap((object) => applyReplica(state, object, at));
+  return state.replicasListed ? logReplicaChanges(changes) : [];
 };
 
 const applyGateway = (
@@ -144,7 +146,7 @@
         value === undefined ? [] : applyConfiguration(state, value, at),
       );
     case 'replicas':
-      return read.objects.flatMap((object) => applyReplica(state, object, at));
+      return applyReplicas(state, read.objects, at);
     case 'gateways':
       read.objects.forEach((object) => applyGateway(state, object));
       return countGateways(state);
@@ -158,13 +160,13 @@
   listed: ReadonlySet<string>,
   at: number,
 ): GatewayEffect[] => {
-  for (const { record } of state.replicas.all()) {
-    if (!listed.has(record.id)) {
-      state.replicas.markGone(record.id, at);
-    }
-  }
+  const unlisted = [...state.replicas.all()]
+    .map(({ record }) => record.id)
+    .filter((name) => !listed.has(name))
+    .map((name) => ({ name, gone: true }));
+  const logged = applyReplicas(state, unlisted, at);
   if (state.replicasListed) {
-    return [];
+    return logged;
   }
   state.replicasListed = true;
   const change: BeliefChange = { event: 'replicas-listed', replicas: state.replicas.size };
--- /dev/null
+++ b/src/gateway/store/log-replica-changes.ts
@@ -0,0 +1,62 @@
+/** Logs what the store says anew about replicas, in a bounded number of lines of bounded length. */
+import type { WriteLog } from '../effect.js';
+import type { BeliefChange, ReplicaState } from '../log/log-event.js';
+
+/** Up to so many changes of one page or watch answer get a line each; a service seldom has more replicas. */
+const MAX_LINES = 4;
+
+/** Characters of the services that one line names: the line stays below the 4,096 bytes of one write. */
+const MAX_NAMES_LENGTH = 3_000;
+
+/** Characters of a service's entry beside its name: quotes, colon, comma and a count of four digits. */
+const ENTRY_LENGTH = 8;
+
+/** What the store says anew about one replica. */
+export interface ReplicaChange {
+  readonly replica: string;
+  readonly service: string;
+  readonly state: ReplicaState;
+}
+
+type ServiceCounts = Map<string, number>;
+
+/** Counts changes by state and service; those of services that no longer fit in the line are counted together. */
+const summarize = (changes: readonly ReplicaChange[]): BeliefChange => {
+  const counted: Record<ReplicaState, ServiceCounts> = {
+    listed: new Map(),
+    draining: new Map(),
+    gone: new Map(),
+  };
+  let namesLength = 0;
+  let unnamed = 0;
+  for (const { service, state } of changes) {
+    const counts = counted[state];
+    const length = counts.has(service) ? 0 : service.length + ENTRY_LENGTH;
+    if (namesLength + length > MAX_NAMES_LENGTH) {
+      unnamed += 1;
+    } else {
+      namesLength += length;
+      counts.set(service, (counts.get(service) ?? 0) + 1);
+    }
+  }
+  const present = Object.entries(counted).filter(([, counts]) => counts.size > 0);
+  return {
+    event: 'replicas-changed',
+    replicas: changes.length,
+    ...Object.fromEntries(present.map(([state, counts]) => [state, Object.fromEntries(counts)])),
+    ...(unnamed > 0 && { unnamed }),
+  };
+};
+
+const writeLog = (change: BeliefChange): WriteLog => ({
+  type: 'write-log',
+  level: 'info',
+  part: 'replica',
+  change,
+});
+
+/** Lines for what one page, watch answer or reader's news changes: one for each replica, or one for all. */
+export const logReplicaChanges = (changes: readonly ReplicaChange[]): WriteLog[] =>
+  changes.length > MAX_LINES
+    ? [writeLog(summarize(changes))]
+    : changes.map((change) => writeLog({ event: 'replica-changed', ...change }));
--- /dev/null
+++ b/test/gateway/replica-log.test.ts
@@ -0,0 +1,145 @@
+import { describe, expect, it } from 'vitest';
+import type { BeliefChange } from '../../src/gateway/log/log-event.js';
+import type { StoreObjects } from '../../src/gateway/store/store-objects.js';
+import { VirtualGateway } from './virtual-gateway.js';
+
+type ReplicaObjects = Extract<StoreObjects, { collection: 'replicas' }>['objects'];
+
+/** Bytes that a pipe takes whole. */
+const PIPE_BYTES = 4_096;
+
+const replicaNames = (service: string, count: number): readonly string[] =>
+  Array.from({ length: count }, (_, index) => `${service}-replica-${index}`);
+
+const replicaObjects = (service: string, count: number, draining = false): ReplicaObjects =>
+  replicaNames(service, count).map((id) => ({
+    name: id,
+    gone: false,
+    value: {
+      id,
+      service,
+      host: '127.0.0.1',
+      port: 1,
+      zone: 'bole',
+      slots: 2,
+      draining,
+      coldMs: 0,
+    },
+  }));
+
+const goneObjects = (service: string, count: number): ReplicaObjects =>
+  replicaNames(service, count).map((name) => ({ name, gone: true }));
+
+/** Objects of `count` services, `each` replicas in each. */
+const indexOf = (count: number, each: number, prefix = 'shard'): ReplicaObjects =>
+  Array.from({ length: count }, (_, index) => replicaObjects(`${prefix}-${index}`, each)).flat();
+
+/** A gateway that knows its replicas and logs what changes. */
+class LoggingGateway {
+  private readonly gateway = new VirtualGateway();
+  private revision = 1;
+
+  constructor() {
+    this.readWholeList([]);
+    this.takeLines();
+  }
+
+  /** The whole list is read, as one page. */
+  readWholeList(objects: ReplicaObjects): void {
+    this.revision += 1;
+    const page = { objects, more: false, last: '', revision: this.revision } as const;
+    this.gateway.emit({
+      type: 'page-read',
+      at: this.gateway.now,
+      page: { collection: 'replicas', ...page },
+    });
+  }
+
+  /** A watch answers. */
+  readChanges(objects: ReplicaObjects): void {
+    this.revision += 1;
+    const changes = { collection: 'replicas', objects, revision: this.revision } as const;
+    this.gateway.emit({ type: 'changes-read', at: this.gateway.now, changes });
+  }
+
+  /** What was logged about replicas since the last call. */
+  takeLines(): readonly BeliefChange[] {
+    return this.gateway.effects
+      .splice(0)
+      .flatMap((effect) =>
+        effect.type === 'write-log' && effect.part === 'replica' ? [effect.change] : [],
+      );
+  }
+}
+
+describe('the log of replicas', () => {
+  it('has one line for the 400 replicas of a new index, with counts by service', () => {
+    const gateway = new LoggingGateway();
+    gateway.readChanges([...indexOf(130, 3), ...replicaObjects('desk', 10)]);
+    const lines = gateway.takeLines();
+    expect(lines).toMatchObject([
+      { event: 'replicas-changed', replicas: 400, listed: { 'shard-0': 3, desk: 10 } },
+    ]);
+    expect(JSON.stringify(lines[0]).length).toBeLessThan(PIPE_BYTES);
+  });
+
+  it('has one line for a page, and none for what the page does not change', () => {
+    const gateway = new LoggingGateway();
+    gateway.readWholeList(indexOf(10, 3));
+    gateway.takeLines();
+    gateway.readWholeList([...indexOf(10, 3), ...indexOf(20, 2, 'new')]);
+    expect(gateway.takeLines()).toMatchObject([{ event: 'replicas-changed', replicas: 40 }]);
+  });
+
+  it('tells states apart', () => {
+    const gateway = new LoggingGateway();
+    gateway.readChanges([...replicaObjects('old', 3), ...replicaObjects('desk', 2)]);
+    gateway.takeLines();
+    const changed = [...replicaObjects('new', 4), ...replicaObjects('desk', 2, true)];
+    gateway.readChanges([...changed, ...goneObjects('old', 3)]);
+    expect(gateway.takeLines()).toEqual([
+      {
+        event: 'replicas-changed',
+        replicas: 9,
+        listed: { new: 4 },
+        draining: { desk: 2 },
+        gone: { old: 3 },
+      },
+    ]);
+  });
+
+  it('keeps a line for each replica where few change', () => {
+    const gateway = new LoggingGateway();
+    gateway.readChanges(replicaObjects('desk', 2));
+    expect(gateway.takeLines()).toEqual([
+      { event: 'replica-changed', replica: 'desk-replica-0', service: 'desk', state: 'listed' },
+      { event: 'replica-changed', replica: 'desk-replica-1', service: 'desk', state: 'listed' },
+    ]);
+  });
+
+  it('tells of replicas that a whole list no longer holds', () => {
+    const gateway = new LoggingGateway();
+    gateway.readChanges(indexOf(2, 3));
+    gateway.takeLines();
+    gateway.readWholeList(replicaObjects('shard-0', 2));
+    expect(gateway.takeLines()).toMatchObject([
+      { event: 'replica-changed', replica: 'shard-0-replica-2', state: 'gone' },
+      { event: 'replica-changed', replica: 'shard-1-replica-0', state: 'gone' },
+      { event: 'replica-changed', replica: 'shard-1-replica-1', state: 'gone' },
+      { event: 'replica-changed', replica: 'shard-1-replica-2', state: 'gone' },
+    ]);
+    gateway.readWholeList(replicaObjects('shard-0', 2));
+    expect(gateway.takeLines()).toEqual([]);
+  });
+
+  it('keeps its line within one write, however many services and however long their names', () => {
+    const gateway = new LoggingGateway();
+    gateway.readChanges(indexOf(600, 3, 'a-service-with-a-name-as-long-as-most-stores-allow-for'));
+    const [line, ...others] = gateway.takeLines();
+    expect(others).toEqual([]);
+    const { listed, unnamed } = line as Extract<BeliefChange, { event: 'replicas-changed' }>;
+    const named = Object.values(listed ?? {}).reduce((sum, count) => sum + count, 0);
+    expect(named + (unnamed ?? 0)).toBe(1_800);
+    expect(JSON.stringify(line).length).toBeLessThan(PIPE_BYTES);
+  });
+});
