--- a/test/platform/process.test.ts
+++ b/test/platform/process.test.ts
@@ -6,7 +6,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { afterAll, afterEach, beforeAll, beforeEach, describe, expect, it } from 'vitest';
 import { type CompiledSource, bundlePlatform } from '../runtime/compiled-source.js';
-import { GatewayFixture, routeSpec } from './gateway-fixture.js';
+import { GatewayFixture, routeSpec, until } from './gateway-fixture.js';
 import { settingsFileOf } from './settings-file.js';
 
 let source: CompiledSource;
@@ -45,6 +45,25 @@
   return child;
 };
 
+/** How a process ended that was told to stop. */
+interface ProcessEnd {
+  /** The exit code, or the signal that ended it. */
+  readonly by: number | NodeJS.Signals | null;
+  /** Time from the request to the end, in milliseconds. */
+  readonly afterMs: number;
+}
+
+/** Tells a process to stop once it has run for `waitMs`. */
+const stopAfter = async (waitMs: number): Promise<ProcessEnd> => {
+  const process = await start(settingsFileOf(fixture.settings));
+  const exit = once(process, 'exit') as Promise<[number | null, NodeJS.Signals | null]>;
+  await delay(waitMs);
+  const began = performance.now();
+  process.kill('SIGTERM');
+  const [code, signal] = await exit;
+  return { by: code ?? signal, afterMs: performance.now() - began };
+};
+
 const untilReady = async (): Promise<void> => {
   const { host, port } = fixture.settings.readiness;
   for (let tries = 0; tries < 400; tries += 1) {
@@ -126,4 +145,33 @@
     await Promise.race([once(process, 'exit'), delay(8_000)]);
     expect(process.exitCode).toBe(0);
   });
+
+  it('ends in time at whatever moment of its start it is told to stop', async () => {
+    const { graceMs } = fixture.settings.bounds;
+    let end: ProcessEnd | undefined;
+    for (let waitMs = 0; end?.by !== 0; waitMs += 40) {
+      end = await stopAfter(waitMs);
+      expect(['SIGTERM', 0]).toContain(end.by);
+      expect(end.afterMs).toBeLessThan(graceMs);
+    }
+  });
+
+  it('ends within its grace when a replica does not answer, also when told to stop twice', async () => {
+    const route = routeSpec({ path_prefix: '/one/', service: 'desk', timeout_ms: 30_000 });
+    fixture.configure([route], ['desk']);
+    await fixture.addReplica('desk-1', 'desk', { silent: true });
+    const bounds = { ...fixture.settings.bounds, graceMs: 4_500 };
+    const process = await start(settingsFileOf({ ...fixture.settings, bounds }));
+    await untilReady();
+    const answer = fixture.ask({ id: 'r-1', path: '/one/', budgetMs: 30_000 }).catch(String);
+    await until(() => fixture.replicas.get('desk-1')?.arrived.length === 1, 'the request arrived');
+    const began = performance.now();
+    process.kill('SIGTERM');
+    await delay(1_000);
+    process.kill('SIGTERM');
+    const [code] = (await once(process, 'close')) as [number];
+    expect(code).toBe(0);
+    expect(performance.now() - began).toBeLessThan(bounds.graceMs);
+    await answer;
+  });
 });
