--- a/src/gateway/store/follow-collection.ts
+++ b/src/gateway/store/follow-collection.ts
@@ -138,6 +138,7 @@
 /** Forgets a list that was begun. */
 const endList = (progress: CollectionProgress): void => {
   progress.mustList = false;
+  progress.isStaleList = false;
   progress.listAfter = undefined;
   progress.listed = new Set();
   progress.listRevision = Number.POSITIVE_INFINITY;
@@ -148,7 +149,6 @@
 const beginList = (progress: CollectionProgress): void => {
   endList(progress);
   progress.mustList = true;
-  progress.isStaleList = false;
 };
 
 /** Reads a new list from a copy that may be old. */
