The network of the fuzzer ends follows of seeds when they are given up

Traced: a gateway that had followed a seed by its address gave it up by that name, which the stand-in network did not know, so that the reader kept a follower for good. The program's own links know seeds by that name.

Ruled out: readers that do not leave off: its reader had that one follower, by its own list.

Change: the stand-in finds a follow by the seed's name too; no test is changed.

--- a/test/gateway/reader-network.ts
+++ b/test/gateway/reader-network.ts
@@ -540,7 +540,9 @@
   }
 
   private unfollow(from: VirtualNode, reader: string): void {
-    const ended = this.follows.find((each) => each.from === from && each.to.name === reader);
+    const names = ({ name, settings }: VirtualNode): boolean =>
+      name === reader || `seed ${settings.peers.host}` === reader;
+    const ended = this.follows.find((each) => each.from === from && names(each.to));
     if (ended !== undefined) {
       this.follows = this.follows.filter((each) => each !== ended);
       this.later(LINK_MS, ended.to, { type: 'follower-left', at: 0, follower: ended.id });
