Tests of answers below 500 that a replica has not signed

Cause: a 3xx or 4xx of a replica without its signature is handed to the caller as it came. To the caller it is a refusal of the gateway's own, and after most of them it does not ask again. Ruled out: 421 and answers that say that the request has not run are taken for that before; a gather takes nothing but signed successes. Change: the replica of the tests may answer unsigned; three tests fail, one guards that a signed 404 is passed on.

--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -150,6 +150,38 @@
     expect(answer.headers['x-server-stamp']).toMatch(/^desk-/);
   });
 
+  it.each([302, 404])(
+    'that answers %i unsigned has not answered: another is asked',
+    async (status) => {
+      fixture.configure([single()], ['desk']);
+      await fixture.addReplica('desk-1', 'desk', { status, signed: false });
+      await fixture.addReplica('desk-2', 'desk', {}, 'hall');
+      await fixture.serve();
+      const answer = await fixture.ask({ id: 'r-1', path: '/one/' });
+      expect(answer.headers['x-server-stamp']).toBe('desk-2.1');
+    },
+  );
+
+  it('that answers 404 unsigned does not turn away a request that may run once', async () => {
+    fixture.configure([single({ kind: 'unsafe' })], ['desk']);
+    const replica = await fixture.addReplica('desk-1', 'desk', { status: 404, signed: false });
+    await fixture.addReplica('desk-2', 'desk', {}, 'hall');
+    await fixture.serve();
+    const answer = await fixture.ask({ id: 'r-1', path: '/one/', method: 'POST', body: 'x' });
+    expect(answer.status).toBe(502);
+    expect(replica.arrived).toHaveLength(1);
+    expect(fixture.replicas.get('desk-2')?.arrived).toHaveLength(0);
+  });
+
+  it('that answers 404 with its signature is passed on', async () => {
+    fixture.configure([single()], ['desk']);
+    await fixture.addReplica('desk-1', 'desk', { status: 404 });
+    await fixture.serve();
+    const answer = await fixture.ask({ id: 'r-1', path: '/one/' });
+    expect(answer.status).toBe(404);
+    expect(answer.headers['x-server-stamp']).toBe('desk-1.1');
+  });
+
   it('that is silent is hedged by another', async () => {
     fixture.configure([single({ target_ms: 200 })], ['desk']);
     await fixture.addReplica('desk-1', 'desk', { silent: true });
--- a/test/platform/stand-in-replica.ts
+++ b/test/platform/stand-in-replica.ts
@@ -12,6 +12,8 @@
   silent: boolean;
   /** Answers with a status of its own. */
   status: number;
+  /** Signs its answers. */
+  signed: boolean;
   body: Buffer;
 }
 
@@ -60,6 +62,7 @@
       slots: 100,
       silent: false,
       status: 200,
+      signed: true,
       body: Buffer.from(id.padEnd(16, '.').slice(0, 16)),
       ...behaviour,
     });
@@ -106,14 +109,14 @@
 
   private answer(id: string, outgoing: ServerResponse): void {
     this.running -= 1;
-    const { silent, status, body } = this.behaviour;
+    const { silent, status, signed, body } = this.behaviour;
     if (silent || outgoing.destroyed) {
       return;
     }
     this.signatures += 1;
     outgoing.writeHead(status, {
       'x-request-id': id,
-      'x-server-stamp': `${this.id}.${this.signatures}`,
+      ...(signed && { 'x-server-stamp': `${this.id}.${this.signatures}` }),
       'x-server-load': `${this.running},0,${this.behaviour.slots}`,
       'content-length': body.length,
     });
