Take no unsigned redirection or client error of a replica for an answer

Cause: an answer from 300 to 499 without the replica's signature was passed on: a refusal of another program at the address, or of the replica's HTTP server (400, 408, 431), turned a proper request away for good. Ruled out: to pass it on as 5xx, which hides what came; to leave it to the reducer, which would count it as a prompt success of the replica and keep the connection. Change: the reader of answers ends the attempt with 'unsigned-answer' and closes the connection; a request that may be repeated goes to another replica within its budget, the others end with 502. 421 and what says that the request has not run are taken as before, 5xx may come unsigned as before.

--- a/src/gateway/model/request.ts
+++ b/src/gateway/model/request.ts
@@ -101,7 +101,8 @@
 
 /**
  * How an attempt failed without an answer. `refused-connection`: a new connection was accepted and
- * reset before any byte came over it.
+ * reset before any byte came over it. `unsigned-answer`: a redirection or a client error without the
+ * replica's signature.
  */
 export type AttemptProblem =
   | 'connect-refused'
@@ -110,6 +111,7 @@
   | 'reset'
   | 'timed-out'
   | 'bad-answer'
+  | 'unsigned-answer'
   | 'foreign-answer'
   | 'cut-off'
   | 'aborted';
--- a/src/gateway/runtime/answer-reader.ts
+++ b/src/gateway/runtime/answer-reader.ts
@@ -14,6 +14,10 @@
 /** Status by which a replica says that it is not the instance that was asked for. */
 const MISDIRECTED_STATUS = 421;
 
+/** Statuses of redirections and client errors, from the first one to before the second. */
+const FIRST_REDIRECTION_STATUS = 300;
+const FIRST_FAILURE_STATUS = 500;
+
 type AnswerHeaders = Readonly<Record<string, string | string[] | undefined>>;
 
 const toHeaders = (headers: AnswerHeaders): Header[] =>
@@ -142,7 +146,33 @@
       return 'foreign-answer';
     }
     const encoding = findHeader(this.headers, 'content-encoding');
-    return encoding === undefined || encoding === 'identity' ? undefined : 'bad-answer';
+    if (encoding !== undefined && encoding !== 'identity') {
+      return 'bad-answer';
+    }
+    return this.isUnsignedRefusal() ? 'unsigned-answer' : undefined;
+  }
+
+  /**
+   * A replica signs what its service says. Passed on, a refusal of whatever else listens at its address, or of
+   * its HTTP server, would turn a proper request away for good: callers do not ask again after most of them.
+   */
+  private isUnsignedRefusal(): boolean {
+    const isRefusal = this.status >= FIRST_REDIRECTION_STATUS && this.status < FIRST_FAILURE_STATUS;
+    return isRefusal && !this.hasNotRun() && this.signature() === undefined;
+  }
+
+  private isWrongInstance(): boolean {
+    return this.status === MISDIRECTED_STATUS;
+  }
+
+  /** The replica says that it has not run the request. */
+  private hasNotRun(): boolean {
+    const { notExecuted } = this.protocol.headers;
+    return this.isWrongInstance() || findHeader(this.headers, notExecuted) !== undefined;
+  }
+
+  private signature(): string | undefined {
+    return findHeader(this.headers, this.protocol.headers.signature);
   }
 
   private readResult(closing: boolean): AttemptResult {
@@ -150,15 +180,15 @@
     const loadText = findHeader(this.headers, headers.load);
     const load = loadText === undefined ? undefined : readLoad(loadText);
     const known = load === undefined ? {} : { load };
-    const isWrongInstance = this.status === MISDIRECTED_STATUS;
-    if (isWrongInstance || findHeader(this.headers, headers.notExecuted) !== undefined) {
-      return { type: 'refused', reason: isWrongInstance ? 'wrong-instance' : 'full', ...known };
+    if (this.hasNotRun()) {
+      const reason = this.isWrongInstance() ? 'wrong-instance' : 'full';
+      return { type: 'refused', reason, ...known };
     }
     return { type: 'answered', answer: this.readAnswer(), closing, ...known };
   }
 
   private readAnswer(): ReplicaAnswer {
-    const signature = findHeader(this.headers, this.protocol.headers.signature);
+    const signature = this.signature();
     const [first] = this.chunks;
     const body = this.chunks.length === 1 && first ? first : Buffer.concat(this.chunks);
     return {
--- a/test/gateway/answer-reader.test.ts
+++ b/test/gateway/answer-reader.test.ts
@@ -151,6 +151,20 @@
     expectFailure(await ask((socket) => socket.write(head)), 'bad-answer');
   });
 
+  it.each([301, 400, 404, 408, 429, 499])(
+    'is none when it is %i without a signature',
+    async (status) => {
+      const head = `HTTP/1.1 ${status} No\r\nX-Request-Id: r-1\r\nContent-Length: 0\r\n\r\n`;
+      expectFailure(await ask((socket) => socket.write(head)), 'unsigned-answer');
+    },
+  );
+
+  it.each([500, 504])('may be %i without a signature', async (status) => {
+    const head = `HTTP/1.1 ${status} No\r\nX-Request-Id: r-1\r\nContent-Length: 0\r\n\r\n`;
+    const { result } = await ask((socket) => socket.write(head));
+    expect(result).toMatchObject({ type: 'answered', answer: { status } });
+  });
+
   it('says when the request has not run', async () => {
     const head =
       'HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nX-Server-Load: 2,12,2\r\nContent-Length: 0\r\n\r\n';
