Test that only the store's one configuration comes into force

Cause: every object of the configurations' kind is read as a configuration; one with a higher version and other routes comes into force, and proper requests are answered 404. Ruled out: lower versions of other objects are left out already. Change: a test with a draft beside the configuration, listed and told by a watch; it fails. The shape of a whole configuration stands once in the file. Measured: npx vitest run test/platform/gateway-store.test.ts, 1 failed, 10 passed.

--- a/test/platform/gateway-store.test.ts
+++ b/test/platform/gateway-store.test.ts
@@ -15,6 +15,14 @@
 
 const moved = (): unknown => routeSpec({ path_prefix: '/moved/', service: 'desk' });
 
+/** A configuration of one route as it stands in the store. */
+const specOf = (version: number, route: unknown): unknown => ({
+  version,
+  routes: [route],
+  services: [],
+  limits: { max_header_bytes: 1, max_body_bytes: 1, header_timeout_ms: 1, idle_timeout_ms: 1 },
+});
+
 const statusOf = async (path: string): Promise<number> =>
   (await fixture.ask({ id: path, path })).status;
 
@@ -61,21 +69,23 @@
     await fixture.untilInForce(fixture.configure([moved()], ['desk']));
   });
 
+  it('is the one object of its name: others of its kind never come into force', async () => {
+    fixture.store.put('config', 'draft', specOf(2_000, moved()));
+    await fixture.serve();
+    expect(await statusOf('/one/')).toBe(200);
+    fixture.store.put('config', 'next', specOf(3_000, moved()));
+    await fixture.addReplica('desk-2', 'desk');
+    await until(() => fixture.gateway.state.replicas.size === 2, 'later changes are read');
+    expect(await statusOf('/one/')).toBe(200);
+    await fixture.untilInForce(fixture.configure([moved()], ['desk']));
+  });
+
   it('never goes back to an older version', async () => {
     await fixture.serve();
     const version = fixture.configure([moved()], ['desk']);
     await fixture.untilInForce(version);
-    fixture.store.put('config', 'main', {
-      version: version - 1,
-      routes: [routeSpec({ path_prefix: '/one/', service: 'desk' })],
-      services: [],
-      limits: {
-        max_header_bytes: 1,
-        max_body_bytes: 1,
-        header_timeout_ms: 1,
-        idle_timeout_ms: 1,
-      },
-    });
+    const older = specOf(version - 1, routeSpec({ path_prefix: '/one/', service: 'desk' }));
+    fixture.store.put('config', 'main', older);
     await fixture.addReplica('desk-2', 'desk');
     await until(() => fixture.gateway.state.replicas.size === 2, 'later changes are read');
     expect(await statusOf('/moved/')).toBe(200);
