Tests of proper requests at the callers' port, over real sockets

Cause: the HTTP server of Node and the port refuse proper requests by themselves: 431 beyond 64 KiB of headers whatever the configuration allows, and before the first one; 413 beyond 1 MiB before the first one, and when the limit shrinks while a body is under way; 400 when a limit on the number of headers drops the host or the identifier; 417 for expectations; 404 for absolute targets; 400 in place of the answer of a request that is followed on its connection by bytes that are none. Ruled out, and guarded from now on: hosts with a port or in other case, odd paths and queries, empty, long and repeated headers, upgrades, other methods, chunks with extensions and trailers, bodies of the largest size, 100-continue, single bytes, pipelined requests, pieces that arrive before the program is loaded, limits that grow while a body is under way.

--- a/test/platform/early-port.test.ts
+++ b/test/platform/early-port.test.ts
@@ -10,6 +10,7 @@
 import { openEarlyPort } from '../../src/gateway/runtime/early-port.js';
 import { startGateway } from '../../src/gateway/runtime/start-gateway.js';
 import { freeAddress, GatewayFixture, routeSpec } from './gateway-fixture.js';
+import { RawCaller, requestHead } from './raw-caller.js';
 import { settingsFileOf } from './settings-file.js';
 
 const SILENT_LOG = { write: () => undefined, writeTrace: () => undefined };
@@ -70,6 +71,29 @@
     expect(error.code).toBe('ECONNREFUSED');
   });
 
+  it('serves what arrives in pieces before and after, and minds no caller that came and went', async () => {
+    const early = await openEarlyPort(await settingsFile(settingsFileOf(fixture.settings)));
+    const { callers } = fixture.settings;
+    const [halved, silent, gone] = [
+      await RawCaller.open(callers),
+      await RawCaller.open(callers),
+      await RawCaller.open(callers),
+    ];
+    const text = `${requestHead('POST /one/x', ['Content-Length: 4'])}body`;
+    halved.send(text.slice(0, 40));
+    gone.send(text.slice(0, 40));
+    await delay(50);
+    gone.close();
+    const gateway = await startGateway(fixture.settings, platformProtocol, SILENT_LOG, early);
+    halved.send(text.slice(40));
+    silent.send(text);
+    expect([await halved.statuses(1), await silent.statuses(1)]).toEqual([[200], [200]]);
+    halved.close();
+    silent.close();
+    gateway.kill();
+    await gateway.ended;
+  });
+
   it('is left out where the settings are wrong or the address is taken', async () => {
     expect(await openEarlyPort(join(folder, 'nothing.json'))).toBeUndefined();
     expect(await openEarlyPort(await settingsFile('{"callers": 7}'))).toBeUndefined();
--- a/test/platform/gateway-fixture.ts
+++ b/test/platform/gateway-fixture.ts
@@ -180,14 +180,20 @@
   }
 
   /** Writes the next version of the configuration. */
-  configure(routes: readonly unknown[], services: readonly string[], maxConnections = 26): number {
+  configure(
+    routes: readonly unknown[],
+    services: readonly string[],
+    maxConnections = 26,
+    limits: Partial<typeof LIMITS> = {},
+  ): number {
     this.version += 3;
     const listed = services.map((name) => ({
       name,
       health_path: '/health',
       max_conns: maxConnections,
     }));
-    const spec = { version: this.version, routes, services: listed, limits: LIMITS };
+    const allLimits = { ...LIMITS, ...limits };
+    const spec = { version: this.version, routes, services: listed, limits: allLimits };
     this.store.put('config', 'main', spec);
     return this.version;
   }
