Refuse no proper request at the callers' port

Cause: bounds and defaults of Node's HTTP server stood beside the limits of the configuration. Ruled out: to set the parser's bound on headers with each configuration, which open connections would not hear of; to keep 64 KiB of headers before the first one, where nothing may be refused for good. Change: the parser takes 1 MiB of headers and any number of them, the port compares them with the limits; the limit on a body is no less than it was when the body began; what is too large before the first configuration is answered 503; an unknown expectation is ignored; a target in absolute form is read; an answer to what is no request waits for the answers before it. Too large requests, and those without a host, go through the reducer, where they are counted and logged. The replica of the tests takes as many headers as the gateway passes on.

--- a/src/gateway/model/request.ts
+++ b/src/gateway/model/request.ts
@@ -16,13 +16,22 @@
   readonly budgetMs?: number;
   /** It is the first one on its connection: its caller has waited for the connection before. */
   readonly isFirstOnConnection?: boolean;
+  /** What of it is larger than the limits allow, and was not kept; absent where nothing is. */
+  readonly excess?: 'headers' | 'body';
 }
 
+/** Why what a caller sent cannot be read as a request. `headers-late`: they did not come in time. */
+export type UnreadableProblem =
+  'malformed' | 'cut-off' | 'headers-late' | 'headers-too-large' | 'chunk-extensions-too-large';
+
 /** Why a request ends without the answer of a replica. */
 export type RefusalReason =
   | 'no-configuration'
   | 'no-route'
   | 'no-request-id'
+  | 'no-host'
+  | 'headers-too-large'
+  | 'body-too-large'
   | 'no-replica'
   | 'replicas-full'
   | 'connection-failed'
--- a/src/gateway/requests/accept-request.ts
+++ b/src/gateway/requests/accept-request.ts
@@ -2,6 +2,7 @@
 import type { GatewayEffect } from '../effect.js';
 import type { RequestReceived } from '../event.js';
 import { trace } from '../log/trace.js';
+import type { CallerRequest, RefusalReason } from '../model/request.js';
 import type { Route } from '../model/route.js';
 import { SplitCursor, isSameSplit } from '../routing/split-cursor.js';
 import { type GatewayState, isInformed } from '../state.js';
@@ -24,6 +25,9 @@
 /** Time kept back of the caller's patience for the way back, in milliseconds. */
 const DEADLINE_MARGIN_MS = 10;
 
+/** Reasons by which too large requests are refused. */
+const EXCESS_REASONS = { headers: 'headers-too-large', body: 'body-too-large' } as const;
+
 const legsOf = (state: GatewayState, route: Route): readonly Leg[] => {
   const { target } = route;
   switch (target.type) {
@@ -96,10 +100,29 @@
   return startRequest(state, createRequest(state, route, event, at), at);
 };
 
+/** Why a request is refused whatever its route; undefined where nothing is wrong with it. */
+const problemOf = (
+  { inForce }: GatewayState,
+  { requestId, host, excess }: CallerRequest,
+): RefusalReason | undefined => {
+  if (requestId === '') {
+    return 'no-request-id';
+  }
+  if (host === '') {
+    return 'no-host';
+  }
+  if (excess === undefined) {
+    return undefined;
+  }
+  // The first configuration may allow more than what is taken before it: nothing is refused for good yet.
+  return inForce === undefined ? 'no-configuration' : EXCESS_REASONS[excess];
+};
+
 /** Handles `request-received`. */
 export const acceptRequest = (state: GatewayState, event: RequestReceived): GatewayEffect[] => {
-  if (event.request.requestId === '') {
-    return refuseCall(state, event, 'no-request-id', false);
+  const problem = problemOf(state, event.request);
+  if (problem !== undefined) {
+    return refuseCall(state, event, problem, problem === 'no-configuration');
   }
   return isInformed(state) ? routeRequest(state, event, event.at) : holdRequest(state, event);
 };
--- a/src/gateway/requests/finish.ts
+++ b/src/gateway/requests/finish.ts
@@ -17,16 +17,20 @@
 
 const FIRST_FAILURE_STATUS = 500;
 
-/** Answers a call that has no request in progress, or whose request ends now. */
+/**
+ * Answers a call that has no request in progress, or whose request ends now. The connection is closed where
+ * the rest of the request is not wanted.
+ */
 export const answerCall = (
   state: GatewayState,
   call: CallId,
   response: CallerResponse,
+  isReadWhole = true,
 ): GatewayEffect => ({
   type: 'answer-caller',
   call,
   response,
-  closeConnection: state.phase === 'stopping',
+  closeConnection: state.phase === 'stopping' || !isReadWhole,
 });
 
 const missingShards = ({ legs }: ActiveRequest): readonly string[] =>
@@ -117,7 +121,7 @@
   };
   state.counters.requests.add('', reason);
   return [
-    answerCall(state, call, response),
+    answerCall(state, call, response, request.excess === undefined),
     ...writeTrace(request.requestId, [{ at, decision }], true),
   ];
 };
--- a/src/gateway/runtime/caller-port.ts
+++ b/src/gateway/runtime/caller-port.ts
@@ -10,28 +10,40 @@
 import type { HostPort } from '../../settings/node-settings.js';
 import type { AnswerCaller } from '../effect.js';
 import type { CallerLimits } from '../model/route.js';
-import type { CallId } from '../model/request.js';
+import type { CallerRequest, CallId } from '../model/request.js';
 import type { GatewayProtocol } from '../protocol/protocol.js';
 import type { CallerRequests } from './caller-requests.js';
 import type { EarlyPort } from './early-port.js';
 import { formatResponse, type WireResponse } from './format-response.js';
 import type { GatewayEventSink } from './gateway-loop.js';
 import { findHeader, flattenHeaders, pairHeaders } from './headers.js';
+import { isBodyless, readBody } from './read-body.js';
+import { readTarget } from './request-target.js';
 import { listenOn, takeOverPort } from './sockets.js';
+import {
+  describeUnreadable,
+  formatUnreadable,
+  type UnreadableRequest,
+} from './unreadable-request.js';
+
+/**
+ * Headers larger than this are refused by the parser, whatever the configuration says: as large as a body may
+ * be before the first one. The parser of an open connection cannot be told of a configuration that allows more,
+ * so this is far above what one allows.
+ */
+const PARSER_HEADER_BYTES = 1_048_576;
+
+/** Headers up to this size are taken also where the configuration allows less; far above what clients send. */
+const TOLERATED_HEADER_BYTES = 65_536;
 
 /** Bounds until a configuration brings its own. */
 const FIRST_LIMITS: CallerLimits = {
-  maxHeaderBytes: 16_384,
+  maxHeaderBytes: PARSER_HEADER_BYTES,
   maxBodyBytes: 1_048_576,
   headerTimeoutMs: 10_000,
   idleTimeoutMs: 60_000,
 };
 
-/** Headers larger than this are refused by the parser whatever the configuration says. */
-const PARSER_HEADER_BYTES = 65_536;
-
-const TOO_LARGE_STATUS = 413;
-
 /** What the port needs of its process. */
 export interface CallerPortContext {
   readonly protocol: GatewayProtocol;
@@ -40,9 +52,9 @@
   readonly sink: GatewayEventSink;
 }
 
-const isBodyless = (incoming: IncomingMessage): boolean =>
-  incoming.headers['transfer-encoding'] === undefined &&
-  (incoming.headers['content-length'] ?? '0') === '0';
+/** The target and the headers of a request, without what separates them. */
+const headerBytes = ({ url = '', rawHeaders }: IncomingMessage): number =>
+  rawHeaders.reduce((sum, { length }) => sum + length, url.length);
 
 /** Listens for callers; carries out `answer-caller`, emits `request-received` and `caller-left`. */
 export class CallerPort {
@@ -50,14 +62,24 @@
   private readonly waiting = new Map<CallId, ServerResponse>();
   /** Connections over which a request has come. */
   private readonly usedConnections = new WeakSet<Socket>();
+  /** Connections over which something came that is no request. */
+  private readonly unreadableConnections = new WeakSet<Socket>();
   private limits = FIRST_LIMITS;
   private open = true;
 
   constructor(private readonly context: CallerPortContext) {
-    this.server = createServer(
-      { maxHeaderSize: PARSER_HEADER_BYTES, noDelay: true, requestTimeout: 0 },
-      (incoming, outgoing) => this.take(incoming, outgoing),
+    const options = { maxHeaderSize: PARSER_HEADER_BYTES, noDelay: true, requestTimeout: 0 };
+    const take = (incoming: IncomingMessage, outgoing: ServerResponse): void =>
+      this.take(incoming, outgoing);
+    // A missing host is refused by the reducer, which counts and logs it.
+    this.server = createServer({ ...options, requireHostHeader: false }, take);
+    // An expectation that is not known is ignored (RFC 9110, section 10.1.1), not refused with 417.
+    this.server.on('checkExpectation', take);
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) =>
+      this.takeError(error, socket),
     );
+    // Node drops headers past a number, the host or the identifier among them; their size is bounded already.
+    this.server.maxHeadersCount = 0;
     this.applyLimits(FIRST_LIMITS);
   }
 
@@ -116,37 +138,41 @@
   }
 
   private take(incoming: IncomingMessage, outgoing: ServerResponse): void {
-    if (isBodyless(incoming)) {
+    const { maxHeaderBytes } = this.limits;
+    if (headerBytes(incoming) > Math.max(maxHeaderBytes, TOLERATED_HEADER_BYTES)) {
+      incoming.resume();
+      this.emitRequest(incoming, outgoing, null, 'headers');
+    } else if (isBodyless(incoming)) {
       incoming.resume();
       this.emitRequest(incoming, outgoing, null);
-      return;
+    } else {
+      this.takeBody(incoming, outgoing);
     }
-    const chunks: Buffer[] = [];
-    let size = 0;
-    incoming.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size <= this.limits.maxBodyBytes) {
-        chunks.push(chunk);
-      } else if (!outgoing.headersSent) {
-        this.send(outgoing, { status: TOO_LARGE_STATUS, headers: [], body: Buffer.of() }, true);
-      }
-    });
-    incoming.on('end', () => {
-      if (!outgoing.headersSent) {
-        this.emitRequest(incoming, outgoing, Buffer.concat(chunks));
-      }
-    });
+  }
+
+  private takeBody(incoming: IncomingMessage, outgoing: ServerResponse): void {
+    const currentLimit = (): number => this.limits.maxBodyBytes;
+    readBody(incoming, currentLimit, (body) =>
+      body === undefined
+        ? this.emitRequest(incoming, outgoing, null, 'body')
+        : this.emitRequest(incoming, outgoing, body),
+    );
   }
 
   private emitRequest(
     incoming: IncomingMessage,
     outgoing: ServerResponse,
     body: Buffer | null,
+    excess?: CallerRequest['excess'],
   ): void {
     const { protocol, requests, sink, clock } = this.context;
-    const headers = pairHeaders(incoming.rawHeaders);
+    const { url = '/', rawHeaders } = incoming;
+    const { host, path, headers } = readTarget(
+      url,
+      incoming.headers.host ?? '',
+      pairHeaders(rawHeaders),
+    );
     const requestId = findHeader(headers, protocol.headers.requestId) ?? '';
-    const path = incoming.url ?? '/';
     const method = incoming.method ?? 'GET';
     const call = requests.add({ method, path, requestId, headers, body });
     this.waiting.set(call, outgoing);
@@ -160,14 +186,42 @@
       call,
       request: {
         requestId,
-        host: incoming.headers.host ?? '',
+        host,
         path,
         ...(budgetMs > 0 && { budgetMs }),
         isFirstOnConnection,
+        ...(excess !== undefined && { excess }),
       },
     });
   }
 
+  /** Something came that is no request, or the connection broke. */
+  private takeError({ code }: NodeJS.ErrnoException, socket: Socket): void {
+    const unreadable = describeUnreadable(code);
+    const before = this.lastWaitingOn(socket);
+    const hasLeft = unreadable?.problem === 'cut-off' && before !== undefined;
+    if (unreadable === undefined || hasLeft) {
+      socket.destroy();
+    } else if (!this.unreadableConnections.has(socket)) {
+      this.unreadableConnections.add(socket);
+      // Sent at once, the refusal would stand for the answer of a proper request that came before.
+      const refuse = (): void => this.refuseUnreadable(unreadable, socket);
+      void (before === undefined ? refuse() : before.once('finish', refuse));
+    }
+  }
+
+  private refuseUnreadable(unreadable: UnreadableRequest, socket: Socket): void {
+    if (socket.writable) {
+      socket.write(formatUnreadable(unreadable));
+      socket.destroySoon();
+    }
+  }
+
+  /** The last request on a connection that has no answer yet. */
+  private lastWaitingOn(socket: Socket): ServerResponse | undefined {
+    return [...this.waiting.values()].filter(({ req }) => req.socket === socket).at(-1);
+  }
+
   private noteClose(call: CallId, outgoing: ServerResponse): void {
     if (!outgoing.writableFinished && this.waiting.has(call)) {
       const { sink, clock } = this.context;
--- a/src/gateway/runtime/format-response.ts
+++ b/src/gateway/runtime/format-response.ts
@@ -5,6 +5,7 @@
   MergedAnswer,
   PassThrough,
   Refusal,
+  RefusalReason,
 } from '../model/request.js';
 import type { HeaderNames } from '../protocol/protocol.js';
 import { endToEndHeaders } from './headers.js';
@@ -17,8 +18,6 @@
 }
 
 const OK_STATUS = 200;
-const BAD_REQUEST_STATUS = 400;
-const NOT_FOUND_STATUS = 404;
 const BAD_GATEWAY_STATUS = 502;
 const UNAVAILABLE_STATUS = 503;
 const TIMEOUT_STATUS = 504;
@@ -28,13 +27,20 @@
 /** The length is set anew where the answer is sent. */
 const LENGTH_HEADER: ReadonlySet<string> = new Set(['content-length']);
 
+/** Reasons that lie with the request itself: its caller need not ask again. */
+const CALLER_STATUSES: Readonly<Partial<Record<RefusalReason, number>>> = {
+  'no-request-id': 400,
+  'no-host': 400,
+  'no-route': 404,
+  'body-too-large': 413,
+  'headers-too-large': 431,
+};
+
 /** What has not run and never will is answered 503; nothing is promised otherwise. */
 const statusOf = ({ reason, mayHaveRun }: Refusal): number => {
-  if (reason === 'no-route') {
-    return NOT_FOUND_STATUS;
-  }
-  if (reason === 'no-request-id') {
-    return BAD_REQUEST_STATUS;
+  const callerStatus = CALLER_STATUSES[reason];
+  if (callerStatus !== undefined) {
+    return callerStatus;
   }
   if (!mayHaveRun) {
     return UNAVAILABLE_STATUS;
--- /dev/null
+++ b/test/gateway/format-response.test.ts
@@ -0,0 +1,38 @@
+import { describe, expect, it } from 'vitest';
+import { platformProtocol } from '../../platform/protocol.js';
+import type { RefusalReason } from '../../src/gateway/model/request.js';
+import { formatResponse } from '../../src/gateway/runtime/format-response.js';
+
+/** The status of each reason where the request has not run: a new reason must be decided on here. */
+const STATUSES: Readonly<Record<RefusalReason, number>> = {
+  'no-request-id': 400,
+  'no-host': 400,
+  'no-route': 404,
+  'body-too-large': 413,
+  'headers-too-large': 431,
+  'no-configuration': 503,
+  'no-replica': 503,
+  'replicas-full': 503,
+  'connection-failed': 503,
+  'answer-lost': 503,
+  'replica-failed': 503,
+  'too-few-shards': 503,
+  deadline: 503,
+};
+
+const statusOf = (reason: RefusalReason, mayHaveRun: boolean): number =>
+  formatResponse({ type: 'refusal', reason, mayHaveRun }, platformProtocol.headers).status;
+
+describe('a refusal of the gateway', () => {
+  it.each(Object.entries(STATUSES))(
+    'says that the caller is wrong for its own faults only: %s is %i',
+    (reason, status) => {
+      expect(statusOf(reason as RefusalReason, false)).toBe(status);
+    },
+  );
+
+  it('promises nothing where the request may have run', () => {
+    expect(statusOf('answer-lost', true)).toBe(502);
+    expect(statusOf('deadline', true)).toBe(504);
+  });
+});
--- a/test/platform/stand-in-replica.ts
+++ b/test/platform/stand-in-replica.ts
@@ -2,6 +2,9 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 
+/** Far above what a test sends: what a caller may send is for the gateway to say. */
+const MAX_HEADER_BYTES = 1_048_576;
+
 /** How a replica treats a request. */
 export interface ReplicaBehaviour {
   /** Time that it works on a request, in milliseconds. */
@@ -55,7 +58,8 @@
     behaviour: Partial<ReplicaBehaviour> = {},
     port = 0,
   ): Promise<StandInReplica> {
-    const server = createServer({ keepAliveTimeout: 30_000 });
+    const server = createServer({ keepAliveTimeout: 30_000, maxHeaderSize: MAX_HEADER_BYTES });
+    server.maxHeadersCount = 0;
     await new Promise<void>((resolve) => server.listen(port, '127.0.0.1', resolve));
     const replica = new StandInReplica(server, id, (server.address() as AddressInfo).port, {
       workMs: 0,
