--- a/test/platform/gateway-fixture.ts
+++ b/test/platform/gateway-fixture.ts
@@ -3,13 +3,30 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { request as sendRequest, type IncomingHttpHeaders } from 'node:http';
 import { platformProtocol } from '../../platform/protocol.js';
-import { type RunningGateway, startGateway } from '../../src/gateway/runtime/start-gateway.js';
+import {
+  type GatewayLog,
+  type RunningGateway,
+  startGateway,
+} from '../../src/gateway/runtime/start-gateway.js';
+import type { WriteTrace } from '../../src/gateway/effect.js';
 import type { HostPort } from '../../src/settings/node-settings.js';
 import type { GatewaySettings } from '../../src/gateway/settings.js';
 import { StandInReplica, type ReplicaBehaviour } from './stand-in-replica.js';
 import { StandInStore } from './stand-in-store.js';
 
-const SILENT_LOG = { write: () => undefined, writeTrace: () => undefined };
+/** Keeps what a gateway logs. */
+class KeptLog implements GatewayLog {
+  readonly lines: Parameters<GatewayLog['write']>[0][] = [];
+  readonly traces: WriteTrace[] = [];
+
+  write(line: Parameters<GatewayLog['write']>[0]): void {
+    this.lines.push(line);
+  }
+
+  writeTrace(trace: WriteTrace): void {
+    this.traces.push(trace);
+  }
+}
 
 /** An answer as a caller sees it. */
 export interface CallerAnswer {
@@ -61,15 +78,16 @@
  */
 const startOnFreePorts = async (
   settings: GatewaySettings,
+  log: GatewayLog,
   tries = PORT_TRIES,
 ): Promise<readonly [RunningGateway, GatewaySettings]> => {
   try {
-    return [await startGateway(settings, platformProtocol, SILENT_LOG), settings];
+    return [await startGateway(settings, platformProtocol, log), settings];
   } catch (error) {
     if ((error as NodeJS.ErrnoException).code !== 'EADDRINUSE' || tries <= 1) {
       throw error;
     }
-    return startOnFreePorts({ ...settings, ...(await freeAddresses()) }, tries - 1);
+    return startOnFreePorts({ ...settings, ...(await freeAddresses()) }, log, tries - 1);
   }
 };
 
@@ -106,6 +124,8 @@
 /** A store, replicas and a gateway in one process. */
 export class GatewayFixture {
   readonly replicas = new Map<string, StandInReplica>();
+  /** What the first gateway has logged. */
+  readonly log = new KeptLog();
   private gatewayProcess: RunningGateway | undefined;
   private readonly peers: RunningGateway[] = [];
   private version = 0;
@@ -155,7 +175,7 @@
   }
 
   async startGateway(): Promise<void> {
-    const [gateway, settings] = await startOnFreePorts(this.settings);
+    const [gateway, settings] = await startOnFreePorts(this.settings, this.log);
     this.gatewayProcess = gateway;
     this.settings = settings;
   }
@@ -198,6 +218,13 @@
     return this.version;
   }
 
+  /** The text that the gateway serves as its metrics. */
+  async readMetrics(path = '/metrics'): Promise<{ status: number; text: string }> {
+    const { host, port } = this.metrics;
+    const answer = await fetch(`http://${host}:${port}${path}`);
+    return { status: answer.status, text: await answer.text() };
+  }
+
   async untilInForce(version: number): Promise<void> {
     const isInForce = (): boolean => this.gateway.state.inForce?.configuration.version === version;
     await until(isInForce, `version ${version} is in force`);
@@ -243,7 +270,7 @@
   /** Starts one more gateway beside the first, with the same store. */
   async startPeer(node: string, capacity: number): Promise<RunningGateway> {
     const own = { ...this.settings, node, capacity, ...(await freeAddresses()) };
-    const [peer] = await startOnFreePorts(own);
+    const [peer] = await startOnFreePorts(own, new KeptLog());
     this.peers.push(peer);
     return peer;
   }
--- a/test/platform/gateway-metrics.test.ts
+++ b/test/platform/gateway-metrics.test.ts
@@ -16,19 +16,13 @@
   await fixture.stop();
 });
 
-const readMetrics = async (path = '/metrics'): Promise<{ status: number; text: string }> => {
-  const { host, port } = fixture.metrics;
-  const answer = await fetch(`http://${host}:${port}${path}`);
-  return { status: answer.status, text: await answer.text() };
-};
-
 describe('the metrics of a gateway', () => {
   it('count requests, attempts, latencies and calls to the store', async () => {
     await until(() => fixture.gateway.state.reading.isReading, 'the store is watched');
     await fixture.ask({ id: 'r-1', path: '/one/a' });
     await fixture.ask({ id: 'r-2', path: '/one/b' });
     await fixture.ask({ id: 'r-3', path: '/none/' });
-    const { text } = await readMetrics();
+    const { text } = await fixture.readMetrics();
     const lines = text.split('\n');
     const prefix = 'crossroad_gateway_';
     expect(lines).toContain(`${prefix}requests_total{route="desk-route",outcome="passed-on"} 2`);
@@ -44,9 +38,9 @@
   });
 
   it('are served at one path only, and again and again', async () => {
-    expect((await readMetrics('/')).status).toBe(404);
-    expect((await readMetrics()).status).toBe(200);
-    expect((await readMetrics()).status).toBe(200);
+    expect((await fixture.readMetrics('/')).status).toBe(404);
+    expect((await fixture.readMetrics()).status).toBe(200);
+    expect((await fixture.readMetrics()).status).toBe(200);
   });
 });
 
--- a/test/platform/raw-caller.ts
+++ b/test/platform/raw-caller.ts
@@ -64,6 +64,11 @@
     this.socket.write(text, 'latin1');
   }
 
+  /** Sends no more; answers are still read. */
+  endSending(): void {
+    this.socket.end();
+  }
+
   get answers(): readonly RawAnswer[] {
     return readAnswers(this.received);
   }
