Count and log what the callers' port refuses as no request

Cause: Node's server answered such bytes by itself; on-call could not tell a 4xx of the parser from none. Ruled out: a line for each, which a caller that sends nothing but garbage would fill the bounded log with. Change: the port tells the reducer of each such refusal it has sent; all are counted in requests_total with the problem as outcome, ten lines a second for each problem are logged with status, parser's code and address.

--- a/src/gateway/effect.ts
+++ b/src/gateway/effect.ts
@@ -202,7 +202,7 @@
 
 /** Parts of the gateway that log; each has a fixed prefix. */
 export type GatewayLogPart =
-  'request' | 'replica' | 'peer' | 'configuration' | 'store' | 'lifecycle';
+  'request' | 'caller' | 'replica' | 'peer' | 'configuration' | 'store' | 'lifecycle';
 
 /** Writes a line of the log. */
 export interface WriteLog {
--- a/src/gateway/event.ts
+++ b/src/gateway/event.ts
@@ -3,7 +3,13 @@
  * monotonic clock of the process; the reducer reads no other clock.
  */
 import type { PeerProblem, Subquery, SubqueryId, SubqueryPart } from './model/subquery.js';
-import type { AttemptId, AttemptResult, CallerRequest, CallId } from './model/request.js';
+import type {
+  AttemptId,
+  AttemptResult,
+  CallerRequest,
+  CallId,
+  UnreadableProblem,
+} from './model/request.js';
 import type { FollowerId, KnownRevisions, ReaderNews } from './readers/reader-news.js';
 import type { GatewaySettings } from './settings.js';
 import type { CollectionName } from './store/collection.js';
@@ -36,6 +42,18 @@
   readonly request: CallerRequest;
 }
 
+/** Something that is no request has come from a caller, and was refused. */
+export interface UnreadableRefused {
+  readonly type: 'unreadable-refused';
+  readonly at: number;
+  readonly problem: UnreadableProblem;
+  readonly status: number;
+  /** What the parser said. */
+  readonly detail: string;
+  /** Address of the caller. */
+  readonly from: string;
+}
+
 /** The caller has closed its connection before the answer. */
 export interface CallerLeft {
   readonly type: 'caller-left';
@@ -209,6 +227,7 @@
   | StopRequested
   | SettingsReloaded
   | RequestReceived
+  | UnreadableRefused
   | CallerLeft
   | AttemptEnded
   | RequestDue
--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -2,7 +2,12 @@
  * Everything that a gateway logs: decisions about requests, and changes of what it believes. Each has
  * a name, the inputs that decided, and a description for the reference.
  */
-import type { AttemptProblem, AttemptId, RefusalReason } from '../model/request.js';
+import type {
+  AttemptProblem,
+  AttemptId,
+  RefusalReason,
+  UnreadableProblem,
+} from '../model/request.js';
 import type { PeerProblem, SubqueryId } from '../model/subquery.js';
 
 /** Why an attempt was sent. */
@@ -127,6 +132,15 @@
       readonly previous?: number;
       readonly routes: number;
     }
+  | {
+      readonly event: 'request-unreadable';
+      readonly problem: UnreadableProblem;
+      readonly status: number;
+      readonly detail: string;
+      readonly from: string;
+      /** Others of the same problem since the last line about one. */
+      readonly unlogged: number;
+    }
   | { readonly event: 'store-lost' }
   | { readonly event: 'store-regained'; readonly lostForMs: number }
   | {
@@ -188,6 +202,8 @@
   'settings-reloaded': 'Changed settings were taken.',
   'settings-refused': 'Changed settings are wrong; the last good ones stay in force.',
   'configuration-in-force': 'A version of the configuration came into force.',
+  'request-unreadable':
+    'A caller sent something that is no request and was refused with `status`; at most ten lines a second for each problem.',
   'store-lost': 'A probe of the store was not answered in time.',
   'store-regained': 'The store answers again; what is read from it is read on.',
   'store-call-failed': 'A list or watch failed and is repeated after a pause.',
--- a/src/gateway/metrics/gateway-counters.ts
+++ b/src/gateway/metrics/gateway-counters.ts
@@ -10,7 +10,7 @@
 export const createGatewayCounters = () => ({
   requests: new CounterMetric({
     name: 'crossroad_gateway_requests_total',
-    help: 'Requests of callers that ended, by route and outcome.',
+    help: 'Requests of callers that ended, by route and outcome; what was refused has its reason as outcome.',
     labelNames: ['route', 'outcome'],
   }),
   requestDuration: new HistogramMetric(
--- a/src/gateway/reducer.ts
+++ b/src/gateway/reducer.ts
@@ -25,6 +25,7 @@
   takeSubqueryAnswer,
   takeSubqueryFailure,
 } from './requests/take-subquery-result.js';
+import { takeUnreadable } from './requests/take-unreadable.js';
 import { refuseAllHeld } from './requests/hold-request.js';
 import { takeCallerLeft, takeRequestDue, takeResult } from './requests/take-result.js';
 import type { GatewayState } from './state.js';
@@ -61,6 +62,7 @@
       return [];
     })
     .with({ type: 'request-received' }, (received) => acceptRequest(state, received))
+    .with({ type: 'unreadable-refused' }, (refused) => takeUnreadable(state, refused))
     .with({ type: 'caller-left' }, (left) => takeCallerLeft(state, left))
     .with({ type: 'attempt-ended' }, (ended) => takeResult(state, ended))
     .with({ type: 'request-due' }, (due) => takeRequestDue(state, due))
--- a/src/gateway/runtime/caller-port.ts
+++ b/src/gateway/runtime/caller-port.ts
@@ -56,7 +56,7 @@
 const headerBytes = ({ url = '', rawHeaders }: IncomingMessage): number =>
   rawHeaders.reduce((sum, { length }) => sum + length, url.length);
 
-/** Listens for callers; carries out `answer-caller`, emits `request-received` and `caller-left`. */
+/** Listens for callers; carries out `answer-caller`, emits `request-received`, `unreadable-refused` and `caller-left`. */
 export class CallerPort {
   private readonly server: Server;
   private readonly waiting = new Map<CallId, ServerResponse>();
@@ -196,8 +196,8 @@
   }
 
   /** Something came that is no request, or the connection broke. */
-  private takeError({ code }: NodeJS.ErrnoException, socket: Socket): void {
-    const unreadable = describeUnreadable(code);
+  private takeError(error: NodeJS.ErrnoException, socket: Socket): void {
+    const unreadable = describeUnreadable(error.code);
     const before = this.lastWaitingOn(socket);
     const hasLeft = unreadable?.problem === 'cut-off' && before !== undefined;
     if (unreadable === undefined || hasLeft) {
@@ -211,10 +211,14 @@
   }
 
   private refuseUnreadable(unreadable: UnreadableRequest, socket: Socket): void {
-    if (socket.writable) {
-      socket.write(formatUnreadable(unreadable));
-      socket.destroySoon();
+    if (!socket.writable) {
+      return;
     }
+    const { remoteAddress: from = '' } = socket;
+    socket.write(formatUnreadable(unreadable));
+    socket.destroySoon();
+    const { sink, clock } = this.context;
+    sink.emit({ type: 'unreadable-refused', at: clock.now(), from, ...unreadable });
   }
 
   /** The last request on a connection that has no answer yet. */
--- a/src/gateway/runtime/unreadable-request.ts
+++ b/src/gateway/runtime/unreadable-request.ts
@@ -6,12 +6,16 @@
 export interface UnreadableRequest {
   readonly problem: UnreadableProblem;
   readonly status: number;
+  /** Code of the error, for the log. */
+  readonly detail: string;
 }
 
-const MALFORMED: UnreadableRequest = { problem: 'malformed', status: 400 };
+type ProblemAndStatus = Pick<UnreadableRequest, 'problem' | 'status'>;
+
+const MALFORMED: ProblemAndStatus = { problem: 'malformed', status: 400 };
 
 /** Codes of Node's HTTP server (`clientError`) that say more than that the bytes are no request. */
-const BY_CODE: Readonly<Record<string, UnreadableRequest>> = {
+const BY_CODE: Readonly<Record<string, ProblemAndStatus>> = {
   HPE_INVALID_EOF_STATE: { problem: 'cut-off', status: 400 },
   ERR_HTTP_REQUEST_TIMEOUT: { problem: 'headers-late', status: 408 },
   HPE_CHUNK_EXTENSIONS_OVERFLOW: { problem: 'chunk-extensions-too-large', status: 413 },
@@ -22,8 +26,10 @@
 const PARSER_CODE = 'HPE_';
 
 /** Describes an error of a connection; undefined where the connection itself broke. */
-export const describeUnreadable = (code = ''): UnreadableRequest | undefined =>
-  BY_CODE[code] ?? (code.startsWith(PARSER_CODE) ? MALFORMED : undefined);
+export const describeUnreadable = (code = ''): UnreadableRequest | undefined => {
+  const known = BY_CODE[code] ?? (code.startsWith(PARSER_CODE) ? MALFORMED : undefined);
+  return known === undefined ? undefined : { ...known, detail: code };
+};
 
 /** The last answer on a connection. */
 export const formatUnreadable = ({ status }: UnreadableRequest): string => {
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -4,7 +4,7 @@
 import type { RequestReceived } from './event.js';
 import { createGatewayCounters, type GatewayCounters } from './metrics/gateway-counters.js';
 import type { GatewayConfiguration } from './model/route.js';
-import type { AttemptId, CallId } from './model/request.js';
+import type { AttemptId, CallId, UnreadableProblem } from './model/request.js';
 import type { SubqueryId } from './model/subquery.js';
 import { createDelayEstimate, type DelayEstimate } from './delay-estimate.js';
 import type { FeederPlan } from './peers/feeder-plan.js';
@@ -14,6 +14,7 @@
 import type { ActiveAttempt, ActiveRequest } from './requests/request-state.js';
 import { createPauseOutcomes, type PauseOutcomes } from './requests/pause-outcomes.js';
 import type { RouteLatency } from './requests/route-latency.js';
+import type { UnreadableLog } from './requests/take-unreadable.js';
 import type { RouteTable } from './routing/route-table.js';
 import type { SplitCursor } from './routing/split-cursor.js';
 import type { GatewaySettings } from './settings.js';
@@ -104,6 +105,8 @@
   nextAttempt: AttemptId;
   readonly budgets: Map<string, RetryBudget>;
   readonly latencies: Map<string, RouteLatency>;
+  /** What was logged lately of what callers sent that is no request. */
+  readonly unreadableLogs: Map<UnreadableProblem, UnreadableLog>;
   /** How waits for a replica have ended, by service. */
   readonly pauseOutcomes: Map<string, PauseOutcomes>;
   readonly splits: Map<string, SplitCursor>;
@@ -150,6 +153,7 @@
   nextAttempt: 1,
   budgets: new Map(),
   latencies: new Map(),
+  unreadableLogs: new Map(),
   pauseOutcomes: new Map(),
   splits: new Map(),
   counters: createGatewayCounters(),
--- a/test/platform/refused-requests.test.ts
+++ b/test/platform/refused-requests.test.ts
@@ -54,7 +54,7 @@
 
 describe('what cannot be read as a request', () => {
   const unreadable = () =>
-    fixture.log.lines.filter(({ change }) => (change.event as string) === 'request-unreadable');
+    fixture.log.lines.filter(({ change }) => change.event === 'request-unreadable');
 
   it.each<readonly [string, number, string, string]>([
     ['malformed', 400, 'HPE_INVALID_METHOD', 'no request at all\r\n\r\n'],
