Keep connections to replicas after HEAD and after bodies with any method

Cause: as of the test before: undici sets a connection to close after them unless told otherwise. Ruled out: to tell the pool that such a connection is not reusable: each of these requests would cost a new connection, which replicas make dear. Change: requests are dispatched with 'reset: false'.

--- a/src/gateway/runtime/replica-connection.ts
+++ b/src/gateway/runtime/replica-connection.ts
@@ -68,6 +68,9 @@
         path: request.path,
         headers: request.headers,
         body: request.body,
+        // The client would close the connection after HEAD and after bodies that a method does not expect, and
+        // the pool would give the next request to it. Bytes that follow an answer close it in any case.
+        reset: false,
       },
       handler,
     );
