Tests that a 404 tells the age of its version, and refusals before any attempt their reason

Cause: whether a 404 was wrong hangs on how long the version has been in force at that gateway; its line gave only the number. 'crossroad explain' told of an objective of 0 ms and of no shards where none had been asked. Ruled out: the host, the path and the version are logged already. Measured: npx vitest run test/gateway/explain.test.ts test/gateway/requests.test.ts: three fail. The test of the sentence about routes is replaced by one that asks for the age besides.

--- a/test/gateway/explain.test.ts
+++ b/test/gateway/explain.test.ts
@@ -41,10 +41,19 @@
     expect(explain([sent(1, 'a'), denied, refused])).toContain('denied by the retry budget');
   });
 
-  it('names what fits no route', () => {
-    const noRoute = { host: 'shop.example', path: '/none/x', version: 7 };
+  it('names what fits no route, and how long the version is in force', () => {
+    const noRoute = { host: 'shop.example', path: '/none/x', version: 7, versionAgeMs: 2_400 };
     const refused = answered({ outcome: 'refused', reason: 'no-route', noRoute });
-    expect(explain([refused])).toBe('refused: no route of version 7 fits shop.example/none/x');
+    expect(explain([refused])).toBe(
+      'refused: no route of version 7, in force for 2400 ms, fits shop.example/none/x',
+    );
+  });
+
+  it('names the reason of a refusal before any shard was asked', () => {
+    const refused = answered({ outcome: 'refused', reason: 'body-too-large', objectiveMs: 0 });
+    expect(explain([refused])).toBe(
+      'refused after 87 ms (body-too-large) before any replica was asked',
+    );
   });
 
   it('tells a late answer by its last part, and a caller that left', () => {
--- a/test/gateway/requests.test.ts
+++ b/test/gateway/requests.test.ts
@@ -363,3 +363,18 @@
     expect(new Set(waits).size).toBeGreaterThan(6);
   });
 });
+
+describe('a request that fits no route', () => {
+  it('is logged with the version in force and its age', () => {
+    const gateway = new VirtualGateway();
+    gateway.configure(30, [routeTo(SERVICE, { pathPrefix: '/other/' })]);
+    gateway.listReplicas(['s0']);
+    gateway.now = 2_400;
+    gateway.request();
+    const decisions = gateway.effects.flatMap((effect) =>
+      effect.type === 'write-trace' ? effect.decisions.map(({ decision }) => decision) : [],
+    );
+    const noRoute = { host: 'shop.example', path: '/x', version: 30, versionAgeMs: 2_400 };
+    expect(decisions).toMatchObject([{ event: 'request-answered', reason: 'no-route', noRoute }]);
+  });
+});
