Tell the age of the version with a 404, and in explain the reason of early refusals

Ruled out: to log what a gateway believes of its readers with each 404; reader-followed, reading-changed and store-lost tell that. Change: noRoute has versionAgeMs; explain says it, and names the reason alone where no replica was asked.

--- a/src/gateway/explain/find-cause.ts
+++ b/src/gateway/explain/find-cause.ts
@@ -50,6 +50,14 @@
     : `the last part came from ${slowest.replica} after ${slowest.elapsedMs} ms`;
 };
 
+const describeNoRoute = ({
+  host,
+  path,
+  version,
+  versionAgeMs,
+}: NonNullable<LineOf<'request-answered'>['noRoute']>): string =>
+  `refused: no route of version ${version}, in force for ${versionAgeMs} ms, fits ${host}${path}`;
+
 const explainAnswer = (
   lines: readonly RequestLine[],
   answer: LineOf<'request-answered'>,
@@ -59,8 +67,10 @@
   switch (outcome) {
     case 'refused':
       if (answer.noRoute !== undefined) {
-        const { host, path, version } = answer.noRoute;
-        return `refused: no route of version ${version} fits ${host}${path}`;
+        return describeNoRoute(answer.noRoute);
+      }
+      if (missing.length === 0) {
+        return `refused after ${elapsedMs} ms (${answer.reason ?? 'unknown'}) before any replica was asked`;
       }
       return `refused ${time} (${answer.reason ?? 'unknown'}); ${describeMissing(lines, missing)}`;
     case 'partial':
--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -97,11 +97,12 @@
       readonly status?: number;
       readonly reason?: RefusalReason;
       readonly mayHaveRun?: boolean;
-      /** What fitted no route, and the version in force; present where that is the reason. */
+      /** What fitted no route, the version in force and since when; present where that is the reason. */
       readonly noRoute?: {
         readonly host: string;
         readonly path: string;
         readonly version: number;
+        readonly versionAgeMs: number;
       };
       readonly missing: readonly string[];
       readonly objectiveMs: number;
--- a/src/gateway/requests/finish.ts
+++ b/src/gateway/requests/finish.ts
@@ -93,10 +93,12 @@
 const describeNoRoute = (
   { inForce }: GatewayState,
   { host, path }: RequestReceived['request'],
+  at: number,
 ): NonNullable<AnswerDecision['noRoute']> => ({
   host,
   path,
   version: inForce?.configuration.version ?? 0,
+  versionAgeMs: Math.round(at - (inForce?.since ?? at)),
 });
 
 /** Refuses a call before anything was sent to a replica; `at` is now, when the call was held. */
@@ -114,7 +116,7 @@
     outcome: 'refused',
     reason,
     mayHaveRun: false,
-    ...(reason === 'no-route' && { noRoute: describeNoRoute(state, request) }),
+    ...(reason === 'no-route' && { noRoute: describeNoRoute(state, request, at) }),
     missing: [],
     objectiveMs: 0,
     elapsedMs: Math.round(at - receivedAt),
