Break the import circle between the state and the refusals of what is no request

Cause: test/docs/import-circles.test.ts: the state named a type of a module that names the state. Ruled out: to list the circle as known. Change: the bound on lines stands in a module of its own.

--- a/src/gateway/requests/take-unreadable.ts
+++ b/src/gateway/requests/take-unreadable.ts
@@ -3,19 +3,7 @@
 import type { UnreadableRefused } from '../event.js';
 import type { BeliefChange } from '../log/log-event.js';
 import type { GatewayState } from '../state.js';
-
-/** What was logged lately of one problem. */
-export interface UnreadableLog {
-  readonly loggedAt: number;
-  /** Refused since then without a line. */
-  readonly unlogged: number;
-}
-
-/**
- * Least time between two lines about one problem, in milliseconds: a tenth of the lines that a gateway may
- * write, so that a caller that sends nothing else leaves room for the others.
- */
-const LOG_INTERVAL_MS = 100;
+import { mayLog, NOTHING_LOGGED } from './unreadable-log.js';
 
 /** Handles `unreadable-refused`. */
 export const takeUnreadable = (
@@ -23,12 +11,10 @@
   { problem, status, detail, from, at }: UnreadableRefused,
 ): GatewayEffect[] => {
   counters.requests.add('', problem);
-  const { loggedAt, unlogged } = unreadableLogs.get(problem) ?? {
-    loggedAt: Number.NEGATIVE_INFINITY,
-    unlogged: 0,
-  };
-  if (at - loggedAt < LOG_INTERVAL_MS) {
-    unreadableLogs.set(problem, { loggedAt, unlogged: unlogged + 1 });
+  const log = unreadableLogs.get(problem) ?? NOTHING_LOGGED;
+  const { unlogged } = log;
+  if (!mayLog(log, at)) {
+    unreadableLogs.set(problem, { ...log, unlogged: unlogged + 1 });
     return [];
   }
   unreadableLogs.set(problem, { loggedAt: at, unlogged: 0 });
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -14,7 +14,7 @@
 import type { ActiveAttempt, ActiveRequest } from './requests/request-state.js';
 import { createPauseOutcomes, type PauseOutcomes } from './requests/pause-outcomes.js';
 import type { RouteLatency } from './requests/route-latency.js';
-import type { UnreadableLog } from './requests/take-unreadable.js';
+import type { UnreadableLog } from './requests/unreadable-log.js';
 import type { RouteTable } from './routing/route-table.js';
 import type { SplitCursor } from './routing/split-cursor.js';
 import type { GatewaySettings } from './settings.js';
