Guard that a caller which stops in the middle of a request has left

Cause: the port treats such an end in two ways, with and without a request before it; only one was tested. Ruled out: that its earlier request runs on at the replica.

--- a/test/platform/refused-requests.test.ts
+++ b/test/platform/refused-requests.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { Decision } from '../../src/gateway/log/log-event.js';
-import { GatewayFixture, LIMITS, routeSpec } from './gateway-fixture.js';
+import { GatewayFixture, LIMITS, routeSpec, until } from './gateway-fixture.js';
 import { RawCaller, requestHead } from './raw-caller.js';
 
 let fixture: GatewayFixture;
@@ -92,4 +92,16 @@
     expect(await countOf('cut-off')).toBe(1);
     expect(unreadable()).toMatchObject([{ change: { problem: 'cut-off', status: 400 } }]);
   });
+
+  it('takes the requests before it away from the replicas when its caller stops in the middle', async () => {
+    const replica = await fixture.addReplica('slow-1', 'slow', { workMs: 2_000 });
+    const route = routeSpec({ path_prefix: '/slow/', service: 'slow' });
+    await fixture.untilInForce(fixture.configure([route], ['slow']));
+    caller.send(`${requestHead('GET /slow/x')}GET /slow/y HTTP/1.1\r\nHo`);
+    await until(() => replica.arrived.length === 1, 'the request has arrived');
+    caller.endSending();
+    await until(() => replica.arrived[0]?.left === true, 'the replica has seen the end');
+    expect(fixture.gateway.state.requests.size).toBe(0);
+    expect(unreadable()).toEqual([]);
+  });
 });
