--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -2,7 +2,12 @@
  * Everything that a gateway logs: decisions about requests, and changes of what it believes. Each has
  * a name, the inputs that decided, and a description for the reference.
  */
-import type { AttemptProblem, AttemptId, RefusalReason } from '../model/request.js';
+import type {
+  AttemptProblem,
+  AttemptId,
+  RefusalReason,
+  UnreadableProblem,
+} from '../model/request.js';
 import type { PeerProblem, SubqueryId } from '../model/subquery.js';
 
 /** Why an attempt was sent. */
@@ -92,11 +97,12 @@
       readonly status?: number;
       readonly reason?: RefusalReason;
       readonly mayHaveRun?: boolean;
-      /** What fitted no route, and the version in force; present where that is the reason. */
+      /** What fitted no route, the version in force and since when; present where that is the reason. */
       readonly noRoute?: {
         readonly host: string;
         readonly path: string;
         readonly version: number;
+        readonly versionAgeMs: number;
       };
       readonly missing: readonly string[];
       readonly objectiveMs: number;
@@ -135,6 +141,15 @@
       readonly unconfirmedMs?: number;
     }
   | { readonly event: 'object-unreadable'; readonly collection: string; readonly name: string }
+  | {
+      readonly event: 'request-unreadable';
+      readonly problem: UnreadableProblem;
+      readonly status: number;
+      readonly detail: string;
+      readonly from: string;
+      /** Others of the same problem since the last line about one. */
+      readonly unlogged: number;
+    }
   | { readonly event: 'store-lost' }
   | { readonly event: 'store-regained'; readonly lostForMs: number }
   | {
@@ -210,6 +225,8 @@
     'A version of the configuration came into force; it is late by `unconfirmedMs` at most.',
   'object-unreadable':
     'An object of the store has content that this gateway cannot read; what was known of it stays in force.',
+  'request-unreadable':
+    'A caller sent something that is no request and was refused with `status`; at most ten lines a second for each problem.',
   'store-lost': 'A probe of the store was not answered in time.',
   'store-regained': 'The store answers again; what is read from it is read on.',
   'store-call-failed': 'A list or watch failed and is repeated after a pause.',
--- a/src/gateway/requests/finish.ts
+++ b/src/gateway/requests/finish.ts
@@ -17,16 +17,20 @@
 
 const FIRST_FAILURE_STATUS = 500;
 
-/** Answers a call that has no request in progress, or whose request ends now. */
+/**
+ * Answers a call that has no request in progress, or whose request ends now. The connection is closed where
+ * the rest of the request is not wanted.
+ */
 export const answerCall = (
   state: GatewayState,
   call: CallId,
   response: CallerResponse,
+  isReadWhole = true,
 ): GatewayEffect => ({
   type: 'answer-caller',
   call,
   response,
-  closeConnection: state.phase === 'stopping',
+  closeConnection: state.phase === 'stopping' || !isReadWhole,
 });
 
 const missingShards = ({ legs }: ActiveRequest): readonly string[] =>
@@ -89,10 +93,12 @@
 const describeNoRoute = (
   { inForce }: GatewayState,
   { host, path }: RequestReceived['request'],
+  at: number,
 ): NonNullable<AnswerDecision['noRoute']> => ({
   host,
   path,
   version: inForce?.configuration.version ?? 0,
+  versionAgeMs: Math.round(at - (inForce?.since ?? at)),
 });
 
 /** Refuses a call before anything was sent to a replica; `at` is now, when the call was held. */
@@ -110,14 +116,14 @@
     outcome: 'refused',
     reason,
     mayHaveRun: false,
-    ...(reason === 'no-route' && { noRoute: describeNoRoute(state, request) }),
+    ...(reason === 'no-route' && { noRoute: describeNoRoute(state, request, at) }),
     missing: [],
     objectiveMs: 0,
     elapsedMs: Math.round(at - receivedAt),
   };
   state.counters.requests.add('', reason);
   return [
-    answerCall(state, call, response),
+    answerCall(state, call, response, request.excess === undefined),
     ...writeTrace(request.requestId, [{ at, decision }], true),
   ];
 };
--- /dev/null
+++ b/src/gateway/requests/take-unreadable.ts
@@ -0,0 +1,30 @@
+/** Counts and logs what callers sent that is no request; the callers' port has refused it. */
+import type { GatewayEffect } from '../effect.js';
+import type { UnreadableRefused } from '../event.js';
+import type { BeliefChange } from '../log/log-event.js';
+import type { GatewayState } from '../state.js';
+import { mayLog, NOTHING_LOGGED } from './unreadable-log.js';
+
+/** Handles `unreadable-refused`. */
+export const takeUnreadable = (
+  { counters, unreadableLogs }: GatewayState,
+  { problem, status, detail, from, at }: UnreadableRefused,
+): GatewayEffect[] => {
+  counters.requests.add('', problem);
+  const log = unreadableLogs.get(problem) ?? NOTHING_LOGGED;
+  const { unlogged } = log;
+  if (!mayLog(log, at)) {
+    unreadableLogs.set(problem, { ...log, unlogged: unlogged + 1 });
+    return [];
+  }
+  unreadableLogs.set(problem, { loggedAt: at, unlogged: 0 });
+  const change: BeliefChange = {
+    event: 'request-unreadable',
+    problem,
+    status,
+    detail,
+    from,
+    unlogged,
+  };
+  return [{ type: 'write-log', level: 'warn', part: 'caller', change }];
+};
--- a/test/platform/stand-in-replica.ts
+++ b/test/platform/stand-in-replica.ts
@@ -2,6 +2,9 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 
+/** Far above what a test sends: what a caller may send is for the gateway to say. */
+const MAX_HEADER_BYTES = 1_048_576;
+
 /** How a replica treats a request. */
 export interface ReplicaBehaviour {
   /** Time that it works on a request, in milliseconds. */
@@ -12,6 +15,8 @@
   silent: boolean;
   /** Answers with a status of its own. */
   status: number;
+  /** Signs its answers. */
+  signed: boolean;
   body: Buffer;
 }
 
@@ -53,13 +58,15 @@
     behaviour: Partial<ReplicaBehaviour> = {},
     port = 0,
   ): Promise<StandInReplica> {
-    const server = createServer({ keepAliveTimeout: 30_000 });
+    const server = createServer({ keepAliveTimeout: 30_000, maxHeaderSize: MAX_HEADER_BYTES });
+    server.maxHeadersCount = 0;
     await new Promise<void>((resolve) => server.listen(port, '127.0.0.1', resolve));
     const replica = new StandInReplica(server, id, (server.address() as AddressInfo).port, {
       workMs: 0,
       slots: 100,
       silent: false,
       status: 200,
+      signed: true,
       body: Buffer.from(id.padEnd(16, '.').slice(0, 16)),
       ...behaviour,
     });
@@ -106,14 +113,14 @@
 
   private answer(id: string, outgoing: ServerResponse): void {
     this.running -= 1;
-    const { silent, status, body } = this.behaviour;
+    const { silent, status, signed, body } = this.behaviour;
     if (silent || outgoing.destroyed) {
       return;
     }
     this.signatures += 1;
     outgoing.writeHead(status, {
       'x-request-id': id,
-      'x-server-stamp': `${this.id}.${this.signatures}`,
+      ...(signed && { 'x-server-stamp': `${this.id}.${this.signatures}` }),
       'x-server-load': `${this.running},0,${this.behaviour.slots}`,
       'content-length': body.length,
     });
