--- a/scenarios/platform/compare/figures.d.mts
+++ b/scenarios/platform/compare/figures.d.mts
@@ -5,6 +5,7 @@
   readonly arrivals: number;
   readonly all: { readonly n: number; readonly in_aim: number; readonly not_owed: number };
   readonly services: readonly { readonly again: number }[];
+  readonly parts: readonly (readonly [name: string, weight: number, earned: number])[];
   readonly prices: readonly (readonly [name: string, amount: number, price: number])[];
   readonly breaks: Readonly<Record<string, unknown>>;
   readonly fault: string | null;
--- a/scenarios/platform/compare/figures.mjs
+++ b/scenarios/platform/compare/figures.mjs
@@ -3,6 +3,7 @@
 /** What is compared, in the order of the table; `digits` are those after the point. */
 export const FIGURES = [
   { name: 'worth', digits: 4 },
+  { name: 'credit', digits: 4 },
   { name: 'in aim', digits: 4 },
   { name: 'arrivals', digits: 0 },
   { name: 'again', digits: 0 },
@@ -25,6 +26,18 @@
 /** A site with one region has no price for bytes between regions. */
 const BYTES_BETWEEN = ['GB between zones', 'GB between regions'];
 
+/**
+ * The share of the whole day's credit that was earned, before prices. Worth also counts the share served in nines,
+ * in which a single request of a calm day weighs more than all that is compared.
+ */
+const wholeDayCredit = ({ parts }) => {
+  const found = parts.find(([name]) => name === 'whole day');
+  if (found === undefined) {
+    throw new Error('the report has no part for the whole day');
+  }
+  return found[2];
+};
+
 /** Requests answered within their objective, of those that were owed an answer. */
 const shareInAim = ({ all }) => all.in_aim / (all.n - all.not_owed);
 
@@ -35,6 +48,7 @@
 export const readFigures = (report) => {
   return {
     worth: report.G,
+    credit: wholeDayCredit(report),
     'in aim': shareInAim(report),
     arrivals: report.arrivals,
     again: report.services.reduce((sum, { again }) => sum + again, 0),
--- a/test/platform/compare.test.ts
+++ b/test/platform/compare.test.ts
@@ -75,6 +75,7 @@
     G: 0.72,
     arrivals: 900,
     all: { n: 110, in_aim: 80, not_owed: 10 },
+    parts: [['whole day', 0.4, 0.95]] as const,
     services: [{ again: 3 }, { again: 4 }],
     prices: [
       ['GB between zones', 0.25, 0.1],
@@ -89,6 +90,7 @@
   it('are amounts, not prices', () => {
     expect(readFigures(report)).toEqual({
       worth: 0.72,
+      credit: 0.95,
       'in aim': 0.8,
       arrivals: 900,
       again: 7,
@@ -110,6 +112,7 @@
     });
     expect(() => readFigures(without('GB'))).toThrow(/GB between zones or GB between regions/);
     expect(() => readFigures(without('cloud'))).toThrow(/cloud calls/);
+    expect(() => readFigures({ ...report, parts: [] })).toThrow(/whole day/);
   });
 
   it('come with what makes a day count 0', () => {
