A gather whose caller's time ends before its objective is answered with what is in

Cause: at the caller's deadline a gather with enough parts in was refused ("deadline") where the objective lay later: a retry with little time left, or a budget shorter than the objective. Ruled out: answering at the deadline only after the objective (the state before): test "answers with what is in where its caller has less time than the objective" fails on it, and passes now. Change: progress.ts answers at the earlier of objective and deadline.

--- a/src/gateway/requests/progress.ts
+++ b/src/gateway/requests/progress.ts
@@ -18,6 +18,14 @@
 const canComplete = (request: ActiveRequest, needed: number): boolean =>
   request.answeredLegs + request.openLegs >= needed;
 
+/**
+ * When a gather is answered with what is in, if that is enough. Before the objective each further part adds to the
+ * answer's worth and waiting costs nothing; an answer after it counts little, whole or not. A caller whose time ends
+ * before the objective gets what is in, not a refusal.
+ */
+const answerAt = ({ objectiveAt, deadlineAt }: ActiveRequest): number =>
+  Math.min(objectiveAt, deadlineAt);
+
 const progressGather = (
   state: GatewayState,
   request: ActiveRequest,
@@ -29,7 +37,7 @@
     return giveUp(state, request, reasonOf(request), at);
   }
   const isEnough = request.answeredLegs >= needed;
-  const mustAnswer = request.openLegs === 0 || at >= request.objectiveAt;
+  const mustAnswer = request.openLegs === 0 || at >= answerAt(request);
   if (isEnough && mustAnswer) {
     return finishGather(state, request, target.maxRecords, at);
   }
--- a/test/gateway/requests.test.ts
+++ b/test/gateway/requests.test.ts
@@ -48,6 +48,14 @@
     expect(gateway.answers.get(call)).toMatchObject({ type: 'merged', missingShards: 1 });
   });
 
+  it('answers with what is in where its caller has less time than the objective', () => {
+    const gateway = gatewayWith(10, 0.8);
+    const call = gateway.request(50);
+    answerFirst(gateway, 9, 10);
+    gateway.advanceTo(50);
+    expect(gateway.answers.get(call)).toMatchObject({ type: 'merged', missingShards: 1 });
+  });
+
   it('answers as soon as the least coverage is in once the objective has passed', () => {
     const gateway = gatewayWith(10, 0.8);
     const call = gateway.request();
