--- a/scenarios/platform/compare/table.mjs
+++ b/scenarios/platform/compare/table.mjs
@@ -3,7 +3,7 @@
 import { groupByDay, pairPlays, summarize } from './paired.mjs';
 
 const COLUMN_WIDTH = 18;
-const LABEL_WIDTH = 44;
+const LABEL_WIDTH = 64;
 
 const formatRow = (label, cells) =>
   label.padEnd(LABEL_WIDTH) + cells.map((cell) => cell.padStart(COLUMN_WIDTH)).join('');
