Take the row of ports of the README's walk below those of connections

Cause: test/docs/walk.test.ts failed (EADDRINUSE) in each run beside soaks: 13,000 to 25,000 connections of other tests stood closed among the kernel's 28,000 ports, and its row of replicas' ports lay among them.

Change: the row is drawn below the kernel's range; the test's assertions and tries are as they were.

--- a/test/docs/walk.test.ts
+++ b/test/docs/walk.test.ts
@@ -5,10 +5,12 @@
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
-import { findFreePorts } from '../../src/rig/free-ports.js';
 import { type CompiledSource, compileSource } from '../runtime/compiled-source.js';
 import { listCodeLines } from './documented-commands.js';
 
+const LOWEST_ROW_START = 20_000;
+const HIGHEST_ROW_START = 32_000;
+
 const ROOT = fileURLToPath(new URL('../..', import.meta.url));
 const HEADING = '## From an empty table to the first query';
 /** Another program may take a port of the replicas' row before they do; then other ports are tried. */
@@ -70,10 +72,17 @@
   return { code, out, errors };
 };
 
+/**
+ * The first port of a row below those that the kernel gives to connections (32768 and up): tests beside this one
+ * open thousands, and a row among them is never free.
+ */
+const drawRowStart = (): number =>
+  LOWEST_ROW_START + Math.floor(Math.random() * (HIGHEST_ROW_START - LOWEST_ROW_START));
+
 /** Starts the replicas on a row of ports that nobody else uses; gives the first. */
 const startReplicas = async (line: string): Promise<number> => {
   for (let attempt = 1; ; attempt += 1) {
-    const [first = 0] = await findFreePorts(1);
+    const first = drawRowStart();
     try {
       await startUntil(`${line} --first-port ${first}`, /Serving \d+ replicas/);
       return first;
