Stand-ins of the platform tell what happens at them and misbehave in more ways

Cause: the soak of the gateway needs to see each arrival, answer and end of work at the replicas, and faults of the store that the stand-in did not have.

Ruled out: second stand-ins for the soak; the ones of the tests are extended.

Change: replicas have an observer, bodies by signature, work by path, and lose answers; the store takes PUT, delays or mutes watches, and loses answers. Configurations as the operator writes them move to operator-spec.ts.

--- a/test/platform/early-port.test.ts
+++ b/test/platform/early-port.test.ts
@@ -9,7 +9,8 @@
 import { platformProtocol } from '../../platform/protocol.js';
 import { openEarlyPort } from '../../src/gateway/runtime/early-port.js';
 import { startGateway } from '../../src/gateway/runtime/start-gateway.js';
-import { freeAddress, GatewayFixture, routeSpec } from './gateway-fixture.js';
+import { freeAddress, GatewayFixture } from './gateway-fixture.js';
+import { routeSpec } from './operator-spec.js';
 import { settingsFileOf } from './settings-file.js';
 
 const SILENT_LOG = { write: () => undefined, writeTrace: () => undefined };
--- a/test/platform/feeders.test.ts
+++ b/test/platform/feeders.test.ts
@@ -1,7 +1,8 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { RunningGateway } from '../../src/gateway/runtime/start-gateway.js';
 import { feederPlan } from '../../src/gateway/peers/service-share.js';
-import { GatewayFixture, routeSpec, until } from './gateway-fixture.js';
+import { GatewayFixture, until } from './gateway-fixture.js';
+import { routeSpec } from './operator-spec.js';
 
 const SHARDS = Array.from({ length: 12 }, (_, index) => `shard-${index}`);
 
--- a/test/platform/gateway-fixture.ts
+++ b/test/platform/gateway-fixture.ts
@@ -6,6 +6,7 @@
 import { type RunningGateway, startGateway } from '../../src/gateway/runtime/start-gateway.js';
 import type { HostPort } from '../../src/settings/node-settings.js';
 import type { GatewaySettings } from '../../src/gateway/settings.js';
+import { configurationSpec } from './operator-spec.js';
 import { StandInReplica, type ReplicaBehaviour } from './stand-in-replica.js';
 import { StandInStore } from './stand-in-store.js';
 
@@ -83,26 +84,6 @@
   }
 };
 
-/** Limits of a configuration. */
-export const LIMITS = {
-  max_header_bytes: 16_384,
-  max_body_bytes: 262_144,
-  header_timeout_ms: 3_000,
-  idle_timeout_ms: 15_000,
-};
-
-/** A route as the operator writes it; the rest is filled in. */
-export const routeSpec = (fields: Readonly<Record<string, unknown>>): unknown => ({
-  name: `route-${JSON.stringify(fields['path_prefix'])}`,
-  host: 'shop.example',
-  kind: 'safe',
-  timeout_ms: 2_000,
-  target_ms: 400,
-  priority: 1,
-  max_attempts: 2,
-  ...fields,
-});
-
 /** A store, replicas and a gateway in one process. */
 export class GatewayFixture {
   readonly replicas = new Map<string, StandInReplica>();
@@ -182,13 +163,8 @@
   /** Writes the next version of the configuration. */
   configure(routes: readonly unknown[], services: readonly string[], maxConnections = 26): number {
     this.version += 3;
-    const listed = services.map((name) => ({
-      name,
-      health_path: '/health',
-      max_conns: maxConnections,
-    }));
-    const spec = { version: this.version, routes, services: listed, limits: LIMITS };
-    this.store.put('config', 'main', spec);
+    const { version } = this;
+    this.store.put('config', 'main', configurationSpec(version, routes, services, maxConnections));
     return this.version;
   }
 
--- a/test/platform/gateway-load.ts
+++ b/test/platform/gateway-load.ts
@@ -1,6 +1,7 @@
 /** Drives a gateway with gathers at a fixed rate, to measure what a leg costs. Not a test. */
 import { setTimeout as delay } from 'node:timers/promises';
-import { GatewayFixture, routeSpec } from './gateway-fixture.js';
+import { GatewayFixture } from './gateway-fixture.js';
+import { routeSpec } from './operator-spec.js';
 import { settingsFileOf } from './settings-file.js';
 
 const SHARDS = 20;
--- a/test/platform/gateway-metrics.test.ts
+++ b/test/platform/gateway-metrics.test.ts
@@ -1,6 +1,7 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { CounterMetric, HistogramMetric } from '../../src/gateway/metrics/metric-series.js';
-import { GatewayFixture, routeSpec, until } from './gateway-fixture.js';
+import { GatewayFixture, until } from './gateway-fixture.js';
+import { routeSpec } from './operator-spec.js';
 
 let fixture: GatewayFixture;
 
--- a/test/platform/gateway-store.test.ts
+++ b/test/platform/gateway-store.test.ts
@@ -1,5 +1,6 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import { GatewayFixture, routeSpec, until } from './gateway-fixture.js';
+import { GatewayFixture, until } from './gateway-fixture.js';
+import { routeSpec } from './operator-spec.js';
 
 let fixture: GatewayFixture;
 
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -1,6 +1,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import { GatewayFixture, routeSpec, until } from './gateway-fixture.js';
+import { GatewayFixture, until } from './gateway-fixture.js';
+import { routeSpec } from './operator-spec.js';
 
 /** Well before the 2 s of a caller; exact times are checked in virtual time. */
 const BEFORE_DEADLINE_MS = 1_200;
--- /dev/null
+++ b/test/platform/operator-spec.ts
@@ -0,0 +1,68 @@
+/** Configurations as the platform's operator writes them into the store. */
+
+const LIMITS = {
+  max_header_bytes: 16_384,
+  max_body_bytes: 262_144,
+  header_timeout_ms: 3_000,
+  idle_timeout_ms: 15_000,
+};
+
+/** A route as the operator writes it; the rest is filled in. */
+export const routeSpec = (fields: Readonly<Record<string, unknown>>): unknown => ({
+  name: `route-${JSON.stringify(fields['path_prefix'])}`,
+  host: 'shop.example',
+  kind: 'safe',
+  timeout_ms: 2_000,
+  target_ms: 400,
+  priority: 1,
+  max_attempts: 2,
+  ...fields,
+});
+
+/** Services of one configuration, all with the same bound on the connections of a replica. */
+const serviceSpecs = (services: readonly string[], maxConnections: number): readonly unknown[] =>
+  services.map((name) => ({ name, health_path: '/health', max_conns: maxConnections }));
+
+/** A whole configuration, as it stands in the store under `config/main`. */
+export const configurationSpec = (
+  version: number,
+  routes: readonly unknown[],
+  services: readonly string[],
+  maxConnections: number,
+): unknown => ({
+  version,
+  routes,
+  services: serviceSpecs(services, maxConnections),
+  limits: LIMITS,
+});
+
+/** What a route does, in the terms of the product. */
+export interface OperatorRoute {
+  readonly name: string;
+  readonly pathPrefix: string;
+  readonly repeatable: boolean;
+  readonly maxAttempts: number;
+  /** Services that take its requests: one, those of a split with equal weights, or all shards. */
+  readonly services: readonly string[];
+  readonly gather?: { readonly maxRecords: number; readonly minCoverage: number };
+}
+
+const targetSpec = ({ services, gather }: OperatorRoute): Readonly<Record<string, unknown>> => {
+  if (gather !== undefined) {
+    return { gather: services, top_k: gather.maxRecords, min_coverage: gather.minCoverage };
+  }
+  const [service] = services;
+  return services.length === 1
+    ? { service }
+    : { split: services.map((each) => ({ service: each, weight: 1 })) };
+};
+
+/** The route as the operator writes it. */
+export const operatorRouteSpec = (route: OperatorRoute): unknown =>
+  routeSpec({
+    name: route.name,
+    path_prefix: route.pathPrefix,
+    kind: route.repeatable ? 'safe' : 'unsafe',
+    max_attempts: route.maxAttempts,
+    ...targetSpec(route),
+  });
--- a/test/platform/process.test.ts
+++ b/test/platform/process.test.ts
@@ -6,7 +6,8 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { afterAll, afterEach, beforeAll, beforeEach, describe, expect, it } from 'vitest';
 import { type CompiledSource, bundlePlatform } from '../runtime/compiled-source.js';
-import { GatewayFixture, routeSpec } from './gateway-fixture.js';
+import { GatewayFixture } from './gateway-fixture.js';
+import { routeSpec } from './operator-spec.js';
 import { settingsFileOf } from './settings-file.js';
 
 let source: CompiledSource;
--- a/test/platform/stand-in-replica.ts
+++ b/test/platform/stand-in-replica.ts
@@ -13,6 +13,24 @@
   /** Answers with a status of its own. */
   status: number;
   body: Buffer;
+  /** Body of the answer with a signature; absent where all answers have `body`. */
+  bodyOf?: (signature: string) => Buffer;
+  /** Time of work on the request for a path, in milliseconds; absent where it is `workMs` for all. */
+  workOf?: (path: string) => number;
+  /** Runs requests and closes the connection in place of an answer. */
+  losesAnswers: boolean;
+}
+
+/** Is told what happens at a replica. */
+export interface ReplicaObserver {
+  /** A request has arrived; `ran` is false where the replica refused it. */
+  arrived(request: ArrivedRequest, ran: boolean): void;
+  /** The body of a request has been read. */
+  read(request: ArrivedRequest): void;
+  /** The answer to a request is on its way. */
+  answered(request: ArrivedRequest, signature: string, status: number): void;
+  /** The replica no longer works on a request: it was answered, or its connection has closed. */
+  ended(request: ArrivedRequest): void;
 }
 
 /** A request as it reached the replica. */
@@ -38,6 +56,7 @@
 export class StandInReplica {
   readonly arrived: ArrivedRequest[] = [];
   connections = 0;
+  observer: ReplicaObserver | undefined;
   private running = 0;
   private signatures = 0;
 
@@ -60,6 +79,7 @@
       slots: 100,
       silent: false,
       status: 200,
+      losesAnswers: false,
       body: Buffer.from(id.padEnd(16, '.').slice(0, 16)),
       ...behaviour,
     });
@@ -88,32 +108,47 @@
     const id = String(incoming.headers['x-request-id'] ?? '');
     const { method = '', url = '', headers } = incoming;
     const target = headers['x-target-instance'];
+    const request = { id, method, path: url, headers, body: '', left: false };
     if (target !== undefined && target !== this.id) {
+      this.observer?.arrived(request, false);
       outgoing.writeHead(421, { 'x-instance-id': this.id }).end();
       return;
     }
     if (this.running >= this.behaviour.slots) {
+      this.observer?.arrived(request, false);
       outgoing.writeHead(503, { 'x-not-executed': '1', 'x-request-id': id }).end();
       return;
     }
     this.running += 1;
-    const request = { id, method, path: url, headers, body: '', left: false };
     this.arrived.push(request);
-    outgoing.once('close', () => (request.left = !outgoing.writableFinished));
-    request.body = await readBody(incoming);
-    setTimeout(() => this.answer(id, outgoing), this.behaviour.workMs);
+    this.observer?.arrived(request, true);
+    outgoing.once('close', () => {
+      request.left = !outgoing.writableFinished;
+      this.observer?.ended(request);
+    });
+    request.body = await readBody(incoming).catch(() => '');
+    this.observer?.read(request);
+    const workMs = this.behaviour.workOf?.(url) ?? this.behaviour.workMs;
+    setTimeout(() => this.answer(request, outgoing), workMs);
   }
 
-  private answer(id: string, outgoing: ServerResponse): void {
+  private answer(request: ArrivedRequest, outgoing: ServerResponse): void {
     this.running -= 1;
-    const { silent, status, body } = this.behaviour;
+    const { silent, status, losesAnswers } = this.behaviour;
     if (silent || outgoing.destroyed) {
       return;
     }
+    if (losesAnswers) {
+      outgoing.socket?.resetAndDestroy();
+      return;
+    }
     this.signatures += 1;
+    const signature = `${this.id}.${this.signatures}`;
+    const body = this.behaviour.bodyOf?.(signature) ?? this.behaviour.body;
+    this.observer?.answered(request, signature, status);
     outgoing.writeHead(status, {
-      'x-request-id': id,
-      'x-server-stamp': `${this.id}.${this.signatures}`,
+      'x-request-id': request.id,
+      'x-server-stamp': signature,
       'x-server-load': `${this.running},0,${this.behaviour.slots}`,
       'content-length': body.length,
     });
--- a/test/platform/stand-in-store.ts
+++ b/test/platform/stand-in-store.ts
@@ -22,15 +22,32 @@
   readonly gone: boolean;
 }
 
-/** How the store treats calls. */
-export type StoreMode = 'serving' | 'busy' | 'throttling' | 'silent' | 'resetting';
+/** How the store treats calls; `losing`: it does what is asked and never answers. */
+export type StoreMode = 'serving' | 'busy' | 'throttling' | 'silent' | 'resetting' | 'losing';
 
 const PAGE_SIZE = 50;
-const LIST_PATH = /^\/v1\/objects\/([^/?]+)$/;
+const OBJECTS_PATH = /^\/v1\/objects\/([^/?]+)(?:\/([^/?]+))?$/;
+
+/** The object in the body of a call; undefined when its connection ends before. */
+const readObject = async (incoming: IncomingMessage): Promise<StoredObject | undefined> => {
+  const chunks: Buffer[] = [];
+  try {
+    for await (const chunk of incoming) {
+      chunks.push(chunk as Buffer);
+    }
+  } catch {
+    return undefined;
+  }
+  return JSON.parse(Buffer.concat(chunks).toString('utf8')) as StoredObject;
+};
 
 /** A store with lists, watches and faults. */
 export class StandInStore {
   mode: StoreMode = 'serving';
+  /** Time by which answers to watches are late, in milliseconds. */
+  watchDelayMs = 0;
+  /** Watches hear nothing, not even that their wait is over. */
+  private watchesMuted = false;
   /** Calls by kind and type, e.g. `servers watch`. */
   readonly calls: string[] = [];
   private readonly kinds = new Map<string, Map<string, StoredObject>>();
@@ -83,6 +100,14 @@
     this.wake();
   }
 
+  /** Lets watches hear nothing for a while; those that wait are looked at again at its end. */
+  muteWatches(muted: boolean): void {
+    this.watchesMuted = muted;
+    if (!muted) {
+      this.wake();
+    }
+  }
+
   /** Breaks all connections. */
   cutConnections(): void {
     this.server.closeAllConnections();
@@ -105,12 +130,15 @@
 
   private take(incoming: IncomingMessage, outgoing: ServerResponse): void {
     const url = new URL(incoming.url ?? '/', 'http://store');
-    const kind = LIST_PATH.exec(url.pathname)?.[1] ?? '';
+    const [, kind = '', name] = OBJECTS_PATH.exec(url.pathname) ?? [];
     const watch = url.searchParams.get('watch');
     this.calls.push(`${kind} ${watch === null ? 'list' : 'watch'}`);
-    if (this.mode === 'serving' && incoming.method === 'POST') {
+    const isServing = this.mode === 'serving' || this.mode === 'losing';
+    if (isServing && incoming.method === 'POST') {
       void this.create(kind, incoming, outgoing);
-    } else if (this.mode !== 'serving') {
+    } else if (isServing && incoming.method === 'PUT' && name !== undefined) {
+      void this.replace(kind, name, incoming, outgoing);
+    } else if (!isServing) {
       this.misbehave(outgoing);
     } else if (watch === null) {
       this.list(kind, url.searchParams.get('after') ?? '', outgoing);
@@ -124,11 +152,11 @@
     incoming: IncomingMessage,
     outgoing: ServerResponse,
   ): Promise<void> {
-    const chunks: Buffer[] = [];
-    for await (const chunk of incoming) {
-      chunks.push(chunk as Buffer);
+    const sent = await readObject(incoming);
+    if (sent === undefined) {
+      return;
     }
-    const { meta, spec } = JSON.parse(Buffer.concat(chunks).toString('utf8')) as StoredObject;
+    const { meta, spec } = sent;
     if (this.objectsOf(kind).has(meta.name)) {
       outgoing.writeHead(409).end();
       return;
@@ -137,6 +165,24 @@
     this.send(outgoing, this.objectsOf(kind).get(meta.name));
   }
 
+  private async replace(
+    kind: string,
+    name: string,
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+  ): Promise<void> {
+    const sent = await readObject(incoming);
+    if (sent === undefined) {
+      return;
+    }
+    if (!this.objectsOf(kind).has(name)) {
+      outgoing.writeHead(404).end();
+      return;
+    }
+    this.put(kind, name, sent.spec);
+    this.send(outgoing, this.objectsOf(kind).get(name));
+  }
+
   private misbehave(outgoing: ServerResponse): void {
     switch (this.mode) {
       case 'busy':
@@ -160,6 +206,9 @@
 
   private watch(kind: string, after: number, waitMs: number, outgoing: ServerResponse): void {
     const answer = (isOver: boolean): boolean => {
+      if (this.watchesMuted) {
+        return false;
+      }
       if (after < this.forgottenBefore) {
         outgoing.writeHead(410).end();
         return true;
@@ -167,7 +216,8 @@
       const events = this.events.filter((each) => each.kind === kind && each.revision > after);
       if (events.length > 0 || isOver) {
         const listed = events.map(({ object, gone }) => ({ object, gone }));
-        this.send(outgoing, { events: listed, at: this.revision });
+        const changes = { events: listed, at: this.revision };
+        this.sendLate(outgoing, changes);
         return true;
       }
       return false;
@@ -181,8 +231,9 @@
       }
     };
     const timer = setTimeout(() => {
-      answer(true);
-      end();
+      if (answer(true)) {
+        end();
+      }
     }, waitMs);
     const end = (): void => {
       clearTimeout(timer);
@@ -192,7 +243,18 @@
     this.watchers.add(watcher);
   }
 
+  private sendLate(outgoing: ServerResponse, body: unknown): void {
+    if (this.watchDelayMs === 0) {
+      this.send(outgoing, body);
+      return;
+    }
+    setTimeout(() => this.send(outgoing, body), this.watchDelayMs);
+  }
+
   private send(outgoing: ServerResponse, body: unknown): void {
+    if (this.mode === 'losing' || outgoing.destroyed) {
+      return;
+    }
     const text = JSON.stringify(body);
     outgoing.writeHead(200, { 'content-type': 'application/json' });
     outgoing.end(text);
