--- a/eslint.config.js
+++ b/eslint.config.js
@@ -59,7 +59,7 @@
     },
   },
   {
-    files: ['src/**/*.ts'],
+    files: ['src/**/*.ts', 'soak/**/*.ts'],
     rules: {
       'no-restricted-syntax': ['error', ...PLATFORM_NAMES],
     },
--- /dev/null
+++ b/soak/checker/recovery.ts
@@ -0,0 +1,69 @@
+/** After the faults all gateways serve again, and no process has ended by itself. */
+import type { CallerRequest } from '../model/observations.js';
+import { type Evidence, findRoute } from './evidence.js';
+import type { Violation } from './violation.js';
+
+/** Share of the requests that each gateway must serve. */
+const SERVED_SHARE = 0.9;
+
+const isServed = ({ outcome }: CallerRequest): boolean =>
+  outcome.type === 'answered' && outcome.status >= 200 && outcome.status < 300;
+
+/** Whether the request is owed: every version that may be in force allows it, and its caller stayed. */
+const isOwed = (evidence: Evidence, { path, sentAt, outcome }: CallerRequest): boolean => {
+  const oldest = evidence.oldestAt(sentAt);
+  const newest = evidence.newestAt(sentAt);
+  const knowing = evidence.versionsWhere(
+    oldest,
+    newest,
+    (each) => findRoute(each, path) !== undefined,
+  );
+  return outcome.type !== 'left' && knowing.length === newest - oldest + 1;
+};
+
+const checkGateway = (evidence: Evidence, gateway: number, from: number): readonly Violation[] => {
+  const promise = 'recovery';
+  const requests = evidence.observations.requests.filter(
+    (request) => request.gateway === gateway && request.sentAt >= from && isOwed(evidence, request),
+  );
+  const served = requests.filter(isServed).length;
+  const unready = evidence.observations.readiness.find(
+    (sample) => sample.gateway === gateway && sample.at >= from && !sample.ready,
+  );
+  return [
+    ...(unready === undefined
+      ? []
+      : [{ promise, at: unready.at, gateway, text: 'is not ready after the faults' } as const]),
+    ...(served > 0 && served >= SERVED_SHARE * requests.length
+      ? []
+      : [
+          {
+            promise,
+            at: from,
+            gateway,
+            text: `served ${served} of ${requests.length} requests after the faults`,
+          } as const,
+        ]),
+  ];
+};
+
+/** Finds gateways that do not serve as they should once the time to recover is over. */
+export const checkRecovery = (evidence: Evidence): readonly Violation[] => {
+  const { faultsEndedAt } = evidence.observations;
+  if (faultsEndedAt === undefined) {
+    return [{ promise: 'recovery', at: 0, text: 'the run ended before its faults' }];
+  }
+  const from = faultsEndedAt + evidence.run.bounds.recoveryMs;
+  return Array.from({ length: evidence.run.gateways }, (_, gateway) =>
+    checkGateway(evidence, gateway, from),
+  ).flat();
+};
+
+/** Finds processes that ended though nobody had asked them to. */
+export const checkOwnEnds = ({ observations }: Evidence): readonly Violation[] =>
+  observations.unexpectedEnds.map(({ gateway, at, detail }) => ({
+    promise: 'no-own-end',
+    at,
+    gateway,
+    text: `the process ended by itself: ${detail}`,
+  }));
--- /dev/null
+++ b/soak/checker/request-checks.ts
@@ -0,0 +1,65 @@
+/** Requests reach replicas unchanged, run at most once where they must, and never where they were refused. */
+import type { Arrival, CallerRequest } from '../model/observations.js';
+import type { Evidence } from './evidence.js';
+import type { Violation } from './violation.js';
+
+/** Statuses that promise that a request has not run and never will. */
+const PROMISES_NO_RUN: readonly number[] = [408, 421, 429, 503];
+
+const describeChange = (
+  request: CallerRequest | undefined,
+  { method, path, bodyDigest }: Arrival,
+): string | undefined => {
+  if (request === undefined) {
+    return 'a replica got a request that no caller sent';
+  }
+  if (method !== request.method || path !== request.path) {
+    return `a replica got ${method} ${path} in place of ${request.method} ${request.path}`;
+  }
+  const isSame = bodyDigest === undefined || bodyDigest === request.bodyDigest;
+  return isSame ? undefined : `a replica got another body of ${path}`;
+};
+
+/** Finds requests at replicas that no caller sent so. */
+export const checkUnchangedRequests = (evidence: Evidence): readonly Violation[] =>
+  evidence.observations.arrivals.flatMap((arrival): readonly Violation[] => {
+    const request = evidence.requests.get(arrival.requestId);
+    const text = describeChange(request, arrival);
+    if (text === undefined) {
+      return [];
+    }
+    const gateway = request === undefined ? {} : { gateway: request.gateway };
+    const { at, requestId } = arrival;
+    return [{ promise: 'unchanged-requests', at, requestId, ...gateway, text }];
+  });
+
+const placesOf = (runs: readonly Arrival[]): string =>
+  runs.map(({ replica, at }) => `${replica} at ${Math.round(at)}`).join(', ');
+
+/** Finds requests that may run only once and ran more often. */
+export const checkAtMostOnce = (evidence: Evidence): readonly Violation[] =>
+  evidence.observations.requests.flatMap((request): readonly Violation[] => {
+    const runs = evidence.runsOf(request.id);
+    if (runs.length <= 1 || evidence.isRepeatable(request)) {
+      return [];
+    }
+    const { id, gateway, path } = request;
+    const text = `${path} ran ${runs.length} times: ${placesOf(runs)}`;
+    const at = runs[1]?.at ?? request.endedAt;
+    return [{ promise: 'at-most-once', at, gateway, requestId: id, text }];
+  });
+
+/** Finds requests that were answered with a promise that they have not run, and have run. */
+export const checkRefusedNeverRan = (evidence: Evidence): readonly Violation[] =>
+  evidence.observations.requests.flatMap((request): readonly Violation[] => {
+    const { id, gateway, path, endedAt, outcome } = request;
+    if (outcome.type !== 'answered' || !PROMISES_NO_RUN.includes(outcome.status)) {
+      return [];
+    }
+    const runs = evidence.runsOf(id);
+    if (runs.length === 0) {
+      return [];
+    }
+    const text = `${path} was answered ${outcome.status} and ran: ${placesOf(runs)}`;
+    return [{ promise: 'refused-never-ran', at: endedAt, gateway, requestId: id, text }];
+  });
--- /dev/null
+++ b/soak/faults/fault-runner.ts
@@ -0,0 +1,116 @@
+/** Brings the faults of a schedule about, each at its time, from outside of the gateways. */
+import { setTimeout as pause } from 'node:timers/promises';
+import { match } from 'ts-pattern';
+import type { GatewaySettings } from '../../src/gateway/settings.js';
+import type { Scope } from '../model/observations.js';
+import type { Fault, ScheduledFault } from '../model/schedule.js';
+import { beginDisturbance } from '../world/recorder.js';
+import type { SoakWorld } from '../world/soak-world.js';
+import { StoreFaults } from './store-faults.js';
+
+/** Pause between two planned stops in turn, in milliseconds, from the start of a process on. */
+const PAUSE_IN_TURN_MS = 2_000;
+
+/** A fault as it was carried out. */
+export interface PlayedFault {
+  readonly fault: Fault;
+  readonly from: number;
+  /** Undefined while it lasts. */
+  to: number | undefined;
+}
+
+/** By how much each reload raises the capacity of a gateway. */
+const CAPACITY_STEP = 0.05;
+
+const changeSettings = (settings: GatewaySettings): GatewaySettings => ({
+  ...settings,
+  capacity: Math.round((settings.capacity + CAPACITY_STEP) * 100) / 100,
+});
+
+const gatewayScopes = (gateways: readonly number[]): readonly Scope[] =>
+  gateways.map((gateway) => ({ type: 'gateway', gateway }));
+
+/** Plays schedules. */
+export class FaultRunner {
+  readonly played: PlayedFault[] = [];
+  private readonly storeFaults: StoreFaults;
+
+  constructor(private readonly world: SoakWorld) {
+    this.storeFaults = new StoreFaults(world);
+  }
+
+  /** Resolves when all faults are over. */
+  async play(schedule: readonly ScheduledFault[]): Promise<void> {
+    const began = performance.now();
+    await Promise.all(
+      schedule.map(async ({ atMs, fault }) => {
+        await pause(Math.max(0, began + atMs - performance.now()));
+        const played: PlayedFault = { fault, from: performance.now(), to: undefined };
+        this.played.push(played);
+        await this.carryOut(fault);
+        played.to = performance.now();
+      }),
+    );
+  }
+
+  private carryOut(fault: Fault): Promise<void> {
+    const { replicas, gateways } = this.world;
+    return match(fault)
+      .with({ type: 'stop-in-turn' }, (stop) => this.stopInTurn(stop.gateways))
+      .with({ type: 'kill' }, (kill) => this.kill(kill.gateways, kill.downMs))
+      .with({ type: 'pause' }, ({ gateway, forMs }) => gateways[gateway]?.pauseFor(forMs))
+      .with({ type: 'reload' }, (reload) => this.reload(reload.gateways))
+      .with({ type: 'configure' }, ({ count, gapMs }) => this.configure(count, gapMs))
+      .with({ type: 'store-link' }, (link) => this.troubleLinks(link))
+      .with({ type: 'replica-leaves', how: 'drain' }, ({ service }) => replicas.drain(service))
+      .with({ type: 'replica-leaves', how: 'vanish' }, ({ service }) => replicas.vanish(service))
+      .with({ type: 'replica-leaves' }, ({ service }) =>
+        this.troubleService(service, 'crash', () => replicas.crash(service)),
+      )
+      .with({ type: 'replica-loses-answers' }, ({ service, forMs }) =>
+        this.troubleService(service, 'loses answers', () => replicas.loseAnswers(service, forMs)),
+      )
+      .otherwise((storeFault) => this.storeFaults.carryOut(storeFault)) as Promise<void>;
+  }
+
+  private async stopInTurn(numbers: readonly number[]): Promise<void> {
+    for (const number of numbers) {
+      await this.world.gateways[number]?.stopAndRestart();
+      await pause(PAUSE_IN_TURN_MS);
+    }
+  }
+
+  private async kill(numbers: readonly number[], downMs: number): Promise<void> {
+    await Promise.all(numbers.map((number) => this.world.gateways[number]?.kill(downMs)));
+  }
+
+  private async reload(numbers: readonly number[]): Promise<void> {
+    await Promise.all(numbers.map((number) => this.world.gateways[number]?.reload(changeSettings)));
+  }
+
+  private async configure(count: number, gapMs: number): Promise<void> {
+    for (let index = 0; index < count; index += 1) {
+      this.world.operator.configure();
+      await pause(gapMs);
+    }
+  }
+
+  private async troubleLinks(link: Extract<Fault, { type: 'store-link' }>): Promise<void> {
+    const scopes = gatewayScopes(link.gateways);
+    const end = beginDisturbance(this.world.observations, scopes, `store ${link.trouble}`);
+    const links = link.gateways.flatMap((number) => this.world.storeLinks[number] ?? []);
+    await Promise.all(links.map((each) => each.troubleFor(link.trouble, link.forMs)));
+    end();
+  }
+
+  private async troubleService(
+    service: string,
+    what: string,
+    work: () => Promise<void>,
+  ): Promise<void> {
+    const scope = { type: 'service', service } as const;
+    const end = beginDisturbance(this.world.observations, [scope], what);
+    await work();
+    end();
+  }
+}
--- /dev/null
+++ b/soak/faults/store-faults.ts
@@ -0,0 +1,77 @@
+/** Faults of the store: it is down, loses answers, and its watches are late, silent or reset. */
+import { setTimeout as pause } from 'node:timers/promises';
+import { match } from 'ts-pattern';
+import type { Fault } from '../model/schedule.js';
+import { beginDisturbance } from '../world/recorder.js';
+import type { SoakWorld } from '../world/soak-world.js';
+
+/** When the version changes, as a part of the time in which watches hear nothing. */
+const CHANGE_AT_SHARE = 0.4;
+
+/** A fault of the store for all gateways. */
+export type StoreFault = Extract<
+  Fault,
+  {
+    type:
+      'delay-watches' | 'mute-watches' | 'change-and-forget' | 'store-down' | 'store-loses-answers';
+  }
+>;
+
+/** Carries out one fault of the store after the other. */
+export class StoreFaults {
+  private busy: Promise<void> = Promise.resolve();
+
+  constructor(private readonly world: SoakWorld) {}
+
+  /** Resolves when the fault is over; it waits for the one before. */
+  carryOut(fault: StoreFault): Promise<void> {
+    this.busy = this.busy.then(async () => {
+      const scopes = [{ type: 'store' }] as const;
+      const end = beginDisturbance(this.world.observations, scopes, fault.type);
+      await this.play(fault);
+      end();
+    });
+    return this.busy;
+  }
+
+  private play(fault: StoreFault): Promise<void> {
+    const { store } = this.world;
+    return match(fault)
+      .with({ type: 'delay-watches' }, async ({ delayMs, forMs }) => {
+        store.watchDelayMs = delayMs;
+        await pause(forMs);
+        store.watchDelayMs = 0;
+        // Answers that are on their way come late still.
+        await pause(delayMs);
+      })
+      .with({ type: 'mute-watches' }, async ({ forMs }) => {
+        store.muteWatches(true);
+        await pause(forMs);
+        store.muteWatches(false);
+      })
+      .with({ type: 'change-and-forget' }, ({ muteMs }) => this.changeAndForget(muteMs))
+      .with({ type: 'store-down' }, async ({ outage, forMs }) => {
+        store.mode = outage;
+        store.cutConnections();
+        await pause(forMs);
+        store.mode = 'serving';
+      })
+      .with({ type: 'store-loses-answers' }, async ({ forMs }) => {
+        store.mode = 'losing';
+        await pause(forMs);
+        store.mode = 'serving';
+      })
+      .exhaustive();
+  }
+
+  /** Watches hear nothing while the configuration changes, and are then told that its history is gone. */
+  private async changeAndForget(muteMs: number): Promise<void> {
+    const { store, operator } = this.world;
+    store.muteWatches(true);
+    await pause(muteMs * CHANGE_AT_SHARE);
+    operator.configure();
+    await pause(muteMs * (1 - CHANGE_AT_SHARE));
+    store.forgetHistory();
+    store.muteWatches(false);
+  }
+}
--- /dev/null
+++ b/soak/main.ts
@@ -0,0 +1,82 @@
+/** `npm run soak`: plays runs with one seed after the other and prints what came of them. */
+import { rm } from 'node:fs/promises';
+import { parseArgs } from 'node:util';
+import { ExitCode } from '../src/cli/exit-code.js';
+import { formatReport } from './report.js';
+import { runSoak } from './run-soak.js';
+
+const MS_PER_MINUTE = 60_000;
+
+/** A run needs time to start, to recover and for some faults, in minutes. */
+const LEAST_MINUTES = 0.75;
+
+const MOST_GATEWAYS = 24;
+
+const CALLERS_PER_GATEWAY = 4;
+
+const USAGE = `usage: npm run soak -- [--minutes N] [--seed S] [--seeds COUNT] [--gateways N]
+
+Runs gateways as processes on loopback under faults drawn from the seed, and judges from outside.
+  --minutes   length of one run; default 1, at least ${LEAST_MINUTES}
+  --seed      first seed; default: drawn from the clock, and printed
+  --seeds     number of seeds, one after the other; default 1
+  --gateways  default 6, at most ${MOST_GATEWAYS}
+Exit codes: 0 every promise held, 1 one was broken, 2 usage.`;
+
+interface CommandLine {
+  readonly minutes: number;
+  readonly seed: number;
+  readonly seeds: number;
+  readonly gateways: number;
+}
+
+const readCommandLine = (): CommandLine | undefined => {
+  const { values } = parseArgs({
+    options: {
+      minutes: { type: 'string', default: '1' },
+      seed: { type: 'string', default: String(Date.now() % 1_000_000) },
+      seeds: { type: 'string', default: '1' },
+      gateways: { type: 'string', default: '6' },
+      help: { type: 'boolean', default: false },
+    },
+  });
+  const read = {
+    minutes: Number(values.minutes),
+    seed: Number(values.seed),
+    seeds: Number(values.seeds),
+    gateways: Number(values.gateways),
+  };
+  const areWhole = [read.seed, read.seeds, read.gateways].every(Number.isInteger);
+  const isPossible = read.minutes >= LEAST_MINUTES && read.seeds >= 1 && read.gateways >= 1;
+  return values.help || !areWhole || !isPossible || read.gateways > MOST_GATEWAYS
+    ? undefined
+    : read;
+};
+
+const playSeed = async (seed: number, { gateways, minutes }: CommandLine): Promise<boolean> => {
+  const durationMs = minutes * MS_PER_MINUTE;
+  const callersPerGateway = CALLERS_PER_GATEWAY;
+  const result = await runSoak({ seed, gateways, durationMs, callersPerGateway });
+  const lines = await formatReport(result);
+  process.stdout.write(`${lines.join('\n')}\n`);
+  const held = result.violations.length === 0;
+  if (held) {
+    await rm(result.folder, { recursive: true, force: true });
+  }
+  return held;
+};
+
+const main = async (): Promise<ExitCode> => {
+  const commandLine = readCommandLine();
+  if (commandLine === undefined) {
+    process.stderr.write(`${USAGE}\n`);
+    return ExitCode.usage;
+  }
+  let allHeld = true;
+  for (let index = 0; index < commandLine.seeds; index += 1) {
+    allHeld = (await playSeed(commandLine.seed + index, commandLine)) && allHeld;
+  }
+  return allHeld ? ExitCode.done : ExitCode.failed;
+};
+
+process.exitCode = await main();
--- /dev/null
+++ b/soak/model/plan.ts
@@ -0,0 +1,91 @@
+/** What one run does, drawn from its seed. */
+import { createRandom } from '../../src/core/random.js';
+import type { GatewayBounds } from '../../src/gateway/settings.js';
+import { drawSchedule, type ScheduledFault } from './schedule.js';
+
+/** Bounds that the soak checks; milliseconds unless the name says otherwise. */
+export interface SoakBounds extends GatewayBounds {
+  /** Time without a fault after which a gateway is in touch. */
+  readonly contactMs: number;
+  /** Time after the end of the faults after which all serve. */
+  readonly recoveryMs: number;
+  /** A version may be taken for older than one that was seen in force for so long. */
+  readonly rollbackSlackMs: number;
+  /** A connection that ends sooner than this has not been read. */
+  readonly lossSlackMs: number;
+}
+
+/** Figures of the users' deployments, except for the slack of the budget, which a run draws. */
+const BOUNDS: Omit<SoakBounds, 'retrySlack'> = {
+  drainMs: 3_000,
+  graceMs: 6_000,
+  configurationMs: 3_000,
+  retryRatio: 0.2,
+  retryWindowMs: 10_000,
+  contactMs: 4_000,
+  recoveryMs: 12_000,
+  rollbackSlackMs: 250,
+  lossSlackMs: 200,
+};
+
+/** Slack of the retry budget: the users' figure, and a small one that is used up sooner. */
+const RETRY_SLACKS = [56, 20] as const;
+
+/**
+ * Connections of a replica: with the first, every gateway speaks to replicas itself; with the second, six
+ * gateways or more go by way of feeders.
+ */
+const MAX_CONNECTIONS = [60, 8] as const;
+
+/** Time in which all start, before the first fault, in milliseconds. */
+const WARM_UP_MS = 7_000;
+
+/** Time in which all must serve again after the recovery, in milliseconds. */
+const FINAL_MS = 5_000;
+
+/** What the command line says. */
+export interface SoakOptions {
+  readonly seed: number;
+  readonly gateways: number;
+  readonly durationMs: number;
+  readonly callersPerGateway: number;
+}
+
+/** One run. */
+export interface SoakPlan extends SoakOptions {
+  readonly bounds: SoakBounds;
+  readonly maxConnections: number;
+  readonly warmUpMs: number;
+  readonly finalMs: number;
+  /** Faults, with times from the end of the warm-up. */
+  readonly schedule: readonly ScheduledFault[];
+}
+
+/** Streams of random numbers of one seed. */
+export type RandomStream = 'plan' | 'schedule' | 'callers' | 'operator';
+
+const STREAMS: readonly RandomStream[] = ['plan', 'schedule', 'callers', 'operator'];
+
+/** Distance between the seeds of two runs, so that their streams differ. */
+const STREAM_STRIDE = 1_000_003;
+
+/** A stream of random numbers of its own for each purpose. */
+export const streamOf = (seed: number, stream: RandomStream, index = 0) =>
+  createRandom(seed * STREAM_STRIDE + STREAMS.indexOf(stream) * 10_007 + index);
+
+/** Draws a run. */
+export const drawPlan = (options: SoakOptions): SoakPlan => {
+  const random = streamOf(options.seed, 'plan');
+  const retrySlack = RETRY_SLACKS[random.nextBelow(RETRY_SLACKS.length)] ?? RETRY_SLACKS[0];
+  const maxConnections =
+    MAX_CONNECTIONS[random.nextBelow(MAX_CONNECTIONS.length)] ?? MAX_CONNECTIONS[0];
+  const faultsMs = options.durationMs - WARM_UP_MS - BOUNDS.recoveryMs - FINAL_MS;
+  return {
+    ...options,
+    bounds: { ...BOUNDS, retrySlack },
+    maxConnections,
+    warmUpMs: WARM_UP_MS,
+    finalMs: FINAL_MS,
+    schedule: drawSchedule(streamOf(options.seed, 'schedule'), faultsMs, options.gateways),
+  };
+};
--- /dev/null
+++ b/soak/model/schedule.ts
@@ -0,0 +1,151 @@
+/** Faults and when they come; all is drawn before the run, so that a seed gives the same series again. */
+import type { Random } from '../../src/core/random.js';
+import { SERVICES } from '../world/topology.js';
+
+/** How the store treats all callers while it is down. */
+export type StoreOutage = 'resetting' | 'silent' | 'busy' | 'throttling';
+
+/** How a proxy treats the connections of one gateway to the store. */
+export type LinkTrouble = 'refuse' | 'silence' | 'delay';
+
+/** A fault; durations and pauses in milliseconds. */
+export type Fault =
+  | { readonly type: 'stop-in-turn'; readonly gateways: readonly number[] }
+  | { readonly type: 'kill'; readonly gateways: readonly number[]; readonly downMs: number }
+  | { readonly type: 'pause'; readonly gateway: number; readonly forMs: number }
+  | { readonly type: 'reload'; readonly gateways: readonly number[] }
+  | { readonly type: 'configure'; readonly count: number; readonly gapMs: number }
+  | { readonly type: 'delay-watches'; readonly delayMs: number; readonly forMs: number }
+  | { readonly type: 'mute-watches'; readonly forMs: number }
+  | { readonly type: 'change-and-forget'; readonly muteMs: number }
+  | { readonly type: 'store-down'; readonly outage: StoreOutage; readonly forMs: number }
+  | { readonly type: 'store-loses-answers'; readonly forMs: number }
+  | {
+      readonly type: 'store-link';
+      readonly gateways: readonly number[];
+      readonly trouble: LinkTrouble;
+      readonly forMs: number;
+    }
+  | {
+      readonly type: 'replica-leaves';
+      readonly service: string;
+      readonly how: 'drain' | 'vanish' | 'crash';
+    }
+  | { readonly type: 'replica-loses-answers'; readonly service: string; readonly forMs: number };
+
+/** A fault and when it begins, in milliseconds from the first possible one. */
+export interface ScheduledFault {
+  readonly atMs: number;
+  readonly fault: Fault;
+}
+
+/** Time before the end of the faults in which none begins, in milliseconds: the last ones must end. */
+const LAST_START_MS = 4_000;
+
+/** Longest pause between two faults; one of three comes at once with the one before. */
+const LONGEST_GAP_MS = 5_000;
+
+/** Longest trouble with the store, a link or a replica, in milliseconds. */
+const LONGEST_TROUBLE_MS = 4_000;
+
+/** Longest pause of a process, in milliseconds: some are shorter than a probe, some longer. */
+const LONGEST_PAUSE_MS = 6_000;
+
+const pick = <Value>(random: Random, values: readonly [Value, ...Value[]]): Value =>
+  values[random.nextBelow(values.length)] ?? values[0];
+
+const between = (random: Random, least: number, most: number): number =>
+  least + random.nextBelow(most - least + 1);
+
+/** `count` different gateways, in any order. */
+const pickGateways = (random: Random, gateways: number, count: number): readonly number[] => {
+  const left = Array.from({ length: gateways }, (_, index) => index);
+  return Array.from({ length: Math.min(count, gateways) }).flatMap(() =>
+    left.splice(random.nextBelow(left.length), 1),
+  );
+};
+
+const pickService = (random: Random): string =>
+  SERVICES[random.nextBelow(SERVICES.length)] ?? 'desk';
+
+const troubleMs = (random: Random): number => between(random, 300, LONGEST_TROUBLE_MS);
+
+type Draw = (random: Random, gateways: number) => Fault;
+
+/** One entry for each kind of fault; those that stand more than once are drawn more often. */
+const DRAWS: readonly [Draw, ...Draw[]] = [
+  (random, gateways) => ({
+    type: 'stop-in-turn',
+    gateways: pickGateways(random, gateways, between(random, 1, 3)),
+  }),
+  (random, gateways) => ({
+    type: 'kill',
+    gateways: pickGateways(random, gateways, 1),
+    downMs: between(random, 200, 3_000),
+  }),
+  (random, gateways) => ({
+    type: 'kill',
+    gateways: pickGateways(random, gateways, between(random, 2, gateways)),
+    downMs: between(random, 200, 1_500),
+  }),
+  (random, gateways) => ({
+    type: 'pause',
+    gateway: random.nextBelow(gateways),
+    forMs: between(random, 200, LONGEST_PAUSE_MS),
+  }),
+  (random, gateways) => ({
+    type: 'reload',
+    gateways: pickGateways(random, gateways, between(random, 1, gateways)),
+  }),
+  (random) => ({ type: 'configure', count: 1, gapMs: between(random, 0, 500) }),
+  (random) => ({ type: 'configure', count: between(random, 2, 8), gapMs: between(random, 0, 600) }),
+  (random) => ({
+    type: 'delay-watches',
+    delayMs: between(random, 200, 2_000),
+    forMs: troubleMs(random),
+  }),
+  (random) => ({ type: 'mute-watches', forMs: troubleMs(random) }),
+  (random) => ({ type: 'change-and-forget', muteMs: between(random, 500, 1_500) }),
+  (random) => ({
+    type: 'store-down',
+    outage: pick(random, ['resetting', 'silent', 'busy', 'throttling']),
+    forMs: troubleMs(random),
+  }),
+  (random) => ({ type: 'store-loses-answers', forMs: troubleMs(random) }),
+  (random, gateways) => ({
+    type: 'store-link',
+    gateways: pickGateways(random, gateways, between(random, 1, Math.ceil(gateways / 2))),
+    trouble: pick(random, ['refuse', 'silence', 'delay']),
+    forMs: troubleMs(random),
+  }),
+  (random) => ({
+    type: 'replica-leaves',
+    service: pickService(random),
+    how: pick(random, ['drain', 'vanish', 'crash']),
+  }),
+  (random) => ({
+    type: 'replica-leaves',
+    service: pickService(random),
+    how: pick(random, ['drain', 'vanish']),
+  }),
+  (random) => ({
+    type: 'replica-loses-answers',
+    service: pickService(random),
+    forMs: troubleMs(random),
+  }),
+];
+
+/** Draws the faults of a run for `durationMs`; some overlap, and between some all is calm. */
+export const drawSchedule = (
+  random: Random,
+  durationMs: number,
+  gateways: number,
+): readonly ScheduledFault[] => {
+  const schedule: ScheduledFault[] = [];
+  for (let atMs = 0; atMs < durationMs - LAST_START_MS;) {
+    schedule.push({ atMs, fault: pick(random, DRAWS)(random, gateways) });
+    const isTogether = random.nextBelow(3) === 0;
+    atMs += isTogether ? random.nextBelow(300) : random.nextBelow(LONGEST_GAP_MS);
+  }
+  return schedule;
+};
--- /dev/null
+++ b/soak/report.ts
@@ -0,0 +1,111 @@
+/** Prints what came of a run: a summary, and for each broken promise what led to it. */
+import { readFile } from 'node:fs/promises';
+import { join } from 'node:path';
+import { PROMISES, type Violation } from './checker/violation.js';
+import type { PlayedFault } from './faults/fault-runner.js';
+import type { SoakResult } from './run-soak.js';
+
+/** Violations of one promise that are shown; the rest is counted. */
+const SHOWN_OF_A_PROMISE = 3;
+
+/** Lines about beliefs of the gateway that are shown, from this long before the violation. */
+const LOG_BEFORE_MS = 8_000;
+const LOG_AFTER_MS = 500;
+const MOST_LOG_LINES = 40;
+
+interface LogLine {
+  readonly time: number;
+  readonly part?: string;
+  readonly requestId?: string;
+}
+
+const parseLine = (text: string): LogLine | undefined => {
+  try {
+    return JSON.parse(text) as LogLine;
+  } catch {
+    // A process that was killed may have written half of its last line.
+    return undefined;
+  }
+};
+
+/** Lines about the request itself, and what the gateway believed shortly before. */
+const selectLines = (log: string, { at, requestId }: Violation): readonly string[] => {
+  const wallTime = performance.timeOrigin + at;
+  const isWanted = (text: string): boolean => {
+    const line = parseLine(text);
+    if (line === undefined) {
+      return false;
+    }
+    const isNear = line.time > wallTime - LOG_BEFORE_MS && line.time < wallTime + LOG_AFTER_MS;
+    return line.part === 'request'
+      ? requestId !== undefined && line.requestId === requestId
+      : isNear;
+  };
+  return log.split('\n').filter(isWanted).slice(-MOST_LOG_LINES);
+};
+
+const describeFault = ({ fault, from, to }: PlayedFault, began: number): string => {
+  const { type, ...fields } = fault;
+  const end = to === undefined ? '' : ` to ${Math.round(to - began)}`;
+  return `  ${Math.round(from - began)}${end}: ${type} ${JSON.stringify(fields)}`;
+};
+
+const describeViolation = async (
+  { folder, began }: SoakResult,
+  violation: Violation,
+): Promise<readonly string[]> => {
+  const { promise, at, gateway, requestId, text } = violation;
+  const where = gateway === undefined ? '' : ` front-${gateway + 1}`;
+  const about = requestId === undefined ? '' : ` ${requestId}`;
+  const head = `BROKEN ${promise} at ${Math.round(at - began)}${where}${about}: ${text}`;
+  if (gateway === undefined) {
+    return [head];
+  }
+  const log = await readFile(join(folder, `front-${gateway + 1}.log`), 'utf8').catch(() => '');
+  return [head, ...selectLines(log, violation).map((line) => `    ${line}`)];
+};
+
+const countOutcomes = ({ observations }: SoakResult): string => {
+  const counts = new Map<string, number>();
+  for (const { outcome } of observations.requests) {
+    const name = outcome.type === 'answered' ? String(outcome.status) : outcome.type;
+    counts.set(name, (counts.get(name) ?? 0) + 1);
+  }
+  const sorted = [...counts].sort(([left], [right]) => left.localeCompare(right));
+  return sorted.map(([name, count]) => `${name}: ${count}`).join(', ');
+};
+
+const summarize = (result: SoakResult): readonly string[] => {
+  const { plan, observations, violations } = result;
+  const { requests, arrivals, versions, disturbances } = observations;
+  const stalls = disturbances.filter(({ scope }) => scope.type === 'everything');
+  const stalledMs = stalls.reduce((sum, { from, to }) => sum + to - from, 0);
+  return [
+    `seed ${plan.seed}: ${plan.gateways} gateways, ${plan.schedule.length} faults, ` +
+      `${versions.length} versions, at most ${plan.maxConnections} connections of a replica`,
+    `  ${requests.length} requests (${countOutcomes(result)}), ${arrivals.length} arrivals`,
+    `  the soak itself stood still ${stalls.length} times, ${Math.round(stalledMs)} ms in all`,
+    violations.length === 0 ? '  every promise held' : `  ${violations.length} violations`,
+  ];
+};
+
+/** The report of a run, line by line. Times are milliseconds since the calls began. */
+export const formatReport = async (result: SoakResult): Promise<readonly string[]> => {
+  const { violations, played, began, folder, plan } = result;
+  if (violations.length === 0) {
+    return summarize(result);
+  }
+  const shown = PROMISES.flatMap((promise) =>
+    violations.filter((each) => each.promise === promise).slice(0, SHOWN_OF_A_PROMISE),
+  );
+  const described = await Promise.all(shown.map((each) => describeViolation(result, each)));
+  return [
+    ...summarize(result),
+    'faults as they were played:',
+    ...played.map((each) => describeFault(each, began)),
+    ...described.flat(),
+    `  ${violations.length - shown.length} more violations; whole logs: ${folder}`,
+    `  again: npm run soak -- --seed ${plan.seed} --gateways ${plan.gateways} ` +
+      `--minutes ${plan.durationMs / 60_000}`,
+  ];
+};
--- /dev/null
+++ b/soak/run-soak.ts
@@ -0,0 +1,99 @@
+/** Plays one run from its start to the verdict of the checker. */
+import { mkdir, readFile } from 'node:fs/promises';
+import { join, resolve } from 'node:path';
+import { setTimeout as pause } from 'node:timers/promises';
+import { bundlePlatform } from '../test/runtime/compiled-source.js';
+import { checkRun } from './checker/check-run.js';
+import type { CheckedRun } from './checker/evidence.js';
+import type { Violation } from './checker/violation.js';
+import { FaultRunner, type PlayedFault } from './faults/fault-runner.js';
+import type { Observations } from './model/observations.js';
+import { drawPlan, type SoakOptions, type SoakPlan } from './model/plan.js';
+import { watchForStalls } from './world/recorder.js';
+import { SoakWorld } from './world/soak-world.js';
+
+const ROOT = resolve(import.meta.dirname, '..');
+
+/** With fewer connections for each gateway than this, gathers may go by way of feeders. */
+const CONNECTIONS_WITHOUT_FEEDERS = 2;
+
+/** How often the warm-up looks whether all are ready, in milliseconds, and how long it waits at most. */
+const READY_CHECK_MS = 100;
+const READY_WITHIN_MS = 30_000;
+
+/** The run and what came of it. */
+export interface SoakResult {
+  readonly plan: SoakPlan;
+  readonly observations: Observations;
+  readonly played: readonly PlayedFault[];
+  readonly violations: readonly Violation[];
+  /** When the calls began, in milliseconds on the steady clock. */
+  readonly began: number;
+  /** Folder with the logs of the gateways. */
+  readonly folder: string;
+}
+
+/** Flags of Node with which the deployment starts the program. */
+const readRuntimeFlags = async (): Promise<readonly string[]> => {
+  const deployment = await readFile(join(ROOT, 'deploy/system.toml'), 'utf8');
+  const run = /^run = "node (.*) target\/gateway\.cjs"$/m.exec(deployment)?.[1];
+  if (run === undefined) {
+    throw new Error('deploy/system.toml does not say how the gateway is started');
+  }
+  return run.split(' ');
+};
+
+const untilAllReady = async ({ observations, gateways }: SoakWorld): Promise<void> => {
+  const giveUpAt = performance.now() + READY_WITHIN_MS;
+  const isReady = (number: number): boolean =>
+    observations.readiness.findLast(({ gateway }) => gateway === number)?.ready ?? false;
+  while (!gateways.every(({ number }) => isReady(number))) {
+    if (performance.now() > giveUpAt) {
+      throw new Error('not all gateways were ready in time; their logs are in out/soak');
+    }
+    await pause(READY_CHECK_MS);
+  }
+};
+
+const checkedRunOf = ({ bounds, gateways, maxConnections }: SoakPlan): CheckedRun => ({
+  bounds,
+  gateways,
+  usesFeeders: maxConnections < CONNECTIONS_WITHOUT_FEEDERS * gateways,
+});
+
+const playPlan = async (world: SoakWorld, plan: SoakPlan): Promise<readonly PlayedFault[]> => {
+  const { observations } = world;
+  const faults = new FaultRunner(world);
+  world.beginCalls();
+  const warm = pause(plan.warmUpMs);
+  await untilAllReady(world);
+  await warm;
+  await faults.play(plan.schedule);
+  observations.faultsEndedAt = performance.now();
+  await pause(plan.bounds.recoveryMs + plan.finalMs);
+  await world.callers.stop();
+  return faults.played;
+};
+
+/** Plays a run. */
+export const runSoak = async (options: SoakOptions): Promise<SoakResult> => {
+  const plan = drawPlan(options);
+  const folder = join(ROOT, `out/soak/seed-${options.seed}-${process.pid}`);
+  await mkdir(folder, { recursive: true });
+  const bundle = await bundlePlatform();
+  const runtimeFlags = await readRuntimeFlags();
+  const world = await SoakWorld.start(plan, { program: bundle.main, runtimeFlags, folder });
+  const { observations } = world;
+  const endStallWatch = watchForStalls(observations);
+  const began = performance.now();
+  try {
+    const played = await playPlan(world, plan);
+    endStallWatch();
+    const violations = checkRun(observations, checkedRunOf(plan));
+    return { plan, observations, played, violations, began, folder };
+  } finally {
+    endStallWatch();
+    await world.stop();
+    await bundle.remove();
+  }
+};
--- /dev/null
+++ b/soak/world/callers.ts
@@ -0,0 +1,172 @@
+/** Callers that work all through a run: each sends one request after the other to one gateway. */
+import { Agent } from 'node:http';
+import { setTimeout as pause } from 'node:timers/promises';
+import type { Random } from '../../src/core/random.js';
+import { platformProtocol } from '../../platform/protocol.js';
+import { HOST } from '../../test/platform/operator-spec.js';
+import { type Observations, UNKNOWN_LIFE } from '../model/observations.js';
+import { streamOf } from '../model/plan.js';
+import { digestOf } from './answer-body.js';
+import { type CallerQuery, sendQuery } from './caller-connection.js';
+import type { GatewayProcess } from './gateway-process.js';
+import type { Operator } from './operator.js';
+import { pathOf } from './paths.js';
+import { markerPrefix, PREFIXES } from './routes.js';
+
+/** Shortest and longest pause of a caller between two requests, in milliseconds. */
+const SHORTEST_PAUSE_MS = 40;
+const LONGEST_PAUSE_MS = 220;
+
+/** Pause of a caller that found no open port, in milliseconds. */
+const UNREACHABLE_PAUSE_MS = 100;
+
+/** Pause between two questions for a route that was added or removed lately, in milliseconds. */
+const MARKER_PAUSE_MS = 120;
+
+/** Pause between two questions for readiness, in milliseconds; the platform asks each second. */
+const READINESS_PAUSE_MS = 500;
+
+/** Time that callers give, in milliseconds. */
+const BUDGET_MS = 2_000;
+
+/** One of so many callers' requests is given up by its caller. */
+const LEAVES_ONE_OF = 12;
+
+/** Work of usual requests, and of those that their callers give up, in milliseconds. */
+const SHORTEST_WORK_MS = 1;
+const LONGEST_WORK_MS = 40;
+const WORK_OF_LEAVERS_MS = 1_400;
+
+/** Longest time that a leaving caller waits, in milliseconds. */
+const LONGEST_WAIT_MS = 400;
+
+const MOST_BODY_LETTERS = 2_000;
+
+interface Draft {
+  readonly method: string;
+  readonly prefix: string;
+  readonly workMs: number;
+  readonly body: string;
+  readonly leavesAfterMs?: number;
+}
+
+const drawWork = (random: Random): number =>
+  SHORTEST_WORK_MS + random.nextBelow(LONGEST_WORK_MS - SHORTEST_WORK_MS);
+
+const drawBody = (random: Random): string =>
+  'b'.repeat(1 + random.nextBelow(MOST_BODY_LETTERS)) + String(random.nextBelow(1_000));
+
+/** Draws what a caller asks for next. */
+const drawDraft = (random: Random): Draft => {
+  const workMs = drawWork(random);
+  const kind = random.nextBelow(10);
+  if (random.nextBelow(LEAVES_ONE_OF) === 0) {
+    const prefix = kind < 5 ? PREFIXES.gather : PREFIXES.moving;
+    const leavesAfterMs = 20 + random.nextBelow(LONGEST_WAIT_MS);
+    return { method: 'GET', prefix, workMs: WORK_OF_LEAVERS_MS, body: '', leavesAfterMs };
+  }
+  if (kind < 3) {
+    return { method: 'GET', prefix: PREFIXES.gather, workMs, body: '' };
+  }
+  if (kind < 6) {
+    return { method: 'POST', prefix: PREFIXES.once, workMs, body: drawBody(random) };
+  }
+  const prefix = kind < 8 ? PREFIXES.moving : PREFIXES.split;
+  return { method: 'GET', prefix, workMs, body: '' };
+};
+
+/** What callers work with. */
+export interface CallerContext {
+  readonly seed: number;
+  readonly observations: Observations;
+  readonly operator: Operator;
+}
+
+/** All callers, and those who ask for readiness. */
+export class Callers {
+  private working = true;
+  private sent = 0;
+  private readonly ended: Promise<void>[] = [];
+
+  constructor(private readonly context: CallerContext) {}
+
+  /** Lets `count` callers work over a gateway: every second one keeps its connection. */
+  begin(gateway: GatewayProcess, count: number): void {
+    for (let index = 0; index < count; index += 1) {
+      const random = streamOf(this.context.seed, 'callers', gateway.number * count + index);
+      this.ended.push(this.work(gateway, random, index % 2 === 0));
+    }
+    this.ended.push(this.askForMarkers(gateway), this.askForReadiness(gateway));
+  }
+
+  /** Ends after the requests that are under way. */
+  async stop(): Promise<void> {
+    this.working = false;
+    await Promise.all(this.ended);
+  }
+
+  private async work(gateway: GatewayProcess, random: Random, keeps: boolean): Promise<void> {
+    const agent = keeps ? new Agent({ keepAlive: true, maxSockets: 1 }) : undefined;
+    while (this.working) {
+      const pauseMs = SHORTEST_PAUSE_MS + random.nextBelow(LONGEST_PAUSE_MS - SHORTEST_PAUSE_MS);
+      const outcome = await this.send(gateway, drawDraft(random), agent);
+      await pause(outcome === 'unreachable' ? UNREACHABLE_PAUSE_MS : pauseMs);
+    }
+    agent?.destroy();
+  }
+
+  /** Asks by turns for the route added last and for the one removed last. */
+  private async askForMarkers(gateway: GatewayProcess): Promise<void> {
+    const offsets = [0, -2, -1] as const;
+    for (let index = 0; this.working; index += 1) {
+      const number = this.context.operator.newest + (offsets[index % offsets.length] ?? 0);
+      if (number >= 0) {
+        const prefix = markerPrefix(number);
+        await this.send(gateway, { method: 'GET', prefix, workMs: SHORTEST_WORK_MS, body: '' });
+      }
+      await pause(MARKER_PAUSE_MS);
+    }
+  }
+
+  private async askForReadiness(gateway: GatewayProcess): Promise<void> {
+    while (this.working) {
+      const ready = await isReady(gateway.ports.readiness);
+      const { readiness } = this.context.observations;
+      readiness.push({ gateway: gateway.number, at: performance.now(), ready });
+      await pause(READINESS_PAUSE_MS);
+    }
+  }
+
+  private async send(gateway: GatewayProcess, draft: Draft, agent?: Agent): Promise<string> {
+    this.sent += 1;
+    const id = `r${this.context.seed}-${this.sent}`;
+    const { method, prefix, workMs, body, leavesAfterMs } = draft;
+    const path = pathOf(prefix, workMs, id);
+    const { life } = gateway;
+    const query: CallerQuery = {
+      id,
+      port: gateway.ports.callers,
+      method,
+      path,
+      body,
+      budgetMs: BUDGET_MS,
+      ...(leavesAfterMs !== undefined && { leavesAfterMs }),
+      ...(agent !== undefined && { agent }),
+    };
+    const result = await sendQuery(HOST, query);
+    const bodyDigest = digestOf(Buffer.from(body));
+    // A process that was replaced meanwhile: it is not known which of the two was asked.
+    const knownLife = gateway.life === life ? life : UNKNOWN_LIFE;
+    const asked = { id, gateway: gateway.number, life: knownLife, method, path, bodyDigest };
+    this.context.observations.requests.push({ ...asked, ...result });
+    return result.outcome.type;
+  }
+}
+
+const isReady = async (port: number): Promise<boolean> => {
+  const signal = AbortSignal.timeout(READINESS_PAUSE_MS);
+  const url = `http://127.0.0.1:${port}${platformProtocol.readinessPath}`;
+  const answer = await fetch(url, { signal }).catch(() => undefined);
+  await answer?.arrayBuffer().catch(() => undefined);
+  return answer?.status === 200;
+};
--- /dev/null
+++ b/soak/world/gateway-process.ts
@@ -0,0 +1,194 @@
+/** One gateway: its settings file, and one process after the other that runs on it. */
+import { createWriteStream, type WriteStream } from 'node:fs';
+import { writeFile } from 'node:fs/promises';
+import { join } from 'node:path';
+import { setTimeout as pause } from 'node:timers/promises';
+import { RigProcess } from '../../src/rig/child-process.js';
+import { SETTINGS_VARIABLE, settingsFileOf } from '../../test/platform/settings-file.js';
+import type { GatewaySettings } from '../../src/gateway/settings.js';
+import type { Observations, PlannedStop } from '../model/observations.js';
+import { beginDisturbance, type EndDisturbance } from './recorder.js';
+
+/** Time between the end of a process and the start of the next one, in milliseconds. */
+const RESTART_MS = 300;
+
+/** What all gateways of a run have in common. */
+export interface GatewayContext {
+  /** The bundled program. */
+  readonly program: string;
+  readonly runtimeFlags: readonly string[];
+  readonly folder: string;
+  readonly observations: Observations;
+}
+
+/** Starts, signals and ends the processes of one gateway. */
+export class GatewayProcess {
+  /** Which process this is, counted from 1. */
+  life = 0;
+  private current: RigProcess | undefined;
+  private readonly log: WriteStream;
+  private readonly settingsFile: string;
+  /** Faults take a gateway one after the other: each begins where the one before has ended. */
+  private busy: Promise<void> = Promise.resolve();
+  private closing = false;
+
+  constructor(
+    readonly number: number,
+    private settings: GatewaySettings,
+    private readonly context: GatewayContext,
+  ) {
+    this.settingsFile = join(context.folder, `${settings.node}.json`);
+    this.log = createWriteStream(join(context.folder, `${settings.node}.log`));
+  }
+
+  get name(): string {
+    return this.settings.node;
+  }
+
+  /** Ports on which callers and the load balancer ask. */
+  get ports(): { readonly callers: number; readonly readiness: number } {
+    const { callers, readiness } = this.settings;
+    return { callers: callers.port, readiness: readiness.port };
+  }
+
+  /** Starts the first process. */
+  start(): Promise<void> {
+    return this.spawn();
+  }
+
+  /** Takes changed settings by a signal; this is no disturbance. */
+  reload(change: (settings: GatewaySettings) => GatewaySettings): Promise<void> {
+    return this.inTurn(async () => {
+      this.settings = change(this.settings);
+      await this.writeSettings();
+      this.current?.signal('SIGHUP');
+    });
+  }
+
+  /** Asks the process to end, ends it by force after the grace period, and starts the next one. */
+  stopAndRestart(): Promise<void> {
+    return this.inTurn(async () => {
+      const end = this.disturb('stop', true);
+      await this.stopOnce();
+      await pause(RESTART_MS);
+      await this.spawn();
+      end();
+    });
+  }
+
+  /** Ends the process by force and starts the next one after some time. */
+  kill(downMs: number): Promise<void> {
+    return this.inTurn(async () => {
+      const end = this.disturb('kill');
+      const process = this.current;
+      this.current = undefined;
+      process?.signal('SIGKILL');
+      await process?.waitForExit();
+      await pause(downMs);
+      await this.spawn();
+      end();
+    });
+  }
+
+  /** Stands the process still for a while. */
+  pauseFor(forMs: number): Promise<void> {
+    return this.inTurn(async () => {
+      const end = this.disturb('pause');
+      this.current?.signal('SIGSTOP');
+      await pause(forMs);
+      this.current?.signal('SIGCONT');
+      end();
+    });
+  }
+
+  /** Ends the process for good. */
+  async close(): Promise<void> {
+    this.closing = true;
+    const process = this.current;
+    this.current = undefined;
+    if (process?.runs === true) {
+      process.signal('SIGCONT');
+      process.signal('SIGKILL');
+      await process.waitForExit();
+    }
+    await new Promise<void>((resolve) => this.log.end(resolve));
+  }
+
+  private disturb(what: string, planned = false): EndDisturbance {
+    const scope = { type: 'gateway', gateway: this.number } as const;
+    return beginDisturbance(this.context.observations, [scope], what, planned);
+  }
+
+  private inTurn(work: () => Promise<void>): Promise<void> {
+    this.busy = this.busy.then(() => (this.closing ? undefined : work()));
+    return this.busy;
+  }
+
+  private async stopOnce(): Promise<void> {
+    const process = this.current;
+    if (process === undefined) {
+      return;
+    }
+    this.current = undefined;
+    const { stops } = this.context.observations;
+    const { number: gateway, life } = this;
+    const { graceMs } = this.settings.bounds;
+    const stop: PlannedStop = {
+      gateway,
+      life,
+      at: performance.now(),
+      endedAt: undefined,
+      exitCode: undefined,
+    };
+    stops.push(stop);
+    process.signal('SIGTERM');
+    const ended = process.waitForExit().then(({ code }) => ({ code, at: performance.now() }));
+    const inTime = await Promise.race([ended, pause(graceMs)]);
+    if (inTime === undefined) {
+      process.signal('SIGKILL');
+      await ended;
+      return;
+    }
+    stop.endedAt = inTime.at;
+    stop.exitCode = inTime.code;
+  }
+
+  private writeSettings(): Promise<void> {
+    return writeFile(this.settingsFile, settingsFileOf(this.settings));
+  }
+
+  private async spawn(): Promise<void> {
+    this.settings = { ...this.settings, firstStart: this.life === 0 };
+    await this.writeSettings();
+    if (this.closing) {
+      return;
+    }
+    this.life += 1;
+    const { program, runtimeFlags } = this.context;
+    this.log.write(`${JSON.stringify({ time: Date.now(), soak: `process ${this.life}` })}\n`);
+    const process = new RigProcess(this.name, program, [], this.environment(), {
+      runtimeFlags,
+      onOutput: (text) => this.log.write(text),
+    });
+    this.current = process;
+    void process.waitForExit().then(({ code, signal }) => {
+      if (this.current === process) {
+        this.noteUnexpectedEnd(`code ${String(code)}, signal ${String(signal)}`);
+        this.current = undefined;
+      }
+    });
+  }
+
+  private environment(): Readonly<Record<string, string>> {
+    return { [SETTINGS_VARIABLE]: this.settingsFile };
+  }
+
+  private noteUnexpectedEnd(detail: string): void {
+    const { unexpectedEnds } = this.context.observations;
+    unexpectedEnds.push({ gateway: this.number, at: performance.now(), detail });
+    void this.inTurn(async () => {
+      await pause(RESTART_MS);
+      await this.spawn();
+    });
+  }
+}
--- /dev/null
+++ b/soak/world/operator.ts
@@ -0,0 +1,42 @@
+/** Writes one version of the configuration after the other. */
+import type { Random } from '../../src/core/random.js';
+import {
+  CONFIGURATION_ENTRY,
+  configurationSpec,
+  operatorRouteSpec,
+} from '../../test/platform/operator-spec.js';
+import type { StandInStore } from '../../test/platform/stand-in-store.js';
+import type { Observations } from '../model/observations.js';
+import { routesOf } from './routes.js';
+import { SERVICES } from './topology.js';
+
+/** Versions rise by up to so much. */
+const LARGEST_STEP = 5;
+
+/** The operator of the deployment. */
+export class Operator {
+  private version = 0;
+
+  constructor(
+    private readonly store: StandInStore,
+    private readonly observations: Observations,
+    private readonly random: Random,
+    private readonly maxConnections: number,
+  ) {}
+
+  /** Number of the newest version, counted from 0. */
+  get newest(): number {
+    return this.observations.versions.length - 1;
+  }
+
+  /** Writes the next version; the store acknowledges it at once. */
+  configure(): void {
+    const { versions } = this.observations;
+    const routes = routesOf(versions.length);
+    this.version += 1 + this.random.nextBelow(LARGEST_STEP);
+    const specs = routes.map(operatorRouteSpec);
+    const spec = configurationSpec(this.version, specs, SERVICES, this.maxConnections);
+    this.store.put(CONFIGURATION_ENTRY.kind, CONFIGURATION_ENTRY.name, spec);
+    versions.push({ version: this.version, acknowledgedAt: performance.now(), routes });
+  }
+}
--- /dev/null
+++ b/soak/world/ports.ts
@@ -0,0 +1,41 @@
+/**
+ * Ports for gateways that are started again on the same ones. They lie below those that the kernel gives
+ * to outgoing connections, which could take a port while its gateway is down.
+ */
+import { createServer } from 'node:net';
+import { once } from 'node:events';
+
+const HOST = '127.0.0.1';
+
+/** First port and number of ports that are tried; the kernel's own begin at 32,768. */
+const FIRST_PORT = 22_000;
+const PORTS = 10_000;
+
+/** Distance between the ports that two processes of the soak try first. */
+const PORTS_OF_A_RUN = 97;
+
+const isFree = async (port: number): Promise<boolean> => {
+  const server = createServer();
+  const failed = once(server, 'error').then(() => false);
+  server.listen(port, HOST);
+  const listening = once(server, 'listening').then(() => true);
+  const free = await Promise.race([failed, listening]);
+  if (free) {
+    server.close();
+    await once(server, 'close');
+  }
+  return free;
+};
+
+/** Finds `count` free ports. */
+export const findPorts = async (count: number): Promise<readonly number[]> => {
+  const found: number[] = [];
+  const start = (process.pid * PORTS_OF_A_RUN) % PORTS;
+  for (let step = 0; found.length < count && step < PORTS; step += 1) {
+    const port = FIRST_PORT + ((start + step) % PORTS);
+    if (await isFree(port)) {
+      found.push(port);
+    }
+  }
+  return found;
+};
--- /dev/null
+++ b/soak/world/replica-fleet.ts
@@ -0,0 +1,181 @@
+/** Replicas of all services: the stand-ins of the tests, with what happens at them noted. */
+import { setTimeout as pause } from 'node:timers/promises';
+import { REPLICA_KIND } from '../../test/platform/operator-spec.js';
+import {
+  type ArrivedRequest,
+  type ReplicaObserver,
+  StandInReplica,
+} from '../../test/platform/stand-in-replica.js';
+import type { StandInStore } from '../../test/platform/stand-in-store.js';
+import type { Arrival, Observations } from '../model/observations.js';
+import { bodyOf, digestOf } from './answer-body.js';
+import { workOf } from './paths.js';
+import { REPLICA_SLOTS, SERVICES, replicasOf, zoneOf } from './topology.js';
+
+/** A replica that leaves serves for longer than it has to by this time, in milliseconds. */
+const SERVES_LONGER_MS = 3_000;
+
+/** Time after which the store drops the entry of a replica that has crashed, in milliseconds. */
+const ENTRY_LASTS_MS = 3_600;
+
+interface FleetMember {
+  readonly replica: StandInReplica;
+  readonly service: string;
+  readonly zone: string;
+  /** It leaves, or has left. */
+  leaving: boolean;
+}
+
+/** Starts, watches and ends replicas. */
+export class ReplicaFleet {
+  private readonly members = new Set<FleetMember>();
+  private started = 0;
+
+  constructor(
+    private readonly store: StandInStore,
+    private readonly observations: Observations,
+    private readonly drainMs: number,
+  ) {}
+
+  /** Starts all replicas of the deployment. */
+  async start(): Promise<void> {
+    for (const service of SERVICES) {
+      for (let index = 0; index < replicasOf(service); index += 1) {
+        await this.add(service, zoneOf(index));
+      }
+    }
+  }
+
+  /** A replica of the service announces that it drains, serves on for some time, and ends. */
+  async drain(service: string): Promise<void> {
+    const member = await this.replaceOne(service);
+    if (member === undefined) {
+      return;
+    }
+    const { replica, zone } = member;
+    this.store.put(REPLICA_KIND, replica.id, replica.entry(service, zone, 'draining'));
+    this.noteDeparture(member);
+    await pause(this.drainMs + SERVES_LONGER_MS);
+    this.store.remove(REPLICA_KIND, replica.id);
+    await this.end(member);
+  }
+
+  /** The entry of a replica goes away; it serves on for some time, and ends. */
+  async vanish(service: string): Promise<void> {
+    const member = await this.replaceOne(service);
+    if (member === undefined) {
+      return;
+    }
+    this.store.remove(REPLICA_KIND, member.replica.id);
+    this.noteDeparture(member);
+    await pause(this.drainMs + SERVES_LONGER_MS);
+    await this.end(member);
+  }
+
+  /** A replica ends at once; its entry goes later, when another has taken its place. */
+  async crash(service: string): Promise<void> {
+    const member = this.findOne(service);
+    if (member === undefined) {
+      return;
+    }
+    member.leaving = true;
+    await this.end(member);
+    await pause(ENTRY_LASTS_MS);
+    this.store.remove(REPLICA_KIND, member.replica.id);
+    await this.add(service, member.zone);
+  }
+
+  /** One replica of the service runs requests and closes their connections for a while. */
+  async loseAnswers(service: string, forMs: number): Promise<void> {
+    const member = this.findOne(service);
+    if (member === undefined) {
+      return;
+    }
+    member.replica.behaviour.losesAnswers = true;
+    await pause(forMs);
+    member.replica.behaviour.losesAnswers = false;
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all([...this.members].map((member) => this.end(member)));
+  }
+
+  private findOne(service: string): FleetMember | undefined {
+    return [...this.members].find((member) => member.service === service && !member.leaving);
+  }
+
+  /** Chooses a replica that is to leave and starts another in its place. */
+  private async replaceOne(service: string): Promise<FleetMember | undefined> {
+    const member = this.findOne(service);
+    if (member !== undefined) {
+      member.leaving = true;
+      await this.add(service, member.zone);
+    }
+    return member;
+  }
+
+  private async add(service: string, zone: string): Promise<void> {
+    this.started += 1;
+    const id = `${service}~${this.started}`;
+    const replica = await StandInReplica.start(id, { slots: REPLICA_SLOTS, bodyOf, workOf });
+    replica.observer = this.observe(replica, service);
+    this.members.add({ replica, service, zone, leaving: false });
+    this.store.put(REPLICA_KIND, id, replica.entry(service, zone));
+  }
+
+  private async end(member: FleetMember): Promise<void> {
+    this.members.delete(member);
+    await member.replica.stop();
+  }
+
+  private noteDeparture({ replica, service }: FleetMember): void {
+    const acknowledgedAt = performance.now();
+    this.observations.departures.push({ replica: replica.id, service, acknowledgedAt });
+  }
+
+  private observe(replica: StandInReplica, service: string): ReplicaObserver {
+    const { arrivals, answers } = this.observations;
+    const noted = new WeakMap<ArrivedRequest, Arrival>();
+    return {
+      arrived: (request, ran) => {
+        const arrival = describeArrival(request, replica.id, service, ran);
+        noted.set(request, arrival);
+        arrivals.push(arrival);
+        replica.arrived.length = 0;
+      },
+      read: (request) => {
+        const arrival = noted.get(request);
+        if (arrival !== undefined) {
+          arrival.bodyDigest = digestOf(Buffer.from(request.body));
+        }
+      },
+      answered: ({ id }, signature, status) => {
+        answers.set(signature, { signature, requestId: id, replica: replica.id, service, status });
+      },
+      ended: (request) => {
+        const arrival = noted.get(request);
+        if (arrival !== undefined) {
+          arrival.endedAt ??= performance.now();
+        }
+      },
+    };
+  }
+}
+
+const describeArrival = (
+  { id, method, path }: ArrivedRequest,
+  replica: string,
+  service: string,
+  ran: boolean,
+): Arrival => ({
+  requestId: id,
+  replica,
+  service,
+  at: performance.now(),
+  ran,
+  method,
+  path,
+  workMs: ran ? workOf(path) : 0,
+  bodyDigest: undefined,
+  endedAt: undefined,
+});
--- /dev/null
+++ b/soak/world/soak-world.ts
@@ -0,0 +1,100 @@
+/** All parts of a run: store, links, replicas, gateways, operator and callers. */
+import type { GatewaySettings } from '../../src/gateway/settings.js';
+import { StandInStore } from '../../test/platform/stand-in-store.js';
+import { createObservations, type Observations } from '../model/observations.js';
+import { type SoakPlan, streamOf } from '../model/plan.js';
+import { Callers } from './callers.js';
+import { type GatewayContext, GatewayProcess } from './gateway-process.js';
+import { Operator } from './operator.js';
+import { findPorts } from './ports.js';
+import { ReplicaFleet } from './replica-fleet.js';
+import { StoreLink } from './store-link.js';
+import { REGION, ZONES, zoneOf } from './topology.js';
+
+const HOST = '127.0.0.1';
+
+/** Callers, readiness and peers. */
+const PORTS_OF_A_GATEWAY = 3;
+
+/** Processor share of the users' machines. */
+const PROCESSOR_SHARE = 0.675;
+
+/** The program and where its files go. */
+export type ProgramFiles = Omit<GatewayContext, 'observations'>;
+
+/** A running deployment. */
+export class SoakWorld {
+  readonly observations: Observations = createObservations();
+  readonly gateways: GatewayProcess[] = [];
+  readonly storeLinks: StoreLink[] = [];
+  readonly replicas: ReplicaFleet;
+  readonly operator: Operator;
+  readonly callers: Callers;
+
+  private constructor(
+    readonly store: StandInStore,
+    private readonly plan: SoakPlan,
+  ) {
+    const { seed, maxConnections, bounds } = plan;
+    const { observations } = this;
+    this.replicas = new ReplicaFleet(store, observations, bounds.drainMs);
+    const random = streamOf(seed, 'operator');
+    this.operator = new Operator(store, observations, random, maxConnections);
+    this.callers = new Callers({ seed, observations, operator: this.operator });
+  }
+
+  /** Starts everything except for the callers. */
+  static async start(plan: SoakPlan, files: ProgramFiles): Promise<SoakWorld> {
+    const world = new SoakWorld(await StandInStore.start(), plan);
+    await world.replicas.start();
+    world.operator.configure();
+    await world.startGateways(files);
+    return world;
+  }
+
+  beginCalls(): void {
+    this.gateways.forEach((gateway) => {
+      this.callers.begin(gateway, this.plan.callersPerGateway);
+    });
+  }
+
+  /** Ends everything that was started. */
+  async stop(): Promise<void> {
+    await Promise.all(this.gateways.map((gateway) => gateway.close()));
+    await Promise.all(this.storeLinks.map((link) => link.close()));
+    await this.replicas.stop();
+    await this.store.stop();
+  }
+
+  private async startGateways(files: ProgramFiles): Promise<void> {
+    const { gateways: count } = this.plan;
+    const ports = await findPorts(count * PORTS_OF_A_GATEWAY);
+    const context = { ...files, observations: this.observations };
+    for (let number = 0; number < count; number += 1) {
+      const link = await StoreLink.open(this.store.port);
+      this.storeLinks.push(link);
+      const first = number * PORTS_OF_A_GATEWAY;
+      const own = ports.slice(first, first + PORTS_OF_A_GATEWAY);
+      this.gateways.push(new GatewayProcess(number, this.settingsOf(number, own, link), context));
+    }
+    await Promise.all(this.gateways.map((gateway) => gateway.start()));
+  }
+
+  private settingsOf(number: number, ports: readonly number[], link: StoreLink): GatewaySettings {
+    const address = (index: number) => ({ host: HOST, port: ports[index] ?? 0 });
+    return {
+      node: `front-${number + 1}`,
+      zone: zoneOf(number),
+      capacity: PROCESSOR_SHARE,
+      firstStart: true,
+      zoneRegions: Object.fromEntries(ZONES.map((zone) => [zone, REGION])),
+      callers: address(0),
+      readiness: address(1),
+      peers: address(2),
+      seeds: [],
+      store: { host: HOST, port: link.port },
+      bounds: this.plan.bounds,
+      logLevel: 'info',
+    };
+  }
+}
--- a/src/rig/child-process.ts
+++ b/src/rig/child-process.ts
@@ -17,6 +17,8 @@
   readonly runtimeFlags?: readonly string[];
   /** Most characters of output that are kept. */
   readonly outputLimit?: number;
+  /** Is given all that the process writes. */
+  readonly onOutput?: (text: string) => void;
 }
 
 /** A process that a launch script has started. */
@@ -69,7 +71,9 @@
   }
 
   private keep(chunk: Buffer): void {
-    const { outputLimit = OUTPUT_LIMIT } = this.options;
-    this.kept = (this.kept + chunk.toString('utf8')).slice(-outputLimit);
+    const { outputLimit = OUTPUT_LIMIT, onOutput } = this.options;
+    const text = chunk.toString('utf8');
+    this.kept = (this.kept + text).slice(-outputLimit);
+    onOutput?.(text);
   }
 }
--- a/test/platform/operator-spec.ts
+++ b/test/platform/operator-spec.ts
@@ -7,10 +7,13 @@
   idle_timeout_ms: 15_000,
 };
 
+/** Host of all routes. */
+export const HOST = 'shop.example';
+
 /** A route as the operator writes it; the rest is filled in. */
 export const routeSpec = (fields: Readonly<Record<string, unknown>>): unknown => ({
   name: `route-${JSON.stringify(fields['path_prefix'])}`,
-  host: 'shop.example',
+  host: HOST,
   kind: 'safe',
   timeout_ms: 2_000,
   target_ms: 400,
@@ -23,6 +26,12 @@
 const serviceSpecs = (services: readonly string[], maxConnections: number): readonly unknown[] =>
   services.map((name) => ({ name, health_path: '/health', max_conns: maxConnections }));
 
+/** Where the configuration stands in the store. */
+export const CONFIGURATION_ENTRY = { kind: 'config', name: 'main' } as const;
+
+/** Kind of the entries of replicas in the store. */
+export const REPLICA_KIND = 'servers';
+
 /** A whole configuration, as it stands in the store under `config/main`. */
 export const configurationSpec = (
   version: number,
--- a/test/platform/process.test.ts
+++ b/test/platform/process.test.ts
@@ -8,7 +8,7 @@
 import { type CompiledSource, bundlePlatform } from '../runtime/compiled-source.js';
 import { GatewayFixture } from './gateway-fixture.js';
 import { routeSpec } from './operator-spec.js';
-import { settingsFileOf } from './settings-file.js';
+import { SETTINGS_VARIABLE, settingsFileOf } from './settings-file.js';
 
 let source: CompiledSource;
 let fixture: GatewayFixture;
@@ -41,7 +41,7 @@
   await writeFile(file, settings);
   child = spawn(process.execPath, [source.main], {
     stdio: ['ignore', 'pipe', 'pipe'],
-    env: { ...process.env, CROSSROAD_BOOT: file },
+    env: { ...process.env, [SETTINGS_VARIABLE]: file },
   });
   return child;
 };
--- a/test/platform/settings-file.ts
+++ b/test/platform/settings-file.ts
@@ -2,6 +2,9 @@
 import type { GatewaySettings } from '../../src/gateway/settings.js';
 import { formatHostPort } from '../../src/settings/parse-host-port.js';
 
+/** Variable that names the settings file to a process. */
+export const SETTINGS_VARIABLE = 'CROSSROAD_BOOT';
+
 /** Formats settings as a file. */
 export const settingsFileOf = ({ bounds, ...settings }: GatewaySettings): string =>
   JSON.stringify({
