The soak troubles links between gateways and changes the configuration all through a run

Cause: runs had 3 to 12 versions, and nothing disturbed what gateways tell one another.

Ruled out: rewriting the addresses of gateways in the store (a gateway that reads its own entry with another address writes it again, without end); a second loopback address (the entry is the address that is listened on).

An interrupted soak ends its gateways.

--- a/soak/faults/fault-runner.ts
+++ b/soak/faults/fault-runner.ts
@@ -3,8 +3,9 @@
 import { match } from 'ts-pattern';
 import type { GatewaySettings } from '../../src/gateway/settings.js';
 import type { Scope } from '../model/observations.js';
-import type { Fault, ScheduledFault } from '../model/schedule.js';
+import type { Fault, LinkFault, ScheduledFault } from '../model/schedule.js';
 import { beginDisturbance } from '../world/recorder.js';
+import type { LoopbackLink } from '../world/loopback-link.js';
 import type { SoakWorld } from '../world/soak-world.js';
 import { StoreFaults } from './store-faults.js';
 
@@ -61,7 +62,8 @@
       .with({ type: 'pause' }, ({ gateway, forMs }) => gateways[gateway]?.pauseFor(forMs))
       .with({ type: 'reload' }, (reload) => this.reload(reload.gateways))
       .with({ type: 'configure' }, ({ count, gapMs }) => this.configure(count, gapMs))
-      .with({ type: 'store-link' }, (link) => this.troubleLinks(link))
+      .with({ type: 'store-link' }, (link) => this.troubleLinks(link, this.world.storeLinks))
+      .with({ type: 'peer-link' }, (link) => this.troubleLinks(link, this.world.peerLinks))
       .with({ type: 'replica-leaves', how: 'drain' }, ({ service }) => replicas.drain(service))
       .with({ type: 'replica-leaves', how: 'vanish' }, ({ service }) => replicas.vanish(service))
       .with({ type: 'replica-leaves' }, ({ service }) =>
@@ -95,11 +97,14 @@
     }
   }
 
-  private async troubleLinks(link: Extract<Fault, { type: 'store-link' }>): Promise<void> {
-    const scopes = gatewayScopes(link.gateways);
-    const end = beginDisturbance(this.world.observations, scopes, `store ${link.trouble}`);
-    const links = link.gateways.flatMap((number) => this.world.storeLinks[number] ?? []);
-    await Promise.all(links.map((each) => each.troubleFor(link.trouble, link.forMs)));
+  private async troubleLinks(
+    { type, gateways, trouble, forMs }: LinkFault<'store-link' | 'peer-link'>,
+    links: readonly LoopbackLink[],
+  ): Promise<void> {
+    const scopes = gatewayScopes(gateways);
+    const end = beginDisturbance(this.world.observations, scopes, `${type} ${trouble}`);
+    const chosen = gateways.flatMap((number) => links[number] ?? []);
+    await Promise.all(chosen.map((link) => link.troubleFor(trouble, forMs)));
     end();
   }
 
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -85,4 +85,8 @@
   return allHeld ? ExitCode.done : ExitCode.failed;
 };
 
+/** An interrupted soak ends its gateways: they are ended when this process exits. */
+for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+  process.once(signal, () => process.exit(ExitCode.failed));
+}
 process.exitCode = await main();
--- a/soak/model/plan.ts
+++ b/soak/model/plan.ts
@@ -1,7 +1,7 @@
 /** What one run does, drawn from its seed. */
 import { createRandom } from '../../src/core/random.js';
 import type { GatewayBounds } from '../../src/gateway/settings.js';
-import { drawSchedule, type ScheduledFault } from './schedule.js';
+import { drawPeerTroubles, drawSchedule, drawVersions, type ScheduledFault } from './schedule.js';
 
 /** Bounds that the soak checks; milliseconds unless the name says otherwise. */
 export interface SoakBounds extends GatewayBounds {
@@ -55,6 +55,8 @@
 export interface SoakPlan extends SoakOptions {
   readonly bounds: SoakBounds;
   readonly maxConnections: number;
+  /** Gateways reach one another by way of proxies. */
+  readonly usesPeerLinks: boolean;
   readonly warmUpMs: number;
   readonly finalMs: number;
   /** Faults, with times from the end of the warm-up. */
@@ -62,9 +64,17 @@
 }
 
 /** Streams of random numbers of one seed. */
-export type RandomStream = 'plan' | 'schedule' | 'callers' | 'operator';
+export type RandomStream = 'plan' | 'schedule' | 'callers' | 'operator' | 'versions' | 'peer-links';
 
-const STREAMS: readonly RandomStream[] = ['plan', 'schedule', 'callers', 'operator'];
+/** A new one goes to the end: the seeds that have failed then keep the streams that they had. */
+const STREAMS: readonly RandomStream[] = [
+  'plan',
+  'schedule',
+  'callers',
+  'operator',
+  'versions',
+  'peer-links',
+];
 
 /** Distance between the seeds of two runs, so that their streams differ. */
 const STREAM_STRIDE = 1_000_003;
@@ -80,12 +90,22 @@
   const maxConnections =
     MAX_CONNECTIONS[random.nextBelow(MAX_CONNECTIONS.length)] ?? MAX_CONNECTIONS[0];
   const faultsMs = options.durationMs - WARM_UP_MS - BOUNDS.recoveryMs - FINAL_MS;
+  const usesPeerLinks = random.nextBelow(2) === 0;
+  const { seed, gateways } = options;
+  const peerTroubles = usesPeerLinks
+    ? drawPeerTroubles(streamOf(seed, 'peer-links'), faultsMs, gateways)
+    : [];
   return {
     ...options,
     bounds: { ...BOUNDS, retrySlack },
     maxConnections,
+    usesPeerLinks,
     warmUpMs: WARM_UP_MS,
     finalMs: FINAL_MS,
-    schedule: drawSchedule(streamOf(options.seed, 'schedule'), faultsMs, options.gateways),
+    schedule: [
+      ...drawSchedule(streamOf(seed, 'schedule'), faultsMs, gateways),
+      ...drawVersions(streamOf(seed, 'versions'), faultsMs),
+      ...peerTroubles,
+    ],
   };
 };
--- a/soak/model/schedule.ts
+++ b/soak/model/schedule.ts
@@ -5,9 +5,17 @@
 /** How the store treats all callers while it is down. */
 export type StoreOutage = 'resetting' | 'silent' | 'busy' | 'throttling';
 
-/** How a proxy treats the connections of one gateway to the store. */
+/** How a proxy treats connections: those of a gateway to the store, or of its peers to a gateway. */
 export type LinkTrouble = 'refuse' | 'silence' | 'delay';
 
+/** Trouble with the links of some gateways; the duration in milliseconds. */
+export interface LinkFault<Type extends 'store-link' | 'peer-link'> {
+  readonly type: Type;
+  readonly gateways: readonly number[];
+  readonly trouble: LinkTrouble;
+  readonly forMs: number;
+}
+
 /** A fault; durations and pauses in milliseconds. */
 export type Fault =
   | { readonly type: 'stop-in-turn'; readonly gateways: readonly number[] }
@@ -20,12 +28,8 @@
   | { readonly type: 'change-and-forget'; readonly muteMs: number }
   | { readonly type: 'store-down'; readonly outage: StoreOutage; readonly forMs: number }
   | { readonly type: 'store-loses-answers'; readonly forMs: number }
-  | {
-      readonly type: 'store-link';
-      readonly gateways: readonly number[];
-      readonly trouble: LinkTrouble;
-      readonly forMs: number;
-    }
+  | LinkFault<'store-link'>
+  | LinkFault<'peer-link'>
   | {
       readonly type: 'replica-leaves';
       readonly service: string;
@@ -135,6 +139,44 @@
   }),
 ];
 
+/** Shortest and longest pause between two versions that come besides, in milliseconds. */
+const LEAST_VERSION_GAP_MS = 1_500;
+const MOST_VERSION_GAP_MS = 4_500;
+
+/** Draws versions of the configuration that come all through a run, besides those of its faults. */
+export const drawVersions = (random: Random, durationMs: number): readonly ScheduledFault[] => {
+  const schedule: ScheduledFault[] = [];
+  for (let atMs = 0; atMs < durationMs - LAST_START_MS;) {
+    schedule.push({ atMs, fault: { type: 'configure', count: 1, gapMs: 0 } });
+    atMs += between(random, LEAST_VERSION_GAP_MS, MOST_VERSION_GAP_MS);
+  }
+  return schedule;
+};
+
+/** Shortest and longest pause between troubles of links between gateways, in milliseconds. */
+const LEAST_PEER_GAP_MS = 3_000;
+const MOST_PEER_GAP_MS = 10_000;
+
+/** Draws trouble with the connections of gateways to one another, besides the other faults. */
+export const drawPeerTroubles = (
+  random: Random,
+  durationMs: number,
+  gateways: number,
+): readonly ScheduledFault[] => {
+  const schedule: ScheduledFault[] = [];
+  for (let atMs = 0; atMs < durationMs - LAST_START_MS;) {
+    const fault: Fault = {
+      type: 'peer-link',
+      gateways: pickGateways(random, gateways, between(random, 1, Math.ceil(gateways / 2))),
+      trouble: pick(random, ['refuse', 'silence', 'delay']),
+      forMs: troubleMs(random),
+    };
+    schedule.push({ atMs, fault });
+    atMs += between(random, LEAST_PEER_GAP_MS, MOST_PEER_GAP_MS);
+  }
+  return schedule;
+};
+
 /** Draws the faults of a run for `durationMs`; some overlap, and between some all is calm. */
 export const drawSchedule = (
   random: Random,
--- a/soak/world/callers.ts
+++ b/soak/world/callers.ts
@@ -2,7 +2,6 @@
 import { Agent } from 'node:http';
 import { setTimeout as pause } from 'node:timers/promises';
 import type { Random } from '../../src/core/random.js';
-import { platformProtocol } from '../../platform/protocol.js';
 import { HOST } from '../../test/platform/operator-spec.js';
 import { type Observations, UNKNOWN_LIFE } from '../model/observations.js';
 import { streamOf } from '../model/plan.js';
@@ -11,6 +10,7 @@
 import type { GatewayProcess } from './gateway-process.js';
 import type { Operator } from './operator.js';
 import { pathOf } from './paths.js';
+import { isReady } from './readiness.js';
 import { markerPrefix, PREFIXES } from './routes.js';
 
 /** Shortest and longest pause of a caller between two requests, in milliseconds. */
@@ -162,11 +162,3 @@
     return result.outcome.type;
   }
 }
-
-const isReady = async (port: number): Promise<boolean> => {
-  const signal = AbortSignal.timeout(READINESS_PAUSE_MS);
-  const url = `http://127.0.0.1:${port}${platformProtocol.readinessPath}`;
-  const answer = await fetch(url, { signal }).catch(() => undefined);
-  await answer?.arrayBuffer().catch(() => undefined);
-  return answer?.status === 200;
-};
--- a/soak/world/gateway-process.ts
+++ b/soak/world/gateway-process.ts
@@ -7,6 +7,8 @@
 import { SETTINGS_VARIABLE, settingsFileOf } from '../../test/platform/settings-file.js';
 import type { GatewaySettings } from '../../src/gateway/settings.js';
 import type { Observations, PlannedStop } from '../model/observations.js';
+import type { HostPort } from '../../src/settings/node-settings.js';
+import { isReady } from './readiness.js';
 import { isOpen } from './ports.js';
 import { beginDisturbance, type EndDisturbance } from './recorder.js';
 
@@ -36,13 +38,21 @@
   /** Faults take a gateway one after the other: each begins where the one before has ended. */
   private busy: Promise<void> = Promise.resolve();
   private closing = false;
+  /** The settings file holds the address at which peers connect. */
+  private tellsPeersAddress = false;
 
   constructor(
     readonly number: number,
     private settings: GatewaySettings,
     private readonly context: GatewayContext,
+    /**
+     * Where peers connect, if not to the port on which the gateway listens. A process listens where its first
+     * settings say and tells others what its newest ones say: these are changed once it is ready.
+     */
+    private readonly peersAddress?: HostPort,
   ) {
     this.settingsFile = join(context.folder, `${settings.node}.json`);
+    process.once('exit', this.endNow);
     this.log = createWriteStream(join(context.folder, `${settings.node}.log`));
   }
 
@@ -111,16 +121,16 @@
   /** Ends the process for good. */
   async close(): Promise<void> {
     this.closing = true;
-    const process = this.current;
+    process.off('exit', this.endNow);
+    const last = this.current;
     this.current = undefined;
-    if (process?.runs === true) {
-      process.signal('SIGCONT');
-      process.signal('SIGKILL');
-      await process.waitForExit();
-    }
+    last?.signal('SIGKILL');
+    await last?.waitForExit();
     await new Promise<void>((resolve) => this.log.end(resolve));
   }
 
+  private readonly endNow = (): void => this.current?.signal('SIGKILL');
+
   private disturb(what: string, planned = false): EndDisturbance {
     const scope = { type: 'gateway', gateway: this.number } as const;
     return beginDisturbance(this.context.observations, [scope], what, planned);
@@ -172,11 +182,27 @@
   }
 
   private writeSettings(): Promise<void> {
-    return writeFile(this.settingsFile, settingsFileOf(this.settings));
+    const peers =
+      this.tellsPeersAddress && this.peersAddress !== undefined
+        ? this.peersAddress
+        : this.settings.peers;
+    return writeFile(this.settingsFile, settingsFileOf({ ...this.settings, peers }));
+  }
+
+  private async tellPeersAddress(process: RigProcess): Promise<void> {
+    while (this.current === process && !(await isReady(this.ports.readiness))) {
+      await pause(OPEN_CHECK_MS);
+    }
+    if (this.current === process) {
+      this.tellsPeersAddress = true;
+      await this.writeSettings();
+      process.signal('SIGHUP');
+    }
   }
 
   private async spawn(): Promise<void> {
     this.settings = { ...this.settings, firstStart: this.life === 0 };
+    this.tellsPeersAddress = false;
     await this.writeSettings();
     if (this.closing) {
       return;
@@ -189,6 +215,9 @@
       onOutput: (text) => this.log.write(text),
     });
     this.current = process;
+    if (this.peersAddress !== undefined) {
+      void this.tellPeersAddress(process);
+    }
     void process.waitForExit().then(({ code, signal }) => {
       if (this.current === process) {
         this.noteUnexpectedEnd(`code ${String(code)}, signal ${String(signal)}`);
--- a/soak/world/store-link.ts
+++ b/soak/world/loopback-link.ts
@@ -1,4 +1,4 @@
-/** A proxy on loopback between one gateway and the store: refuses, silences or delays connections. */
+/** A proxy on loopback in front of one port: refuses, silences or delays connections. */
 import { type AddressInfo, connect, createServer, type Server, type Socket } from 'node:net';
 import { once } from 'node:events';
 import { setTimeout as pause } from 'node:timers/promises';
@@ -10,7 +10,7 @@
 const DELAY_MS = 300;
 
 /** Forwards connections to one port. */
-export class StoreLink {
+export class LoopbackLink {
   private trouble: LinkTrouble | undefined;
   /** Deliver what a silence has held up. */
   private held: (() => void)[] = [];
@@ -25,14 +25,14 @@
   }
 
   /** Opens a link to a port on loopback. */
-  static async open(target: number): Promise<StoreLink> {
+  static async open(target: number): Promise<LoopbackLink> {
     const server = createServer();
     server.listen(0, HOST);
     await once(server, 'listening');
-    return new StoreLink(server, target);
+    return new LoopbackLink(server, target);
   }
 
-  /** Where the gateway connects. */
+  /** Where others connect. */
   get port(): number {
     return (this.server.address() as AddressInfo).port;
   }
--- a/soak/world/soak-world.ts
+++ b/soak/world/soak-world.ts
@@ -8,7 +8,7 @@
 import { Operator } from './operator.js';
 import { findPorts } from './ports.js';
 import { ReplicaFleet } from './replica-fleet.js';
-import { StoreLink } from './store-link.js';
+import { LoopbackLink } from './loopback-link.js';
 import { REGION, ZONES, zoneOf } from './topology.js';
 
 const HOST = '127.0.0.1';
@@ -26,7 +26,10 @@
 export class SoakWorld {
   readonly observations: Observations = createObservations();
   readonly gateways: GatewayProcess[] = [];
-  readonly storeLinks: StoreLink[] = [];
+  /** In front of the store, one for each gateway. */
+  readonly storeLinks: LoopbackLink[] = [];
+  /** In front of the port for peers of each gateway; none where the plan has no such links. */
+  readonly peerLinks: LoopbackLink[] = [];
   readonly replicas: ReplicaFleet;
   readonly operator: Operator;
   readonly callers: Callers;
@@ -61,7 +64,7 @@
   /** Ends everything that was started. */
   async stop(): Promise<void> {
     await Promise.all(this.gateways.map((gateway) => gateway.close()));
-    await Promise.all(this.storeLinks.map((link) => link.close()));
+    await Promise.all([...this.storeLinks, ...this.peerLinks].map((link) => link.close()));
     await this.replicas.stop();
     await this.store.stop();
   }
@@ -71,16 +74,36 @@
     const ports = await findPorts(count * PORTS_OF_A_GATEWAY);
     const context = { ...files, observations: this.observations };
     for (let number = 0; number < count; number += 1) {
-      const link = await StoreLink.open(this.store.port);
-      this.storeLinks.push(link);
       const first = number * PORTS_OF_A_GATEWAY;
       const own = ports.slice(first, first + PORTS_OF_A_GATEWAY);
-      this.gateways.push(new GatewayProcess(number, this.settingsOf(number, own, link), context));
+      await this.addGateway(number, own, context);
     }
     await Promise.all(this.gateways.map((gateway) => gateway.start()));
   }
 
-  private settingsOf(number: number, ports: readonly number[], link: StoreLink): GatewaySettings {
+  private async addGateway(
+    number: number,
+    ports: readonly number[],
+    context: GatewayContext,
+  ): Promise<void> {
+    const storeLink = await LoopbackLink.open(this.store.port);
+    this.storeLinks.push(storeLink);
+    const settings = this.settingsOf(number, ports, storeLink);
+    if (!this.plan.usesPeerLinks) {
+      this.gateways.push(new GatewayProcess(number, settings, context));
+      return;
+    }
+    const peerLink = await LoopbackLink.open(settings.peers.port);
+    this.peerLinks.push(peerLink);
+    const peers = { host: HOST, port: peerLink.port };
+    this.gateways.push(new GatewayProcess(number, settings, context, peers));
+  }
+
+  private settingsOf(
+    number: number,
+    ports: readonly number[],
+    link: LoopbackLink,
+  ): GatewaySettings {
     const address = (index: number) => ({ host: HOST, port: ports[index] ?? 0 });
     return {
       node: `front-${number + 1}`,
--- a/test/soak/schedule.test.ts
+++ b/test/soak/schedule.test.ts
@@ -37,6 +37,7 @@
       'kill',
       'mute-watches',
       'pause',
+      'peer-link',
       'reload',
       'replica-leaves',
       'replica-loses-answers',
