--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -126,6 +126,17 @@
   });
 });
 
+describe('what may be repeated', () => {
+  it('is not promised to have not run after a replica ran it and reset the connection', async () => {
+    fixture.configure([single({ max_attempts: 1 })], ['desk']);
+    const replica = await fixture.addReplica('desk-1', 'desk', { losesAnswers: true });
+    await fixture.serve();
+    const answer = await fixture.ask({ id: 'r-1', path: '/one/' });
+    expect(replica.arrived.map(({ id }) => id)).toContain('r-1');
+    expect([408, 421, 429, 503]).not.toContain(answer.status);
+  });
+});
+
 describe('an address that another incarnation has', () => {
   it('runs nothing: the request goes to another replica', async () => {
     fixture.configure([single()], ['desk']);
