--- /dev/null
+++ b/test/soak/loopback-link.test.ts
@@ -0,0 +1,90 @@
+import { once } from 'node:events';
+import { type AddressInfo, connect, createServer, type Server, type Socket } from 'node:net';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { LoopbackLink } from '../../soak/world/loopback-link.js';
+
+/** Time of a trouble in these tests, in milliseconds; with room for a busy machine below. */
+const TROUBLE_MS = 400;
+
+let echo: Server;
+let link: LoopbackLink;
+
+beforeEach(async () => {
+  echo = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.pipe(socket);
+  });
+  echo.listen(0, '127.0.0.1');
+  await once(echo, 'listening');
+  link = await LoopbackLink.open((echo.address() as AddressInfo).port);
+});
+
+afterEach(async () => {
+  await link.close();
+  echo.close();
+});
+
+const open = async (): Promise<Socket> => {
+  const socket = connect(link.port, '127.0.0.1');
+  await once(socket, 'connect');
+  return socket;
+};
+
+/** All that comes until there are so many letters. */
+const read = async (socket: Socket, letters: number): Promise<string> => {
+  let text = '';
+  while (text.length < letters) {
+    const [chunk] = (await once(socket, 'data')) as [Buffer];
+    text += chunk.toString();
+  }
+  return text;
+};
+
+describe('a link', () => {
+  it('passes bytes on in both directions', async () => {
+    const socket = await open();
+    socket.write('hello');
+    expect(await read(socket, 5)).toBe('hello');
+    socket.destroy();
+  });
+
+  it('that is silent delivers in order at the end of the silence', async () => {
+    const socket = await open();
+    const began = performance.now();
+    const trouble = link.troubleFor('silence', TROUBLE_MS);
+    await Promise.resolve();
+    socket.write('one');
+    setTimeout(() => socket.write('two'), TROUBLE_MS / 4);
+    expect(await read(socket, 6)).toBe('onetwo');
+    expect(performance.now() - began).toBeGreaterThan(TROUBLE_MS * 0.9);
+    await trouble;
+    socket.destroy();
+  });
+
+  it('that delays keeps the order', async () => {
+    const socket = await open();
+    const trouble = link.troubleFor('delay', TROUBLE_MS);
+    await Promise.resolve();
+    socket.write('one');
+    setTimeout(() => socket.write('two'), TROUBLE_MS);
+    expect(await read(socket, 6)).toBe('onetwo');
+    await trouble;
+    socket.destroy();
+  });
+
+  it('that refuses resets connections, old and new, and passes new ones on afterwards', async () => {
+    const old = await open();
+    old.write('x');
+    await read(old, 1);
+    const ended = once(old, 'error');
+    const trouble = link.troubleFor('refuse', TROUBLE_MS);
+    expect(await ended).toEqual([expect.objectContaining({ code: 'ECONNRESET' })]);
+    const young = connect(link.port, '127.0.0.1');
+    expect(await once(young, 'error')).toEqual([expect.objectContaining({ code: 'ECONNRESET' })]);
+    await trouble;
+    const later = await open();
+    later.write('x');
+    expect(await read(later, 1)).toBe('x');
+    later.destroy();
+  });
+});
