Half of the soak's runs end with a version that comes during trouble with the store

Cause: versions come so often that a gateway which misses one learns the next; that it stayed behind would not show.

--- a/soak/model/plan.ts
+++ b/soak/model/plan.ts
@@ -2,6 +2,7 @@
 import { createRandom } from '../../src/core/random.js';
 import type { GatewayBounds } from '../../src/gateway/settings.js';
 import {
+  drawLastVersion,
   drawPeerTroubles,
   drawReleases,
   drawSchedule,
@@ -73,7 +74,14 @@
 
 /** Streams of random numbers of one seed. */
 export type RandomStream =
-  'plan' | 'schedule' | 'callers' | 'operator' | 'versions' | 'peer-links' | 'calm';
+  | 'plan'
+  | 'schedule'
+  | 'callers'
+  | 'operator'
+  | 'versions'
+  | 'peer-links'
+  | 'calm'
+  | 'last-version';
 
 /** A new one goes to the end: the seeds that have failed then keep the streams that they had. */
 const STREAMS: readonly RandomStream[] = [
@@ -84,6 +92,7 @@
   'versions',
   'peer-links',
   'calm',
+  'last-version',
 ];
 
 /** Distance between the seeds of two runs, so that their streams differ. */
@@ -99,12 +108,16 @@
 /** Time after the faults at which a gateway is stopped: it has been in touch by then, in milliseconds. */
 const PLANNED_STOP_MS = BOUNDS.contactMs + 200;
 
-const drawPlannedWork = (seed: number, gateways: number): readonly ScheduledFault[] => {
+const drawPlannedWork = (
+  seed: number,
+  gateways: number,
+  endsQuietly: boolean,
+): readonly ScheduledFault[] => {
   const random = streamOf(seed, 'calm');
   const releases = drawReleases(random, PLANNED_WORK_MS);
   const versions = drawVersions(random, PLANNED_WORK_MS);
   const stop = { type: 'stop-in-turn', gateways: [random.nextBelow(gateways)] } as const;
-  return [...releases, ...versions, { atMs: PLANNED_STOP_MS, fault: stop }];
+  return [...releases, ...(endsQuietly ? [] : versions), { atMs: PLANNED_STOP_MS, fault: stop }];
 };
 
 /** Draws a run. */
@@ -116,6 +129,9 @@
   const faultsMs = options.durationMs - WARM_UP_MS - BOUNDS.recoveryMs - FINAL_MS;
   const usesPeerLinks = random.nextBelow(2) === 0;
   const { seed, gateways } = options;
+  const lastVersion = streamOf(seed, 'last-version');
+  // Half of the runs end with a version that comes during trouble, and have none after it.
+  const endsQuietly = lastVersion.nextBelow(2) === 0;
   const peerTroubles = usesPeerLinks
     ? drawPeerTroubles(streamOf(seed, 'peer-links'), faultsMs, gateways)
     : [];
@@ -130,7 +146,8 @@
       ...drawSchedule(streamOf(seed, 'schedule'), faultsMs, gateways),
       ...drawVersions(streamOf(seed, 'versions'), faultsMs),
       ...peerTroubles,
+      ...(endsQuietly ? drawLastVersion(lastVersion, faultsMs) : []),
     ],
-    plannedWork: drawPlannedWork(seed, gateways),
+    plannedWork: drawPlannedWork(seed, gateways, endsQuietly),
   };
 };
--- a/soak/model/schedule.ts
+++ b/soak/model/schedule.ts
@@ -153,6 +153,30 @@
   return schedule;
 };
 
+/** Longest time from the beginning of the last trouble to the last version, in milliseconds. */
+const LAST_VERSION_WITHIN_MS = 2_000;
+
+/**
+ * Draws the end of a run after which no version comes: trouble with the store, and a version meanwhile. A
+ * gateway that has missed it does not learn it with the next one.
+ */
+export const drawLastVersion = (random: Random, durationMs: number): readonly ScheduledFault[] => {
+  const forMs = troubleMs(random);
+  const trouble = pick<Fault>(random, [
+    { type: 'change-and-forget', muteMs: between(random, 500, 1_500) },
+    { type: 'mute-watches', forMs },
+    { type: 'delay-watches', delayMs: between(random, 200, 2_000), forMs },
+    { type: 'store-loses-answers', forMs },
+    { type: 'store-down', outage: 'silent', forMs },
+  ]);
+  const atMs = durationMs - LAST_START_MS;
+  const versionAtMs = atMs + random.nextBelow(LAST_VERSION_WITHIN_MS);
+  return [
+    { atMs, fault: trouble },
+    { atMs: versionAtMs, fault: { type: 'configure', count: 1, gapMs: 0 } },
+  ];
+};
+
 /** Shortest and longest pause between two replicas that are replaced, in milliseconds. */
 const LEAST_RELEASE_GAP_MS = 300;
 const MOST_RELEASE_GAP_MS = 1_500;
