The soak replaces settings files at once

Ruled out: wrong settings (the finding is 'Unexpected end of JSON input', and the next processes took the same file).

Change: a settings file is written beside and renamed, one write after the other.

--- a/soak/regression-seeds.ts
+++ b/soak/regression-seeds.ts
@@ -41,6 +41,15 @@
       'for 847 ms; now two in a row do, as for the load balancer',
   },
   { seed: 502, gateways: 12, minutes: 1, cause: 'the same as seed 2' },
+  {
+    seed: 603,
+    gateways: 6,
+    minutes: 1,
+    cause:
+      'a fault of the soak: settings were written while processes that start read them, which ended with 78; ' +
+      'the file is now replaced at once',
+  },
+  { seed: 702, gateways: 9, minutes: 1, cause: 'the same as seed 3, with SIGTERM' },
   ...[301, 304, 305].map((seed) => ({
     seed,
     gateways: 6,
--- a/soak/world/gateway-process.ts
+++ b/soak/world/gateway-process.ts
@@ -1,6 +1,6 @@
 /** One gateway: its settings file, and one process after the other that runs on it. */
 import { createWriteStream, type WriteStream } from 'node:fs';
-import { writeFile } from 'node:fs/promises';
+import { rename, writeFile } from 'node:fs/promises';
 import { join } from 'node:path';
 import { setTimeout as pause } from 'node:timers/promises';
 import { RigProcess } from '../../src/rig/child-process.js';
@@ -19,6 +19,13 @@
 const OPEN_CHECK_MS = 10;
 const OPEN_WITHIN_MS = 5_000;
 
+/** Puts another file in the place of `file` at once: nobody reads half of it. */
+const replaceFile = async (file: string, text: string): Promise<void> => {
+  const next = `${file}.next`;
+  await writeFile(next, text);
+  await rename(next, file);
+};
+
 /** What all gateways of a run have in common. */
 export interface GatewayContext {
   /** The bundled program. */
@@ -38,6 +45,8 @@
   /** Faults take a gateway one after the other: each begins where the one before has ended. */
   private busy: Promise<void> = Promise.resolve();
   private closing = false;
+  /** When the settings that were written last are in place. */
+  private written: Promise<void> = Promise.resolve();
   /** The settings file holds the address at which peers connect. */
   private tellsPeersAddress = false;
 
@@ -186,7 +195,9 @@
       this.tellsPeersAddress && this.peersAddress !== undefined
         ? this.peersAddress
         : this.settings.peers;
-    return writeFile(this.settingsFile, settingsFileOf({ ...this.settings, peers }));
+    const text = settingsFileOf({ ...this.settings, peers });
+    this.written = this.written.then(() => replaceFile(this.settingsFile, text));
+    return this.written;
   }
 
   private async tellPeersAddress(process: RigProcess): Promise<void> {
