--- a/test/platform/any-proper-request.test.ts
+++ b/test/platform/any-proper-request.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
-import { GatewayFixture, routeSpec } from './gateway-fixture.js';
+import { GatewayFixture } from './gateway-fixture.js';
+import { routeSpec } from './operator-spec.js';
 import { RawCaller } from './raw-caller.js';
 
 const HOST = 'shop.example';
--- a/test/platform/changing-routes.test.ts
+++ b/test/platform/changing-routes.test.ts
@@ -1,6 +1,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import { type CallerAnswer, GatewayFixture, routeSpec, until } from './gateway-fixture.js';
+import { type CallerAnswer, GatewayFixture, until } from './gateway-fixture.js';
+import { routeSpec } from './operator-spec.js';
 
 const CALLERS = 8;
 const VERSIONS = 24;
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -1,6 +1,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import { GatewayFixture, routeSpec, until } from './gateway-fixture.js';
+import { GatewayFixture, until } from './gateway-fixture.js';
+import { routeSpec } from './operator-spec.js';
 
 /** Well before the 2 s of a caller; exact times are checked in virtual time. */
 const BEFORE_DEADLINE_MS = 1_200;
@@ -144,6 +145,17 @@
   });
 });
 
+describe('what may be repeated', () => {
+  it('is not promised to have not run after a replica ran it and reset the connection', async () => {
+    fixture.configure([single({ max_attempts: 1 })], ['desk']);
+    const replica = await fixture.addReplica('desk-1', 'desk', { losesAnswers: true });
+    await fixture.serve();
+    const answer = await fixture.ask({ id: 'r-1', path: '/one/' });
+    expect(replica.arrived.map(({ id }) => id)).toContain('r-1');
+    expect([408, 421, 429, 503]).not.toContain(answer.status);
+  });
+});
+
 describe('an address that another incarnation has', () => {
   it('runs nothing: the request goes to another replica', async () => {
     fixture.configure([single()], ['desk']);
--- a/test/platform/refused-requests.test.ts
+++ b/test/platform/refused-requests.test.ts
@@ -1,6 +1,7 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { Decision } from '../../src/gateway/log/log-event.js';
-import { GatewayFixture, LIMITS, routeSpec, until } from './gateway-fixture.js';
+import { GatewayFixture, until } from './gateway-fixture.js';
+import { LIMITS, routeSpec } from './operator-spec.js';
 import { RawCaller, requestHead } from './raw-caller.js';
 
 let fixture: GatewayFixture;
