Take signals from the first moment; say not run only where nothing may have run

Ruled out: opening the port later (callers come back while all start); counting such an attempt as a run (it would use up the attempts of the route where replicas are only over their connections).

Change: signals are kept from the first line of the entry point and handed to the program; a leg notes that an attempt may have run, apart from the count of runs.

--- a/src/gateway/requests/finish.ts
+++ b/src/gateway/requests/finish.ts
@@ -129,7 +129,8 @@
 };
 
 const mayHaveRun = ({ legs, subqueries }: ActiveRequest): boolean =>
-  subqueries.size > 0 || legs.some((leg) => leg.runs > 0 || leg.outcome?.type === 'fed');
+  subqueries.size > 0 ||
+  legs.some((leg) => leg.runs > 0 || leg.mayHaveRun || leg.outcome?.type === 'fed');
 
 /** Gives a request up: the caller is told at once, and when to come back if it has not run. */
 export const giveUp = (
--- a/src/gateway/requests/progress.ts
+++ b/src/gateway/requests/progress.ts
@@ -72,7 +72,7 @@
 };
 
 const reasonOfLeg = (leg: Leg): 'no-replica' | 'replicas-full' | 'answer-lost' => {
-  if (leg.runs > 0) {
+  if (leg.runs > 0 || leg.mayHaveRun) {
     return 'answer-lost';
   }
   return leg.refusedAsFull ? 'replicas-full' : 'no-replica';
--- a/src/gateway/requests/request-state.ts
+++ b/src/gateway/requests/request-state.ts
@@ -27,6 +27,8 @@
   failure: ReplicaAnswer | undefined;
   /** The last attempt was refused by a full replica. */
   refusedAsFull: boolean;
+  /** An attempt ended without telling whether the request ran: no refusal may say that it has not. */
+  mayHaveRun: boolean;
   /** Pauses so far, after all replicas refused or could not be reached. */
   pauses: number;
   /** When the leg tries all replicas again; undefined while it does not pause. */
@@ -119,6 +121,7 @@
   outcome: undefined,
   failure: undefined,
   refusedAsFull: false,
+  mayHaveRun: false,
   pauses: 0,
   resumeAt: undefined,
   subquery: undefined,
--- a/src/gateway/requests/settle-attempt.ts
+++ b/src/gateway/requests/settle-attempt.ts
@@ -101,8 +101,8 @@
 
 /**
  * An attempt that did not arrive, or was not run, is taken off the counts again. A connection that
- * is reset before any answer on it is one too many for its replica: nothing says that the request
- * has not run, but one that may be repeated is tried again.
+ * is reset before any answer on it is mostly one too many for its replica: nothing says that the request has not
+ * run, and no refusal may, but one that may be repeated is tried again.
  */
 const countOutcome = (attempt: ActiveAttempt, { result }: AttemptEnded): void => {
   const { leg, repeatable, replica } = attempt;
@@ -120,7 +120,10 @@
   if (!result.mayHaveRun) {
     leg.runs -= 1;
     leg.arrivals -= 1;
-  } else if (result.problem === 'refused-connection' && repeatable) {
+    return;
+  }
+  leg.mayHaveRun = true;
+  if (result.problem === 'refused-connection' && repeatable) {
     leg.runs -= 1;
   }
 };
--- /dev/null
+++ b/src/gateway/runtime/early-signals.ts
@@ -0,0 +1,35 @@
+/**
+ * Takes signals from the first moment of the process. Until a program listens for them, a stop and even the word
+ * that the settings have changed end it, and with it the callers whose connections it has accepted.
+ */
+
+/** What a process is told by signals: to stop, or that its settings have changed. */
+export type ProcessOrder = 'stop' | 'reload';
+
+const ORDERS: Readonly<Partial<Record<NodeJS.Signals, ProcessOrder>>> = {
+  SIGTERM: 'stop',
+  SIGINT: 'stop',
+  SIGHUP: 'reload',
+};
+
+/** The signals of this process, kept until somebody takes them. */
+export interface EarlySignals {
+  /** Hands over what has come, and from now on each order as it comes. */
+  takeOver(carryOut: (order: ProcessOrder) => void): void;
+}
+
+/** Begins to listen for signals. */
+export const listenForSignals = (): EarlySignals => {
+  const kept = new Set<ProcessOrder>();
+  let carryOut = (order: ProcessOrder): void => void kept.add(order);
+  for (const [signal, order] of Object.entries(ORDERS)) {
+    process.on(signal, () => carryOut(order));
+  }
+  return {
+    takeOver(next) {
+      carryOut = next;
+      kept.forEach(next);
+      kept.clear();
+    },
+  };
+};
--- a/src/gateway/runtime/run-gateway.ts
+++ b/src/gateway/runtime/run-gateway.ts
@@ -7,6 +7,7 @@
 import { readGatewaySettings } from '../read-settings.js';
 import type { GatewaySettings } from '../settings.js';
 import type { EarlyPort } from './early-port.js';
+import type { EarlySignals } from './early-signals.js';
 import { BoundedLog } from './bounded-log.js';
 import { openStandardOutput } from './line-sink.js';
 import { type GatewayLog, type RunningGateway, startGateway } from './start-gateway.js';
@@ -44,26 +45,35 @@
   }
 };
 
-const watchSettings = (gateway: RunningGateway, file: string, log: GatewayLog): void => {
+/** Looks for changes of the settings file; the result takes them at once. */
+const watchSettings = (gateway: RunningGateway, file: string, log: GatewayLog): (() => void) => {
   let seen = modifiedAt(file);
   const reload = (): void => {
     seen = modifiedAt(file);
     reloadSettings(gateway, file, log);
   };
-  process.on('SIGHUP', reload);
   const check = (): void => {
     if (modifiedAt(file) !== seen) {
       reload();
     }
   };
   setInterval(check, SETTINGS_CHECK_MS).unref();
+  return reload;
 };
 
+/** What a process runs with. */
+export interface GatewayProcess {
+  /** The settings file. */
+  readonly file: string;
+  readonly protocol: GatewayProtocol;
+  readonly signals: EarlySignals;
+  /** The callers' port, where it was opened before the program was loaded. */
+  readonly earlyPort: EarlyPort | undefined;
+}
+
 const runWithSettings = async (
   settings: GatewaySettings,
-  file: string,
-  protocol: GatewayProtocol,
-  earlyPort: EarlyPort | undefined,
+  { file, protocol, signals, earlyPort }: GatewayProcess,
 ): Promise<ExitCode> => {
   const sink = openStandardOutput();
   const log = new BoundedLog({
@@ -74,34 +84,24 @@
     wallNow: () => Date.now(),
   });
   const gateway = await startGateway(settings, protocol, log, earlyPort);
-  watchSettings(gateway, file, log);
-  process.on('SIGTERM', () => gateway.stop());
-  process.on('SIGINT', () => gateway.stop());
+  const reload = watchSettings(gateway, file, log);
   log.write({ level: 'info', part: 'lifecycle', change: { event: 'started' } });
+  signals.takeOver((order) => (order === 'stop' ? gateway.stop() : reload()));
   await gateway.ended;
   await sink.end();
   return ExitCode.done;
 };
 
-/**
- * Runs until the process is told to stop; returns its exit code.
- *
- * @param file - the settings file
- * @param earlyPort - the callers' port, where it was opened before the program was loaded
- */
-export const runGateway = async (
-  file: string,
-  protocol: GatewayProtocol,
-  earlyPort?: EarlyPort,
-): Promise<ExitCode> => {
+/** Runs until the process is told to stop; returns its exit code. */
+export const runGateway = async (gatewayProcess: GatewayProcess): Promise<ExitCode> => {
   try {
-    const read = readSettingsFile(file);
+    const read = readSettingsFile(gatewayProcess.file);
     if (read.isLeft()) {
       const findings = read.swap().orDefault([]);
       findings.forEach((finding) => process.stderr.write(`${formatFinding(finding)}\n`));
       return ExitCode.badSettings;
     }
-    return await runWithSettings(read.unsafeCoerce(), file, protocol, earlyPort);
+    return await runWithSettings(read.unsafeCoerce(), gatewayProcess);
   } catch (error) {
     process.stderr.write(`crossroad gateway: ${String(error)}\n`);
     return ExitCode.failed;
