--- a/src/gateway/readers/tell-followers.ts
+++ b/src/gateway/readers/tell-followers.ts
@@ -4,7 +4,7 @@
 import { collectionsOf, type GatewayState } from '../state.js';
 import type { CollectionName } from '../store/collection.js';
 import { confirmedAt } from '../store/confirmation.js';
-import { isDeaf } from '../store/follow-collection.js';
+import { isDeaf } from '../store/note-failure.js';
 import type { Stored, StoreChanges, StoreObjects } from '../store/store-objects.js';
 import type {
   CollectionSnapshot,
--- a/src/gateway/readers/update-reading.ts
+++ b/src/gateway/readers/update-reading.ts
@@ -9,7 +9,7 @@
 import type { PeerRecord } from '../model/peer-record.js';
 import { collectionsOf, type GatewayState, isInformed } from '../state.js';
 import { resumeCollections } from '../store/apply-collections.js';
-import { leaveOff } from '../store/follow-collection.js';
+import { stopFollowing } from '../store/follow-collection.js';
 import { probeIfWanted } from '../store/probe-store.js';
 import { readerCandidates, seedCandidates } from './candidates.js';
 import { followTiming, type Source } from './reading-state.js';
@@ -133,7 +133,7 @@
 
 const dropCalls = (state: GatewayState): GatewayEffect[] =>
   collectionsOf(state).map((collection) => {
-    leaveOff(state.collections[collection]);
+    stopFollowing(state.collections[collection]);
     return { type: 'drop-store-call', collection };
   });
 
--- a/src/gateway/store/apply-collections.ts
+++ b/src/gateway/store/apply-collections.ts
@@ -8,20 +8,19 @@
 import { applyObjects, applyWholeList, forgetGoneReplicas } from './apply-objects.js';
 import type { CollectionName } from './collection.js';
 import {
-  type CallFailure,
+  beginList,
   callNow,
   type CollectionProgress,
-  doubt,
-  endOvertakenList,
+  endSupersededList,
   followNow,
-  isListOvertaken,
-  isOvertaken,
+  isListSuperseded,
+  isSuperseded,
   listStale,
-  noteFailure,
   notePage,
   takeUntold,
   watchAgain,
 } from './follow-collection.js';
+import { type CallFailure, isWatched, noteFailure } from './note-failure.js';
 import { changedNames, unlistedNames } from './list-changes.js';
 
 /** Lists all collections once, from a copy that may be old. */
@@ -35,11 +34,11 @@
 ): GatewayEffect[] => (reading.isReading ? [followNow(progress)] : []);
 
 /**
- * A list that a reader has overtaken ends: what it lacks may be new, and what it holds may be old. Followers have
+ * A list that a reader's news have superseded ends: what it lacks may be new, and what it holds may be old. Followers have
  * been told by then all that it changed.
  */
 const dropList = (state: GatewayState, progress: CollectionProgress): GatewayEffect[] => {
-  endOvertakenList(progress);
+  endSupersededList(progress);
   return continueAfterList(state, progress);
 };
 
@@ -47,12 +46,12 @@
 export const takePage = (state: GatewayState, { page, at }: PageRead): GatewayEffect[] => {
   const { collection } = page;
   const progress = state.collections[collection];
-  if (isOvertaken(progress, page.revision)) {
+  if (isSuperseded(progress, page.revision)) {
     return dropList(state, progress);
   }
   changedNames(state, page).forEach((name) => progress.untold.add(name));
   const applied = applyObjects(state, page, at, 'store');
-  if (isListOvertaken(progress)) {
+  if (isListSuperseded(progress)) {
     return [...applied, ...dropList(state, progress)];
   }
   const { revision: before } = progress;
@@ -116,8 +115,8 @@
     return [log];
   }
   const again = next.at <= at ? [callNow(progress)] : callAt([collection], next.at);
-  const doubted = next.doubtsOthers ? doubtOthers(state, collection) : [];
-  return [log, ...again, ...callAt(doubted, next.at)];
+  const relisted = next.relistsOthers ? relistOthers(state, collection) : [];
+  return [log, ...again, ...callAt(relisted, next.at)];
 };
 
 const failureOf = ({ store }: GatewayState, problem: StoreCallFailed['problem']): CallFailure => {
@@ -137,10 +136,14 @@
  * What cut a watch, or dropped the history, has mostly done so to the watches of all collections: one that was
  * made meanwhile waits as if nothing had happened.
  */
-const doubtOthers = (state: GatewayState, failed: CollectionName): readonly CollectionName[] =>
-  state.reading.isReading
-    ? collectionsOf(state).filter((name) => name !== failed && doubt(state.collections[name]))
-    : [];
+const relistOthers = (state: GatewayState, failed: CollectionName): readonly CollectionName[] => {
+  const { collections, reading } = state;
+  const others = collectionsOf(state).filter(
+    (name) => reading.isReading && name !== failed && isWatched(collections[name]),
+  );
+  others.forEach((name) => beginList(collections[name]));
+  return others;
+};
 
 /** Whether this gateway calls the store for a collection: it reads, or has not listed it yet. */
 const isWanted = ({ reading }: GatewayState, { isListed }: CollectionProgress): boolean =>
--- a/src/gateway/store/follow-collection.ts
+++ b/src/gateway/store/follow-collection.ts
@@ -5,7 +5,6 @@
  * what is new.
  */
 import type { GatewayEffect } from '../effect.js';
-import type { Random } from '../../core/random.js';
 import type { GatewayBounds } from '../settings.js';
 import type { CollectionCall, CollectionName } from './collection.js';
 
@@ -34,10 +33,6 @@
 /** Time for an answer beyond what the store was asked to wait, in milliseconds. */
 const ANSWER_MS = 1_000;
 
-/** Pauses after failed calls, in milliseconds: doubled each time up to the longest. */
-const FIRST_BACKOFF_MS = 100;
-const LONGEST_BACKOFF_MS = 800;
-
 /** How far one collection has been read. */
 export interface CollectionProgress {
   readonly collection: CollectionName;
@@ -112,12 +107,6 @@
   confirmedAt: Number.NEGATIVE_INFINITY,
 });
 
-/** So many calls in a row fail before the store counts as deaf to them: a watch may be cut now and then. */
-const DEAF_FAILURES = 2;
-
-/** Whether calls for a collection fail again and again, though the store may answer others. */
-export const isDeaf = ({ failures }: CollectionProgress): boolean => failures >= DEAF_FAILURES;
-
 const nextCall = (progress: CollectionProgress): CollectionCall => {
   const { collection, revision, mustList, listAfter, isStaleList: stale } = progress;
   if (revision === undefined || mustList) {
@@ -145,7 +134,7 @@
 };
 
 /** The next call begins a list; what is known stays known until it is complete. */
-const beginList = (progress: CollectionProgress): void => {
+export const beginList = (progress: CollectionProgress): void => {
   endList(progress);
   progress.mustList = true;
 };
@@ -167,17 +156,17 @@
 };
 
 /** Whether a page is older than what a reader has told since the list began: it must bring nothing back. */
-export const isOvertaken = (
+export const isSuperseded = (
   { revision, isStaleList }: CollectionProgress,
   pageRevision: number,
 ): boolean => revision !== undefined && (isStaleList || pageRevision < revision);
 
 /** Whether a reader has told more than the first page of the list held: what the list lacks may be new. */
-export const isListOvertaken = ({ revision, listRevision }: CollectionProgress): boolean =>
+export const isListSuperseded = ({ revision, listRevision }: CollectionProgress): boolean =>
   revision !== undefined && listRevision < revision;
 
-/** Gives up a list that was overtaken: what was told holds all that it could. */
-export const endOvertakenList = (progress: CollectionProgress): void => {
+/** Gives up a list that was superseded: what was told holds all that it could. */
+export const endSupersededList = (progress: CollectionProgress): void => {
   endList(progress);
   progress.failures = 0;
   progress.untold.clear();
@@ -197,7 +186,7 @@
  * The collection is no longer followed. One whose list was half read is known from two revisions at once: it
  * counts as unread, so that a reader tells all of it.
  */
-export const leaveOff = (progress: CollectionProgress): void => {
+export const stopFollowing = (progress: CollectionProgress): void => {
   if (progress.listAfter !== undefined) {
     progress.revision = undefined;
     progress.untold.clear();
@@ -260,54 +249,3 @@
   progress.nextWaitMs = Math.floor(waitMs - gapMs);
   return { type: 'set-collection-timer', collection, at: at + gapMs };
 };
-
-/**
- * How a call failed; `cut`: its answer did not come, from a store that is in reach, `refused`: the store
- * answered, but not what was asked, `away`: the store is known to be out of reach.
- */
-export type CallFailure = 'cut' | 'refused' | 'away' | 'history-gone';
-
-/** When the collection is called for again, and whether others are in doubt with it. */
-export interface NextCall {
-  readonly at: number;
-  readonly doubtsOthers: boolean;
-}
-
-/**
- * Notes a failed call. A watch that was cut says nothing of what it
- * should have delivered, and one that is made from the same revision may be accepted and fed nothing, by a store
- * that is about to drop its history: only a list shows what is current. Watching on instead has cost up to the
- * whole wait of a watch, in one of thirty interruptions. After an outage the collection is watched on: all
- * readers would list at once.
- */
-export const noteFailure = (
-  progress: CollectionProgress,
-  failure: CallFailure,
-  random: Random,
-  at: number,
-): NextCall => {
-  const isWatch = progress.revision !== undefined && !progress.mustList;
-  const isHistoryGone = failure === 'history-gone';
-  const isBroken = isWatch && (isHistoryGone || failure === 'cut');
-  const doubtsOthers = isBroken && progress.brokenWatches === 0;
-  const inRow = Math.max(progress.failures, progress.brokenWatches);
-  if (isBroken || isHistoryGone) {
-    beginList(progress);
-  }
-  progress.brokenWatches += Number(isBroken);
-  progress.failures = isHistoryGone ? 0 : progress.failures + 1;
-  if (isHistoryGone && inRow === 0) {
-    return { at, doubtsOthers };
-  }
-  const backoff = Math.min(LONGEST_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** inRow);
-  return { at: at + backoff * (0.5 + random.next()), doubtsOthers };
-};
-
-/** Has the collection listed, unless that is under way; returns whether a call is to be made for it. */
-export const doubt = (progress: CollectionProgress): boolean => {
-  if (progress.revision === undefined || progress.mustList) {
-    return false;
-  }
-  beginList(progress);
-  return true;
-};
