--- /dev/null
+++ b/scenarios/platform/compare/figures.mjs
@@ -0,0 +1,52 @@
+/** Figures of one play, read from the report that `fleetbench run --report` writes. */
+
+/** What is compared, in the order of the table; `digits` are those after the point. */
+export const FIGURES = [
+  { name: 'worth', digits: 4 },
+  { name: 'in aim', digits: 4 },
+  { name: 'arrivals', digits: 0 },
+  { name: 'again', digits: 0 },
+  { name: 'connections', digits: 0 },
+  { name: 'zone MB', digits: 2 },
+  { name: 'store calls', digits: 0 },
+];
+
+const MEGABYTES_PER_GIGABYTE = 1_000;
+
+/** The amount that is priced under a name; a report without it is no report of this bench. */
+const amountOf = ({ prices }, wanted) => {
+  const found = prices.find(([name]) => name === wanted);
+  if (found === undefined) {
+    throw new Error(`the report has no price for ${wanted}`);
+  }
+  return found[1];
+};
+
+/** Requests answered within their objective, of those that were owed an answer. */
+const shareInAim = ({ all }) => all.in_aim / (all.n - all.not_owed);
+
+/**
+ * Reads the figures of a report. `again` counts arrivals beyond the first as the report does, which leaves
+ * out the shards of gathers; with the same callers, the difference of all arrivals shows those too.
+ */
+export const readFigures = (report) => {
+  const gigabytes = amountOf(report, 'GB between zones') + amountOf(report, 'GB between regions');
+  return {
+    worth: report.G,
+    'in aim': shareInAim(report),
+    arrivals: report.arrivals,
+    again: report.services.reduce((sum, { again }) => sum + again, 0),
+    connections: amountOf(report, 'new connections to servers'),
+    'zone MB': gigabytes * MEGABYTES_PER_GIGABYTE,
+    'store calls': amountOf(report, 'cloud calls'),
+  };
+};
+
+/**
+ * What makes a day count 0: a fault, and rules that were broken. Such a play says nothing of how much a way is
+ * worth, only that it may not stand.
+ */
+export const readObjections = ({ breaks, fault }) => [
+  ...Object.keys(breaks).map((rule) => `rule broken: ${rule}`),
+  ...(fault === null ? [] : [`fault: ${fault}`]),
+];
--- /dev/null
+++ b/scenarios/platform/compare/ways.mjs
@@ -0,0 +1,41 @@
+/** Prepares the folder of a way: one that exists, or a revision that is checked out into a scratch folder. */
+import { execFileSync } from 'node:child_process';
+import { cpSync, existsSync, mkdirSync, symlinkSync } from 'node:fs';
+import { join, resolve } from 'node:path';
+
+const REVISION = 'git:';
+
+const checkOut = (root, revision, folder) => {
+  if (existsSync(folder)) {
+    throw new Error(`${folder} is there already`);
+  }
+  mkdirSync(folder, { recursive: true });
+  const archive = `${folder}.tar`;
+  execFileSync('git', ['archive', '--output', archive, revision], { cwd: root });
+  execFileSync('tar', ['-xf', archive, '-C', folder]);
+  symlinkSync(join(root, 'node_modules'), join(folder, 'node_modules'));
+};
+
+/** Reads `NAME=FOLDER` or `NAME=git:REVISION`; a revision uses the modules that are installed in `root`. */
+export const prepareWay = (text, root, out) => {
+  const split = text.indexOf('=');
+  const name = text.slice(0, split);
+  const source = text.slice(split + 1);
+  if (!/^[\w.-]+$/.test(name) || source === '') {
+    throw new Error(`no way: ${text}; wanted is NAME=FOLDER or NAME=git:REVISION`);
+  }
+  if (!source.startsWith(REVISION)) {
+    return { name, folder: resolve(source) };
+  }
+  const folder = join(out, `tree-${name}`);
+  checkOut(root, source.slice(REVISION.length), folder);
+  return { name, folder };
+};
+
+/** Brings the journal entries of a way to the repository, as written; what is there already stays. */
+export const collectJournal = ({ folder }, root) => {
+  const journal = join(folder, 'journal');
+  if (resolve(folder) !== resolve(root) && existsSync(journal)) {
+    cpSync(journal, join(root, 'journal'), { recursive: true, force: false });
+  }
+};
