Tell whether requests are the same, and whether a replica has ended or only its connection

Cause: logs named each try of a request by its own identifier, and a reset was a reset: the hypotheses of the incident could not be told apart. Change: a fingerprint of method, host, path, body and caller in request-admitted and subquery-admitted; after an attempt broke off, its replica is looked at by one connection, which is kept where it opens; replica-crashed in the log with the fingerprints that ran there, crossroad_gateway_replica_crashes_total. No decision about a request has changed. Ruled out: taking each reset for a crash (replicas also reset idle connections and those beyond their bound).

--- a/src/core/hash.ts
+++ b/src/core/hash.ts
@@ -96,6 +96,10 @@
   return avalanche(hashRest(bytes, length, (begin + length) | 0, restAt));
 };
 
+/** Hashes bytes to an unsigned 32-bit integer; the same on every machine and run. */
+export const hashOfBytes = (bytes: Uint8Array, seed = 0): number =>
+  hashBytes(bytes, bytes.length, seed);
+
 /** Hashes `text` to an unsigned 32-bit integer; the same on every machine and run. */
 export const hash32 = (text: string, seed = 0): number => {
   if (encodeShort(text)) {
--- a/src/gateway/effect.ts
+++ b/src/gateway/effect.ts
@@ -28,6 +28,12 @@
   readonly replica: ReplicaRecord;
 }
 
+/** Looks whether a replica takes connections; ends in `replica-checked`. One that opens is kept for use. */
+export interface CheckReplica {
+  readonly type: 'check-replica';
+  readonly replica: ReplicaRecord;
+}
+
 /** Gives up an attempt: its connection is closed unless the answer comes within `withinMs`. */
 export interface AbortAttempt {
   readonly type: 'abort-attempt';
@@ -225,6 +231,7 @@
   | SendAttempt
   | AbortAttempt
   | OpenConnection
+  | CheckReplica
   | CloseReplica
   | AnswerCaller
   | ForgetCall
--- a/src/gateway/event.ts
+++ b/src/gateway/event.ts
@@ -8,6 +8,7 @@
   AttemptResult,
   CallerRequest,
   CallId,
+  Fingerprint,
   UnreadableProblem,
 } from './model/request.js';
 import type { FollowerId, KnownRevisions, ReaderNews } from './readers/reader-news.js';
@@ -69,6 +70,15 @@
   readonly result: AttemptResult;
 }
 
+/** It was looked whether a replica takes connections. */
+export interface ReplicaChecked {
+  readonly type: 'replica-checked';
+  readonly at: number;
+  readonly replica: string;
+  /** Its machine answers that nothing listens there; false also where no answer came. */
+  readonly isDown: boolean;
+}
+
 /** A timer of a request has run out. */
 export interface RequestDue {
   readonly type: 'request-due';
@@ -114,6 +124,7 @@
   readonly at: number;
   readonly call: CallId;
   readonly requestId: string;
+  readonly fingerprint: Fingerprint;
   readonly subquery: Subquery;
 }
 
@@ -230,6 +241,7 @@
   | UnreadableRefused
   | CallerLeft
   | AttemptEnded
+  | ReplicaChecked
   | RequestDue
   | PageRead
   | ChangesRead
--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -5,6 +5,7 @@
 import type {
   AttemptProblem,
   AttemptId,
+  Fingerprint,
   RefusalReason,
   UnreadableProblem,
 } from '../model/request.js';
@@ -18,6 +19,7 @@
   | {
       readonly event: 'request-admitted';
       readonly route: string;
+      readonly fingerprint: Fingerprint;
       readonly version: number;
       /** How long the version is in force. */
       readonly versionAgeMs: number;
@@ -80,6 +82,7 @@
   | {
       readonly event: 'subquery-admitted';
       readonly route: string;
+      readonly fingerprint: Fingerprint;
       readonly shards: number;
       readonly isRepeat: boolean;
       readonly partsInMs: number;
@@ -182,6 +185,15 @@
       readonly failures: number;
       readonly forMs: number;
     }
+  | {
+      readonly event: 'replica-crashed';
+      readonly replica: string;
+      readonly service: string;
+      /** Some of the requests that it was running, those of this gateway. */
+      readonly fingerprints: readonly Fingerprint[];
+      /** How many they were. */
+      readonly requests: number;
+    }
   | {
       readonly event: 'peer-suspected';
       readonly peer: string;
@@ -235,6 +247,8 @@
   'replicas-changed': 'The same of many replicas at once, counted by state and service.',
   'zone-evacuated': 'The replicas of a zone get no more requests, or get them again.',
   'replica-ejected': 'A replica failed and is tried only as a last resort for a while.',
+  'replica-crashed':
+    'Connections to a replica broke while it ran requests, and it takes no new ones.',
   'peer-suspected': 'Another gateway failed to answer and is passed over until it does.',
   'peer-trusted': 'A gateway that was passed over answers promptly again.',
   'reader-followed': 'Another gateway was asked to tell what it reads from the store.',
--- a/src/gateway/metrics/gateway-counters.ts
+++ b/src/gateway/metrics/gateway-counters.ts
@@ -39,6 +39,11 @@
     help: 'Further attempts that the retry budget of a service did not allow.',
     labelNames: ['service'],
   }),
+  replicaCrashes: new CounterMetric({
+    name: 'crossroad_gateway_replica_crashes_total',
+    help: 'Replicas that ended while they ran requests of this gateway, by service.',
+    labelNames: ['service'],
+  }),
   subqueries: new CounterMetric({
     name: 'crossroad_gateway_subqueries_total',
     help: 'Subqueries: sent to feeders, moved to others, and taken as a feeder.',
--- a/src/gateway/model/request.ts
+++ b/src/gateway/model/request.ts
@@ -6,10 +6,14 @@
 /** Names one attempt at a replica inside this process. */
 export type AttemptId = number;
 
+/** Names what a replica is asked to do: the same for each try of the same request, at every gateway. */
+export type Fingerprint = string;
+
 /** What decides about a request; its bytes stay at the edge. */
 export interface CallerRequest {
   /** The identifier that the caller chose; it goes to replicas and into logs. */
   readonly requestId: string;
+  readonly fingerprint: Fingerprint;
   readonly host: string;
   readonly path: string;
   /** How long the caller waits, in milliseconds; absent where it did not say. */
--- a/src/gateway/protocol/protocol.ts
+++ b/src/gateway/protocol/protocol.ts
@@ -26,6 +26,8 @@
   readonly partSignatures: string;
   /** Number of shards that a merged answer leaves out. */
   readonly missingParts: string;
+  /** Headers that say who asks. */
+  readonly caller: readonly string[];
 }
 
 /** A request to the store. */
--- a/src/gateway/reducer.ts
+++ b/src/gateway/reducer.ts
@@ -3,6 +3,7 @@
  * the effects in the order in which the driver must carry them out.
  */
 import { match } from 'ts-pattern';
+import { takeReplicaChecked } from './crashes/broken-runs.js';
 import type { GatewayEffect } from './effect.js';
 import type { GatewayEvent, Started } from './event.js';
 import { beginStop, continueStop, updateReadiness } from './lifecycle.js';
@@ -65,6 +66,7 @@
     .with({ type: 'unreadable-refused' }, (refused) => takeUnreadable(state, refused))
     .with({ type: 'caller-left' }, (left) => takeCallerLeft(state, left))
     .with({ type: 'attempt-ended' }, (ended) => takeResult(state, ended))
+    .with({ type: 'replica-checked' }, (checked) => takeReplicaChecked(state, checked))
     .with({ type: 'request-due' }, (due) => takeRequestDue(state, due))
     .with({ type: 'page-read' }, (read) => [
       ...takePage(state, read),
--- a/src/gateway/requests/accept-request.ts
+++ b/src/gateway/requests/accept-request.ts
@@ -76,6 +76,7 @@
   trace(request.decisions, at, {
     event: 'request-admitted',
     route: request.route.name,
+    fingerprint: request.request.fingerprint,
     version: state.inForce?.configuration.version ?? 0,
     versionAgeMs: Math.round(at - (state.inForce?.since ?? at)),
     legs: request.legs.length,
--- a/src/gateway/requests/accept-subquery.ts
+++ b/src/gateway/requests/accept-subquery.ts
@@ -38,14 +38,14 @@
 
 const createRequest = (
   state: GatewayState,
-  { call, requestId, subquery, at }: SubqueryReceived,
+  { call, requestId, fingerprint, subquery, at }: SubqueryReceived,
 ): ActiveRequest => {
   const route = routeOf(subquery);
   const latency = state.latencies.get(route.name) ?? createRouteLatency(route);
   return createActiveRequest({
     call,
     origin: 'coordinator',
-    request: { requestId, host: '', path: '' },
+    request: { requestId, fingerprint, host: '', path: '' },
     route,
     legs: subquery.shards.map(createLeg),
     receivedAt: at,
@@ -58,7 +58,7 @@
 
 /** Handles `subquery-received`. */
 export const acceptSubquery = (state: GatewayState, event: SubqueryReceived): GatewayEffect[] => {
-  const { call, subquery, at } = event;
+  const { call, fingerprint, subquery, at } = event;
   const isServing = state.phase === 'starting' || state.phase === 'serving';
   if (!isServing || !state.replicasListed) {
     return [{ type: 'refuse-subquery', call }];
@@ -69,6 +69,7 @@
   trace(request.decisions, at, {
     event: 'subquery-admitted',
     route: subquery.route,
+    fingerprint,
     shards: subquery.shards.length,
     isRepeat: subquery.isRepeat,
     partsInMs: Math.round(subquery.partsWithinMs),
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -188,6 +188,7 @@
   state.attempts.set(attempt, {
     id: attempt,
     call,
+    fingerprint: request.request.fingerprint,
     leg,
     replica: record.id,
     route: route.name,
--- a/src/gateway/requests/request-state.ts
+++ b/src/gateway/requests/request-state.ts
@@ -1,7 +1,13 @@
 /** Requests in progress: each has one leg, or one for each shard. */
 import type { TracedDecision } from '../log/log-event.js';
 import type { Route } from '../model/route.js';
-import type { AttemptId, CallerRequest, CallId, ReplicaAnswer } from '../model/request.js';
+import type {
+  AttemptId,
+  CallerRequest,
+  CallId,
+  Fingerprint,
+  ReplicaAnswer,
+} from '../model/request.js';
 import type { SubqueryId } from '../model/subquery.js';
 
 /** The part of a request that one service answers. */
@@ -101,6 +107,7 @@
 export interface ActiveAttempt {
   readonly id: AttemptId;
   readonly call: CallId;
+  readonly fingerprint: Fingerprint;
   readonly leg: Leg;
   readonly replica: string;
   readonly route: string;
--- a/src/gateway/requests/take-result.ts
+++ b/src/gateway/requests/take-result.ts
@@ -1,4 +1,5 @@
 /** Takes the end of an attempt: an answer ends its leg, a failure may be followed by a retry. */
+import { isBrokenOff, noteBrokenOff } from '../crashes/broken-runs.js';
 import type { GatewayEffect } from '../effect.js';
 import type { AttemptEnded, CallerLeft, RequestDue } from '../event.js';
 import type { Decision } from '../log/log-event.js';
@@ -72,8 +73,20 @@
 /** Handles `attempt-ended`. */
 export const takeResult = (state: GatewayState, event: AttemptEnded): GatewayEffect[] => {
   const attempt = settleAttempt(state, event);
-  const request = attempt === undefined ? undefined : state.requests.get(attempt.call);
-  if (attempt === undefined || request === undefined) {
+  if (attempt === undefined) {
+    return [];
+  }
+  const checks = isBrokenOff(event) ? noteBrokenOff(state, attempt, event.at) : [];
+  return [...checks, ...takeRequestResult(state, attempt, event)];
+};
+
+const takeRequestResult = (
+  state: GatewayState,
+  attempt: ActiveAttempt,
+  event: AttemptEnded,
+): GatewayEffect[] => {
+  const request = state.requests.get(attempt.call);
+  if (request === undefined) {
     return [];
   }
   const elapsedSeconds = (event.at - attempt.sentAt) / MS_PER_SECOND;
--- a/src/gateway/runtime/caller-port.ts
+++ b/src/gateway/runtime/caller-port.ts
@@ -174,7 +174,7 @@
     );
     const requestId = findHeader(headers, protocol.headers.requestId) ?? '';
     const method = incoming.method ?? 'GET';
-    const call = requests.add({ method, path, requestId, headers, body });
+    const { call, fingerprint } = requests.add({ method, path, requestId, headers, body });
     this.waiting.set(call, outgoing);
     outgoing.once('close', () => this.noteClose(call, outgoing));
     const isFirstOnConnection = !this.usedConnections.has(incoming.socket);
@@ -186,6 +186,7 @@
       call,
       request: {
         requestId,
+        fingerprint,
         host,
         path,
         ...(budgetMs > 0 && { budgetMs }),
--- /dev/null
+++ b/src/gateway/runtime/fingerprint.ts
@@ -0,0 +1,40 @@
+/**
+ * Tells requests apart by what a replica is asked to do, whichever try it is: two with the same fingerprint have
+ * the same method, host, path, body and caller. Identifiers of tries and times left are not part of it.
+ */
+import { hash32, hashOfBytes } from '../../core/hash.js';
+import type { Fingerprint } from '../model/request.js';
+import { findHeader, pairHeaders } from './headers.js';
+
+/** Two hashes with different seeds: 32 bits alone meet by chance among some ten thousand requests. */
+const SEEDS = [1, 2] as const;
+
+const HEX_DIGITS = 8;
+
+const toHex = (hash: number): string => hash.toString(16).padStart(HEX_DIGITS, '0');
+
+/** What of a request counts. */
+export interface FingerprintedRequest {
+  readonly method: string;
+  /** Path and query. */
+  readonly path: string;
+  /** Flat list of names and values. */
+  readonly passedHeaders: readonly string[];
+  readonly body: Uint8Array | null;
+}
+
+/**
+ * The fingerprint of a request, 16 hexadecimal digits.
+ *
+ * @param callerHeaders - names of headers that say who asks, in lower case
+ */
+export const fingerprintOf = (
+  { method, path, passedHeaders, body }: FingerprintedRequest,
+  callerHeaders: readonly string[],
+): Fingerprint => {
+  const headers = pairHeaders(passedHeaders);
+  const named = ['host', ...callerHeaders].map((name) => findHeader(headers, name) ?? '');
+  const bodyHashes = body === null ? [] : SEEDS.map((seed) => hashOfBytes(body, seed));
+  const text = JSON.stringify([method, path, named, bodyHashes]);
+  return SEEDS.map((seed) => toHex(hash32(text, seed))).join('');
+};
--- a/src/gateway/runtime/peers/peer-port.ts
+++ b/src/gateway/runtime/peers/peer-port.ts
@@ -206,10 +206,14 @@
     const { requests, sink, clock } = this.context;
     const { id, requestId, method, path, headers, body, subquery } = message;
     const held = { method, path, requestId, passedHeaders: headers };
-    const call = requests.hold({ ...held, body: body === null ? null : Buffer.from(body) });
+    const { call, fingerprint } = requests.hold({
+      ...held,
+      body: body === null ? null : Buffer.from(body),
+    });
     coordinator.calls.set(id, call);
     this.openCalls.set(call, { coordinator, id });
-    sink.emit({ type: 'subquery-received', at: clock.now(), call, requestId, subquery });
+    const at = clock.now();
+    sink.emit({ type: 'subquery-received', at, call, requestId, fingerprint, subquery });
   }
 
   private cancel(coordinator: Coordinator, { id, withinMs }: CancelMessage): void {
--- a/src/gateway/runtime/replica-client.ts
+++ b/src/gateway/runtime/replica-client.ts
@@ -1,6 +1,6 @@
 /** Sends attempts to replicas over a small pool of connections for each. */
 import type { MonotonicClock } from '../../runtime/monotonic-clock.js';
-import type { OpenConnection, SendAttempt } from '../effect.js';
+import type { CheckReplica, OpenConnection, SendAttempt } from '../effect.js';
 import type { ReplicaRecord } from '../model/replica-record.js';
 import type { AttemptId, AttemptProblem, AttemptResult } from '../model/request.js';
 import type { GatewayProtocol, HeaderNames } from '../protocol/protocol.js';
@@ -37,7 +37,10 @@
   return { method, path, headers: [...passedHeaders, ...ownHeaders], body };
 };
 
-/** Carries out `send-attempt`, `abort-attempt` and `close-replica`; emits `attempt-ended`. */
+/**
+ * Carries out the effects about replicas: `send-attempt`, `abort-attempt`, `open-connection`, `check-replica` and
+ * `close-replica`. Emits `attempt-ended` and `replica-checked`.
+ */
 export class ReplicaClient implements PoolListener {
   private readonly pools = new Map<string, ReplicaPool>();
   private readonly running = new Map<AttemptId, RunningAttempt>();
@@ -68,6 +71,14 @@
     this.poolOf(replica).preconnect();
   }
 
+  /** Looks whether a replica takes connections. */
+  check({ replica }: CheckReplica): void {
+    const { sink, clock } = this.context;
+    this.poolOf(replica).check((isDown) =>
+      sink.emit({ type: 'replica-checked', at: clock.now(), replica: replica.id, isDown }),
+    );
+  }
+
   /** Closes the idle connections to a replica; the others close when their requests end. */
   close(replica: string): void {
     this.pools.get(replica)?.close();
--- a/src/gateway/runtime/replica-pool.ts
+++ b/src/gateway/runtime/replica-pool.ts
@@ -60,6 +60,19 @@
     }
   }
 
+  /**
+   * Looks whether the replica takes connections, by one more where the bound allows it, and then keeps it.
+   *
+   * @param onChecked - told once; `isDown` where the connection was refused
+   */
+  check(onChecked: (isDown: boolean) => void): void {
+    if (this.open < this.maxConnections) {
+      this.openConnection(onChecked);
+    } else {
+      queueMicrotask(() => onChecked(false));
+    }
+  }
+
   /** Takes an attempt that waits out of the queue; false when it does not wait here. */
   withdraw(attempt: AttemptId): boolean {
     const index = this.waiting.findIndex((each) => each.attempt === attempt);
@@ -132,7 +145,7 @@
     }
   }
 
-  private openConnection(): void {
+  private openConnection(onTried: (isDown: boolean) => void = () => undefined): void {
     this.open += 1;
     this.opening += 1;
     const openedFrom = this.clock.now();
@@ -142,8 +155,14 @@
         this.opening -= 1;
         this.rest(connection);
         this.serveWaiting();
+        onTried(false);
+      },
+      onClosed: (problem) => {
+        this.noteClosed(connection, problem);
+        if (!connection.wasOpened) {
+          onTried(problem === 'connect-refused');
+        }
       },
-      onClosed: (problem) => this.noteClosed(connection, problem),
     });
   }
 
--- a/src/gateway/runtime/start-gateway.ts
+++ b/src/gateway/runtime/start-gateway.ts
@@ -155,6 +155,7 @@
       .with({ type: 'check-peer' }, ({ peer }) => this.peerClient.check(peer))
       .with({ type: 'announce-stop' }, () => this.peerPort.announceStop())
       .with({ type: 'open-connection' }, (open) => this.replicas.preconnect(open))
+      .with({ type: 'check-replica' }, (check) => this.replicas.check(check))
       .with({ type: 'close-replica' }, ({ replica }) => this.replicas.close(replica))
       .with({ type: 'call-store' }, ({ call }) => this.callStore(call))
       .with({ type: 'set-collection-timer' }, ({ collection, at }) =>
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -1,6 +1,7 @@
 /** The state of a gateway; the reducer owns it and updates it in place. */
 import { createRandom, type Random } from '../core/random.js';
 import { RetryBudget } from './budget/retry-budget.js';
+import type { BrokenRun } from './crashes/broken-run.js';
 import type { RequestReceived } from './event.js';
 import { createGatewayCounters, type GatewayCounters } from './metrics/gateway-counters.js';
 import type { GatewayConfiguration } from './model/route.js';
@@ -103,6 +104,8 @@
   readonly requests: Map<CallId, ActiveRequest>;
   readonly attempts: Map<AttemptId, ActiveAttempt>;
   nextAttempt: AttemptId;
+  /** Runs that broke off, by the replica that is being looked at. */
+  readonly brokenRuns: Map<string, BrokenRun[]>;
   readonly budgets: Map<string, RetryBudget>;
   readonly latencies: Map<string, RouteLatency>;
   /** What was logged lately of what callers sent that is no request. */
@@ -151,6 +154,7 @@
   requests: new Map(),
   attempts: new Map(),
   nextAttempt: 1,
+  brokenRuns: new Map(),
   budgets: new Map(),
   latencies: new Map(),
   unreadableLogs: new Map(),
--- a/test/gateway/feeders.test.ts
+++ b/test/gateway/feeders.test.ts
@@ -427,7 +427,15 @@
       isRepeat,
     };
     const call = 1_000 + before;
-    feeder.emit({ type: 'subquery-received', at: feeder.now, call, requestId, subquery });
+    const fingerprint = requestId;
+    feeder.emit({
+      type: 'subquery-received',
+      at: feeder.now,
+      call,
+      requestId,
+      fingerprint,
+      subquery,
+    });
     feeder.advanceTo(feeder.now + 60);
     const used = feeder.sent.slice(before);
     used.forEach((sent) => feeder.end(sent, success(sent.replica.id)));
--- a/test/gateway/reader-interruptions.test.ts
+++ b/test/gateway/reader-interruptions.test.ts
@@ -89,7 +89,7 @@
 };
 
 const ask = (node: VirtualNode, path: string, at: number): readonly GatewayEffect[] => {
-  const request = { requestId: 'r', host: 'shop.example', path };
+  const request = { requestId: 'r', fingerprint: 'r', host: 'shop.example', path };
   return step(node.state, { type: 'request-received', at, call: 1, request });
 };
 
--- /dev/null
+++ b/test/gateway/replica-crashes.test.ts
@@ -0,0 +1,68 @@
+import { describe, expect, it } from 'vitest';
+import type { GatewayEffect } from '../../src/gateway/effect.js';
+import type { AttemptProblem } from '../../src/gateway/model/request.js';
+import { gatherOf, routeTo, VirtualGateway } from './virtual-gateway.js';
+
+const gatewayWith = (shards: number): VirtualGateway => {
+  const gateway = new VirtualGateway();
+  gateway.configure(1, [routeTo(gatherOf(shards, 0.5))]);
+  gateway.listReplicas(Array.from({ length: shards }, (_, index) => `s${index}`));
+  return gateway;
+};
+
+const breakOff = (gateway: VirtualGateway, problem: AttemptProblem, mayHaveRun = true): void => {
+  const [attempt] = gateway.sent;
+  if (attempt !== undefined) {
+    gateway.end(attempt, { type: 'failed', problem, mayHaveRun });
+  }
+};
+
+const checked = ({ effects }: VirtualGateway): readonly string[] =>
+  effects.flatMap((effect) => (effect.type === 'check-replica' ? [effect.replica.id] : []));
+
+const crashLogs = ({ effects }: VirtualGateway): readonly GatewayEffect[] =>
+  effects.filter(
+    (effect) => effect.type === 'write-log' && effect.change.event === 'replica-crashed',
+  );
+
+describe('an attempt that breaks off', () => {
+  it.each(['reset', 'refused-connection', 'cut-off'] as const)(
+    'has its replica looked at: %s',
+    (problem) => {
+      const gateway = gatewayWith(2);
+      gateway.request();
+      breakOff(gateway, problem);
+      expect(checked(gateway)).toEqual([gateway.sent[0]?.replica.id]);
+    },
+  );
+
+  it.each(['timed-out', 'aborted', 'foreign-answer'] as const)(
+    'says nothing of it: %s',
+    (problem) => {
+      const gateway = gatewayWith(2);
+      gateway.request();
+      breakOff(gateway, problem);
+      expect(checked(gateway)).toEqual([]);
+    },
+  );
+
+  it('is logged with the request once its replica is found to have ended', () => {
+    const gateway = gatewayWith(2);
+    gateway.request(900, false, 'print');
+    breakOff(gateway, 'reset');
+    const replica = gateway.sent[0]?.replica.id ?? '';
+    gateway.emit({ type: 'replica-checked', at: 1, replica, isDown: true });
+    expect(crashLogs(gateway)).toMatchObject([
+      { change: { replica, fingerprints: ['print'], requests: 1 } },
+    ]);
+  });
+
+  it('is not where the replica takes connections', () => {
+    const gateway = gatewayWith(2);
+    gateway.request();
+    breakOff(gateway, 'reset');
+    const replica = gateway.sent[0]?.replica.id ?? '';
+    gateway.emit({ type: 'replica-checked', at: 1, replica, isDown: false });
+    expect(crashLogs(gateway)).toEqual([]);
+  });
+});
--- a/test/gateway/replica-pool.test.ts
+++ b/test/gateway/replica-pool.test.ts
@@ -107,3 +107,19 @@
     expect(failed.map(({ attempt }) => attempt)).toEqual([1, 2, 3]);
   });
 });
+
+describe('a look at a replica', () => {
+  const look = (): Promise<boolean> => new Promise((resolve) => pool.check(resolve));
+
+  it('finds one that takes connections, and keeps the connection', async () => {
+    pool.submit(attemptOf(true));
+    expect(await look()).toBe(false);
+    await delay(5);
+    expect([replica.connections, free.length]).toEqual([1, 1]);
+  });
+
+  it('finds one that has ended', async () => {
+    await replica.stop();
+    expect(await look()).toBe(true);
+  });
+});
--- a/test/gateway/virtual-gateway.ts
+++ b/test/gateway/virtual-gateway.ts
@@ -178,15 +178,30 @@
       ...subquery,
     };
     const requestId = `sub-${call}`;
-    this.emit({ type: 'subquery-received', at: this.now, call, requestId, subquery: whole });
+    this.emit({
+      type: 'subquery-received',
+      at: this.now,
+      call,
+      requestId,
+      fingerprint: requestId,
+      subquery: whole,
+    });
     return call;
   }
 
-  request(budgetMs = 900, isFirstOnConnection = false): CallId {
+  /** A caller asks; each request is another one unless its fingerprint is given. */
+  request(budgetMs = 900, isFirstOnConnection = false, fingerprint?: string): CallId {
     const call = this.nextCall;
     this.nextCall += 1;
     const requestId = `r-${call}`;
-    const request = { requestId, host: 'shop.example', path: '/x', budgetMs, isFirstOnConnection };
+    const request = {
+      requestId,
+      fingerprint: fingerprint ?? requestId,
+      host: 'shop.example',
+      path: '/x',
+      budgetMs,
+      isFirstOnConnection,
+    };
     this.emit({ type: 'request-received', at: this.now, call, request });
     return call;
   }
