--- /dev/null
+++ b/test/gateway/crash-network.ts
@@ -0,0 +1,561 @@
+/**
+ * Several gateways over replicas that can end, in virtual time: a replica that runs a request of a lethal
+ * fingerprint ends at the end of that run, with all that it runs, and is back under another identifier after some
+ * seconds. Callers ask again at another gateway.
+ */
+import { createRandom, type Random } from '../../src/core/random.js';
+import type { GatewayEffect, SendAttempt, SendSubquery } from '../../src/gateway/effect.js';
+import type { GatewayEvent } from '../../src/gateway/event.js';
+import type { PeerRecord } from '../../src/gateway/model/peer-record.js';
+import type { ReplicaRecord } from '../../src/gateway/model/replica-record.js';
+import type { AttemptResult, CallerResponse, CallId } from '../../src/gateway/model/request.js';
+import { type Route, servicesOf } from '../../src/gateway/model/route.js';
+import { step } from '../../src/gateway/reducer.js';
+import { createGatewayState, type GatewayState } from '../../src/gateway/state.js';
+
+/** One way between any two processes. */
+const LINK_MS = 1;
+
+/** Work of a replica on one request, least and most. */
+const LEAST_WORK_MS = 10;
+const MOST_WORK_MS = 40;
+
+/** After so long without a replica its entry is gone, and after so long it is back. */
+const LAPSE_MS = 2_500;
+const RESTART_MS = 3_000;
+
+/** A caller's new connection. */
+const CONNECT_MS = 6;
+
+const ZONES = ['bole', 'arada', 'kirkos'] as const;
+const HOST = { host: '10.0.0.1', port: 1 };
+
+interface Scheduled {
+  readonly at: number;
+  readonly order: number;
+  readonly run: () => void;
+}
+
+/** A request that arrived at a replica and was run there. */
+export interface Run {
+  readonly at: number;
+  readonly gateway: string;
+  /** When the process of that gateway started. */
+  readonly gatewaySince: number;
+  readonly requestId: string;
+  readonly fingerprint: string;
+}
+
+interface RunningAttempt {
+  readonly node: CrashNode;
+  readonly life: number;
+  readonly effect: SendAttempt;
+}
+
+/** A place where one replica after the other runs. */
+class Place {
+  record: ReplicaRecord;
+  isUp = true;
+  readonly running = new Set<RunningAttempt>();
+
+  constructor(
+    readonly name: string,
+    service: string,
+    zone: string,
+  ) {
+    this.record = { id: `${name}.1`, service, ...HOST, zone, slots: 2, draining: false, coldMs: 0 };
+  }
+}
+
+/** One gateway. */
+export class CrashNode {
+  state: GatewayState;
+  alive = true;
+  life = 0;
+  startedAt = 0;
+  readonly timers = new Map<string, object>();
+  /** Subqueries of others that run here, by call. */
+  readonly coordinators = new Map<CallId, { readonly node: CrashNode; readonly id: number }>();
+
+  constructor(
+    readonly record: PeerRecord,
+    seed: number,
+  ) {
+    this.state = createGatewayState(settingsOf(record), seed);
+  }
+}
+
+const settingsOf = ({ name, zone, capacity }: PeerRecord) => ({
+  node: name,
+  zone,
+  capacity,
+  firstStart: false,
+  zoneRegions: Object.fromEntries(ZONES.map((each) => [each, 'addis'])),
+  callers: HOST,
+  readiness: HOST,
+  peers: HOST,
+  seeds: [],
+  store: HOST,
+  bounds: {
+    drainMs: 3_000,
+    graceMs: 6_000,
+    configurationMs: 3_000,
+    retryRatio: 0.2,
+    retryWindowMs: 10_000,
+    retrySlack: 56,
+  },
+  logLevel: 'error' as const,
+});
+
+/** What a caller asks for. */
+export interface Asking {
+  readonly fingerprint: string;
+  readonly path?: string;
+  /** How often the caller asks again after a refusal. */
+  readonly retries?: number;
+  readonly budgetMs?: number;
+  /** Gateway of the first try; drawn where it is left out. */
+  readonly gateway?: string;
+}
+
+/** How a caller fared. */
+export interface Asked extends Asking {
+  readonly askedAt: number;
+  readonly responses: CallerResponse[];
+}
+
+/** All of them, and the clock. */
+export class CrashNetwork {
+  readonly nodes: CrashNode[] = [];
+  readonly places: Place[] = [];
+  readonly runs: Run[] = [];
+  /** When replicas ended under a request of their own, by its fingerprint. */
+  readonly crashes: { readonly at: number; readonly fingerprint: string }[] = [];
+  readonly asked: Asked[] = [];
+  /** Requests of these fingerprints end the replicas that run them. */
+  readonly lethal = new Set<string>();
+  /** Messages between gateways about requests that crash replicas. */
+  messages = 0;
+  now = 0;
+  private readonly random: Random;
+  private readonly queue: Scheduled[] = [];
+  private readonly cuts = new Set<string>();
+  private routes: readonly Route[] = [];
+  private maxConnections = 32;
+  private order = 0;
+  private nextCall = 1;
+  private revision = 1;
+  private readonly waiting = new Map<CallId, { readonly asked: Asked; retries: number }>();
+  private readonly requests = new Map<CallId, { requestId: string; fingerprint: string }>();
+
+  constructor(private readonly seed: number) {
+    this.random = createRandom(seed);
+  }
+
+  /** Builds gateways in three zones and `copies` replicas for each service of the routes, and starts them all. */
+  build(gateways: number, routes: readonly Route[], copies: number, maxConnections = 32): void {
+    this.routes = routes;
+    this.maxConnections = maxConnections;
+    const services = [...new Set(routes.flatMap(({ target }) => servicesOf(target)))];
+    for (const service of services) {
+      for (let copy = 0; copy < copies; copy += 1) {
+        const zone = ZONES[copy % ZONES.length] ?? '';
+        this.places.push(new Place(`${service}/${copy}`, service, zone));
+      }
+    }
+    for (let index = 0; index < gateways; index += 1) {
+      const zone = ZONES[index % ZONES.length] ?? '';
+      const record = { name: `front-${index}`, zone, address: HOST, capacity: 1 };
+      this.nodes.push(new CrashNode(record, this.seed + index));
+    }
+    this.nodes.forEach((node) => this.start(node));
+  }
+
+  /** Starts a gateway, or starts it anew: it knows the store and nothing else. */
+  start(node: CrashNode): void {
+    node.alive = true;
+    node.life += 1;
+    node.startedAt = this.now;
+    node.state = createGatewayState(settingsOf(node.record), this.seed + node.life * 97);
+    node.timers.clear();
+    node.coordinators.clear();
+    this.emit(node, { type: 'started', at: this.now });
+    this.tellConfiguration(node);
+    this.tellReplicas(node);
+    this.tellGateways(node);
+  }
+
+  kill(node: CrashNode): void {
+    node.alive = false;
+    node.life += 1;
+  }
+
+  /** Cuts or heals the link of two gateways, both ways. */
+  setCut(left: CrashNode, right: CrashNode, isCut: boolean): void {
+    const key = [left.record.name, right.record.name].sort().join('|');
+    if (isCut) {
+      this.cuts.add(key);
+    } else {
+      this.cuts.delete(key);
+    }
+  }
+
+  /** A caller asks; its tries go to gateways that are drawn. */
+  ask(asking: Asking): Asked {
+    const asked: Asked = { ...asking, askedAt: this.now, responses: [] };
+    this.asked.push(asked);
+    this.try(
+      asked,
+      asking.retries ?? 1,
+      this.nodes.find(({ record }) => record.name === asking.gateway),
+    );
+    return asked;
+  }
+
+  /** Ends replicas for a cause of their own. */
+  crash(isMeant: (place: Place) => boolean): void {
+    this.places.filter((place) => place.isUp && isMeant(place)).forEach((place) => this.end(place));
+  }
+
+  /** Draws a number from 0 to 1. */
+  draw(): number {
+    return this.random.next();
+  }
+
+  advance(ms: number): void {
+    const until = this.now + ms;
+    for (;;) {
+      const next = this.takeNext(until);
+      if (next === undefined) {
+        break;
+      }
+      this.now = Math.max(this.now, next.at);
+      next.run();
+    }
+    this.now = until;
+  }
+
+  at(ms: number, run: () => void): void {
+    this.schedule(Math.max(0, ms - this.now), run);
+  }
+
+  private try(asked: Asked, retries: number, wanted?: CrashNode): void {
+    const alive = this.nodes.filter((node) => node.alive);
+    const node = wanted ?? alive[Math.floor(this.random.next() * alive.length)];
+    if (node === undefined) {
+      return;
+    }
+    const call = this.nextCall;
+    this.nextCall += 1;
+    const { fingerprint, path = '/all/x', budgetMs = 1_500 } = asked;
+    const requestId = `r-${call}`;
+    this.waiting.set(call, { asked, retries });
+    this.requests.set(call, { requestId, fingerprint });
+    const request = { requestId, fingerprint, host: 'shop.example', path, budgetMs };
+    this.later(LINK_MS, node, { type: 'request-received', at: 0, call, request });
+  }
+
+  private takeAnswer(call: CallId, response: CallerResponse): void {
+    const waiting = this.waiting.get(call);
+    this.waiting.delete(call);
+    if (waiting === undefined) {
+      return;
+    }
+    waiting.asked.responses.push(response);
+    if (response.type === 'refusal' && waiting.retries > 0) {
+      const { budgetMs = 1_500 } = waiting.asked;
+      const waitMs = Math.min(response.retryAfterMs ?? 0, budgetMs / 3);
+      this.schedule(waitMs + CONNECT_MS, () => this.try(waiting.asked, waiting.retries - 1));
+    }
+  }
+
+  private tellConfiguration(node: CrashNode): void {
+    const services = this.routes.flatMap(({ target }) => servicesOf(target));
+    const { maxConnections } = this;
+    const value = {
+      version: 1,
+      routes: this.routes,
+      services: new Map(services.map((name) => [name, { name, maxConnections }])),
+      limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    };
+    const objects = [{ name: 'main', gone: false, value }];
+    const page = {
+      collection: 'configuration',
+      objects,
+      more: false,
+      last: '',
+      revision: 1,
+    } as const;
+    this.emit(node, { type: 'page-read', at: this.now, page });
+  }
+
+  private tellReplicas(node: CrashNode): void {
+    const up = this.places.filter(({ isUp }) => isUp);
+    const objects = up.map(({ record }) => ({ name: record.id, gone: false, value: record }));
+    const revision = this.revision;
+    const page = { collection: 'replicas', objects, more: false, last: '', revision } as const;
+    this.emit(node, { type: 'page-read', at: this.now, page });
+  }
+
+  private tellGateways(node: CrashNode): void {
+    const objects = this.nodes.map(({ record }) => ({
+      name: record.name,
+      gone: false,
+      value: record,
+    }));
+    const page = { collection: 'gateways', objects, more: false, last: '', revision: 1 } as const;
+    this.emit(node, { type: 'page-read', at: this.now, page });
+    this.emit(node, { type: 'page-read', at: this.now, page });
+  }
+
+  private tellReplica(record: ReplicaRecord, gone: boolean): void {
+    this.revision += 1;
+    const objects = [{ name: record.id, gone, ...(!gone && { value: record }) }];
+    const changes = { collection: 'replicas', objects, revision: this.revision } as const;
+    this.nodes
+      .filter(({ alive }) => alive)
+      .forEach((node) => this.emit(node, { type: 'changes-read', at: this.now, changes }));
+  }
+
+  /** A replica ends: what it runs breaks off, and its machine refuses connections until it is back. */
+  private end(place: Place): void {
+    place.isUp = false;
+    const { record } = place;
+    const running = [...place.running];
+    place.running.clear();
+    running.forEach((attempt) =>
+      this.endAttempt(attempt, { type: 'failed', problem: 'reset', mayHaveRun: true }),
+    );
+    this.schedule(LAPSE_MS, () => this.tellReplica(record, true));
+    this.schedule(RESTART_MS * (0.8 + 0.4 * this.random.next()), () => this.restart(place));
+  }
+
+  private restart(place: Place): void {
+    const [name, incarnation] = place.record.id.split('.');
+    place.record = { ...place.record, id: `${name}.${Number(incarnation) + 1}` };
+    place.isUp = true;
+    this.tellReplica(place.record, false);
+  }
+
+  private endAttempt({ node, life, effect }: RunningAttempt, result: AttemptResult): void {
+    if (node.life === life) {
+      const { attempt } = effect;
+      this.later(LINK_MS, node, { type: 'attempt-ended', at: 0, attempt, result });
+    }
+  }
+
+  private arrive(node: CrashNode, life: number, effect: SendAttempt): void {
+    const attempt: RunningAttempt = { node, life, effect };
+    const place = this.places.find(({ record }) =>
+      `${record.id}`.startsWith(`${effect.replica.id.split('.')[0]}.`),
+    );
+    if (place?.isUp !== true) {
+      return this.endAttempt(attempt, {
+        type: 'failed',
+        problem: 'connect-refused',
+        mayHaveRun: false,
+      });
+    }
+    if (place.record.id !== effect.replica.id) {
+      return this.endAttempt(attempt, { type: 'refused', reason: 'wrong-instance' });
+    }
+    this.run(place, attempt);
+  }
+
+  private run(place: Place, attempt: RunningAttempt): void {
+    const { node, effect } = attempt;
+    const { requestId, fingerprint } = this.requests.get(effect.call) ?? {
+      requestId: '',
+      fingerprint: '',
+    };
+    const { name: gateway } = node.record;
+    this.runs.push({ at: this.now, gateway, gatewaySince: node.startedAt, requestId, fingerprint });
+    place.running.add(attempt);
+    const workMs = LEAST_WORK_MS + (MOST_WORK_MS - LEAST_WORK_MS) * this.random.next() ** 3;
+    this.schedule(workMs, () => {
+      if (!place.running.has(attempt)) {
+        return;
+      }
+      if (this.lethal.has(fingerprint)) {
+        this.crashes.push({ at: this.now, fingerprint });
+        this.end(place);
+        return;
+      }
+      place.running.delete(attempt);
+      const signature = `${effect.replica.id}-${effect.attempt}`;
+      const answer = { status: 200, headers: [], body: Buffer.alloc(16), signature };
+      this.endAttempt(attempt, { type: 'answered', answer, closing: false });
+    });
+  }
+
+  private abort(node: CrashNode, attemptId: number, withinMs: number): void {
+    this.schedule(withinMs, () => {
+      for (const place of this.places) {
+        const attempt = [...place.running].find(
+          (each) =>
+            each.node === node && each.life === node.life && each.effect.attempt === attemptId,
+        );
+        if (attempt !== undefined) {
+          place.running.delete(attempt);
+          this.endAttempt(attempt, { type: 'failed', problem: 'aborted', mayHaveRun: true });
+        }
+      }
+    });
+  }
+
+  private check(node: CrashNode, replica: string): void {
+    const place = this.places.find(({ record }) => record.id === replica);
+    const isDown = place?.isUp !== true;
+    this.later(2 * LINK_MS, node, { type: 'replica-checked', at: 0, replica, isDown });
+  }
+
+  private isLinked(from: CrashNode, to: CrashNode): boolean {
+    const key = [from.record.name, to.record.name].sort().join('|');
+    return to.alive && !this.cuts.has(key);
+  }
+
+  private sendSubquery(node: CrashNode, { id, call, peer, subquery }: SendSubquery): void {
+    const to = this.nodes.find(({ record }) => record.name === peer.name);
+    const request = this.requests.get(call);
+    if (to === undefined || request === undefined) {
+      return;
+    }
+    if (!this.isLinked(node, to)) {
+      const problem = 'disconnected';
+      this.later(LINK_MS, node, { type: 'peer-lost', at: 0, peer: peer.name, problem });
+      this.later(LINK_MS, node, { type: 'subquery-failed', at: 0, subquery: id, mayHaveRun: true });
+      return;
+    }
+    const ownCall = this.nextCall;
+    this.nextCall += 1;
+    this.requests.set(ownCall, request);
+    to.coordinators.set(ownCall, { node, id });
+    this.later(LINK_MS, to, {
+      type: 'subquery-received',
+      at: 0,
+      call: ownCall,
+      ...request,
+      subquery,
+    });
+  }
+
+  private tellCoordinator(
+    node: CrashNode,
+    call: CallId,
+    eventFor: (id: number) => GatewayEvent,
+  ): void {
+    const coordinator = node.coordinators.get(call);
+    if (coordinator !== undefined && this.isLinked(node, coordinator.node)) {
+      this.later(LINK_MS, coordinator.node, eventFor(coordinator.id));
+    }
+  }
+
+  private cancelSubquery(node: CrashNode, id: number, withinMs: number): void {
+    for (const to of this.nodes) {
+      for (const [call, coordinator] of to.coordinators) {
+        if (coordinator.node === node && coordinator.id === id) {
+          this.later(LINK_MS, to, { type: 'subquery-cancelled', at: 0, call, withinMs });
+        }
+      }
+    }
+  }
+
+  private carryOut(node: CrashNode, effect: GatewayEffect): void {
+    switch (effect.type) {
+      case 'send-attempt': {
+        const { life } = node;
+        return this.schedule(LINK_MS, () => this.arrive(node, life, effect));
+      }
+      case 'abort-attempt':
+        return this.abort(node, effect.attempt, effect.withinMs);
+      case 'check-replica':
+        return this.check(node, effect.replica.id);
+      case 'answer-caller':
+        return this.takeAnswer(effect.call, effect.response);
+      case 'set-request-timer': {
+        const { call } = effect;
+        return this.setTimer(node, `call ${call}`, effect.at, { type: 'request-due', at: 0, call });
+      }
+      case 'send-subquery':
+        return this.sendSubquery(node, effect);
+      case 'cancel-subquery':
+        return this.cancelSubquery(node, effect.id, effect.withinMs);
+      case 'answer-subquery':
+        return this.tellCoordinator(node, effect.call, (subquery) => ({
+          type: 'subquery-answered',
+          at: 0,
+          subquery,
+          part: effect.part,
+        }));
+      case 'acknowledge-subquery':
+        return this.tellCoordinator(node, effect.call, (subquery) => ({
+          type: 'subquery-acknowledged',
+          at: 0,
+          subquery,
+        }));
+      default:
+    }
+  }
+
+  private setTimer(node: CrashNode, key: string, at: number, event: GatewayEvent): void {
+    const token = {};
+    const { life } = node;
+    node.timers.set(key, token);
+    this.schedule(Math.max(0, at - this.now), () => {
+      if (node.life === life && node.timers.get(key) === token) {
+        node.timers.delete(key);
+        this.emit(node, { ...event, at: this.now });
+      }
+    });
+  }
+
+  private later(inMs: number, node: CrashNode, event: GatewayEvent): void {
+    const { life } = node;
+    this.schedule(inMs, () => {
+      if (node.alive && node.life === life) {
+        this.emit(node, { ...event, at: this.now });
+      }
+    });
+  }
+
+  private emit(node: CrashNode, event: GatewayEvent): void {
+    step(node.state, event).forEach((effect) => this.carryOut(node, effect));
+  }
+
+  private schedule(inMs: number, run: () => void): void {
+    this.order += 1;
+    const entry = { at: this.now + inMs, order: this.order, run };
+    let index = this.queue.length;
+    while (index > 0 && (this.queue[index - 1] as Scheduled).at > entry.at) {
+      index -= 1;
+    }
+    this.queue.splice(index, 0, entry);
+  }
+
+  private takeNext(until: number): Scheduled | undefined {
+    const [next] = this.queue;
+    return next === undefined || next.at > until ? undefined : this.queue.shift();
+  }
+}
+
+/**
+ * Tries of a lethal request that reached replicas though it had crashed three of them more than `contactMs` before,
+ * sent by gateways that had run for as long.
+ */
+export const triesTooLate = (
+  { runs, crashes }: CrashNetwork,
+  fingerprint: string,
+  contactMs: number,
+): number => {
+  const [, , third] = crashes.filter((crash) => crash.fingerprint === fingerprint);
+  if (third === undefined) {
+    return 0;
+  }
+  const late = runs.filter(
+    (run) =>
+      run.fingerprint === fingerprint &&
+      run.at > third.at + contactMs &&
+      run.at - run.gatewaySince > contactMs,
+  );
+  return new Set(late.map(({ requestId }) => requestId)).size;
+};
