--- a/src/gateway/crashes/broken-run.ts
+++ b/src/gateway/crashes/broken-run.ts
@@ -1,9 +1,8 @@
 /** A run at a replica that broke off. */
-import type { Fingerprint } from '../model/request.js';
+import type { ActiveAttempt } from '../requests/request-state.js';
 
-/** What broke off, in milliseconds on this gateway's clock. */
+/** What broke off, and when, in milliseconds on this gateway's clock. */
 export interface BrokenRun {
-  readonly fingerprint: Fingerprint;
-  readonly sentAt: number;
+  readonly attempt: ActiveAttempt;
   readonly brokenAt: number;
 }
--- a/src/gateway/effect.ts
+++ b/src/gateway/effect.ts
@@ -1,4 +1,5 @@
 /** Every effect that the gateway's reducer asks of its driver. Effects are data. */
+import type { CrashNews } from './crashes/crash-news.js';
 import type { BeliefChange, TracedDecision, TraceReason } from './log/log-event.js';
 import type { CallerLimits } from './model/route.js';
 import type { PeerRecord } from './model/peer-record.js';
@@ -34,6 +35,19 @@
   readonly replica: ReplicaRecord;
 }
 
+/** Tells other gateways of requests under which replicas have ended. */
+export interface TellCrashes {
+  readonly type: 'tell-crashes';
+  readonly peers: readonly PeerRecord[];
+  readonly news: readonly CrashNews[];
+}
+
+/** Sets the timer after which other gateways are told of them. */
+export interface SetCrashNewsTimer {
+  readonly type: 'set-crash-news-timer';
+  readonly at: number;
+}
+
 /** Gives up an attempt: its connection is closed unless the answer comes within `withinMs`. */
 export interface AbortAttempt {
   readonly type: 'abort-attempt';
@@ -232,6 +246,8 @@
   | AbortAttempt
   | OpenConnection
   | CheckReplica
+  | TellCrashes
+  | SetCrashNewsTimer
   | CloseReplica
   | AnswerCaller
   | ForgetCall
--- a/src/gateway/event.ts
+++ b/src/gateway/event.ts
@@ -2,6 +2,7 @@
  * Every event that the gateway's reducer takes. Each carries `at`, the time in milliseconds on the
  * monotonic clock of the process; the reducer reads no other clock.
  */
+import type { CrashNews } from './crashes/crash-news.js';
 import type { PeerProblem, Subquery, SubqueryId, SubqueryPart } from './model/subquery.js';
 import type {
   AttemptId,
@@ -79,6 +80,21 @@
   readonly isDown: boolean;
 }
 
+/** It is time to tell other gateways of requests under which replicas have ended. */
+export interface CrashNewsDue {
+  readonly type: 'crash-news-due';
+  readonly at: number;
+}
+
+/** Another gateway has told of requests under which replicas have ended. */
+export interface CrashesTold {
+  readonly type: 'crashes-told';
+  readonly at: number;
+  /** Name of the gateway that told it. */
+  readonly from: string;
+  readonly news: readonly CrashNews[];
+}
+
 /** A timer of a request has run out. */
 export interface RequestDue {
   readonly type: 'request-due';
@@ -242,6 +258,8 @@
   | CallerLeft
   | AttemptEnded
   | ReplicaChecked
+  | CrashNewsDue
+  | CrashesTold
   | RequestDue
   | PageRead
   | ChangesRead
--- a/src/gateway/explain/find-cause.ts
+++ b/src/gateway/explain/find-cause.ts
@@ -58,6 +58,19 @@
 }: NonNullable<LineOf<'request-answered'>['noRoute']>): string =>
   `refused: no route of version ${version}, in force for ${versionAgeMs} ms, fits ${host}${path}`;
 
+const describeBlock = ({
+  fingerprint,
+  rounds,
+  level,
+  forMs,
+}: NonNullable<LineOf<'request-answered'>['blocked']>): string =>
+  `refused: replicas ended under this request (fingerprint ${fingerprint}) in ${rounds} rounds one after the other and none answered it; it is blocked for ${forMs} ms more (block ${level}), then tried at one replica`;
+
+const describeCrashes = (lines: readonly RequestLine[]): string => {
+  const crashed = linesOf(lines, 'attempt-crashed').map(({ replica }) => replica);
+  return crashed.length === 0 ? '' : `; replicas that ended under it: ${crashed.join(', ')}`;
+};
+
 const explainAnswer = (
   lines: readonly RequestLine[],
   answer: LineOf<'request-answered'>,
@@ -69,10 +82,13 @@
       if (answer.noRoute !== undefined) {
         return describeNoRoute(answer.noRoute);
       }
+      if (answer.blocked !== undefined) {
+        return describeBlock(answer.blocked);
+      }
       if (missing.length === 0) {
         return `refused after ${elapsedMs} ms (${answer.reason ?? 'unknown'}) before any replica was asked`;
       }
-      return `refused ${time} (${answer.reason ?? 'unknown'}); ${describeMissing(lines, missing)}`;
+      return `refused ${time} (${answer.reason ?? 'unknown'}); ${describeMissing(lines, missing)}${describeCrashes(lines)}`;
     case 'partial':
       return `answered ${time} without ${missing.length} shards; ${describeMissing(lines, missing)}`;
     case 'passed-on':
--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -50,6 +50,17 @@
       /** The request had its answer before; the attempt's was dropped. */
       readonly dropped: boolean;
     }
+  | {
+      readonly event: 'attempt-crashed';
+      readonly attempt: AttemptId;
+      readonly replica: string;
+    }
+  | {
+      readonly event: 'legs-held';
+      /** Replicas that have ended under the request, and attempts that broke off unexplained. */
+      readonly crashes: number;
+      readonly uncheckedBreaks: number;
+    }
   | { readonly event: 'budget-denied'; readonly service: string; readonly left: number }
   | { readonly event: 'leg-paused'; readonly service: string; readonly forMs: number }
   | {
@@ -107,6 +118,13 @@
         readonly version: number;
         readonly versionAgeMs: number;
       };
+      /** Which request is blocked, by how many rounds of crashes, and for how much longer; present where that is the reason. */
+      readonly blocked?: {
+        readonly fingerprint: Fingerprint;
+        readonly rounds: number;
+        readonly level: number;
+        readonly forMs: number;
+      };
       readonly missing: readonly string[];
       readonly objectiveMs: number;
       readonly elapsedMs: number;
@@ -194,6 +212,28 @@
       /** How many they were. */
       readonly requests: number;
     }
+  | {
+      readonly event: 'request-suspected';
+      readonly fingerprint: Fingerprint;
+      /** Rounds of replicas that ended under it, and how many block it. */
+      readonly rounds: number;
+      readonly blockingRounds: number;
+      /** The gateway that knew it first-hand, or told it. */
+      readonly from: string;
+    }
+  | {
+      readonly event: 'request-blocked';
+      readonly fingerprint: Fingerprint;
+      /** How often it was blocked in a row. */
+      readonly level: number;
+      readonly forMs: number;
+      readonly from: string;
+    }
+  | {
+      readonly event: 'request-cleared';
+      readonly fingerprint: Fingerprint;
+      readonly from: string;
+    }
   | {
       readonly event: 'peer-suspected';
       readonly peer: string;
@@ -211,6 +251,9 @@
   'request-admitted': 'A route was found; one attempt is sent for each leg.',
   'attempt-sent': 'A replica was chosen and the request handed to its connections.',
   'attempt-ended': 'The replica answered, said that it has not run the request, or failed.',
+  'attempt-crashed': 'The replica of an attempt that broke off has ended.',
+  'legs-held':
+    'Replicas may have ended under the request: it is at one at a time until one has answered.',
   'budget-denied': 'A further attempt was not sent: the retry budget of the service is used up.',
   'leg-paused': 'All replicas refused or could not be reached; they are tried again after a pause.',
   'subquery-sent': 'A feeder was asked for the parts of some shards.',
@@ -249,6 +292,11 @@
   'replica-ejected': 'A replica failed and is tried only as a last resort for a while.',
   'replica-crashed':
     'Connections to a replica broke while it ran requests, and it takes no new ones.',
+  'request-suspected':
+    'Replicas have ended under a request in several rounds, and none has answered it; `blockingRounds` block it.',
+  'request-blocked':
+    'A request is refused at every gateway, since replicas end under it; after `forMs` it is tried at one.',
+  'request-cleared': 'A replica has answered a request that was suspected or blocked.',
   'peer-suspected': 'Another gateway failed to answer and is passed over until it does.',
   'peer-trusted': 'A gateway that was passed over answers promptly again.',
   'reader-followed': 'Another gateway was asked to tell what it reads from the store.',
--- a/src/gateway/metrics/gateway-metrics.ts
+++ b/src/gateway/metrics/gateway-metrics.ts
@@ -23,6 +23,11 @@
   gauge('requests_active', 'Requests and subqueries in progress.', () => state.requests.size),
   gauge('attempts_active', 'Attempts that run at replicas.', () => state.attempts.size),
   gauge('replicas_listed', 'Replicas that are known.', () => state.replicas.size),
+  gauge(
+    'requests_blocked',
+    'Requests that are refused because replicas end under them.',
+    () => state.crashes.memory.blockedCount,
+  ),
   gauge('gateways_listed', 'Gateways that share budgets.', () => state.gateways),
   gauge('ready', '1 while new callers are wanted.', () => Number(state.ready)),
   gauge('store_reachable', '1 while the store answers.', () => Number(state.store.reachable)),
--- a/src/gateway/model/request.ts
+++ b/src/gateway/model/request.ts
@@ -28,7 +28,10 @@
 export type UnreadableProblem =
   'malformed' | 'cut-off' | 'headers-late' | 'headers-too-large' | 'chunk-extensions-too-large';
 
-/** Why a request ends without the answer of a replica. */
+/**
+ * Why a request ends without the answer of a replica. `replicas-crashed`: they ended while they ran it.
+ * `crashes-replicas`: it is blocked, and was sent to none.
+ */
 export type RefusalReason =
   | 'no-configuration'
   | 'no-route'
@@ -41,6 +44,8 @@
   | 'connection-failed'
   | 'answer-lost'
   | 'replica-failed'
+  | 'replicas-crashed'
+  | 'crashes-replicas'
   | 'too-few-shards'
   | 'deadline';
 
--- a/src/gateway/model/subquery.ts
+++ b/src/gateway/model/subquery.ts
@@ -21,6 +21,8 @@
   readonly isRepeat: boolean;
   /** Regions in which the request may be served; absent where all will do. */
   readonly allowedRegions?: readonly string[];
+  /** The request is blocked because replicas ended under it, and is tried now; absent where it is not. */
+  readonly isTrial?: boolean;
 }
 
 /** The part of one shard; its records are merged with those of the others. */
@@ -40,6 +42,8 @@
    * older builds leave it out.
    */
   readonly unsent?: readonly string[];
+  /** Replicas have ended under the request here, or it is blocked for that; absent where neither is so. */
+  readonly hasCrashed?: boolean;
   /** Nothing follows: shards that were not in any part have no answer. */
   readonly isFinal: boolean;
 }
--- a/src/gateway/reducer.ts
+++ b/src/gateway/reducer.ts
@@ -3,7 +3,7 @@
  * the effects in the order in which the driver must carry them out.
  */
 import { match } from 'ts-pattern';
-import { takeReplicaChecked } from './crashes/broken-runs.js';
+import { takeCrashesTold, takeCrashNewsDue } from './crashes/tell-crashes.js';
 import type { GatewayEffect } from './effect.js';
 import type { GatewayEvent, Started } from './event.js';
 import { beginStop, continueStop, updateReadiness } from './lifecycle.js';
@@ -26,6 +26,7 @@
   takeSubqueryAnswer,
   takeSubqueryFailure,
 } from './requests/take-subquery-result.js';
+import { takeReplicaChecked, wakeRequests } from './requests/broken-attempts.js';
 import { takeUnreadable } from './requests/take-unreadable.js';
 import { refuseAllHeld } from './requests/hold-request.js';
 import { takeCallerLeft, takeRequestDue, takeResult } from './requests/take-result.js';
@@ -67,6 +68,11 @@
     .with({ type: 'caller-left' }, (left) => takeCallerLeft(state, left))
     .with({ type: 'attempt-ended' }, (ended) => takeResult(state, ended))
     .with({ type: 'replica-checked' }, (checked) => takeReplicaChecked(state, checked))
+    .with({ type: 'crash-news-due' }, (due) => takeCrashNewsDue(state, due))
+    .with({ type: 'crashes-told' }, (told) => [
+      ...takeCrashesTold(state, told),
+      ...told.news.flatMap(({ fingerprint }) => wakeRequests(state, fingerprint, told.at)),
+    ])
     .with({ type: 'request-due' }, (due) => takeRequestDue(state, due))
     .with({ type: 'page-read' }, (read) => [
       ...takePage(state, read),
--- a/src/gateway/requests/accept-request.ts
+++ b/src/gateway/requests/accept-request.ts
@@ -1,13 +1,16 @@
 /** Takes a caller's request: finds its route and sends the first attempts. */
+import { beginTrial, unblockedAt } from '../crashes/crash-record.js';
+import { updateKnowledge } from '../crashes/update-knowledge.js';
 import type { GatewayEffect } from '../effect.js';
 import type { RequestReceived } from '../event.js';
 import { trace } from '../log/trace.js';
-import type { CallerRequest, RefusalReason } from '../model/request.js';
+import type { CallerRequest, Fingerprint, RefusalReason } from '../model/request.js';
 import type { Route } from '../model/route.js';
 import { SplitCursor, isSameSplit } from '../routing/split-cursor.js';
 import { type GatewayState, isInformed } from '../state.js';
 import { refuseCall } from './finish.js';
 import { holdRequest } from './hold-request.js';
+import { retryAfterUnread } from './retry-after.js';
 import { sendLegs } from './send-legs.js';
 import { type ActiveRequest, createActiveRequest, createLeg, type Leg } from './request-state.js';
 import { createRouteLatency, hedgeDelay } from './route-latency.js';
@@ -91,14 +94,40 @@
   return [...sent, ...progressRequest(state, request, at)];
 };
 
+/** Replicas end under the request: its caller is told at once when it will be tried again. */
+const refuseBlocked = (
+  state: GatewayState,
+  event: RequestReceived,
+  at: number,
+): GatewayEffect[] => {
+  const known = state.crashes.memory.find(event.request.fingerprint, at);
+  const retryAfterMs = Math.ceil(unblockedAt(known) - at);
+  return refuseCall(state, event, 'crashes-replicas', retryAfterMs, at);
+};
+
+/** A blocked request is tried here; the other gateways go on refusing it until the outcome is known. */
+const claimTrial = (state: GatewayState, fingerprint: Fingerprint, at: number): GatewayEffect[] => {
+  const known = beginTrial(state.crashes.memory.find(fingerprint, at), at);
+  const origin = { from: state.settings.node, isUrgent: true };
+  return updateKnowledge(state, fingerprint, known, origin, at);
+};
+
 /** Finds the route of a request and sends it, at a time that may be later than its arrival. */
 const routeRequest = (state: GatewayState, event: RequestReceived, at: number): GatewayEffect[] => {
   const { request } = event;
   const route = state.inForce?.table.find(request.host, request.path);
   if (route === undefined) {
-    return refuseCall(state, event, 'no-route', false);
+    return refuseCall(state, event, 'no-route', undefined);
+  }
+  const { fingerprint } = request;
+  const verdict = state.crashes.memory.verdict(fingerprint, at);
+  if (verdict === 'blocked') {
+    return refuseBlocked(state, event, at);
   }
-  return startRequest(state, createRequest(state, route, event, at), at);
+  const created = createRequest(state, route, event, at);
+  created.isTrial = verdict === 'trial-due';
+  const claimed = created.isTrial ? claimTrial(state, fingerprint, at) : [];
+  return [...claimed, ...startRequest(state, created, at)];
 };
 
 /** Why a request is refused whatever its route; undefined where nothing is wrong with it. */
@@ -123,7 +152,8 @@
 export const acceptRequest = (state: GatewayState, event: RequestReceived): GatewayEffect[] => {
   const problem = problemOf(state, event.request);
   if (problem !== undefined) {
-    return refuseCall(state, event, problem, problem === 'no-configuration');
+    const isUnread = problem === 'no-configuration';
+    return refuseCall(state, event, problem, isUnread ? retryAfterUnread(state) : undefined);
   }
   return isInformed(state) ? routeRequest(state, event, event.at) : holdRequest(state, event);
 };
--- a/src/gateway/requests/accept-subquery.ts
+++ b/src/gateway/requests/accept-subquery.ts
@@ -1,7 +1,8 @@
 /** Takes a subquery of another gateway: asks a replica of each shard for its part. */
-import type { GatewayEffect } from '../effect.js';
+import type { AnswerSubquery, GatewayEffect } from '../effect.js';
 import type { SubqueryCancelled, SubqueryReceived } from '../event.js';
 import { trace, writeTrace } from '../log/trace.js';
+import type { CallId } from '../model/request.js';
 import type { Route } from '../model/route.js';
 import type { Subquery } from '../model/subquery.js';
 import type { GatewayState } from '../state.js';
@@ -56,6 +57,22 @@
   });
 };
 
+const isBlockedHere = (
+  { crashes }: GatewayState,
+  { fingerprint, subquery, at }: SubqueryReceived,
+): boolean => {
+  const verdict = crashes.memory.verdict(fingerprint, at);
+  const isBlocked = verdict === 'blocked' || verdict === 'trial-due';
+  return isBlocked && subquery.isTrial !== true;
+};
+
+/** No part: replicas end under the request, and the gateway that asked need not ask another feeder. */
+const answerBlocked = (call: CallId): AnswerSubquery => ({
+  type: 'answer-subquery',
+  call,
+  part: { shards: [], records: new Uint8Array(), unsent: [], hasCrashed: true, isFinal: true },
+});
+
 /** Handles `subquery-received`. */
 export const acceptSubquery = (state: GatewayState, event: SubqueryReceived): GatewayEffect[] => {
   const { call, fingerprint, subquery, at } = event;
@@ -63,7 +80,11 @@
   if (!isServing || !state.replicasListed) {
     return [{ type: 'refuse-subquery', call }];
   }
+  if (isBlockedHere(state, event)) {
+    return [answerBlocked(call)];
+  }
   const request = createRequest(state, event);
+  request.isTrial = subquery.isTrial === true;
   state.requests.set(call, request);
   state.counters.subqueries.add('taken');
   trace(request.decisions, at, {
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -11,6 +11,7 @@
 import { connectionShare } from '../replicas/connection-share.js';
 import { expectedRatio, selectReplica, type SelectionPlace } from '../replicas/select-replica.js';
 import { budgetOf, type GatewayState } from '../state.js';
+import { guardOf } from './guard.js';
 import type { ActiveRequest, Leg } from './request-state.js';
 import { createRouteLatency, type RouteLatency } from './route-latency.js';
 
@@ -194,6 +195,8 @@
     route: route.name,
     repeatable: route.repeatable,
     sentAt: at,
+    isProbe: guardOf(state, request, at) !== 'free',
+    knownRounds: state.crashes.memory.find(request.request.fingerprint, at).rounds,
   });
   return {
     type: 'send-attempt',
--- /dev/null
+++ b/src/gateway/requests/broken-attempts.ts
@@ -0,0 +1,159 @@
+/**
+ * Attempts that broke off while a replica may have run them. Whether the replica has ended, or only the connection,
+ * is looked into: a connection breaks in many ways that say nothing about the request.
+ */
+import type { BrokenRun } from '../crashes/broken-run.js';
+import { addCrash } from '../crashes/crash-record.js';
+import { noteServed, updateKnowledge } from '../crashes/update-knowledge.js';
+import type { GatewayEffect } from '../effect.js';
+import type { AttemptEnded, ReplicaChecked } from '../event.js';
+import type { BeliefChange } from '../log/log-event.js';
+import { trace } from '../log/trace.js';
+import type { AttemptProblem, Fingerprint } from '../model/request.js';
+import type { GatewayState } from '../state.js';
+import { progressRequest } from './progress.js';
+import type { ActiveAttempt } from './request-state.js';
+
+/** How an attempt ends whose replica has ended. */
+const BROKEN_OFF: ReadonlySet<AttemptProblem> = new Set<AttemptProblem>([
+  'reset',
+  'refused-connection',
+  'cut-off',
+]);
+
+/** Fingerprints that a log line names. */
+const MOST_NAMED = 4;
+
+/**
+ * Replicas that end under one try of a request without an answer, from which other gateways are told at once: its
+ * caller will ask one of them next.
+ */
+const URGENT_CRASHES = 3;
+
+const isBrokenOff = ({ result }: AttemptEnded): boolean =>
+  result.type === 'failed' && result.mayHaveRun && BROKEN_OFF.has(result.problem);
+
+const noteBrokenOff = (
+  state: GatewayState,
+  attempt: ActiveAttempt,
+  brokenAt: number,
+): GatewayEffect[] => {
+  const replica = state.replicas.find(attempt.replica);
+  if (replica === undefined) {
+    return [];
+  }
+  const request = state.requests.get(attempt.call);
+  if (request !== undefined) {
+    request.uncheckedBreaks += 1;
+  }
+  const known = state.brokenRuns.get(attempt.replica);
+  if (known !== undefined) {
+    known.push({ attempt, brokenAt });
+    return [];
+  }
+  state.brokenRuns.set(attempt.replica, [{ attempt, brokenAt }]);
+  return [{ type: 'check-replica', replica: replica.record }];
+};
+
+const isAnsweredByReplica = ({ result }: AttemptEnded): boolean =>
+  result.type === 'answered' && result.answer.signature !== undefined;
+
+/** Requests that wait for what is known of `fingerprint` go on. */
+export const wakeRequests = (
+  state: GatewayState,
+  fingerprint: Fingerprint,
+  at: number,
+): GatewayEffect[] => {
+  const waiting = [...state.requests.values()].filter(
+    ({ request, legs }) => request.fingerprint === fingerprint && legs.some(({ isHeld }) => isHeld),
+  );
+  return waiting.flatMap((request) => progressRequest(state, request, at));
+};
+
+/**
+ * Takes note of what the end of an attempt says of its request: whether a replica may have ended under it, or has
+ * answered it. The replica of one that broke off is looked at, once for all that break together.
+ */
+export const noteRunEnd = (
+  state: GatewayState,
+  attempt: ActiveAttempt,
+  event: AttemptEnded,
+): GatewayEffect[] => {
+  const { fingerprint } = attempt;
+  const { at } = event;
+  if (isBrokenOff(event)) {
+    return noteBrokenOff(state, attempt, at);
+  }
+  const { memory } = state.crashes;
+  if (!isAnsweredByReplica(event) || memory.verdict(fingerprint, at) === 'unsuspected') {
+    return [];
+  }
+  return [...noteServed(state, fingerprint, at), ...wakeRequests(state, fingerprint, at)];
+};
+
+const logCrash = (
+  state: GatewayState,
+  replica: string,
+  runs: readonly BrokenRun[],
+): GatewayEffect => {
+  const service = state.replicas.find(replica)?.record.service ?? '';
+  state.counters.replicaCrashes.add(service);
+  const fingerprints = [...new Set(runs.map(({ attempt }) => attempt.fingerprint))];
+  const change: BeliefChange = {
+    event: 'replica-crashed',
+    replica,
+    service,
+    fingerprints: fingerprints.slice(0, MOST_NAMED),
+    requests: runs.length,
+  };
+  return { type: 'write-log', level: 'warn', part: 'replica', change };
+};
+
+/** Counts a crash at the request under which it came; returns whether others must know of it at once. */
+const countCrash = (state: GatewayState, { attempt }: BrokenRun, at: number): boolean => {
+  const request = state.requests.get(attempt.call);
+  if (request === undefined) {
+    return false;
+  }
+  request.crashes += 1;
+  request.lostProbes += Number(attempt.isProbe);
+  const { id, replica } = attempt;
+  trace(request.decisions, at, { event: 'attempt-crashed', attempt: id, replica });
+  return request.crashes >= URGENT_CRASHES && request.answeredLegs === 0;
+};
+
+const takeCrash = (state: GatewayState, run: BrokenRun, at: number): GatewayEffect[] => {
+  const { fingerprint } = run.attempt;
+  const isStriking = countCrash(state, run, at);
+  const before = state.crashes.memory.find(fingerprint, at);
+  const { knownRounds, sentAt } = run.attempt;
+  const after = addCrash(before, { knownRounds, sentAt, crashedAt: run.brokenAt });
+  const isUrgent = isStriking || after.rounds > 1;
+  const { node: from } = state.settings;
+  return updateKnowledge(state, fingerprint, after, { from, isUrgent }, at);
+};
+
+/** Handles `replica-checked`. */
+export const takeReplicaChecked = (
+  state: GatewayState,
+  { replica, isDown, at }: ReplicaChecked,
+): GatewayEffect[] => {
+  const runs = state.brokenRuns.get(replica) ?? [];
+  state.brokenRuns.delete(replica);
+  const requests = new Set(runs.flatMap(({ attempt }) => state.requests.get(attempt.call) ?? []));
+  for (const { attempt } of runs) {
+    const request = state.requests.get(attempt.call);
+    if (request !== undefined) {
+      request.uncheckedBreaks -= 1;
+    }
+  }
+  const crashes =
+    isDown && runs.length > 0
+      ? [logCrash(state, replica, runs), ...runs.flatMap((run) => takeCrash(state, run, at))]
+      : [];
+  return [
+    ...crashes,
+    ...[...requests].flatMap((request) => progressRequest(state, request, at)),
+    ...runs.flatMap(({ attempt }) => wakeRequests(state, attempt.fingerprint, at)),
+  ];
+};
--- a/src/gateway/requests/finish.ts
+++ b/src/gateway/requests/finish.ts
@@ -1,4 +1,6 @@
 /** Ends requests: with a replica's answer, a merged one, or the gateway's own. */
+import { unblockedAt } from '../crashes/crash-record.js';
+import { tellAtOnce } from '../crashes/update-knowledge.js';
 import type { GatewayEffect } from '../effect.js';
 import type { RequestReceived } from '../event.js';
 import type { Decision } from '../log/log-event.js';
@@ -8,7 +10,7 @@
 import { giveUpAttempts, LINGER_MS } from './give-up-attempts.js';
 import { mergeRecords } from './merge-records.js';
 import { type ActiveRequest, isAnswered, type Leg } from './request-state.js';
-import { retryAfter, retryAfterUnread } from './retry-after.js';
+import { retryAfter } from './retry-after.js';
 
 type AnswerDecision = Extract<Decision, { event: 'request-answered' }>;
 
@@ -101,15 +103,30 @@
   versionAgeMs: Math.round(at - (inForce?.since ?? at)),
 });
 
-/** Refuses a call before anything was sent to a replica; `at` is now, when the call was held. */
+const describeBlock = (
+  { crashes }: GatewayState,
+  { fingerprint }: RequestReceived['request'],
+  at: number,
+): NonNullable<AnswerDecision['blocked']> => {
+  const known = crashes.memory.find(fingerprint, at);
+  const forMs = Math.round(unblockedAt(known) - at);
+  return { fingerprint, rounds: known.rounds, level: known.level, forMs };
+};
+
+/**
+ * Refuses a call before anything was sent to a replica.
+ *
+ * @param retryAfterMs - when to come back; undefined where that does not help
+ * @param at - now, where the call was held
+ */
 export const refuseCall = (
   state: GatewayState,
   { call, request, at: receivedAt }: RequestReceived,
   reason: RefusalReason,
-  comeBack: boolean,
+  retryAfterMs: number | undefined,
   at = receivedAt,
 ): GatewayEffect[] => {
-  const retry = comeBack ? { retryAfterMs: retryAfterUnread(state) } : {};
+  const retry = retryAfterMs === undefined ? {} : { retryAfterMs };
   const response = { type: 'refusal', reason, mayHaveRun: false, ...retry } as const;
   const decision: Decision = {
     event: 'request-answered',
@@ -117,6 +134,7 @@
     reason,
     mayHaveRun: false,
     ...(reason === 'no-route' && { noRoute: describeNoRoute(state, request, at) }),
+    ...(reason === 'crashes-replicas' && { blocked: describeBlock(state, request, at) }),
     missing: [],
     objectiveMs: 0,
     elapsedMs: Math.round(at - receivedAt),
@@ -132,7 +150,10 @@
   subqueries.size > 0 ||
   legs.some((leg) => leg.runs > 0 || leg.mayHaveRun || leg.outcome?.type === 'fed');
 
-/** Gives a request up: the caller is told at once, and when to come back if it has not run. */
+/**
+ * Gives a request up: the caller is told at once, and when to come back if it has not run. Where replicas ended under
+ * it the other gateways are told before, since its caller may ask one of them next.
+ */
 export const giveUp = (
   state: GatewayState,
   request: ActiveRequest,
@@ -142,7 +163,8 @@
   const ran = mayHaveRun(request);
   const retry = ran ? {} : { retryAfterMs: retryAfter(state, request, reason, at) };
   const response = { type: 'refusal', reason, mayHaveRun: ran, ...retry } as const;
-  return finishRequest(state, request, response, at);
+  const told = tellAtOnce(state, request.request.fingerprint, at);
+  return [...told, ...finishRequest(state, request, response, at)];
 };
 
 /** The signature of the part that is in; none while it is missing. */
--- a/src/gateway/requests/hedge-legs.ts
+++ b/src/gateway/requests/hedge-legs.ts
@@ -3,6 +3,7 @@
 import { slowdownNow } from '../replicas/replica.js';
 import type { GatewayState } from '../state.js';
 import { latencyOf, sendAttempt } from './attempts.js';
+import { guardOf } from './guard.js';
 import type { ActiveAttempt, ActiveRequest, Leg } from './request-state.js';
 
 /** A hedge waits while more than this part of the legs is open, in steps, and for so long. */
@@ -47,17 +48,23 @@
 
 const NO_HEDGE: LegHedge = { effects: [], isPutOff: false };
 
+/** Replicas may have ended under the request: no second one is sent it before one has answered. */
+const GUARDED: LegHedge = { effects: [], isPutOff: true };
+
 /**
  * Hedges one leg, at a replica that is expected to answer in less time than the attempt that runs takes. One
  * slow replica in place of another gains nothing, and where all replicas of a shard are slow the second
  * attempts are what fills their queues.
  */
 const hedgeLeg = (state: GatewayState, request: ActiveRequest, leg: Leg, at: number): LegHedge => {
-  const isWaiting = leg.resumeAt !== undefined || leg.subquery !== undefined;
+  const isWaiting = leg.resumeAt !== undefined || leg.subquery !== undefined || leg.isHeld;
   const isHedged = leg.running.size > 1;
   if (leg.outcome !== undefined || isWaiting || isHedged) {
     return NO_HEDGE;
   }
+  if (guardOf(state, request, at) !== 'free') {
+    return GUARDED;
+  }
   const runningRatio = ratioOfLeg(state, leg, latencyOf(state, request).median, at);
   let isPutOff = false;
   const attempt = sendAttempt(state, request, leg, 'hedge', at, (ratio) => {
--- a/src/gateway/requests/hold-request.ts
+++ b/src/gateway/requests/hold-request.ts
@@ -9,6 +9,7 @@
 import { collectionsOf, type GatewayState, isInformed } from '../state.js';
 import type { CollectionName } from '../store/collection.js';
 import { refuseCall } from './finish.js';
+import { retryAfterUnread } from './retry-after.js';
 
 /**
  * Longest time that a request is held, in milliseconds. After a loss of power of all gateways, the first
@@ -42,7 +43,7 @@
  */
 export const holdRequest = (state: GatewayState, event: RequestReceived): GatewayEffect[] => {
   if (isStoreFailing(state)) {
-    return refuseCall(state, event, 'no-configuration', true);
+    return refuseCall(state, event, 'no-configuration', retryAfterUnread(state));
   }
   const { call, request, at } = event;
   const patienceMs = request.budgetMs ?? Number.POSITIVE_INFINITY;
@@ -62,7 +63,7 @@
     return [];
   }
   state.held.delete(call);
-  return refuseCall(state, event, 'no-configuration', true, at);
+  return refuseCall(state, event, 'no-configuration', retryAfterUnread(state), at);
 };
 
 /** Refuses all requests that are held, once the store has failed. */
--- a/src/gateway/requests/progress.ts
+++ b/src/gateway/requests/progress.ts
@@ -1,5 +1,6 @@
 /** Decides what a request does next: end, hedge, or wait. */
 import type { GatewayEffect } from '../effect.js';
+import type { RefusalReason } from '../model/request.js';
 import type { GatherTarget } from '../model/route.js';
 import type { GatewayState } from '../state.js';
 import { checkSubqueries } from './check-subqueries.js';
@@ -7,6 +8,8 @@
 import { retryLeg } from './retry-leg.js';
 import { finishGather, finishRequest, giveUp } from './finish.js';
 import { finishSubquery, hasUnsent, reportParts } from './report-parts.js';
+import { isQuiet } from './guard.js';
+import { releaseLegs } from './release-legs.js';
 import type { ActiveRequest, Leg } from './request-state.js';
 
 /** Slack of the comparison of shares, for products such as 0.89 x 100. */
@@ -44,7 +47,15 @@
   return waitOrHedge(state, request, at);
 };
 
-const reasonOf = (request: ActiveRequest): 'too-few-shards' | 'no-replica' | 'replicas-full' => {
+type UnansweredReason = Extract<
+  RefusalReason,
+  'too-few-shards' | 'no-replica' | 'replicas-full' | 'answer-lost' | 'replicas-crashed'
+>;
+
+const reasonOf = (request: ActiveRequest): UnansweredReason => {
+  if (request.crashes > 0 || request.isStopped) {
+    return 'replicas-crashed';
+  }
   if (request.legs.some((leg) => leg.refusedAsFull)) {
     return 'replicas-full';
   }
@@ -65,13 +76,16 @@
   }
   if (leg.outcome?.type === 'unanswered') {
     return leg.failure === undefined
-      ? giveUp(state, request, reasonOfLeg(leg), at)
+      ? giveUp(state, request, reasonOfLeg(request, leg), at)
       : finishRequest(state, request, { type: 'pass-through', answer: leg.failure }, at);
   }
   return waitOrHedge(state, request, at);
 };
 
-const reasonOfLeg = (leg: Leg): 'no-replica' | 'replicas-full' | 'answer-lost' => {
+const reasonOfLeg = ({ crashes, isStopped }: ActiveRequest, leg: Leg): UnansweredReason => {
+  if (crashes > 0 || isStopped) {
+    return 'replicas-crashed';
+  }
   if (leg.runs > 0 || leg.mayHaveRun) {
     return 'answer-lost';
   }
@@ -108,6 +122,9 @@
 };
 
 const nextDue = (request: ActiveRequest, at: number): number => {
+  if (isQuiet(request) && request.legs.some(({ isHeld }) => isHeld)) {
+    return at;
+  }
   const { hedged, hedgeAt, objectiveAt, deadlineAt } = request;
   const resumeTimes = request.legs.map((leg) => leg.resumeAt ?? deadlineAt);
   const hedgeTime = hedged ? deadlineAt : hedgeAt;
@@ -147,12 +164,7 @@
   return [...acknowledge(request, at), ...parts, ...waitOrHedge(state, request, at)];
 };
 
-/** Ends the request if that is due; otherwise hedges what is slow and sets its timer. */
-export const progressRequest = (
-  state: GatewayState,
-  request: ActiveRequest,
-  at: number,
-): GatewayEffect[] => {
+const decide = (state: GatewayState, request: ActiveRequest, at: number): GatewayEffect[] => {
   const { target } = request.route;
   if (target.type !== 'gather') {
     return progressSingle(state, request, at);
@@ -161,3 +173,13 @@
     ? progressSubquery(state, request, target, at)
     : progressGather(state, request, target, at);
 };
+
+/** Lets held legs go, then ends the request if that is due; otherwise hedges what is slow and sets its timer. */
+export const progressRequest = (
+  state: GatewayState,
+  request: ActiveRequest,
+  at: number,
+): GatewayEffect[] => {
+  const released = releaseLegs(state, request, at);
+  return [...released, ...decide(state, request, at)];
+};
--- /dev/null
+++ b/src/gateway/requests/release-legs.ts
@@ -0,0 +1,55 @@
+/** Lets the legs go that were held because replicas may have ended under their request. */
+import type { GatewayEffect } from '../effect.js';
+import { trace } from '../log/trace.js';
+import type { GatewayState } from '../state.js';
+import { guardOf, isQuiet } from './guard.js';
+import type { ActiveRequest, Leg } from './request-state.js';
+import { endLeg, retryLeg } from './retry-leg.js';
+import { sendLegs } from './send-legs.js';
+
+/** Ends a leg that may not be sent; no other feeder is to be asked for it. */
+const endHeldLeg = (request: ActiveRequest, leg: Leg, at: number): void => {
+  leg.wasSent = true;
+  trace(request.decisions, at, { event: 'leg-failed', service: leg.service, runs: leg.runs });
+  endLeg(request, leg, { type: 'unanswered' });
+};
+
+const resumeLeg = (
+  state: GatewayState,
+  request: ActiveRequest,
+  leg: Leg,
+  at: number,
+): GatewayEffect[] =>
+  leg.wasSent
+    ? retryLeg(state, request, leg, 'retry', at)
+    : sendLegs(state, request, [leg], leg.isRepeat, at);
+
+/** The held legs, from one that is drawn on, so that tries of a request go to different shards. */
+const heldFromAnywhere = (state: GatewayState, { legs }: ActiveRequest): readonly Leg[] => {
+  const held = legs.filter(({ isHeld }) => isHeld);
+  const start = held.length < 2 ? 0 : Math.floor(state.random.next() * held.length);
+  return [...held.slice(start), ...held.slice(0, start)];
+};
+
+/** Lets held legs go as far as may be: all, one, or none; all end where the request may not be sent any more. */
+export const releaseLegs = (
+  state: GatewayState,
+  request: ActiveRequest,
+  at: number,
+): GatewayEffect[] => {
+  const effects: GatewayEffect[] = [];
+  for (const leg of heldFromAnywhere(state, request)) {
+    const guard = guardOf(state, request, at);
+    if (guard === 'one-at-a-time' && !isQuiet(request)) {
+      break;
+    }
+    leg.isHeld = false;
+    if (guard === 'stopped') {
+      request.isStopped = true;
+      endHeldLeg(request, leg, at);
+    } else {
+      effects.push(...resumeLeg(state, request, leg, at));
+    }
+  }
+  return effects;
+};
--- a/src/gateway/requests/report-parts.ts
+++ b/src/gateway/requests/report-parts.ts
@@ -16,7 +16,7 @@
 
 /** The parts that are in and were not sent yet. */
 const takeUnreported = (
-  { call, legs }: ActiveRequest,
+  { call, legs, crashes, isStopped }: ActiveRequest,
   maxRecords: number,
   isFinal: boolean,
 ): AnswerSubquery => {
@@ -38,7 +38,13 @@
     }
   }
   const records = mergeRecords(bodies, maxRecords);
-  const part = { shards, records, unsent: unsent.map(({ service }) => service), isFinal };
+  const part = {
+    shards,
+    records,
+    unsent: unsent.map(({ service }) => service),
+    isFinal,
+    ...((crashes > 0 || isStopped) && { hasCrashed: true }),
+  };
   return { type: 'answer-subquery', call, part };
 };
 
--- a/src/gateway/requests/request-state.ts
+++ b/src/gateway/requests/request-state.ts
@@ -43,6 +43,8 @@
   subquery: SubqueryId | undefined;
   /** The part was sent to the gateway that asked for it. */
   isReported: boolean;
+  /** It waits until the guard of the request lets it go. */
+  isHeld: boolean;
 }
 
 /**
@@ -66,6 +68,8 @@
   acknowledgeBy: number | undefined;
   /** It was overdue once already: what had arrived by then has been read since. */
   isOverdue: boolean;
+  /** It was sent to see whether replicas end under the request. */
+  readonly isProbe: boolean;
 }
 
 /** Who gets the answer: a caller, or a gateway that has asked for some shards. */
@@ -101,6 +105,16 @@
   readonly fedRecords: Uint8Array[];
   /** What was decided about it so far. */
   readonly decisions: TracedDecision[];
+  /** Attempts that broke off whose replicas are being looked at. */
+  uncheckedBreaks: number;
+  /** Replicas that have ended under it. */
+  crashes: number;
+  /** Those of them to which it was sent after others had ended. */
+  lostProbes: number;
+  /** It was blocked, and is tried now. */
+  isTrial: boolean;
+  /** Legs were not sent because replicas end under the request. */
+  isStopped: boolean;
 }
 
 /** An attempt at a replica that has not ended. */
@@ -113,6 +127,10 @@
   readonly route: string;
   readonly repeatable: boolean;
   readonly sentAt: number;
+  /** It was sent to see whether replicas end under the request. */
+  readonly isProbe: boolean;
+  /** Rounds of replicas that ended under the request, as they were known when it was sent. */
+  readonly knownRounds: number;
 }
 
 /** Creates a leg without attempts. */
@@ -133,6 +151,7 @@
   resumeAt: undefined,
   subquery: undefined,
   isReported: false,
+  isHeld: false,
 });
 
 /** Legs of a subquery that still wait for it. */
@@ -170,4 +189,9 @@
   failedFeeders: new Set(),
   fedRecords: [],
   decisions: [],
+  uncheckedBreaks: 0,
+  crashes: 0,
+  lostProbes: 0,
+  isTrial: false,
+  isStopped: false,
 });
--- a/src/gateway/requests/retry-leg.ts
+++ b/src/gateway/requests/retry-leg.ts
@@ -6,6 +6,7 @@
 import { type GatewayState, pauseOutcomesOf } from '../state.js';
 import { sendAttempt } from './attempts.js';
 import { doesPausePay, notePauseOutcome } from './pause-outcomes.js';
+import { guardOf, holdLeg, isQuiet } from './guard.js';
 import type { ActiveRequest, Leg, LegOutcome } from './request-state.js';
 
 /** Pauses before all replicas are tried again, in milliseconds: doubled each time. */
@@ -59,7 +60,17 @@
   return true;
 };
 
-/** Sends another attempt for the leg; it pauses, or ends unanswered, when none may be sent. */
+/** Ends a leg for which nothing more may be sent. */
+const giveUpLeg = (state: GatewayState, request: ActiveRequest, leg: Leg, at: number): void => {
+  trace(request.decisions, at, { event: 'leg-failed', service: leg.service, runs: leg.runs });
+  endLeg(request, leg, { type: 'unanswered' });
+  notePauses(state, leg);
+};
+
+/**
+ * Sends another attempt for the leg; it pauses, or ends unanswered, when none may be sent. It is held, or ends, where
+ * replicas may have ended under the request.
+ */
 export const retryLeg = (
   state: GatewayState,
   request: ActiveRequest,
@@ -67,18 +78,23 @@
   reason: AttemptReason,
   at: number,
 ): GatewayEffect[] => {
-  const attempt = sendAttempt(state, request, leg, reason, at);
+  const guard = guardOf(state, request, at);
+  const isRunning = leg.running.size > 0;
+  if (guard === 'one-at-a-time' && !isQuiet(request)) {
+    if (!isRunning) {
+      holdLeg(request, leg, at);
+    }
+    return [];
+  }
+  const attempt = guard === 'stopped' ? undefined : sendAttempt(state, request, leg, reason, at);
   if (attempt !== undefined) {
     return [attempt];
   }
-  if (leg.running.size === 0 && !pauseLeg(state, request, leg, at)) {
-    trace(request.decisions, at, {
-      event: 'leg-failed',
-      service: leg.service,
-      runs: leg.runs,
-    });
-    endLeg(request, leg, { type: 'unanswered' });
-    notePauses(state, leg);
+  if (guard === 'stopped') {
+    request.isStopped = true;
+  }
+  if (!isRunning && (guard === 'stopped' || !pauseLeg(state, request, leg, at))) {
+    giveUpLeg(state, request, leg, at);
   }
   return [];
 };
--- a/src/gateway/requests/send-legs.ts
+++ b/src/gateway/requests/send-legs.ts
@@ -11,6 +11,7 @@
 import { usualPatience } from '../delay-estimate.js';
 import { feederPlan, isFed } from '../peers/service-share.js';
 import { budgetOf, type GatewayState } from '../state.js';
+import { guardOf, holdLeg, isQuiet } from './guard.js';
 import type { ActiveRequest, ActiveSubquery, Leg } from './request-state.js';
 import { retryLeg } from './retry-leg.js';
 
@@ -72,7 +73,7 @@
   Math.max(LEAST_ACKNOWLEDGE_MS, objectiveMs * ACKNOWLEDGE_SHARE, usualPatience(feederDelay));
 
 const createSubquery = (
-  { route, objectiveAt, deadlineAt }: ActiveRequest,
+  { route, objectiveAt, deadlineAt, isTrial }: ActiveRequest,
   { maxRecords }: GatherTarget,
   legs: readonly Leg[],
   isRepeat: boolean,
@@ -87,6 +88,7 @@
   deadlineMs: Math.max(1, deadlineAt - at - DEADLINE_MARGIN_MS),
   isRepeat,
   ...(route.allowedRegions !== undefined && { allowedRegions: route.allowedRegions }),
+  ...(isTrial && { isTrial }),
 });
 
 const sendSubquery = (
@@ -110,6 +112,7 @@
     sentAt: at,
     acknowledgeBy: at + acknowledgeWithin(state, request.route),
     isOverdue: false,
+    isProbe: guardOf(state, request, at) !== 'free',
   };
   request.subqueries.set(id, active);
   state.subqueries.set(id, request.call);
@@ -129,8 +132,20 @@
   return [{ type: 'send-subquery', id, call: request.call, peer, subquery }];
 };
 
+/** Whether legs must wait because replicas may have ended under the request; one alone need not while it is quiet. */
+const mustHold = (
+  state: GatewayState,
+  request: ActiveRequest,
+  legs: readonly Leg[],
+  at: number,
+): boolean => {
+  const guard = guardOf(state, request, at);
+  const isOneMore = legs.length === 1 && isQuiet(request);
+  return guard === 'stopped' || (guard === 'one-at-a-time' && !isOneMore);
+};
+
 /**
- * Sends legs that have no open attempt.
+ * Sends legs that have no open attempt. Where replicas may have ended under the request they are held.
  *
  * @param isRepeat - replicas may have run them before, for a feeder that has failed
  */
@@ -141,6 +156,13 @@
   isRepeat: boolean,
   at: number,
 ): GatewayEffect[] => {
+  if (mustHold(state, request, legs, at)) {
+    legs.forEach((leg) => {
+      leg.isRepeat ||= isRepeat;
+      holdLeg(request, leg, at);
+    });
+    return [];
+  }
   const groups = new Map<string, FeederGroup>();
   const effects: GatewayEffect[] = [];
   for (const leg of legs) {
--- a/src/gateway/requests/take-result.ts
+++ b/src/gateway/requests/take-result.ts
@@ -1,11 +1,11 @@
 /** Takes the end of an attempt: an answer ends its leg, a failure may be followed by a retry. */
-import { isBrokenOff, noteBrokenOff } from '../crashes/broken-runs.js';
 import type { GatewayEffect } from '../effect.js';
 import type { AttemptEnded, CallerLeft, RequestDue } from '../event.js';
 import type { Decision } from '../log/log-event.js';
 import { trace, writeTrace } from '../log/trace.js';
 import type { AttemptProblem, AttemptResult, ReplicaAnswer } from '../model/request.js';
 import type { GatewayState } from '../state.js';
+import { noteRunEnd } from './broken-attempts.js';
 import { abortLeg, giveUpAttempts, LINGER_MS } from './give-up-attempts.js';
 import { refuseHeldRequest } from './hold-request.js';
 import { progressRequest } from './progress.js';
@@ -76,8 +76,8 @@
   if (attempt === undefined) {
     return [];
   }
-  const checks = isBrokenOff(event) ? noteBrokenOff(state, attempt, event.at) : [];
-  return [...checks, ...takeRequestResult(state, attempt, event)];
+  const noted = noteRunEnd(state, attempt, event);
+  return [...noted, ...takeRequestResult(state, attempt, event)];
 };
 
 const takeRequestResult = (
@@ -97,7 +97,9 @@
     return [];
   }
   const effects = takeLegResult(state, request, attempt.leg, event.result, event.at);
-  if (attempt.leg.outcome === undefined && attempt.leg.resumeAt === undefined) {
+  const { outcome, resumeAt } = attempt.leg;
+  const isHolding = request.legs.some(({ isHeld }) => isHeld);
+  if (outcome === undefined && resumeAt === undefined && !isHolding) {
     return effects;
   }
   return [...effects, ...progressRequest(state, request, event.at)];
--- a/src/gateway/requests/take-subquery-result.ts
+++ b/src/gateway/requests/take-subquery-result.ts
@@ -69,6 +69,18 @@
   }
 };
 
+/** A feeder whose replicas have ended under the request counts like a replica that has, until one has answered. */
+const noteFeederCrash = (
+  request: ActiveRequest,
+  { isProbe }: ActiveSubquery,
+  { hasCrashed = false, shards }: SubqueryPart,
+): void => {
+  if (hasCrashed && shards.length === 0) {
+    request.crashes += 1;
+    request.lostProbes += Number(isProbe);
+  }
+};
+
 /** The legs for which the feeder has no part. */
 const endMissing = (request: ActiveRequest, subquery: ActiveSubquery, at: number): void => {
   for (const leg of openLegsOf(subquery)) {
@@ -115,6 +127,7 @@
   const { request, subquery } = found;
   noteHeard(state, found, at);
   takeParts(request, subquery, part);
+  noteFeederCrash(request, subquery, part);
   const elapsedMs = Math.round(at - subquery.sentAt);
   const { isFinal, unsent = [] } = part;
   const parts = part.shards.length;
--- a/src/gateway/runtime/gateway-timers.ts
+++ b/src/gateway/runtime/gateway-timers.ts
@@ -5,7 +5,8 @@
 import type { CollectionName } from '../store/collection.js';
 import type { GatewayEventSink } from './gateway-loop.js';
 
-type TimerKey = CallId | CollectionName | 'stop' | 'probe' | 'reading' | 'registration';
+type TimerKey =
+  CallId | CollectionName | 'stop' | 'probe' | 'reading' | 'registration' | 'crash-news';
 
 /** Sets timers and emits their events. */
 export class GatewayTimers {
@@ -51,6 +52,8 @@
         return this.sink.emit({ type: 'reading-due', at });
       case 'registration':
         return this.sink.emit({ type: 'registration-due', at });
+      case 'crash-news':
+        return this.sink.emit({ type: 'crash-news-due', at });
       case 'configuration':
       case 'replicas':
       case 'gateways':
--- a/src/gateway/runtime/peers/pack-message.ts
+++ b/src/gateway/runtime/peers/pack-message.ts
@@ -18,6 +18,14 @@
 /** Whether a decoded value is a packed message. */
 export const isPacked = (value: unknown): value is PackedMessage => Array.isArray(value);
 
+/** What most subqueries leave out, so that gateways of earlier builds understand them. */
+const packOptional = ({ allowedRegions, isTrial }: Subquery): readonly unknown[] => {
+  if (isTrial === true) {
+    return [allowedRegions ?? null, true];
+  }
+  return allowedRegions === undefined ? [] : [allowedRegions];
+};
+
 /** Packs a subquery. */
 export const packSubquery = (message: SubqueryMessage): PackedMessage => {
   const { id, requestId, method, path, headers, body, subquery } = message;
@@ -37,7 +45,7 @@
     subquery.partsWithinMs,
     subquery.deadlineMs,
     subquery.isRepeat,
-    ...(subquery.allowedRegions === undefined ? [] : [subquery.allowedRegions]),
+    ...packOptional(subquery),
   ];
 };
 
@@ -50,6 +58,7 @@
   part.records,
   part.unsent ?? [],
   part.isFinal,
+  ...(part.hasCrashed === true ? [true] : []),
 ];
 
 const isBytes = (value: unknown): value is Uint8Array => value instanceof Uint8Array;
@@ -74,9 +83,21 @@
     : undefined;
 };
 
+/** What most subqueries leave out; undefined where it is malformed. */
+const unpackOptional = (
+  values: readonly unknown[],
+): Pick<Subquery, 'allowedRegions' | 'isTrial'> | undefined => {
+  const [regions = null, isTrial = false] = values;
+  if ((regions !== null && !isTexts(regions)) || !isFlag(isTrial)) {
+    return undefined;
+  }
+  return { ...(regions !== null && { allowedRegions: regions }), ...(isTrial && { isTrial }) };
+};
+
 const unpackDetails = (values: readonly unknown[]): Subquery | undefined => {
   const [route, shards, maxRecords, maxAttempts, objectiveMs, ...rest] = values;
-  const [partsWithinMs, deadlineMs, isRepeat, allowedRegions] = rest;
+  const [partsWithinMs, deadlineMs, isRepeat, ...last] = rest;
+  const optional = unpackOptional(last);
   const isWhole =
     isText(route) &&
     isTexts(shards) &&
@@ -86,7 +107,7 @@
     isFiniteNumber(partsWithinMs) &&
     isFiniteNumber(deadlineMs) &&
     isFlag(isRepeat) &&
-    (allowedRegions === undefined || isTexts(allowedRegions));
+    optional !== undefined;
   return isWhole
     ? {
         route,
@@ -97,13 +118,13 @@
         partsWithinMs,
         deadlineMs,
         isRepeat,
-        ...(allowedRegions !== undefined && { allowedRegions }),
+        ...optional,
       }
     : undefined;
 };
 
 const unpackParts = (values: PackedMessage): PartsMessage | undefined => {
-  const [, id, services, signatures, records, unsent, isFinal] = values;
+  const [, id, services, signatures, records, unsent, isFinal, hasCrashed = false] = values;
   const isWhole =
     isCount(id) &&
     isTexts(services) &&
@@ -111,7 +132,8 @@
     services.length === signatures.length &&
     isBytes(records) &&
     isTexts(unsent) &&
-    isFlag(isFinal);
+    isFlag(isFinal) &&
+    isFlag(hasCrashed);
   if (!isWhole) {
     return undefined;
   }
@@ -119,7 +141,13 @@
     service,
     signature: signatures[index] ?? '',
   }));
-  const part: SubqueryPart = { shards, records, unsent, isFinal };
+  const part: SubqueryPart = {
+    shards,
+    records,
+    unsent,
+    isFinal,
+    ...(hasCrashed && { hasCrashed }),
+  };
   return { type: 'parts', id, part };
 };
 
--- a/src/gateway/runtime/peers/peer-client.ts
+++ b/src/gateway/runtime/peers/peer-client.ts
@@ -4,12 +4,12 @@
  */
 import { connect } from 'node:net';
 import type { MonotonicClock } from '../../../runtime/monotonic-clock.js';
-import type { CancelSubquery, FollowReader, SendSubquery } from '../../effect.js';
+import type { CancelSubquery, FollowReader, SendSubquery, TellCrashes } from '../../effect.js';
 import type { PeerRecord } from '../../model/peer-record.js';
 import type { PeerProblem, SubqueryId } from '../../model/subquery.js';
 import type { CallerRequests } from '../caller-requests.js';
 import type { GatewayEventSink } from '../gateway-loop.js';
-import { PeerConnection } from './peer-connection.js';
+import { frameOf, PeerConnection } from './peer-connection.js';
 import type { PeerMessage } from './peer-message.js';
 import { SuspectChecks } from './suspect-checks.js';
 import { WARM_UP, WARM_UP_SUBQUERIES } from './warm-up.js';
@@ -44,6 +44,8 @@
   readonly requests: CallerRequests;
   readonly clock: MonotonicClock;
   readonly sink: GatewayEventSink;
+  /** Name of this gateway. */
+  readonly node: string;
 }
 
 interface Link {
@@ -125,6 +127,16 @@
     this.links.get(reader)?.connection.send({ type: 'unfollow' });
   }
 
+  /** Tells peers of requests under which replicas have ended; it is encoded once for all of them. */
+  tellCrashes({ peers, news }: TellCrashes): void {
+    const frame = frameOf({ type: 'crashes', from: this.context.node, news });
+    for (const peer of peers) {
+      const link = this.links.get(peer.name) ?? this.open(peer);
+      link.usedAt = this.now;
+      link.connection.sendFrame(frame);
+    }
+  }
+
   /** Asks a peer with each look whether it lives, until it answers promptly. */
   check(peer: PeerRecord): void {
     this.suspects.add(peer, this.now);
--- a/src/gateway/runtime/peers/peer-codec.ts
+++ b/src/gateway/runtime/peers/peer-codec.ts
@@ -10,8 +10,10 @@
   isCount,
   isFields,
   isFiniteNumber,
+  isListOf,
   isText,
 } from '../../../protocol/codec/shape.js';
+import { isCrashNews } from './crash-news-shape.js';
 import { isNews } from './news-shape.js';
 import { isPacked, packParts, packSubquery, unpackMessage } from './pack-message.js';
 import type { PartsMessage, PeerMessage, SubqueryMessage } from './peer-message.js';
@@ -33,6 +35,7 @@
   follow: ({ revisions }) => isFields(revisions) && Object.values(revisions).every(isFiniteNumber),
   unfollow: () => true,
   news: ({ news }) => isNews(news),
+  crashes: ({ from, news }) => isText(from) && isListOf(news, isCrashNews),
 };
 
 const packed = (message: PeerMessage): unknown => {
--- a/src/gateway/runtime/peers/peer-message.ts
+++ b/src/gateway/runtime/peers/peer-message.ts
@@ -1,4 +1,5 @@
 /** Messages between gateways. Their encoding is in `peer-codec.ts`. */
+import type { CrashNews } from '../../crashes/crash-news.js';
 import type { KnownRevisions, ReaderNews } from '../../readers/reader-news.js';
 import type { Subquery, SubqueryId, SubqueryPart } from '../../model/subquery.js';
 
@@ -70,6 +71,14 @@
   readonly news: ReaderNews;
 }
 
+/** Tells of requests under which replicas have ended. */
+export interface CrashesMessage {
+  readonly type: 'crashes';
+  /** Name of the sender. */
+  readonly from: string;
+  readonly news: readonly CrashNews[];
+}
+
 /** Every message between gateways. */
 export type PeerMessage =
   | SubqueryMessage
@@ -81,4 +90,5 @@
   | SignalMessage
   | FollowMessage
   | UnfollowMessage
-  | NewsMessage;
+  | NewsMessage
+  | CrashesMessage;
--- a/src/gateway/runtime/peers/peer-port.ts
+++ b/src/gateway/runtime/peers/peer-port.ts
@@ -164,6 +164,12 @@
       case 'unfollow':
         this.dropFollower(coordinator);
         return;
+      case 'crashes': {
+        const { sink, clock } = this.context;
+        const { from, news } = message;
+        sink.emit({ type: 'crashes-told', at: clock.now(), from, news });
+        return;
+      }
       default:
     }
   }
--- a/src/gateway/runtime/start-gateway.ts
+++ b/src/gateway/runtime/start-gateway.ts
@@ -94,7 +94,7 @@
       ),
     );
     this.replicas = new ReplicaClient({ protocol, requests, clock, sink });
-    this.peerClient = new PeerClient({ requests, clock, sink });
+    this.peerClient = new PeerClient({ requests, clock, sink, node: settings.node });
     this.peerPort = new PeerPort({ requests, clock, sink });
     this.store = new StoreClient({ address: settings.store, format: protocol.store, clock, sink });
   }
@@ -156,6 +156,8 @@
       .with({ type: 'announce-stop' }, () => this.peerPort.announceStop())
       .with({ type: 'open-connection' }, (open) => this.replicas.preconnect(open))
       .with({ type: 'check-replica' }, (check) => this.replicas.check(check))
+      .with({ type: 'tell-crashes' }, (tell) => this.peerClient.tellCrashes(tell))
+      .with({ type: 'set-crash-news-timer' }, ({ at }) => this.timers.set('crash-news', at))
       .with({ type: 'close-replica' }, ({ replica }) => this.replicas.close(replica))
       .with({ type: 'call-store' }, ({ call }) => this.callStore(call))
       .with({ type: 'set-collection-timer' }, ({ collection, at }) =>
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -2,6 +2,7 @@
 import { createRandom, type Random } from '../core/random.js';
 import { RetryBudget } from './budget/retry-budget.js';
 import type { BrokenRun } from './crashes/broken-run.js';
+import { type CrashState, createCrashState } from './crashes/crash-state.js';
 import type { RequestReceived } from './event.js';
 import { createGatewayCounters, type GatewayCounters } from './metrics/gateway-counters.js';
 import type { GatewayConfiguration } from './model/route.js';
@@ -106,6 +107,8 @@
   nextAttempt: AttemptId;
   /** Runs that broke off, by the replica that is being looked at. */
   readonly brokenRuns: Map<string, BrokenRun[]>;
+  /** Requests under which replicas have ended. */
+  readonly crashes: CrashState;
   readonly budgets: Map<string, RetryBudget>;
   readonly latencies: Map<string, RouteLatency>;
   /** What was logged lately of what callers sent that is no request. */
@@ -155,6 +158,7 @@
   attempts: new Map(),
   nextAttempt: 1,
   brokenRuns: new Map(),
+  crashes: createCrashState(),
   budgets: new Map(),
   latencies: new Map(),
   unreadableLogs: new Map(),
--- a/test/gateway/crash-network.ts
+++ b/test/gateway/crash-network.ts
@@ -4,7 +4,12 @@
  * seconds. Callers ask again at another gateway.
  */
 import { createRandom, type Random } from '../../src/core/random.js';
-import type { GatewayEffect, SendAttempt, SendSubquery } from '../../src/gateway/effect.js';
+import type {
+  GatewayEffect,
+  SendAttempt,
+  SendSubquery,
+  TellCrashes,
+} from '../../src/gateway/effect.js';
 import type { GatewayEvent } from '../../src/gateway/event.js';
 import type { PeerRecord } from '../../src/gateway/model/peer-record.js';
 import type { ReplicaRecord } from '../../src/gateway/model/replica-record.js';
@@ -470,6 +475,10 @@
         return this.abort(node, effect.attempt, effect.withinMs);
       case 'check-replica':
         return this.check(node, effect.replica.id);
+      case 'tell-crashes':
+        return this.tell(node, effect);
+      case 'set-crash-news-timer':
+        return this.setTimer(node, 'news', effect.at, { type: 'crash-news-due', at: 0 });
       case 'answer-caller':
         return this.takeAnswer(effect.call, effect.response);
       case 'set-request-timer': {
@@ -497,6 +506,17 @@
     }
   }
 
+  private tell(node: CrashNode, { peers, news }: TellCrashes): void {
+    for (const { name } of peers) {
+      const to = this.nodes.find(({ record }) => record.name === name);
+      this.messages += 1;
+      if (to !== undefined && this.isLinked(node, to)) {
+        const from = node.record.name;
+        this.later(LINK_MS, to, { type: 'crashes-told', at: 0, from, news });
+      }
+    }
+  }
+
   private setTimer(node: CrashNode, key: string, at: number, event: GatewayEvent): void {
     const token = {};
     const { life } = node;
--- a/test/gateway/format-response.test.ts
+++ b/test/gateway/format-response.test.ts
@@ -16,6 +16,8 @@
   'connection-failed': 503,
   'answer-lost': 503,
   'replica-failed': 503,
+  'replicas-crashed': 503,
+  'crashes-replicas': 503,
   'too-few-shards': 503,
   deadline: 503,
 };
--- a/test/gateway/peer-client.test.ts
+++ b/test/gateway/peer-client.test.ts
@@ -43,6 +43,7 @@
   peer = { name: 'front-2', zone: 'bole', address: { host: '127.0.0.1', port }, capacity: 1 };
   client = new PeerClient({
     requests: new CallerRequests(platformProtocol.headers),
+    node: 'front-1',
     clock,
     sink: { emit: (event) => events.push(event) },
   });
--- a/test/gateway/replica-crashes.test.ts
+++ b/test/gateway/replica-crashes.test.ts
@@ -5,6 +5,7 @@
 
 const gatewayWith = (shards: number): VirtualGateway => {
   const gateway = new VirtualGateway();
+  gateway.checksReplicas = false;
   gateway.configure(1, [routeTo(gatherOf(shards, 0.5))]);
   gateway.listReplicas(Array.from({ length: shards }, (_, index) => `s${index}`));
   return gateway;
--- a/test/gateway/virtual-gateway.ts
+++ b/test/gateway/virtual-gateway.ts
@@ -55,6 +55,11 @@
   readonly timers = new Map<CallId, number>();
   readonly effects: GatewayEffect[] = [];
   now = 0;
+  /** Replicas that refuse connections; all others take them. */
+  readonly downReplicas = new Set<string>();
+  /** Replicas that are looked at have the outcome told at once; else the test tells it. */
+  checksReplicas = true;
+  private readonly toCheck: string[] = [];
   private nextCall = 1;
   private revision = 1;
 
@@ -91,6 +96,10 @@
     for (const effect of step(this.state, event)) {
       this.take(effect);
     }
+    for (const replica of this.toCheck.splice(0)) {
+      const isDown = this.downReplicas.has(replica);
+      this.emit({ type: 'replica-checked', at: this.now, replica, isDown });
+    }
   }
 
   /** Puts a version with these routes in force. */
@@ -241,6 +250,11 @@
         this.answeredAt.set(effect.call, this.now);
         this.timers.delete(effect.call);
         break;
+      case 'check-replica':
+        if (this.checksReplicas) {
+          this.toCheck.push(effect.replica.id);
+        }
+        break;
       case 'set-request-timer':
         this.timers.set(effect.call, effect.at);
         break;
