Keep what a gateway learnt first-hand in its entry in the store; fuzz of requests that end replicas

Change: requests of two rounds and more that a gateway counted first-hand stand in its own entry; it reads them with the first list after a start, tells the others, and takes them out once a replica has answered. No further call at a start, one write where a request becomes serious and one where it is cleared. Ruled out: a collection of its own (a watch and lists for every reader).

--- a/src/gateway/crashes/crash-record.ts
+++ b/src/gateway/crashes/crash-record.ts
@@ -116,6 +116,10 @@
   return known.crashedAt > at ? { ...known, servedAt: at } : { ...NOTHING_KNOWN, servedAt: at };
 };
 
+/** What this gateway knew in an earlier life: when the crashes were is not known, and a block begins anew. */
+export const recalledKnowledge = (rounds: number, at: number): CrashKnowledge =>
+  addRounds(NOTHING_KNOWN, rounds, at);
+
 /** Takes note that a gateway tries a blocked request now. */
 export const beginTrial = (known: CrashKnowledge, at: number): CrashKnowledge => ({
   ...known,
--- a/src/gateway/crashes/crash-state.ts
+++ b/src/gateway/crashes/crash-state.ts
@@ -16,6 +16,10 @@
   /** When what is serious is told again, at the earliest, and whose turn it was last. */
   tellAgainAt: number;
   turn: number;
+  /** Requests that stand in this gateway's entry in the store: it learnt first-hand that replicas end under them. */
+  readonly kept: Set<Fingerprint>;
+  /** What stood there from the life before has been read. */
+  isRecalled: boolean;
 }
 
 /** Creates the state of a gateway that knows of none. */
@@ -27,4 +31,6 @@
   toldAt: Number.NEGATIVE_INFINITY,
   tellAgainAt: Number.NEGATIVE_INFINITY,
   turn: 0,
+  kept: new Set(),
+  isRecalled: false,
 });
--- a/src/gateway/crashes/tell-crashes.ts
+++ b/src/gateway/crashes/tell-crashes.ts
@@ -3,11 +3,12 @@
 import type { CrashNewsDue, CrashesTold } from '../event.js';
 import type { PeerRecord } from '../model/peer-record.js';
 import type { Fingerprint } from '../model/request.js';
+import { registerIfMissing } from '../peers/follow-gateways.js';
 import type { GatewayState } from '../state.js';
 import { type CrashNews, fromNews, toNews } from './crash-news.js';
 import { type CrashKnowledge, joinKnowledge } from './crash-record.js';
 import { neighboursOf } from './neighbours.js';
-import { tellBy, updateKnowledge } from './update-knowledge.js';
+import { SERIOUS_ROUNDS, tellBy, updateKnowledge } from './update-knowledge.js';
 
 /**
  * What is serious is told again so often, in milliseconds, to a part of the neighbours by turns, so that gateways that
@@ -17,9 +18,6 @@
 const TELL_AGAIN_MS = 1_000;
 const TURNS = 3;
 
-/** Rounds from which a suspicion is told again and again: the next one blocks the request. */
-const SERIOUS_ROUNDS = 2;
-
 /** Requests of one message, some 150 bytes each. */
 const MOST_TOLD = 64;
 
@@ -66,11 +64,17 @@
 const forgetOld = ({ crashes }: GatewayState, at: number): void => {
   crashes.memory.forgetOld(at);
   const known = crashes.memory.all();
-  [...crashes.told]
-    .filter((fingerprint) => !known.has(fingerprint))
-    .forEach((fingerprint) => crashes.told.delete(fingerprint));
+  for (const fingerprints of [crashes.told, crashes.kept]) {
+    [...fingerprints]
+      .filter((fingerprint) => !known.has(fingerprint))
+      .forEach((fingerprint) => fingerprints.delete(fingerprint));
+  }
 };
 
+/** Has what this gateway learnt first-hand stand in its entry in the store. */
+const keepSuspects = (state: GatewayState, at: number): GatewayEffect[] =>
+  state.registration.listedGeneration === undefined ? [] : registerIfMissing(state, at);
+
 /** Handles `crash-news-due`. */
 export const takeCrashNewsDue = (state: GatewayState, { at }: CrashNewsDue): GatewayEffect[] => {
   const { crashes } = state;
@@ -82,7 +86,11 @@
     return [...told, ...tellBy(state, at)];
   }
   const isSeriousLeft = seriousOnes(state).length > 0;
-  return isSeriousLeft ? [...told, ...tellBy(state, crashes.tellAgainAt)] : told;
+  return [
+    ...told,
+    ...keepSuspects(state, at),
+    ...(isSeriousLeft ? tellBy(state, crashes.tellAgainAt) : []),
+  ];
 };
 
 /** Handles `crashes-told`: takes what is news here, and passes it on. */
--- a/src/gateway/crashes/update-knowledge.ts
+++ b/src/gateway/crashes/update-knowledge.ts
@@ -17,8 +17,11 @@
  */
 const TELL_APART_MS = 4;
 
-/** Rounds from which a suspicion is logged: one is met by every request that was at a replica that ended. */
-const LOGGED_ROUNDS = 2;
+/**
+ * Rounds from which a suspicion is logged, told again and again, and kept in the store: one is met by every request that
+ * was at a replica that ended, and the one after two blocks the request.
+ */
+export const SERIOUS_ROUNDS = 2;
 
 /** Has news told by a time. */
 export const tellBy = ({ crashes }: GatewayState, wantedAt: number): GatewayEffect[] => {
@@ -49,11 +52,11 @@
     return { event: 'request-blocked', fingerprint, level: after.level, forMs, from };
   }
   const { rounds } = after;
-  if (rounds > before.rounds && rounds >= LOGGED_ROUNDS) {
+  if (rounds > before.rounds && rounds >= SERIOUS_ROUNDS) {
     const blockingRounds = BLOCKING_ROUNDS;
     return { event: 'request-suspected', fingerprint, rounds, blockingRounds, from };
   }
-  return before.rounds >= LOGGED_ROUNDS && rounds === 0
+  return before.rounds >= SERIOUS_ROUNDS && rounds === 0
     ? { event: 'request-cleared', fingerprint, from }
     : undefined;
 };
@@ -74,7 +77,7 @@
   { from, isUrgent }: UpdateOrigin,
   at: number,
 ): GatewayEffect[] => {
-  const { memory, untold } = state.crashes;
+  const { memory, untold, kept } = state.crashes;
   const before = memory.find(fingerprint, at);
   if (after === before) {
     return [];
@@ -84,6 +87,11 @@
     return isUrgent ? tellAtOnce(state, fingerprint, at) : [];
   }
   untold.add(fingerprint);
+  if (after.rounds < SERIOUS_ROUNDS) {
+    kept.delete(fingerprint);
+  } else if (after.rounds > before.rounds && from === state.settings.node) {
+    kept.add(fingerprint);
+  }
   const change = describeChange(fingerprint, before, after, from, at);
   const level = change?.event === 'request-blocked' ? 'warn' : 'info';
   const log: GatewayEffect[] =
--- a/src/gateway/peers/follow-gateways.ts
+++ b/src/gateway/peers/follow-gateways.ts
@@ -2,10 +2,10 @@
  * Keeps the list of gateways that share replicas and budgets. Each has an entry in the store under its
  * own name, which a restart keeps; it is written when it is missing or tells something else.
  */
+import { recallSuspects } from '../crashes/recall-suspects.js';
 import type { GatewayEffect } from '../effect.js';
 import type { RegistrationDue } from '../event.js';
 import { isSamePeerRecord, type PeerRecord } from '../model/peer-record.js';
-import type { GatewaySettings } from '../settings.js';
 import type { GatewayState } from '../state.js';
 
 /** Time for an answer, in milliseconds. */
@@ -17,30 +17,42 @@
  */
 const CHANGING_INTERVAL_MS = 1_500;
 
+/** Suspected requests of one entry, the newest. */
+const MOST_SUSPECTS = 32;
+
 /** What this gateway tells of itself. */
-export const ownRecord = ({ node, zone, peers, capacity }: GatewaySettings): PeerRecord => ({
-  name: node,
-  zone,
-  address: peers,
-  capacity,
-});
+export const ownRecord = ({ settings, crashes }: GatewayState): PeerRecord => {
+  const { node, zone, peers, capacity } = settings;
+  const suspects = [...crashes.kept].slice(-MOST_SUSPECTS).map((fingerprint) => ({
+    fingerprint,
+    rounds: crashes.memory.all().get(fingerprint)?.rounds ?? 0,
+  }));
+  return {
+    name: node,
+    zone,
+    address: peers,
+    capacity,
+    ...(suspects.length > 0 && { suspects }),
+  };
+};
 
-const holdsOwn = ({ settings, peers }: GatewayState): boolean => {
-  const own = ownRecord(settings);
+const holdsOwn = (state: GatewayState): boolean => {
+  const { peers } = state;
+  const own = ownRecord(state);
   const listed = peers.find(own.name);
   return listed !== undefined && isSamePeerRecord(listed, own);
 };
 
 /** Writes this gateway's entry where the list lacks it or has another. */
 export const registerIfMissing = (state: GatewayState, at: number): GatewayEffect[] => {
-  const { settings, peers, registration } = state;
+  const { peers, registration } = state;
   const isExpected = at - registration.writtenAt < CHANGING_INTERVAL_MS;
   const isStopping = state.phase === 'stopping' || state.phase === 'ended';
   if (holdsOwn(state) || isExpected || isStopping) {
     return [];
   }
   registration.writtenAt = at;
-  const record = ownRecord(settings);
+  const record = ownRecord(state);
   const replace = peers.find(record.name) !== undefined;
   return [
     { type: 'call-store', call: { type: 'register', record, replace, timeoutMs: ANSWER_MS } },
@@ -64,8 +76,9 @@
   const { listedGeneration } = registration;
   registration.listedGeneration = peers.generation;
   const isUnchanged = listedGeneration === undefined || listedGeneration === peers.generation;
+  const recalled = recallSuspects(state, at);
   state.gatewaysSettled ||= holdsOwn(state) && isUnchanged;
-  const own = registerIfMissing(state, at);
+  const own = [...recalled, ...registerIfMissing(state, at)];
   if (state.gatewaysSettled) {
     return own;
   }
--- a/src/gateway/runtime/peers/news-shape.ts
+++ b/src/gateway/runtime/peers/news-shape.ts
@@ -79,11 +79,15 @@
 const isAddress: Check = (value) =>
   isFields(value) && isText(value['host']) && isCount(value['port']);
 
+const isSuspect: Check = (value) =>
+  isFields(value) && isText(value['fingerprint']) && isCount(value['rounds']);
+
 const isGateway: Check = (value) =>
   isFields(value) &&
   hasTexts(value, ['name', 'zone']) &&
   isAddress(value['address']) &&
-  isFiniteNumber(value['capacity']);
+  isFiniteNumber(value['capacity']) &&
+  isOptional(value['suspects'], (suspects) => isListOf(suspects, isSuspect));
 
 const isEvacuation: Check = (value) => isFields(value) && isText(value['zone']);
 
--- a/test/gateway/met-crashes.test.ts
+++ b/test/gateway/met-crashes.test.ts
@@ -167,6 +167,42 @@
     expect(network.runs.slice(before)).toHaveLength(0);
   });
 
+  it('is refused where all gateways have ended and started anew', () => {
+    const network = networkOf(7);
+    playLethal(network, '/all/x', 300, 5_000);
+    network.advance(6_000);
+    network.nodes.forEach((node) => network.kill(node));
+    network.advance(1_000);
+    network.nodes.forEach((node) => network.start(node));
+    network.advance(1_000);
+    const before = network.runs.length;
+    const asked = network.nodes.map(({ record }) =>
+      network.ask({ fingerprint: 'lethal', path: '/all/x', gateway: record.name }),
+    );
+    network.advance(2_000);
+    expect(network.runs.slice(before)).toHaveLength(0);
+    expect(asked.map((each) => reasonsOf(each)[0])).toEqual(asked.map(() => 'crashes-replicas'));
+  });
+
+  it('is stopped while the store is away', () => {
+    const network = networkOf(8);
+    network.isStoreAway = true;
+    playLethal(network, '/all/x', 1_000, 20_000);
+    network.advance(22_000);
+    expect(triesTooLate(network, 'lethal', CONTACT_MS)).toBeLessThanOrEqual(3);
+  });
+
+  it('is no longer kept in the store once a replica has answered it', () => {
+    const network = networkOf(9);
+    playLethal(network, '/all/x', 500, 5_000);
+    network.advance(70_000);
+    expect(network.nodes.some(({ stored }) => stored.suspects !== undefined)).toBe(true);
+    network.lethal.clear();
+    network.ask({ fingerprint: 'lethal', path: '/all/x' });
+    network.advance(5_000);
+    expect(network.nodes.every(({ stored }) => stored.suspects === undefined)).toBe(true);
+  });
+
   it('is tried at one replica after a minute, and served from then on if its cause is gone', () => {
     const network = networkOf(4);
     playLethal(network, '/all/x', 500, 5_000);
