--- a/test/platform/gateway-fixture.ts
+++ b/test/platform/gateway-fixture.ts
@@ -47,6 +47,8 @@
   readonly body?: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly signal?: AbortSignal;
+  /** Where the gateway that is asked takes callers; absent for the first one. */
+  readonly to?: HostPort;
 }
 
 const freePort = async (): Promise<number> => {
@@ -212,7 +214,7 @@
     return new Promise((resolve, reject) => {
       const outgoing = sendRequest(
         {
-          ...this.settings.callers,
+          ...(query.to ?? this.settings.callers),
           method: query.method ?? 'GET',
           path: query.path,
           agent: false,
