--- a/soak/checker/recovery.ts
+++ b/soak/checker/recovery.ts
@@ -1,5 +1,6 @@
 /** After the faults all gateways serve again, and no process has ended by itself. */
 import type { CallerRequest } from '../model/observations.js';
+import { isLethal } from '../world/paths.js';
 import { type Evidence, findRoute } from './evidence.js';
 import type { Violation } from './violation.js';
 
@@ -9,7 +10,10 @@
 const isServed = ({ outcome }: CallerRequest): boolean =>
   outcome.type === 'answered' && outcome.status >= 200 && outcome.status < 300;
 
-/** Whether the request is owed: every version that may be in force allows it, and its caller stayed. */
+/**
+ * Whether the request is owed: every version that may be in force allows it, no replica ends under it, and its caller
+ * stayed.
+ */
 const isOwed = (evidence: Evidence, { path, sentAt, outcome }: CallerRequest): boolean => {
   const oldest = evidence.oldestAt(sentAt);
   const newest = evidence.newestAt(sentAt);
@@ -18,7 +22,7 @@
     newest,
     (each) => findRoute(each, path) !== undefined,
   );
-  return outcome.type !== 'left' && knowing.length === newest - oldest + 1;
+  return !isLethal(path) && outcome.type !== 'left' && knowing.length === newest - oldest + 1;
 };
 
 const checkGateway = (evidence: Evidence, gateway: number, from: number): readonly Violation[] => {
--- a/soak/checker/violation.ts
+++ b/soak/checker/violation.ts
@@ -11,6 +11,7 @@
   'planned-stops',
   'retry-budget',
   'callers-gone',
+  'lethal-requests',
   'recovery',
   'no-own-end',
 ] as const;
--- a/soak/model/observations.ts
+++ b/soak/model/observations.ts
@@ -137,6 +137,13 @@
   readonly detail: string;
 }
 
+/** A replica that ended under a request. */
+export interface LethalRun {
+  /** Path of the request. */
+  readonly path: string;
+  readonly at: number;
+}
+
 /** All that was seen in a run. */
 export interface Observations {
   readonly requests: CallerRequest[];
@@ -148,6 +155,7 @@
   readonly stops: PlannedStop[];
   readonly readiness: ReadinessSample[];
   readonly unexpectedEnds: UnexpectedEnd[];
+  readonly lethalRuns: LethalRun[];
   /** When the last fault was over; undefined while there are faults. */
   faultsEndedAt: number | undefined;
 }
@@ -163,5 +171,6 @@
   stops: [],
   readiness: [],
   unexpectedEnds: [],
+  lethalRuns: [],
   faultsEndedAt: undefined,
 });
--- a/soak/model/plan.ts
+++ b/soak/model/plan.ts
@@ -1,6 +1,7 @@
 /** What one run does, drawn from its seed. */
 import { createRandom } from '../../src/core/random.js';
 import type { GatewayBounds } from '../../src/gateway/settings.js';
+import { PREFIXES } from '../world/routes.js';
 import {
   drawLastVersion,
   drawPeerTroubles,
@@ -58,6 +59,14 @@
   readonly callersPerGateway: number;
 }
 
+/** A request that ends each replica that begins to run it. */
+export interface LethalRequest {
+  /** Prefix of its route. */
+  readonly prefix: string;
+  /** Usual time between two of its callers, in milliseconds. */
+  readonly everyMs: number;
+}
+
 /** One run. */
 export interface SoakPlan extends SoakOptions {
   readonly bounds: SoakBounds;
@@ -68,6 +77,8 @@
   readonly finalMs: number;
   /** Faults, with times from the end of the warm-up. */
   readonly schedule: readonly ScheduledFault[];
+  /** Requests that end replicas, which come all through the run. */
+  readonly lethalRequests: readonly LethalRequest[];
   /** Planned work that goes on after the faults, with times from their end. */
   readonly plannedWork: readonly ScheduledFault[];
 }
@@ -81,7 +92,8 @@
   | 'versions'
   | 'peer-links'
   | 'calm'
-  | 'last-version';
+  | 'last-version'
+  | 'lethal';
 
 /** A new one goes to the end: the seeds that have failed then keep the streams that they had. */
 const STREAMS: readonly RandomStream[] = [
@@ -93,6 +105,7 @@
   'peer-links',
   'calm',
   'last-version',
+  'lethal',
 ];
 
 /** Distance between the seeds of two runs, so that their streams differ. */
@@ -120,6 +133,27 @@
   return [...releases, ...(endsQuietly ? [] : versions), { atMs: PLANNED_STOP_MS, fault: stop }];
 };
 
+/** Runs of smaller seeds have none: those that have failed stay what they were. */
+const FIRST_LETHAL_SEED = 1_000;
+
+const MOST_LETHAL_REQUESTS = 2;
+
+/** Shortest and longest usual time between two callers of a lethal request, in milliseconds. */
+const LEAST_LETHAL_MS = 300;
+const MOST_LETHAL_MS = 5_000;
+
+const drawLethalRequests = (seed: number): readonly LethalRequest[] => {
+  if (seed < FIRST_LETHAL_SEED) {
+    return [];
+  }
+  const random = streamOf(seed, 'lethal');
+  const prefixes = [PREFIXES.gather, PREFIXES.moving, PREFIXES.once];
+  return Array.from({ length: 1 + random.nextBelow(MOST_LETHAL_REQUESTS) }, () => ({
+    prefix: prefixes[random.nextBelow(prefixes.length)] ?? PREFIXES.gather,
+    everyMs: LEAST_LETHAL_MS + random.nextBelow(MOST_LETHAL_MS - LEAST_LETHAL_MS),
+  }));
+};
+
 /** Draws a run. */
 export const drawPlan = (options: SoakOptions): SoakPlan => {
   const random = streamOf(options.seed, 'plan');
@@ -148,6 +182,7 @@
       ...peerTroubles,
       ...(endsQuietly ? drawLastVersion(lastVersion, faultsMs) : []),
     ],
+    lethalRequests: drawLethalRequests(seed),
     plannedWork: drawPlannedWork(seed, gateways, endsQuietly),
   };
 };
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -70,6 +70,7 @@
   const warm = pause(plan.warmUpMs);
   await untilAllReady(world);
   await warm;
+  world.beginLethalCalls();
   await faults.play(plan.schedule);
   observations.faultsEndedAt = performance.now();
   const calm = pause(plan.bounds.recoveryMs + plan.finalMs);
--- a/soak/world/callers.ts
+++ b/soak/world/callers.ts
@@ -4,12 +4,12 @@
 import type { Random } from '../../src/core/random.js';
 import { HOST } from '../../test/platform/operator-spec.js';
 import { type Observations, UNKNOWN_LIFE } from '../model/observations.js';
-import { streamOf } from '../model/plan.js';
+import { type LethalRequest, streamOf } from '../model/plan.js';
 import { digestOf } from './answer-body.js';
 import { type CallerQuery, sendQuery } from './caller-connection.js';
 import type { GatewayProcess } from './gateway-process.js';
 import type { Operator } from './operator.js';
-import { pathOf } from './paths.js';
+import { lethalPathOf, pathOf } from './paths.js';
 import { isReady } from './readiness.js';
 import { markerPrefix, PREFIXES } from './routes.js';
 
@@ -56,6 +56,16 @@
 const drawBody = (random: Random): string =>
   'b'.repeat(1 + random.nextBelow(MOST_BODY_LETTERS)) + String(random.nextBelow(1_000));
 
+interface PathDraft {
+  readonly method: string;
+  readonly path: string;
+  readonly body: string;
+  readonly leavesAfterMs?: number | undefined;
+}
+
+/** Tries of a lethal request by one caller. */
+const LETHAL_TRIES = 2;
+
 /** Draws what a caller asks for next. */
 const drawDraft = (random: Random): Draft => {
   const workMs = drawWork(random);
@@ -99,6 +109,33 @@
     this.ended.push(this.askForMarkers(gateway), this.askForReadiness(gateway));
   }
 
+  /** Lets callers ask for a lethal request, at any gateway; one that is not served is asked for once more. */
+  beginLethal(
+    gateways: readonly GatewayProcess[],
+    { prefix, everyMs }: LethalRequest,
+    number: number,
+  ): void {
+    const random = streamOf(this.context.seed, 'lethal', 1 + number);
+    const drawGateway = (): GatewayProcess | undefined =>
+      gateways[random.nextBelow(gateways.length)];
+    const path = lethalPathOf(prefix, number);
+    const ask = async (): Promise<void> => {
+      for (let tries = 0; tries < LETHAL_TRIES; tries += 1) {
+        const gateway = drawGateway();
+        if (gateway !== undefined) {
+          await this.sendPath(gateway, { method: 'GET', path, body: '' });
+        }
+      }
+    };
+    const work = async (): Promise<void> => {
+      while (this.working) {
+        await ask();
+        await pause(everyMs / 2 + random.nextBelow(everyMs));
+      }
+    };
+    this.ended.push(work());
+  }
+
   /** Ends after the requests that are under way. */
   async stop(): Promise<void> {
     this.working = false;
@@ -137,11 +174,23 @@
     }
   }
 
-  private async send(gateway: GatewayProcess, draft: Draft, agent?: Agent): Promise<string> {
-    this.sent += 1;
-    const id = `r${this.context.seed}-${this.sent}`;
+  private send(gateway: GatewayProcess, draft: Draft, agent?: Agent): Promise<string> {
     const { method, prefix, workMs, body, leavesAfterMs } = draft;
-    const path = pathOf(prefix, workMs, id);
+    const path = pathOf(prefix, workMs, this.nextId);
+    return this.sendPath(gateway, { method, path, body, leavesAfterMs }, agent);
+  }
+
+  private get nextId(): string {
+    return `r${this.context.seed}-${this.sent + 1}`;
+  }
+
+  private async sendPath(
+    gateway: GatewayProcess,
+    { method, path, body, leavesAfterMs }: PathDraft,
+    agent?: Agent,
+  ): Promise<string> {
+    const id = this.nextId;
+    this.sent += 1;
     const { life } = gateway;
     const query: CallerQuery = {
       id,
--- a/soak/world/paths.ts
+++ b/soak/world/paths.ts
@@ -9,6 +9,15 @@
 export const pathOf = (prefix: string, workMs: number, id: string): string =>
   `${prefix}${workMs}/${id}?part=${id.length}`;
 
+const LETHAL_PATTERN = /\/lethal-\d+$/;
+
+/** The path of a request that ends each replica that begins to run it; each of its tries has the same. */
+export const lethalPathOf = (prefix: string, number: number): string =>
+  `${prefix}${DEFAULT_WORK_MS}/lethal-${number}`;
+
+/** Whether replicas end under the request for a path. */
+export const isLethal = (path: string): boolean => LETHAL_PATTERN.test(path);
+
 /** Work of the request for a path, in milliseconds. */
 export const workOf = (path: string): number =>
   Number(WORK_PATTERN.exec(path)?.[1] ?? DEFAULT_WORK_MS);
--- a/soak/world/replica-fleet.ts
+++ b/soak/world/replica-fleet.ts
@@ -9,7 +9,8 @@
 import type { StandInStore } from '../../test/platform/stand-in-store.js';
 import type { Arrival, Observations } from '../model/observations.js';
 import { bodyOf, digestOf } from './answer-body.js';
-import { workOf } from './paths.js';
+import { isLethal, workOf } from './paths.js';
+import { beginDisturbance } from './recorder.js';
 import { REPLICA_SLOTS, SERVICES, replicasOf, zoneOf } from './topology.js';
 
 /** A replica that leaves serves for longer than it has to by this time, in milliseconds. */
@@ -30,6 +31,7 @@
 export class ReplicaFleet {
   private readonly members = new Set<FleetMember>();
   private started = 0;
+  private stopped = false;
 
   constructor(
     private readonly store: StandInStore,
@@ -78,11 +80,30 @@
     if (member === undefined) {
       return;
     }
+    await this.crashMember(member);
+  }
+
+  private async crashMember(member: FleetMember): Promise<void> {
     member.leaving = true;
     await this.end(member);
     await pause(ENTRY_LASTS_MS);
     this.store.remove(REPLICA_KIND, member.replica.id);
-    await this.add(service, member.zone);
+    if (!this.stopped) {
+      await this.add(member.service, member.zone);
+    }
+  }
+
+  /** A replica ends under a request, with all that it runs. */
+  private async endUnder(replica: StandInReplica, path: string): Promise<void> {
+    const member = [...this.members].find((each) => each.replica === replica);
+    if (member === undefined) {
+      return;
+    }
+    this.observations.lethalRuns.push({ path, at: performance.now() });
+    const scope = { type: 'service', service: member.service } as const;
+    const end = beginDisturbance(this.observations, [scope], 'a request ends a replica');
+    await this.crashMember(member);
+    end();
   }
 
   /** One replica of the service runs requests and closes their connections for a while. */
@@ -97,6 +118,7 @@
   }
 
   async stop(): Promise<void> {
+    this.stopped = true;
     await Promise.all([...this.members].map((member) => this.end(member)));
   }
 
@@ -142,6 +164,9 @@
         noted.set(request, arrival);
         arrivals.push(arrival);
         replica.arrived.length = 0;
+        if (ran && isLethal(request.path)) {
+          void this.endUnder(replica, request.path);
+        }
       },
       read: (request) => {
         const arrival = noted.get(request);
--- a/soak/world/soak-world.ts
+++ b/soak/world/soak-world.ts
@@ -61,6 +61,12 @@
     });
   }
 
+  beginLethalCalls(): void {
+    this.plan.lethalRequests.forEach((request, number) =>
+      this.callers.beginLethal(this.gateways, request, number),
+    );
+  }
+
   /** Ends everything that was started. */
   async stop(): Promise<void> {
     await Promise.all(this.gateways.map((gateway) => gateway.close()));
--- a/test/soak/checker.test.ts
+++ b/test/soak/checker.test.ts
@@ -355,3 +355,32 @@
     expect(run.broken()).toEqual(['no-own-end']);
   });
 });
+
+describe('a request that ends the replicas that run it', () => {
+  const PATH = '/move/2/lethal-0';
+
+  /** Its third replica has ended at 20 s; `count` of its tries reach one more, each at a time of its own. */
+  const addLateRuns = (count: number, from: number): void => {
+    [18_000, 19_000, 20_000].forEach((at) => run.observations.lethalRuns.push({ path: PATH, at }));
+    for (let index = 0; index < count; index += 1) {
+      const at = from + index * 100;
+      const refused = run.addRefused(PATH, 502, { sentAt: at, endedAt: at + 20 });
+      run.addArrival(refused, 'desk', { at: at + 5 });
+    }
+  };
+
+  it('reaches replicas in three tries at most once that can be known', () => {
+    addLateRuns(4, 24_100);
+    expect(run.broken()).toEqual(['lethal-requests']);
+  });
+
+  it('may reach them in three', () => {
+    addLateRuns(3, 24_100);
+    expect(run.broken()).toEqual([]);
+  });
+
+  it('may reach them before', () => {
+    addLateRuns(4, 23_000);
+    expect(run.broken()).toEqual([]);
+  });
+});
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -1,7 +1,7 @@
 /** One run of the soak with a fixed seed; long runs and fresh seeds by hand: docs/operations/soak.md. */
 import { rm } from 'node:fs/promises';
 import { expect, it } from 'vitest';
-import { PROMISES } from '../../soak/checker/violation.js';
+import { type Promised, PROMISES } from '../../soak/checker/violation.js';
 import { formatReport } from '../../soak/report.js';
 import { runSoak } from '../../soak/run-soak.js';
 
@@ -12,10 +12,12 @@
 const SEED = 186;
 const DURATION_MS = 60_000;
 
-/** That no process ends by itself has no cases; whether anything is refused differs from run to run. */
-const JUDGED = PROMISES.filter(
-  (promise) => promise !== 'no-own-end' && promise !== 'refused-never-ran',
-);
+/**
+ * That no process ends by itself has no cases; whether anything is refused differs from run to run; no request of this
+ * seed ends replicas.
+ */
+const UNJUDGED: readonly Promised[] = ['no-own-end', 'refused-never-ran', 'lethal-requests'];
+const JUDGED = PROMISES.filter((promise) => !UNJUDGED.includes(promise));
 
 /** Faults that wait for one another, the build and the check come on top of the run. */
 const TIMEOUT_MS = 180_000;
