--- a/test/gateway/explain.test.ts
+++ b/test/gateway/explain.test.ts
@@ -56,6 +56,26 @@
     );
   });
 
+  it('says which request is blocked because replicas end under it, and for how long', () => {
+    const blocked = { fingerprint: '00ff', rounds: 3, level: 1, forMs: 41_000 };
+    const refused = answered({ outcome: 'refused', reason: 'crashes-replicas', blocked });
+    expect(explain([refused])).toBe(
+      'refused: replicas ended under this request (fingerprint 00ff) in 3 rounds one after the other and none answered it; it is blocked for 41000 ms more (block 1), then tried at one replica',
+    );
+  });
+
+  it('names the replicas that ended under a request', () => {
+    const crashed = line(55, { event: 'attempt-crashed', attempt: 1, replica: 'a' });
+    const refused = answered({
+      outcome: 'refused',
+      reason: 'replicas-crashed',
+      missing: ['shard-a'],
+    });
+    expect(explain([sent(1, 'a'), ended(1, 'a', 'reset'), crashed, refused])).toBe(
+      'refused after 87 of 100 ms (replicas-crashed); shard-a: a (first): reset after 40 ms; replicas that ended under it: a',
+    );
+  });
+
   it('tells a late answer by its last part, and a caller that left', () => {
     expect(explain([sent(1, 'a'), ended(1, 'a', 'answered'), answered({ outcome: 'whole' })])).toBe(
       'answered whole after 87 of 100 ms; the last part came from a after 40 ms',
--- a/test/gateway/peer-message.test.ts
+++ b/test/gateway/peer-message.test.ts
@@ -131,3 +131,35 @@
   } as unknown as NewsMessage['news'];
   expect(decodePeerMessage(encodePeerMessage(newsOf(news))).isLeft()).toBe(true);
 });
+
+it('takes subqueries that try a blocked request, with regions and without', () => {
+  const trial = { ...SUBQUERY.subquery, isTrial: true };
+  for (const subquery of [trial, { ...trial, allowedRegions: ['addis'] }]) {
+    const message = { ...SUBQUERY, subquery };
+    expect(decodePeerMessage(encodePeerMessage(message)).unsafeCoerce()).toEqual(message);
+  }
+});
+
+it('takes parts under which replicas have ended', () => {
+  const message = { ...PARTS, part: { ...PARTS.part, unsent: [], hasCrashed: true } };
+  expect(decodePeerMessage(encodePeerMessage(message)).unsafeCoerce()).toEqual(message);
+});
+
+it('takes what is told of requests under which replicas have ended, and nothing of the wrong shape', () => {
+  const block = { level: 1, blockedMsAgo: 20.5, trialInMs: 59_000, trialLeftMs: 100 };
+  const known = { fingerprint: '00ff', rounds: 3, crashedMsAgo: 21, servedMsAgo: 9_000, block };
+  const message = {
+    type: 'crashes',
+    from: 'front-1',
+    news: [known, { fingerprint: 'ff00', rounds: 0 }],
+  } as const;
+  expect(decodePeerMessage(encodePeerMessage(message)).unsafeCoerce()).toEqual(message);
+  const wrong = [
+    { ...known, fingerprint: 7 },
+    { ...known, rounds: -1 },
+    { ...known, block: { ...block, trialInMs: 'soon' } },
+  ];
+  wrong.forEach((each) => {
+    expect(decodePeerMessage(encodeCbor({ ...message, news: [each] })).isLeft()).toBe(true);
+  });
+});
