Look at a replica by a connection that is being opened, where there is one

Cause: read again cold: an attempt that waits opens a new connection in the same moment as the broken one goes, so that the bound may leave no room for the look, and a replica that had ended was taken for alive. Change: the look waits for a connection that is being opened; one that opens all the same serves both. Ruled out: a look beyond the bound (replicas reset connections beyond theirs after a return of all machines).

--- a/src/gateway/runtime/replica-pool.ts
+++ b/src/gateway/runtime/replica-pool.ts
@@ -35,6 +35,8 @@
 export class ReplicaPool {
   private readonly idle: IdleConnection[] = [];
   private readonly waiting: SendAttempt[] = [];
+  /** Those who wait to hear whether the replica takes connections. */
+  private readonly checks: ((isDown: boolean) => void)[] = [];
   private open = 0;
   private opening = 0;
   private maxConnections = 1;
@@ -61,15 +63,20 @@
   }
 
   /**
-   * Looks whether the replica takes connections, by one more where the bound allows it, and then keeps it.
+   * Looks whether the replica takes connections: by one that is being opened, or by one more where the bound allows
+   * it, which is kept.
    *
    * @param onChecked - told once; `isDown` where the connection was refused
    */
   check(onChecked: (isDown: boolean) => void): void {
+    this.checks.push(onChecked);
+    if (this.opening > 0) {
+      return;
+    }
     if (this.open < this.maxConnections) {
-      this.openConnection(onChecked);
+      this.openConnection();
     } else {
-      queueMicrotask(() => onChecked(false));
+      queueMicrotask(() => this.endChecks(false));
     }
   }
 
@@ -145,7 +152,11 @@
     }
   }
 
-  private openConnection(onTried: (isDown: boolean) => void = () => undefined): void {
+  private endChecks(isDown: boolean): void {
+    this.checks.splice(0).forEach((onChecked) => onChecked(isDown));
+  }
+
+  private openConnection(): void {
     this.open += 1;
     this.opening += 1;
     const openedFrom = this.clock.now();
@@ -155,14 +166,9 @@
         this.opening -= 1;
         this.rest(connection);
         this.serveWaiting();
-        onTried(false);
-      },
-      onClosed: (problem) => {
-        this.noteClosed(connection, problem);
-        if (!connection.wasOpened) {
-          onTried(problem === 'connect-refused');
-        }
+        this.endChecks(false);
       },
+      onClosed: (problem) => this.noteClosed(connection, problem),
     });
   }
 
@@ -174,6 +180,7 @@
     }
     if (!connection.wasOpened) {
       this.opening -= 1;
+      this.endChecks(problem === 'connect-refused');
       this.failWaiting(problem);
     }
     this.serveWaiting();
--- a/test/gateway/replica-pool.test.ts
+++ b/test/gateway/replica-pool.test.ts
@@ -118,6 +118,25 @@
     expect([replica.connections, free.length]).toEqual([1, 1]);
   });
 
+  it('waits for a connection that is being opened, and opens no other', async () => {
+    pool.submit(attemptOf(true));
+    pool.submit({ ...attemptOf(true), attempt: 2 });
+    expect(await Promise.all([look(), look()])).toEqual([false, false]);
+    expect(replica.connections).toBe(1);
+  });
+
+  it('takes one whose connections are all in use for alive', async () => {
+    await use(true);
+    expect(await look()).toBe(false);
+    expect(replica.connections).toBe(1);
+  });
+
+  it('finds one that has ended while attempts wait for connections to it', async () => {
+    await replica.stop();
+    pool.submit(attemptOf(true));
+    expect(await look()).toBe(true);
+  });
+
   it('finds one that has ended', async () => {
     await replica.stop();
     expect(await look()).toBe(true);
