--- a/test/gateway/crash-network.ts
+++ b/test/gateway/crash-network.ts
@@ -18,6 +18,7 @@
 import { type Route, servicesOf } from '../../src/gateway/model/route.js';
 import { step } from '../../src/gateway/reducer.js';
 import { createGatewayState, type GatewayState } from '../../src/gateway/state.js';
+import { GATEWAY_BOUNDS } from './virtual-gateway.js';
 
 /** One way between any two processes. */
 const LINK_MS = 1;
@@ -111,14 +112,7 @@
   peers: HOST,
   seeds: [],
   store: HOST,
-  bounds: {
-    drainMs: 3_000,
-    graceMs: 6_000,
-    configurationMs: 3_000,
-    retryRatio: 0.2,
-    retryWindowMs: 10_000,
-    retrySlack: 56,
-  },
+  bounds: GATEWAY_BOUNDS,
   logLevel: 'error' as const,
 });
 
--- a/test/gateway/virtual-gateway.ts
+++ b/test/gateway/virtual-gateway.ts
@@ -11,10 +11,21 @@
 } from '../../src/gateway/model/route.js';
 import type { AttemptResult, CallerResponse, CallId } from '../../src/gateway/model/request.js';
 import { step } from '../../src/gateway/reducer.js';
+import type { GatewayBounds } from '../../src/gateway/settings.js';
 import { createGatewayState, type GatewayState } from '../../src/gateway/state.js';
 
 const HOST = { host: '127.0.0.1', port: 1 };
 
+/** Bounds as the users' deployments have them; the slack of the retry budget is theirs for one service. */
+export const GATEWAY_BOUNDS: GatewayBounds = {
+  drainMs: 3_000,
+  graceMs: 6_000,
+  configurationMs: 3_000,
+  retryRatio: 0.2,
+  retryWindowMs: 10_000,
+  retrySlack: 56,
+};
+
 /** A route whose objective is 100 ms. */
 export const routeTo = (target: RouteTarget, fields: Partial<Route> = {}): Route => ({
   name: 'route',
@@ -76,14 +87,7 @@
         peers: HOST,
         seeds: [],
         store: HOST,
-        bounds: {
-          drainMs: 3_000,
-          graceMs: 6_000,
-          configurationMs: 3_000,
-          retryRatio: 0.2,
-          retryWindowMs: 10_000,
-          retrySlack,
-        },
+        bounds: { ...GATEWAY_BOUNDS, retrySlack },
         logLevel: 'error',
       },
       7,
--- a/test/platform/gateway-fixture.ts
+++ b/test/platform/gateway-fixture.ts
@@ -11,6 +11,7 @@
 import type { WriteTrace } from '../../src/gateway/effect.js';
 import type { HostPort } from '../../src/settings/node-settings.js';
 import type { GatewaySettings } from '../../src/gateway/settings.js';
+import { GATEWAY_BOUNDS } from '../gateway/virtual-gateway.js';
 import { configurationSpec, type LIMITS } from './operator-spec.js';
 import { StandInReplica, type ReplicaBehaviour } from './stand-in-replica.js';
 import { StandInStore } from './stand-in-store.js';
@@ -130,14 +131,7 @@
       ...(await freeAddresses()),
       seeds: [],
       store: { host, port: store.port },
-      bounds: {
-        drainMs: 3_000,
-        graceMs: 6_000,
-        configurationMs: 3_000,
-        retryRatio: 0.2,
-        retryWindowMs: 10_000,
-        retrySlack: 56,
-      },
+      bounds: GATEWAY_BOUNDS,
       logLevel: 'error',
     });
   }
