Sight: the store's era in logs and metrics, and lists and news that are dropped as older

Cause looked for: whether what the store and the readers tell after a return is dropped, and from which revisions. Ruled out: nothing yet; logs and metrics told neither revisions nor the era. Change: the header of the era is read from every answer of the store; store-era-changed, list-dropped, news-dropped, the gauge store_era. No decision uses the era.

--- a/src/gateway/event.ts
+++ b/src/gateway/event.ts
@@ -16,6 +16,7 @@
 import type { GatewaySettings } from './settings.js';
 import type { CollectionName } from './store/collection.js';
 import type { StoreChanges, StorePage } from './store/store-objects.js';
+import type { StoreEra } from './store/store-position.js';
 
 /** The process has started and its ports are open. */
 export interface Started {
@@ -106,6 +107,8 @@
 export interface PageRead {
   readonly type: 'page-read';
   readonly at: number;
+  /** Era of the store that the answer names. */
+  readonly era?: StoreEra;
   readonly page: StorePage;
 }
 
@@ -113,6 +116,8 @@
 export interface ChangesRead {
   readonly type: 'changes-read';
   readonly at: number;
+  /** Era of the store that the answer names. */
+  readonly era?: StoreEra;
   readonly changes: StoreChanges;
 }
 
@@ -125,6 +130,8 @@
   readonly problem: 'history-gone' | 'throttled' | 'unavailable' | 'no-answer' | 'malformed';
   /** What the client or the parser said. */
   readonly detail: string;
+  /** Era of the store that the answer names; absent where there was none. */
+  readonly era?: StoreEra;
 }
 
 /** A probe of the store has ended. */
@@ -132,6 +139,8 @@
   readonly type: 'probe-ended';
   readonly at: number;
   readonly answered: boolean;
+  /** Era of the store that the answer names; absent where there was none. */
+  readonly era?: StoreEra;
 }
 
 /** Another gateway asks this one for the parts of some shards. */
--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -10,6 +10,7 @@
   UnreadableProblem,
 } from '../model/request.js';
 import type { PeerProblem, SubqueryId } from '../model/subquery.js';
+import type { StoreEra } from '../store/store-position.js';
 
 /** Why an attempt was sent. */
 export type AttemptReason = 'first' | 'retry' | 'hedge';
@@ -171,6 +172,22 @@
       /** Others of the same problem since the last line about one. */
       readonly unlogged: number;
     }
+  /** Revisions before and after are not comparable: the store has returned from a copy. */
+  | { readonly event: 'store-era-changed'; readonly era: number; readonly previous: number }
+  | {
+      readonly event: 'list-dropped';
+      readonly collection: string;
+      readonly revision: number;
+      readonly era?: StoreEra;
+      readonly knownRevision?: number;
+    }
+  | {
+      readonly event: 'news-dropped';
+      readonly collection: string;
+      readonly reader: string;
+      readonly revision: number;
+      readonly knownRevision: number;
+    }
   | { readonly event: 'store-lost' }
   | { readonly event: 'store-regained'; readonly lostForMs: number }
   | {
@@ -282,6 +299,9 @@
     'An object of the store has content that this gateway cannot read; what was known of it stays in force.',
   'request-unreadable':
     'A caller sent something that is no request and was refused with `status`; at most ten lines a second for each problem.',
+  'store-era-changed': 'The store has returned from a copy; what it acknowledged last may be gone.',
+  'list-dropped': 'A list of the store was dropped: more is known than it held when it began.',
+  'news-dropped': 'What a reader told was dropped: more is known.',
   'store-lost': 'A probe of the store was not answered in time.',
   'store-regained': 'The store answers again; what is read from it is read on.',
   'store-call-failed': 'A list or watch failed and is repeated after a pause.',
--- a/src/gateway/metrics/gateway-metrics.ts
+++ b/src/gateway/metrics/gateway-metrics.ts
@@ -31,6 +31,11 @@
   gauge('gateways_listed', 'Gateways that share budgets.', () => state.gateways),
   gauge('ready', '1 while new callers are wanted.', () => Number(state.ready)),
   gauge('store_reachable', '1 while the store answers.', () => Number(state.store.reachable)),
+  gauge(
+    'store_era',
+    'Latest era that an answer of the store has named; 0 for none.',
+    () => state.store.era ?? 0,
+  ),
   gauge('reading', '1 while this gateway reads the store itself.', () =>
     Number(state.reading.isReading),
   ),
--- a/src/gateway/protocol/protocol.ts
+++ b/src/gateway/protocol/protocol.ts
@@ -26,6 +26,8 @@
   readonly partSignatures: string;
   /** Number of shards that a merged answer leaves out. */
   readonly missingParts: string;
+  /** Era of the store, in its answers. */
+  readonly storeEra: string;
   /** Headers that say who asks. */
   readonly caller: readonly string[];
 }
--- a/src/gateway/readers/take-news.ts
+++ b/src/gateway/readers/take-news.ts
@@ -13,6 +13,24 @@
 import type { Source } from './reading-state.js';
 import { knownRevisions, tellChanges, tellNamed } from './tell-followers.js';
 
+/** What is told twice is dropped without a word; what is older than what is known is worth a line. */
+const dropNews = (
+  reader: string,
+  { collection, revision }: CollectionSnapshot | CollectionChanges,
+  knownRevision: number,
+): GatewayEffect[] => {
+  const change: BeliefChange = {
+    event: 'news-dropped',
+    collection,
+    reader,
+    revision,
+    knownRevision,
+  };
+  return revision === knownRevision
+    ? []
+    : [{ type: 'write-log', level: 'info', part: 'store', change }];
+};
+
 const takeSnapshot = (
   state: GatewayState,
   { peer }: Source,
@@ -22,7 +40,7 @@
   const { collection, revision, objects } = snapshot;
   const progress = state.collections[collection];
   if (progress.revision !== undefined && revision <= progress.revision) {
-    return [];
+    return dropNews(peer.name, snapshot, progress.revision);
   }
   const { revision: before } = progress;
   const listed = new Set(objects.map(({ name }) => name));
@@ -61,7 +79,7 @@
   }
   const { revision: before } = progress;
   if (revision <= before) {
-    return [];
+    return dropNews(source.peer.name, changes, before);
   }
   progress.revision = revision;
   return [
--- a/src/gateway/reducer.ts
+++ b/src/gateway/reducer.ts
@@ -38,6 +38,7 @@
   takePage,
   takeStoreFailure,
 } from './store/apply-collections.js';
+import { noteEra } from './store/note-era.js';
 import { takeProbe, takeProbeDue } from './store/probe-store.js';
 
 const start = (state: GatewayState, { at }: Started): GatewayEffect[] => {
@@ -75,20 +76,24 @@
     ])
     .with({ type: 'request-due' }, (due) => takeRequestDue(state, due))
     .with({ type: 'page-read' }, (read) => [
+      ...noteEra(state, read.era),
       ...takePage(state, read),
       ...useKnowledge(state, read.at),
     ])
     .with({ type: 'changes-read' }, (read) => [
+      ...noteEra(state, read.era),
       ...takeChanges(state, read),
       ...useKnowledge(state, read.at),
     ])
     .with({ type: 'store-call-failed' }, (failed) => [
+      ...noteEra(state, failed.era),
       ...takeStoreFailure(state, failed),
       ...refuseAllHeld(state, failed.at),
     ])
     .with({ type: 'collection-due' }, (due) => takeCollectionDue(state, due))
     .with({ type: 'probe-due' }, () => takeProbeDue(state))
-    .with({ type: 'probe-ended' }, ({ answered, at }) => [
+    .with({ type: 'probe-ended' }, ({ answered, era, at }) => [
+      ...noteEra(state, era),
       ...takeProbe(state, answered, at),
       ...refuseAllHeld(state, at),
       ...updateReading(state, at),
--- a/src/gateway/runtime/read-text.ts
+++ b/src/gateway/runtime/read-text.ts
@@ -1,4 +1,5 @@
 /** Makes one call over a client and reads its answer as text. */
+import type { IncomingHttpHeaders } from 'node:http';
 import type { Dispatcher } from 'undici';
 import type { StoreRequest } from '../protocol/protocol.js';
 import type { Client } from './undici-client.js';
@@ -6,6 +7,8 @@
 /** A whole answer. */
 export interface TextAnswer {
   readonly status: number;
+  /** Headers by their names in lower case. */
+  readonly headers: IncomingHttpHeaders;
   readonly body: string;
 }
 
@@ -17,6 +20,7 @@
 /** Collects an answer and hands it on when it is whole. */
 class TextReader implements Dispatcher.DispatchHandler {
   private status = 0;
+  private headers: IncomingHttpHeaders = {};
   private readonly chunks: Buffer[] = [];
 
   constructor(
@@ -29,8 +33,13 @@
     this.status = 0;
   }
 
-  onResponseStart(_controller: Dispatcher.DispatchController, status: number): void {
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+    headers: IncomingHttpHeaders,
+  ): void {
     this.status = status;
+    this.headers = headers;
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -38,7 +47,8 @@
   }
 
   onResponseEnd(): void {
-    this.resolve({ status: this.status, body: Buffer.concat(this.chunks).toString('utf8') });
+    const body = Buffer.concat(this.chunks).toString('utf8');
+    this.resolve({ status: this.status, headers: this.headers, body });
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
--- a/src/gateway/runtime/start-gateway.ts
+++ b/src/gateway/runtime/start-gateway.ts
@@ -96,7 +96,13 @@
     this.replicas = new ReplicaClient({ protocol, requests, clock, sink });
     this.peerClient = new PeerClient({ requests, clock, sink, node: settings.node });
     this.peerPort = new PeerPort({ requests, clock, sink });
-    this.store = new StoreClient({ address: settings.store, format: protocol.store, clock, sink });
+    this.store = new StoreClient({
+      address: settings.store,
+      format: protocol.store,
+      eraHeader: protocol.headers.storeEra,
+      clock,
+      sink,
+    });
   }
 
   async begin(): Promise<void> {
--- a/src/gateway/runtime/store-client.ts
+++ b/src/gateway/runtime/store-client.ts
@@ -2,7 +2,7 @@
 import type { MonotonicClock } from '../../runtime/monotonic-clock.js';
 import type { HostPort } from '../../settings/node-settings.js';
 import { formatHostPort } from '../../settings/parse-host-port.js';
-import { formatFinding } from '../../table/finding.js';
+import { type Finding, formatFinding } from '../../table/finding.js';
 import type { StoreCallFailed } from '../event.js';
 import type { StoreFormat } from '../protocol/protocol.js';
 import type {
@@ -14,6 +14,7 @@
 } from '../store/collection.js';
 import type { GatewayEventSink } from './gateway-loop.js';
 import { readText, type TextAnswer } from './read-text.js';
+import type { StoreEra } from '../store/store-position.js';
 import { openConnection } from './sockets.js';
 import { Client } from './undici-client.js';
 
@@ -31,6 +32,8 @@
 export interface StoreClientContext {
   readonly address: HostPort;
   readonly format: StoreFormat;
+  /** Name of the header that tells the store's era. */
+  readonly eraHeader: string;
   readonly clock: MonotonicClock;
   readonly sink: GatewayEventSink;
 }
@@ -45,6 +48,9 @@
   return status === THROTTLED_STATUS ? 'throttled' : 'unavailable';
 };
 
+/** What a header must hold to name an era: a whole number. */
+const ERA_PATTERN = /^\d{1,15}$/;
+
 /** Carries out `call-store`. */
 export class StoreClient {
   private readonly clients = new Map<Purpose, Client>();
@@ -108,7 +114,8 @@
   private async probe(call: ProbeCall): Promise<void> {
     const answer = await this.tryAsk('probe', call);
     const answered = answer?.status === OK_STATUS;
-    this.emit((at) => ({ type: 'probe-ended', at, answered }));
+    const era = answer && this.eraOf(answer);
+    this.emit((at) => ({ type: 'probe-ended', at, answered, era }));
   }
 
   /** Whether the entry stands in the store is seen in the next list. */
@@ -122,31 +129,43 @@
     }
   }
 
-  private takeCollection(call: CollectionCall, { status, body }: TextAnswer): void {
+  private eraOf({ headers }: TextAnswer): StoreEra {
+    const value = headers[this.context.eraHeader];
+    return typeof value === 'string' && ERA_PATTERN.test(value) ? Number(value) : undefined;
+  }
+
+  private takeCollection(call: CollectionCall, answer: TextAnswer): void {
     const { format } = this.context;
+    const { status, body } = answer;
+    const era = this.eraOf(answer);
     if (status !== OK_STATUS) {
-      this.fail(call, problemOf(status), `status ${status}`);
+      this.fail(call, problemOf(status), `status ${status}`, era);
       return;
     }
     if (call.type === 'list') {
       format.readPage(call, body).caseOf({
-        Left: (findings) => this.fail(call, 'malformed', findings.map(formatFinding).join('; ')),
-        Right: (page) => this.emit((at) => ({ type: 'page-read', at, page })),
+        Left: (findings) => this.failUnreadable(call, findings, era),
+        Right: (page) => this.emit((at) => ({ type: 'page-read', at, era, page })),
       });
       return;
     }
     format.readChanges(call, body).caseOf({
-      Left: (findings) => this.fail(call, 'malformed', findings.map(formatFinding).join('; ')),
-      Right: (changes) => this.emit((at) => ({ type: 'changes-read', at, changes })),
+      Left: (findings) => this.failUnreadable(call, findings, era),
+      Right: (changes) => this.emit((at) => ({ type: 'changes-read', at, era, changes })),
     });
   }
 
+  private failUnreadable(call: CollectionCall, findings: readonly Finding[], era: StoreEra): void {
+    this.fail(call, 'malformed', findings.map(formatFinding).join('; '), era);
+  }
+
   private fail(
     { collection }: CollectionCall,
     problem: StoreCallFailed['problem'],
     detail: string,
+    era?: StoreEra,
   ): void {
-    this.emit((at) => ({ type: 'store-call-failed', at, collection, problem, detail }));
+    this.emit((at) => ({ type: 'store-call-failed', at, collection, problem, detail, era }));
   }
 
   private async tryAsk(purpose: Purpose, call: StoreCall): Promise<TextAnswer | undefined> {
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -22,6 +22,7 @@
 import type { GatewaySettings } from './settings.js';
 import { type CollectionName, followedCollections } from './store/collection.js';
 import { type CollectionProgress, createCollectionProgress } from './store/follow-collection.js';
+import type { StoreEra } from './store/store-position.js';
 
 /** Gateways that are assumed to run until others are known. */
 const ASSUMED_GATEWAYS = 8;
@@ -56,6 +57,8 @@
   lostSince: number;
   /** When it was found again. */
   regainedAt: number;
+  /** The latest era that an answer of the store has named; undefined before one has. */
+  era: StoreEra;
 }
 
 /** This gateway's own entry among the gateways. */
@@ -139,6 +142,7 @@
     isProbed: false,
     lostSince: Number.NEGATIVE_INFINITY,
     regainedAt: Number.NEGATIVE_INFINITY,
+    era: undefined,
   },
   phase: 'starting',
   stoppingSince: Number.POSITIVE_INFINITY,
--- a/src/gateway/store/apply-collections.ts
+++ b/src/gateway/store/apply-collections.ts
@@ -37,22 +37,38 @@
  * A list that a reader's news have superseded ends: what it lacks may be new, and what it holds may be old. Followers have
  * been told by then all that it changed.
  */
-const dropList = (state: GatewayState, progress: CollectionProgress): GatewayEffect[] => {
+const dropList = (
+  state: GatewayState,
+  progress: CollectionProgress,
+  { page: { revision }, era }: PageRead,
+): GatewayEffect[] => {
+  const { collection, revision: knownRevision } = progress;
   endSupersededList(progress);
-  return continueAfterList(state, progress);
+  const change: BeliefChange = {
+    event: 'list-dropped',
+    collection,
+    revision,
+    era,
+    ...(knownRevision !== undefined && { knownRevision }),
+  };
+  return [
+    { type: 'write-log', level: 'info', part: 'store', change },
+    ...continueAfterList(state, progress),
+  ];
 };
 
 /** Handles `page-read`. */
-export const takePage = (state: GatewayState, { page, at }: PageRead): GatewayEffect[] => {
+export const takePage = (state: GatewayState, read: PageRead): GatewayEffect[] => {
+  const { page, at } = read;
   const { collection } = page;
   const progress = state.collections[collection];
   if (isSuperseded(progress, page.revision)) {
-    return dropList(state, progress);
+    return dropList(state, progress, read);
   }
   changedNames(state, page).forEach((name) => progress.untold.add(name));
   const applied = applyObjects(state, page, at, 'store');
   if (isListSuperseded(progress)) {
-    return [...applied, ...dropList(state, progress)];
+    return [...applied, ...dropList(state, progress, read)];
   }
   const { revision: before } = progress;
   const names = page.objects.map(({ name }) => name);
--- /dev/null
+++ b/src/gateway/store/store-position.ts
@@ -0,0 +1,14 @@
+/**
+ * Where the store stands. Its revisions rise with each change, but a store that returns from a copy gives out again
+ * those that it has lost: revisions can be compared within one era only, and eras rise with each such return.
+ */
+
+/** The era that an answer of the store names; undefined for a store, or a gateway of an earlier build, that names none. */
+export type StoreEra = number | undefined;
+
+/** Before every era that is named. */
+const UNNAMED_ERA = -1;
+
+/** Below, at or above 0 as `left` is an earlier, the same or a later era than `right`. */
+export const compareEras = (left: StoreEra, right: StoreEra): number =>
+  (left ?? UNNAMED_ERA) - (right ?? UNNAMED_ERA);
