--- a/test/gateway/reader-network.ts
+++ b/test/gateway/reader-network.ts
@@ -10,7 +10,7 @@
 import { createGatewayState, type GatewayState } from '../../src/gateway/state.js';
 import type { CollectionName, StoreCall, WatchCall } from '../../src/gateway/store/collection.js';
 import type { StoreChanges } from '../../src/gateway/store/store-objects.js';
-import { VirtualStore } from './virtual-store.js';
+import { type StoreCopy, VirtualStore } from './virtual-store.js';
 
 const STORE_MS = 4;
 
@@ -236,6 +236,17 @@
     this.isDeaf = false;
   }
 
+  /** Takes the store away from all gateways, or gives it back. */
+  setStoreAway(isAway: boolean): void {
+    this.nodes.forEach((node) => this.setStore(node, !isAway));
+  }
+
+  /** The store loses what was written since the copy. */
+  returnStore(copy: StoreCopy): void {
+    this.store.returnFrom(copy);
+    this.wakeWatches();
+  }
+
   /** The connections over which gateways watch go silent; nobody is told, and new ones work. */
   silenceWatches(): void {
     this.nodes.forEach((node) => node.watches.clear());
@@ -384,7 +395,13 @@
   private probe(node: VirtualNode, timeoutMs: number): void {
     const answered = node.storeReachable;
     const inMs = answered ? STORE_MS : timeoutMs;
-    this.later(inMs, node, { type: 'probe-ended', at: 0, answered });
+    const { life } = node;
+    this.schedule(inMs, () => {
+      if (node.alive && node.life === life) {
+        const { era } = this.store;
+        this.emit(node, { type: 'probe-ended', at: this.now, answered, ...(answered && { era }) });
+      }
+    });
   }
 
   private followStore(node: VirtualNode, call: CollectionStoreCall): void {
@@ -420,7 +437,8 @@
       node.calls.delete(collection);
       node.watches.delete(collection);
       const event = { type: 'store-call-failed', at: this.now, collection } as const;
-      this.emit(node, { ...event, problem, detail: problem });
+      const era = problem === 'history-gone' ? this.store.era : undefined;
+      this.emit(node, { ...event, problem, detail: problem, era });
     }
   }
 
@@ -433,7 +451,8 @@
     }
     if (call.type === 'list') {
       node.calls.delete(call.collection);
-      this.emit(node, { type: 'page-read', at: this.now, page: this.store.list(call) });
+      const { era } = this.store;
+      this.emit(node, { type: 'page-read', at: this.now, era, page: this.store.list(call) });
       return;
     }
     if (this.losesWatches) {
@@ -455,7 +474,8 @@
     } else if (isWaiting && node.storeReachable) {
       node.watches.delete(call.collection);
       node.calls.delete(call.collection);
-      this.emit(node, { type: 'changes-read', at: this.now, changes: this.endOfWatch(call) });
+      const { era } = this.store;
+      this.emit(node, { type: 'changes-read', at: this.now, era, changes: this.endOfWatch(call) });
     }
   }
 
@@ -484,16 +504,17 @@
     }
     node.watches.delete(collection);
     const { life } = node;
+    const { era } = this.store;
     this.schedule(node.storeMs, () => {
       if (!node.alive || node.life !== life || node.calls.get(collection) !== token) {
         return;
       }
-      if (this.store.hasForgotten(call)) {
+      if (era === this.store.era && this.store.hasForgotten(call)) {
         this.failCall(node, call, token, 'history-gone');
         return;
       }
       node.calls.delete(collection);
-      this.emit(node, { type: 'changes-read', at: this.now, changes });
+      this.emit(node, { type: 'changes-read', at: this.now, era, changes });
     });
   }
 
--- a/test/gateway/virtual-store.ts
+++ b/test/gateway/virtual-store.ts
@@ -17,6 +17,13 @@
   readonly value: Value | undefined;
 }
 
+/** What the store held at one moment. */
+export interface StoreCopy {
+  readonly revision: number;
+  readonly objects: Readonly<Record<CollectionName, ReadonlyMap<string, Value>>>;
+  readonly history: readonly StoredEvent[];
+}
+
 /** A configuration; without routes unless some are given. */
 export const configurationOf = (
   version: number,
@@ -43,9 +50,11 @@
 /** Objects with their history. */
 export class VirtualStore {
   revision = 0;
+  /** Named in all answers; rises with each return from a copy. Undefined: none is named. */
+  era: number | undefined;
   /** Changes up to this revision are forgotten: a watch from before it is told that the history is gone. */
   forgottenUpTo = 0;
-  private readonly objects: Record<CollectionName, Map<string, Value>> = {
+  private objects: Record<CollectionName, Map<string, Value>> = {
     configuration: new Map(),
     replicas: new Map(),
     gateways: new Map(),
@@ -69,8 +78,34 @@
     this.history = [];
   }
 
+  /** Whether a watch asks for changes since a revision whose successors are forgotten, or that was never given out. */
   hasForgotten({ revision }: WatchCall): boolean {
-    return revision < this.forgottenUpTo;
+    return revision < this.forgottenUpTo || revision > this.revision;
+  }
+
+  copy(): StoreCopy {
+    const { revision, objects, history } = this;
+    return {
+      revision,
+      history: [...history],
+      objects: {
+        configuration: new Map(objects.configuration),
+        replicas: new Map(objects.replicas),
+        gateways: new Map(objects.gateways),
+        evacuations: new Map(objects.evacuations),
+      },
+    };
+  }
+
+  /** Loses what was written since the copy; its revisions are given out again, in the next era. */
+  returnFrom({ revision, objects, history }: StoreCopy): void {
+    this.revision = revision;
+    this.era = (this.era ?? 0) + 1;
+    this.history = [...history];
+    const collections = Object.keys(objects) as CollectionName[];
+    for (const collection of collections) {
+      this.objects[collection] = new Map(objects[collection]);
+    }
   }
 
   has(collection: CollectionName, name: string): boolean {
