--- a/src/gateway/effect.ts
+++ b/src/gateway/effect.ts
@@ -6,7 +6,7 @@
 import type { Subquery, SubqueryId, SubqueryPart } from './model/subquery.js';
 import type { ReplicaRecord } from './model/replica-record.js';
 import type { AttemptId, CallerResponse, CallId } from './model/request.js';
-import type { FollowerId, KnownRevisions, ReaderNews } from './readers/reader-news.js';
+import type { FollowerId, KnownPositions, ReaderNews } from './readers/reader-news.js';
 import type { CollectionName, StoreCall } from './store/collection.js';
 
 /** Sends a request to a replica; ends in `attempt-ended`, always, also when aborted. */
@@ -176,7 +176,7 @@
 export interface FollowReader {
   readonly type: 'follow-reader';
   readonly peer: PeerRecord;
-  readonly revisions: KnownRevisions;
+  readonly positions: KnownPositions;
 }
 
 /** Tells a reader that nothing is wanted any more. */
--- a/src/gateway/event.ts
+++ b/src/gateway/event.ts
@@ -12,7 +12,7 @@
   Fingerprint,
   UnreadableProblem,
 } from './model/request.js';
-import type { FollowerId, KnownRevisions, ReaderNews } from './readers/reader-news.js';
+import type { FollowerId, KnownPositions, ReaderNews } from './readers/reader-news.js';
 import type { GatewaySettings } from './settings.js';
 import type { CollectionName } from './store/collection.js';
 import type { StoreChanges, StorePage } from './store/store-objects.js';
@@ -212,8 +212,8 @@
   readonly type: 'follower-joined';
   readonly at: number;
   readonly follower: FollowerId;
-  /** Revisions up to which it knows the collections. */
-  readonly revisions: KnownRevisions;
+  /** Up to where it knows the collections. */
+  readonly positions: KnownPositions;
 }
 
 /** A follower no longer wants to be told, or is gone. */
--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -172,8 +172,26 @@
       /** Others of the same problem since the last line about one. */
       readonly unlogged: number;
     }
-  /** Revisions before and after are not comparable: the store has returned from a copy. */
-  | { readonly event: 'store-era-changed'; readonly era: number; readonly previous: number }
+  | {
+      readonly event: 'store-era-changed';
+      readonly era: number;
+      readonly previous: number;
+      /** Who told it: `store`, or the name of a reader. */
+      readonly from: string;
+    }
+  | {
+      readonly event: 'store-returned';
+      readonly era: number;
+      readonly previous: number;
+      /** How long after the era was first known. */
+      readonly readAfterMs: number;
+      /** The version of the configuration in force. */
+      readonly version: number;
+      /** Objects that the store has lost and that are known on for some seconds, by collection. */
+      readonly missing: Readonly<Record<string, number>>;
+      /** Objects that it holds as they were before, and that are not taken for some seconds, by collection. */
+      readonly older: Readonly<Record<string, number>>;
+    }
   | {
       readonly event: 'list-dropped';
       readonly collection: string;
@@ -186,7 +204,9 @@
       readonly collection: string;
       readonly reader: string;
       readonly revision: number;
+      readonly era?: StoreEra;
       readonly knownRevision: number;
+      readonly knownEra?: StoreEra;
     }
   | { readonly event: 'store-lost' }
   | { readonly event: 'store-regained'; readonly lostForMs: number }
@@ -299,7 +319,10 @@
     'An object of the store has content that this gateway cannot read; what was known of it stays in force.',
   'request-unreadable':
     'A caller sent something that is no request and was refused with `status`; at most ten lines a second for each problem.',
-  'store-era-changed': 'The store has returned from a copy; what it acknowledged last may be gone.',
+  'store-era-changed':
+    'The store has returned from a copy: its revisions go back, and all collections are read anew.',
+  'store-returned':
+    'All collections have been read since the store has returned from a copy; what it lacks or brings back is kept apart.',
   'list-dropped': 'A list of the store was dropped: more is known than it held when it began.',
   'news-dropped': 'What a reader told was dropped: more is known.',
   'store-lost': 'A probe of the store was not answered in time.',
--- a/src/gateway/model/replica-record.ts
+++ b/src/gateway/model/replica-record.ts
@@ -14,6 +14,8 @@
   readonly draining: boolean;
   /** How much longer it is slow after its start, in milliseconds, when it wrote this. */
   readonly coldMs: number;
+  /** When it started, in milliseconds since 1970; absent where its entry does not tell it. */
+  readonly bornAt?: number;
   /** How much longer it is slow as a reader tells it, in milliseconds; absent in what the store holds. */
   readonly coldLeftMs?: number;
 }
@@ -27,4 +29,5 @@
   left.zone === right.zone &&
   left.slots === right.slots &&
   left.draining === right.draining &&
-  left.coldMs === right.coldMs;
+  left.coldMs === right.coldMs &&
+  left.bornAt === right.bornAt;
--- a/src/gateway/peers/follow-gateways.ts
+++ b/src/gateway/peers/follow-gateways.ts
@@ -7,6 +7,7 @@
 import type { RegistrationDue } from '../event.js';
 import { isSamePeerRecord, type PeerRecord } from '../model/peer-record.js';
 import type { GatewayState } from '../state.js';
+import type { CollectionName } from '../store/collection.js';
 
 /** Time for an answer, in milliseconds. */
 const ANSWER_MS = 1_500;
@@ -36,24 +37,54 @@
   };
 };
 
+/** Whether the store holds this gateway's entry as it is now. */
 const holdsOwn = (state: GatewayState): boolean => {
-  const { peers } = state;
+  const { peers, returns } = state;
   const own = ownRecord(state);
   const listed = peers.find(own.name);
-  return listed !== undefined && isSamePeerRecord(listed, own);
+  const isUnconfirmed = returns.unconfirmed.gateways.has(own.name);
+  return listed !== undefined && !isUnconfirmed && isSamePeerRecord(listed, own);
+};
+
+/** Whether the store has an entry of this gateway, whatever it tells. */
+const hasOwn = ({ peers, settings, returns }: GatewayState): boolean => {
+  const unconfirmed = returns.unconfirmed.gateways.get(settings.node);
+  return unconfirmed === undefined
+    ? peers.find(settings.node) !== undefined
+    : unconfirmed.type === 'older';
+};
+
+/**
+ * After a return of the store all gateways may have to write their entries. Each does at a time of its own, so that some
+ * 200 are written a second: platforms take 400 writes a second of all gateways together.
+ */
+const SPREAD_MS_PER_GATEWAY = 5;
+
+/** Chooses when this gateway writes its entry, if the store has lost it. */
+export const spreadRegistration = (
+  { registration, random, gateways }: GatewayState,
+  collection: CollectionName,
+  at: number,
+): void => {
+  if (collection === 'gateways') {
+    registration.notBefore = at + random.next() * gateways * SPREAD_MS_PER_GATEWAY;
+  }
 };
 
 /** Writes this gateway's entry where the list lacks it or has another. */
 export const registerIfMissing = (state: GatewayState, at: number): GatewayEffect[] => {
-  const { peers, registration } = state;
+  const { registration } = state;
   const isExpected = at - registration.writtenAt < CHANGING_INTERVAL_MS;
   const isStopping = state.phase === 'stopping' || state.phase === 'ended';
   if (holdsOwn(state) || isExpected || isStopping) {
     return [];
   }
+  if (at < registration.notBefore) {
+    return [{ type: 'set-registration-timer', at: registration.notBefore }];
+  }
   registration.writtenAt = at;
   const record = ownRecord(state);
-  const replace = peers.find(record.name) !== undefined;
+  const replace = hasOwn(state);
   return [
     { type: 'call-store', call: { type: 'register', record, replace, timeoutMs: ANSWER_MS } },
     { type: 'set-registration-timer', at: at + CHANGING_INTERVAL_MS },
--- a/src/gateway/read-settings.ts
+++ b/src/gateway/read-settings.ts
@@ -26,6 +26,9 @@
   graceMs: fields.number('graceSeconds', 0) * MS_PER_SECOND,
   configurationMs: fields.number('configurationMs', 0),
   ...(fields.has('evacuationMs') && { evacuationMs: fields.number('evacuationMs', 0) }),
+  ...(fields.has('replicaHeartbeatMs') && {
+    replicaHeartbeatMs: fields.number('replicaHeartbeatMs', 0),
+  }),
   ...(fields.has('coldOvershoot') && { coldOvershoot: fields.number('coldOvershoot', 1) }),
   ...(fields.has('coldSlack') && { coldSlack: fields.number('coldSlack', 0) }),
   retryRatio: fields.number('retryRatio', 0),
--- a/src/gateway/readers/reading-state.ts
+++ b/src/gateway/readers/reading-state.ts
@@ -1,7 +1,7 @@
 /** How a gateway learns what the store holds: from the store itself, or from gateways that read it. */
 import type { PeerRecord } from '../model/peer-record.js';
 import type { GatewayBounds } from '../settings.js';
-import type { FollowerId, KnownRevisions } from './reader-news.js';
+import type { FollowerId, KnownPositions } from './reader-news.js';
 
 /**
  * The bounds of the operators are divided like this between the steps of a failure: a reader falls
@@ -49,11 +49,13 @@
   heardAt: number;
   /** Its last word on whether it is current; undefined before its first. */
   isCurrent: boolean | undefined;
+  /** It tells no eras, and this gateway knows one: what it tells cannot be compared. */
+  isIncomparable: boolean;
 }
 
 /** A gateway that this one tells. */
 export interface Follower {
-  readonly revisions: KnownRevisions;
+  readonly positions: KnownPositions;
   /** It was told all that is known; what changes is told from then on. */
   isTold: boolean;
 }
--- a/src/gateway/readers/take-news.ts
+++ b/src/gateway/readers/take-news.ts
@@ -5,57 +5,133 @@
 import type { GatewayEffect } from '../effect.js';
 import type { ReaderTold } from '../event.js';
 import type { BeliefChange } from '../log/log-event.js';
-import { registerIfMissing, takeGatewaysList } from '../peers/follow-gateways.js';
+import {
+  registerIfMissing,
+  spreadRegistration,
+  takeGatewaysList,
+} from '../peers/follow-gateways.js';
+import {
+  awaitGone,
+  awaitNames,
+  awaitUnlisted,
+  isKnownOrDeparted,
+  withholdOlder,
+} from '../returns/cross-era.js';
+import { noteEra, noteReturnRead } from '../returns/note-era.js';
 import { collectionsOf, type GatewayState } from '../state.js';
 import { applyObjects, applyWholeList, forgetGoneReplicas } from '../store/apply-objects.js';
-import { changedNames, unlistedNames } from '../store/list-changes.js';
+import {
+  callNow,
+  type CollectionProgress,
+  isOfEarlierEra,
+  positionOf,
+} from '../store/follow-collection.js';
+import { changedNames, unlistedNames, withAwaited } from '../store/list-changes.js';
+import type { Stored, StoreObjects } from '../store/store-objects.js';
+import { comparePositions, type StorePosition } from '../store/store-position.js';
 import type { CollectionChanges, CollectionSnapshot, ReaderStatus } from './reader-news.js';
 import type { Source } from './reading-state.js';
-import { knownRevisions, tellChanges, tellNamed } from './tell-followers.js';
+import { knownPositions, tellChanges, tellNamed } from './tell-followers.js';
 
 /** What is told twice is dropped without a word; what is older than what is known is worth a line. */
 const dropNews = (
-  reader: string,
-  { collection, revision }: CollectionSnapshot | CollectionChanges,
-  knownRevision: number,
+  { collections }: GatewayState,
+  source: Source,
+  { collection, era, revision }: CollectionSnapshot | CollectionChanges,
 ): GatewayEffect[] => {
+  const known = collections[collection];
+  source.isIncomparable ||= era === undefined && known.era !== undefined;
+  if (era === known.era && revision === known.revision) {
+    return [];
+  }
   const change: BeliefChange = {
     event: 'news-dropped',
     collection,
-    reader,
+    reader: source.peer.name,
     revision,
-    knownRevision,
+    era,
+    knownRevision: known.revision ?? 0,
+    knownEra: known.era,
   };
-  return revision === knownRevision
-    ? []
-    : [{ type: 'write-log', level: 'info', part: 'store', change }];
+  return [{ type: 'write-log', level: 'info', part: 'store', change }];
 };
 
-const takeSnapshot = (
+/** A watch that waits was made from an earlier position, maybe of another era: another one takes its place. */
+const watchAnew = (
+  { reading, store }: GatewayState,
+  progress: CollectionProgress,
+): GatewayEffect[] => (reading.isReading && store.reachable ? [callNow(progress)] : []);
+
+/** Takes the objects of a snapshot that the store does not list, where nothing is known of them here. */
+const takeAwaited = (
   state: GatewayState,
   { peer }: Source,
   snapshot: CollectionSnapshot,
   at: number,
 ): GatewayEffect[] => {
-  const { collection, revision, objects } = snapshot;
+  const { collection, awaited = [] } = snapshot;
+  if (awaited.length === 0) {
+    return [];
+  }
+  const all: readonly Stored<unknown>[] = snapshot.objects;
+  const isNew = ({ name }: Stored<unknown>): boolean =>
+    awaited.includes(name) && !isKnownOrDeparted(state, collection, name);
+  // The objects are some of the snapshot's; the union of collections cannot say so.
+  const taken = { collection, objects: all.filter(isNew) } as StoreObjects;
+  const applied = applyObjects(state, taken, at, peer.name);
+  awaitNames(state, collection, awaited, at);
+  return applied;
+};
+
+/** The snapshot without the objects that the store does not list. */
+const listedPart = (snapshot: CollectionSnapshot): CollectionSnapshot => {
+  const awaited = new Set(snapshot.awaited);
+  const objects: readonly Stored<unknown>[] = snapshot.objects;
+  // The objects are some of the snapshot's; the union of collections cannot say so.
+  return {
+    ...snapshot,
+    objects: objects.filter(({ name }) => !awaited.has(name)),
+  } as CollectionSnapshot;
+};
+
+const takeSnapshot = (
+  state: GatewayState,
+  source: Source,
+  told: CollectionSnapshot,
+  at: number,
+): GatewayEffect[] => {
+  const { collection, revision, era } = told;
   const progress = state.collections[collection];
-  if (progress.revision !== undefined && revision <= progress.revision) {
-    return dropNews(peer.name, snapshot, progress.revision);
+  const before = positionOf(progress);
+  if (before !== undefined && comparePositions({ era, revision }, before) <= 0) {
+    return dropNews(state, source, told);
   }
-  const { revision: before } = progress;
-  const listed = new Set(objects.map(({ name }) => name));
+  const hasReturned = isOfEarlierEra(progress, era);
+  const snapshot = listedPart(told);
+  const listed = new Set(snapshot.objects.map(({ name }) => name));
+  const present = hasReturned ? listed : withAwaited(state, collection, listed);
   const changed = new Set([
     ...changedNames(state, snapshot),
-    ...unlistedNames(state, collection, listed),
+    ...unlistedNames(state, collection, present),
     ...progress.untold,
   ]);
   progress.revision = revision;
+  progress.era = era;
   progress.isListed = true;
+  const taken = hasReturned ? withholdOlder(state, snapshot, at) : snapshot;
+  const applied = applyObjects(state, taken, at, source.peer.name);
+  if (hasReturned) {
+    awaitUnlisted(state, collection, listed, at);
+    spreadRegistration(state, collection, at);
+  }
+  const awaited = takeAwaited(state, source, told, at);
   return [
-    ...applyObjects(state, snapshot, at, peer.name),
-    ...applyWholeList(state, collection, listed, at),
+    ...applied,
+    ...awaited,
+    ...applyWholeList(state, collection, withAwaited(state, collection, listed), at),
     ...tellNamed(state, collection, changed, before, at),
     ...(collection === 'gateways' ? takeGatewaysList(state, at) : []),
+    ...(hasReturned ? watchAnew(state, progress) : []),
   ];
 };
 
@@ -63,30 +139,53 @@
 const askAgain = (state: GatewayState, { peer }: Source): GatewayEffect => ({
   type: 'follow-reader',
   peer,
-  revisions: knownRevisions(state),
+  positions: knownPositions(state),
 });
 
+/**
+ * Whether changes go on from what is known. Those that a reader found when the store had returned from a copy do only for
+ * a gateway that knows just what the reader knew.
+ */
+const continues = ({ after, afterEra, era }: CollectionChanges, known: StorePosition): boolean =>
+  afterEra === era && known.era === era
+    ? after <= known.revision
+    : comparePositions({ era: afterEra, revision: after }, known) === 0;
+
+/**
+ * Takes changes. Those that end where this gateway stands are a reader's decision about what the store has lost or brought
+ * back; they are not passed on, since gateways may follow one another.
+ */
 const takeReaderChanges = (
   state: GatewayState,
   source: Source,
-  changes: CollectionChanges,
+  told: CollectionChanges,
   at: number,
 ): GatewayEffect[] => {
-  const { collection, revision, after } = changes;
+  const { collection, revision, era } = told;
   const progress = state.collections[collection];
-  if (progress.revision === undefined || after > progress.revision) {
+  const before = positionOf(progress);
+  if (before !== undefined && comparePositions({ era, revision }, before) < 0) {
+    return dropNews(state, source, told);
+  }
+  if (before === undefined || !continues(told, before)) {
     return [askAgain(state, source)];
   }
-  const { revision: before } = progress;
-  if (revision <= before) {
-    return dropNews(source.peer.name, changes, before);
+  if (comparePositions({ era, revision }, before) === 0) {
+    return applyObjects(state, told, at, source.peer.name);
   }
+  const hasReturned = isOfEarlierEra(progress, era);
   progress.revision = revision;
+  progress.era = era;
+  const changes = hasReturned ? awaitGone(state, withholdOlder(state, told, at), at) : told;
+  if (hasReturned) {
+    spreadRegistration(state, collection, at);
+  }
   return [
     ...applyObjects(state, changes, at, source.peer.name),
-    ...tellChanges(state, changes, before),
+    ...tellChanges(state, told, before, at),
     ...forgetGoneReplicas(state, at),
     ...(collection === 'gateways' ? registerIfMissing(state, at) : []),
+    ...(hasReturned ? watchAnew(state, progress) : []),
   ];
 };
 
@@ -122,12 +221,15 @@
     return [];
   }
   source.heardAt = at;
-  switch (news.type) {
-    case 'status':
-      return takeStatus(state, source, news, at);
-    case 'snapshot':
-      return takeSnapshot(state, source, news, at);
-    case 'changes':
-      return takeReaderChanges(state, source, news, at);
+  if (news.type === 'status') {
+    return takeStatus(state, source, news, at);
   }
+  const { era, eraAgeMs = 0, collection } = news;
+  return [
+    ...noteEra(state, era, { from: reader, collection, since: at - eraAgeMs }),
+    ...(news.type === 'snapshot'
+      ? takeSnapshot(state, source, news, at)
+      : takeReaderChanges(state, source, news, at)),
+    ...noteReturnRead(state, at),
+  ];
 };
--- a/src/gateway/readers/tell-followers.ts
+++ b/src/gateway/readers/tell-followers.ts
@@ -4,12 +4,15 @@
 import { collectionsOf, type GatewayState } from '../state.js';
 import type { CollectionName } from '../store/collection.js';
 import { confirmedAt } from '../store/confirmation.js';
+import { positionOf } from '../store/follow-collection.js';
+import { awaitedNames } from '../store/list-changes.js';
 import { isDeaf } from '../store/note-failure.js';
 import type { Stored, StoreChanges, StoreObjects } from '../store/store-objects.js';
+import { comparePositions, type StoreEra, type StorePosition } from '../store/store-position.js';
 import type {
   CollectionSnapshot,
   FollowerId,
-  KnownRevisions,
+  KnownPositions,
   ReaderNews,
   ReaderStatus,
 } from './reader-news.js';
@@ -52,15 +55,32 @@
   }
 };
 
+/** What news of the era tell. */
+const newsEra = (
+  { returns }: GatewayState,
+  era: StoreEra,
+  at: number,
+): Pick<CollectionSnapshot, 'era' | 'eraAgeMs'> =>
+  era === undefined ? {} : { era, eraAgeMs: Math.max(0, at - returns.eraSince) };
+
 const snapshotOf = (
   state: GatewayState,
   collection: CollectionName,
   at: number,
 ): CollectionSnapshot | undefined => {
-  const { revision } = state.collections[collection];
-  return revision === undefined
-    ? undefined
-    : { type: 'snapshot', ...objectsOf(state, collection, at), revision };
+  const position = positionOf(state.collections[collection]);
+  if (position === undefined) {
+    return undefined;
+  }
+  const { era, revision } = position;
+  const awaited = awaitedNames(state, collection);
+  return {
+    type: 'snapshot',
+    ...objectsOf(state, collection, at),
+    revision,
+    ...newsEra(state, era, at),
+    ...(awaited.length > 0 && { awaited }),
+  };
 };
 
 const isComplete = (state: GatewayState): boolean =>
@@ -77,12 +97,12 @@
 const isCurrent = (state: GatewayState): boolean =>
   state.reading.isReading && canRead(state) && isComplete(state);
 
-/** Revisions up to which this gateway knows the collections. */
-export const knownRevisions = (state: GatewayState): KnownRevisions =>
+/** Up to where this gateway knows the collections. */
+export const knownPositions = (state: GatewayState): KnownPositions =>
   Object.fromEntries(
     collectionsOf(state).flatMap((name) => {
-      const { revision } = state.collections[name];
-      return revision === undefined ? [] : [[name, revision]];
+      const position = positionOf(state.collections[name]);
+      return position === undefined ? [] : [[name, position]];
     }),
   );
 
@@ -106,9 +126,11 @@
   followers: readonly FollowerId[],
   name: CollectionName,
 ): readonly FollowerId[] =>
-  followers.filter(
-    (id) => reading.followers.get(id)?.revisions[name] !== collections[name].revision,
-  );
+  followers.filter((id) => {
+    const told = reading.followers.get(id)?.positions[name];
+    const known = positionOf(collections[name]);
+    return told === undefined || known === undefined || comparePositions(told, known) !== 0;
+  });
 
 /** Tells those that have just come all that they lack, once this gateway knows it. */
 export const tellNewcomers = (state: GatewayState, at: number): GatewayEffect[] => {
@@ -122,7 +144,7 @@
     const snapshot = lackingIt.length === 0 ? undefined : snapshotOf(state, name, at);
     return snapshot === undefined ? [] : tell(lackingIt, snapshot);
   });
-  newcomers.forEach((id) => followers.set(id, { revisions: {}, isTold: true }));
+  newcomers.forEach((id) => followers.set(id, { positions: {}, isTold: true }));
   return [...snapshots, ...tell(newcomers, statusOf(state, at))];
 };
 
@@ -138,14 +160,28 @@
   return [...told, ...tellNewcomers(state, at)];
 };
 
-/** Tells what a watch has returned. */
+/** Tells what has changed since a position. */
 export const tellChanges = (
   state: GatewayState,
   changes: StoreChanges,
-  after: number,
-): GatewayEffect[] => tell(toldFollowers(state), { type: 'changes', ...changes, after });
+  { era: afterEra, revision: after }: StorePosition,
+  at: number,
+): GatewayEffect[] => {
+  const { collection, objects, revision } = changes;
+  const { era } = state.collections[collection];
+  // Objects and collection go together in `changes`; the union of collections cannot say so.
+  const read = { collection, objects } as StoreObjects;
+  return tell(toldFollowers(state), {
+    type: 'changes',
+    ...read,
+    revision,
+    after,
+    ...(afterEra !== undefined && { afterEra }),
+    ...newsEra(state, era, at),
+  });
+};
 
-/** The named objects as they are known now; those that are not known are gone. */
+/** The named objects as they are known now; those that are not known, or that the store does not list, are gone. */
 const objectsNamed = (
   state: GatewayState,
   collection: CollectionName,
@@ -156,7 +192,8 @@
   if (known.collection === 'configuration') {
     return names.size === 0 ? { collection: known.collection, objects: [] } : known;
   }
-  const present = known.objects.filter(({ name }) => names.has(name));
+  const awaited = new Set(awaitedNames(state, collection));
+  const present = known.objects.filter(({ name }) => names.has(name) && !awaited.has(name));
   const presentNames = new Set(present.map(({ name }) => name));
   const gone = [...names].filter((name) => !presentNames.has(name));
   const objects: readonly Stored<unknown>[] = [
@@ -168,30 +205,24 @@
 };
 
 /**
- * Tells what has changed in a collection since the revision `after`, by the names of what has: nothing is told
+ * Tells what has changed in a collection since the position `after`, by the names of what has: nothing is told
  * again that followers know. Where nothing was known before, all of it is told.
  */
 export const tellNamed = (
   state: GatewayState,
   collection: CollectionName,
   names: ReadonlySet<string>,
-  after: number | undefined,
+  after: StorePosition | undefined,
   at: number,
 ): GatewayEffect[] => {
   const { revision } = state.collections[collection];
   if (after === undefined || revision === undefined) {
     return tellSnapshot(state, collection, at);
   }
-  const followers = toldFollowers(state);
   const changes =
-    followers.length === 0
+    toldFollowers(state).length === 0
       ? []
-      : tell(followers, {
-          type: 'changes',
-          ...objectsNamed(state, collection, names, at),
-          revision,
-          after,
-        });
+      : tellChanges(state, { ...objectsNamed(state, collection, names, at), revision }, after, at);
   return [...changes, ...tellNewcomers(state, at)];
 };
 
@@ -213,9 +244,9 @@
 /** Handles `follower-joined`; one that missed something joins again. */
 export const takeFollower = (
   state: GatewayState,
-  { follower, revisions, at }: FollowerJoined,
+  { follower, positions, at }: FollowerJoined,
 ): GatewayEffect[] => {
-  state.reading.followers.set(follower, { revisions, isTold: false });
+  state.reading.followers.set(follower, { positions, isTold: false });
   return tellNewcomers(state, at);
 };
 
--- a/src/gateway/readers/update-reading.ts
+++ b/src/gateway/readers/update-reading.ts
@@ -7,13 +7,14 @@
 import type { GatewayEffect } from '../effect.js';
 import type { BeliefChange } from '../log/log-event.js';
 import type { PeerRecord } from '../model/peer-record.js';
+import { settleUnconfirmed } from '../returns/unconfirmed.js';
 import { collectionsOf, type GatewayState, isInformed } from '../state.js';
 import { resumeCollections } from '../store/apply-collections.js';
 import { stopFollowing } from '../store/follow-collection.js';
 import { probeIfWanted } from '../store/probe-store.js';
 import { readerCandidates, seedCandidates } from './candidates.js';
 import { followTiming, type Source } from './reading-state.js';
-import { canRead, knownRevisions, tellStatus } from './tell-followers.js';
+import { canRead, knownPositions, tellStatus } from './tell-followers.js';
 
 /**
  * Time in which the list of gateways must have come from the store, in milliseconds. When all start for
@@ -47,7 +48,8 @@
   if (source.isCurrent === undefined) {
     return at - source.askedAt < firstWordMs ? 'pending' : 'lost';
   }
-  return source.isCurrent && at - source.heardAt <= silenceMs ? 'current' : 'lost';
+  const isTimely = source.isCurrent && at - source.heardAt <= silenceMs;
+  return isTimely && !source.isIncomparable ? 'current' : 'lost';
 };
 
 /** Whether a gateway that is no candidate may read the store itself, now that all candidates have failed. */
@@ -105,11 +107,17 @@
 };
 
 const followAnew = (state: GatewayState, peer: PeerRecord, at: number): GatewayEffect[] => {
-  const source: Source = { peer, askedAt: at, heardAt: at, isCurrent: undefined };
+  const source: Source = {
+    peer,
+    askedAt: at,
+    heardAt: at,
+    isCurrent: undefined,
+    isIncomparable: false,
+  };
   state.reading.sources.set(peer.name, source);
   const change: BeliefChange = { event: 'reader-followed', reader: peer.name };
   return [
-    { type: 'follow-reader', peer, revisions: knownRevisions(state) },
+    { type: 'follow-reader', peer, positions: knownPositions(state) },
     { type: 'write-log', level: 'info', part: 'store', change },
   ];
 };
@@ -170,6 +178,7 @@
 
 /** Handles `reading-due`. */
 export const takeReadingDue = (state: GatewayState, at: number): GatewayEffect[] => [
+  ...settleUnconfirmed(state, at),
   ...updateReading(state, at),
   { type: 'set-reading-timer', at: at + followTiming(state.settings.bounds).firstWordMs },
 ];
--- a/src/gateway/reducer.ts
+++ b/src/gateway/reducer.ts
@@ -16,6 +16,7 @@
   takeReadingDue,
   updateReading,
 } from './readers/update-reading.js';
+import { noteEra } from './returns/note-era.js';
 import { preconnectReplicas } from './replicas/preconnect.js';
 import { acceptHeldRequests, acceptRequest } from './requests/accept-request.js';
 import { acceptSubquery, takeSubqueryCancelled } from './requests/accept-subquery.js';
@@ -38,8 +39,9 @@
   takePage,
   takeStoreFailure,
 } from './store/apply-collections.js';
-import { noteEra } from './store/note-era.js';
+import type { CollectionName } from './store/collection.js';
 import { takeProbe, takeProbeDue } from './store/probe-store.js';
+import type { StoreEra } from './store/store-position.js';
 
 const start = (state: GatewayState, { at }: Started): GatewayEffect[] => {
   state.startedAt = at;
@@ -47,6 +49,18 @@
   return [...listCollections(state), ...takeReadingDue(state, at)];
 };
 
+/** Takes note of the era that an answer of the store names. */
+const noteStoreEra = (
+  state: GatewayState,
+  { era, at }: { readonly era?: StoreEra; readonly at: number },
+  collection?: CollectionName,
+): GatewayEffect[] =>
+  noteEra(state, era, {
+    from: 'store',
+    since: at,
+    ...(collection !== undefined && { collection }),
+  });
+
 /** What follows when more of the store is known, wherever it came from. */
 const useKnowledge = (state: GatewayState, at: number): GatewayEffect[] => [
   ...acceptHeldRequests(state, at),
@@ -76,27 +90,27 @@
     ])
     .with({ type: 'request-due' }, (due) => takeRequestDue(state, due))
     .with({ type: 'page-read' }, (read) => [
-      ...noteEra(state, read.era),
+      ...noteStoreEra(state, read, read.page.collection),
       ...takePage(state, read),
       ...useKnowledge(state, read.at),
     ])
     .with({ type: 'changes-read' }, (read) => [
-      ...noteEra(state, read.era),
+      ...noteStoreEra(state, read, read.changes.collection),
       ...takeChanges(state, read),
       ...useKnowledge(state, read.at),
     ])
     .with({ type: 'store-call-failed' }, (failed) => [
-      ...noteEra(state, failed.era),
+      ...noteStoreEra(state, failed, failed.collection),
       ...takeStoreFailure(state, failed),
       ...refuseAllHeld(state, failed.at),
     ])
     .with({ type: 'collection-due' }, (due) => takeCollectionDue(state, due))
     .with({ type: 'probe-due' }, () => takeProbeDue(state))
-    .with({ type: 'probe-ended' }, ({ answered, era, at }) => [
-      ...noteEra(state, era),
-      ...takeProbe(state, answered, at),
-      ...refuseAllHeld(state, at),
-      ...updateReading(state, at),
+    .with({ type: 'probe-ended' }, (ended) => [
+      ...noteStoreEra(state, ended),
+      ...takeProbe(state, ended.answered, ended.at),
+      ...refuseAllHeld(state, ended.at),
+      ...updateReading(state, ended.at),
     ])
     .with({ type: 'registration-due' }, (due) => takeRegistrationDue(state, due))
     .with({ type: 'reading-due' }, ({ at }) => takeReadingDue(state, at))
--- /dev/null
+++ b/src/gateway/returns/cross-era.ts
@@ -0,0 +1,175 @@
+/**
+ * Reads a collection for the first time since the store has returned from a copy: what the copy lacks or brings back is
+ * kept apart until it is confirmed, or its time is over.
+ */
+import { isSamePeerRecord, type PeerRecord } from '../model/peer-record.js';
+import type { ReplicaRecord } from '../model/replica-record.js';
+import type { GatewayState } from '../state.js';
+import type { CollectionName } from '../store/collection.js';
+import { unlistedNames } from '../store/list-changes.js';
+import type { Stored, StoreObjects } from '../store/store-objects.js';
+import { awaitedUntil, type UnconfirmedObject, withheldUntil } from './return-state.js';
+
+const startedAgain = (listed: number | undefined, known: number | undefined): boolean =>
+  listed !== undefined && known !== undefined && listed > known;
+
+const startedBefore = (listed: number | undefined, known: number | undefined): boolean =>
+  listed !== undefined && known !== undefined && listed < known;
+
+/** Whether the entry brings a replica back that has left, or that drains, or an earlier start of it. */
+const isOlderReplica = (
+  { replicas, returns }: GatewayState,
+  { id, bornAt, draining }: ReplicaRecord,
+): boolean => {
+  const known = replicas.find(id);
+  const departed = returns.departedReplicas.get(id);
+  const knownBornAt = known?.record.bornAt ?? departed?.bornAt;
+  if (startedAgain(bornAt, knownBornAt)) {
+    return false;
+  }
+  if (startedBefore(bornAt, knownBornAt)) {
+    return true;
+  }
+  if (known === undefined) {
+    return departed !== undefined;
+  }
+  return known.goneAt !== undefined || (known.record.draining && !draining);
+};
+
+const isOlderGateway = (
+  { peers, settings }: GatewayState,
+  { name, value }: Stored<PeerRecord>,
+): boolean => {
+  const known = peers.find(name);
+  const differs = value === undefined || known === undefined || !isSamePeerRecord(known, value);
+  return name === settings.node ? differs : known !== undefined && differs;
+};
+
+const olderNames = (state: GatewayState, read: StoreObjects): ReadonlySet<string> => {
+  switch (read.collection) {
+    case 'configuration':
+      return new Set();
+    case 'replicas':
+      return new Set(
+        read.objects
+          .filter(({ value }) => value !== undefined && isOlderReplica(state, value))
+          .map(({ name }) => name),
+      );
+    case 'gateways':
+      return new Set(
+        read.objects
+          .filter((object) => !object.gone && isOlderGateway(state, object))
+          .map(({ name }) => name),
+      );
+    case 'evacuations':
+      return new Set(
+        read.objects
+          .filter(({ name, gone }) => !gone && !state.evacuatedZones.has(name))
+          .map(({ name }) => name)
+          .filter((name) => state.returns.reopenedZones.has(name)),
+      );
+  }
+};
+
+const note = (
+  { returns }: GatewayState,
+  collection: CollectionName,
+  name: string,
+  object: UnconfirmedObject,
+): void => {
+  returns.unconfirmed[collection].set(name, object);
+  const counts = returns.ongoing?.[object.type];
+  counts?.set(collection, (counts.get(collection) ?? 0) + 1);
+};
+
+/** The objects without those that the copy brings back; these are kept apart. */
+export const withholdOlder = <Read extends StoreObjects>(
+  state: GatewayState,
+  read: Read,
+  at: number,
+): Read => {
+  const { collection } = read;
+  const until = withheldUntil(state.returns, collection, state.settings.bounds);
+  const older = at < until ? olderNames(state, read) : new Set<string>();
+  if (older.size === 0) {
+    return read;
+  }
+  const all: readonly Stored<unknown>[] = read.objects;
+  all
+    .filter(({ name }) => older.has(name))
+    .forEach((stored) => note(state, collection, stored.name, { type: 'older', until, stored }));
+  return { ...read, objects: all.filter(({ name }) => !older.has(name)) };
+};
+
+/** Keeps the named objects, which the copy lacks, as they are known. */
+export const awaitNames = (
+  state: GatewayState,
+  collection: CollectionName,
+  names: readonly string[],
+  at: number,
+): void => {
+  const until = awaitedUntil(state.returns, collection);
+  if (at < until) {
+    names.forEach((name) => note(state, collection, name, { type: 'missing', until }));
+  }
+};
+
+/** Keeps what is known and the list lacks. */
+export const awaitUnlisted = (
+  state: GatewayState,
+  collection: CollectionName,
+  listed: ReadonlySet<string>,
+  at: number,
+): void => awaitNames(state, collection, unlistedNames(state, collection, listed), at);
+
+const isKnown = (state: GatewayState, collection: CollectionName, name: string): boolean => {
+  switch (collection) {
+    case 'configuration':
+      return false;
+    case 'replicas': {
+      const known = state.replicas.find(name);
+      return known !== undefined && known.goneAt === undefined;
+    }
+    case 'gateways':
+      return state.peers.names().includes(name);
+    case 'evacuations':
+      return state.evacuatedZones.has(name);
+  }
+};
+
+/** Whether this gateway knows more of an object that the copy lacks than a reader can tell it. */
+export const isKnownOrDeparted = (
+  state: GatewayState,
+  collection: CollectionName,
+  name: string,
+): boolean => {
+  const { departedReplicas, reopenedZones } = state.returns;
+  return (
+    isKnown(state, collection, name) ||
+    (collection === 'replicas' && departedReplicas.has(name)) ||
+    (collection === 'evacuations' && reopenedZones.has(name))
+  );
+};
+
+/**
+ * News of the first list of an era say `gone` of what it lacked. What is known of these objects is kept; the result are
+ * the other objects.
+ */
+export const awaitGone = <Read extends StoreObjects>(
+  state: GatewayState,
+  read: Read,
+  at: number,
+): Read => {
+  const { collection } = read;
+  const all: readonly Stored<unknown>[] = read.objects;
+  const isKept = ({ name, gone }: Stored<unknown>): boolean =>
+    gone && isKnown(state, collection, name);
+  const kept = at < awaitedUntil(state.returns, collection) ? all.filter(isKept) : [];
+  awaitNames(
+    state,
+    collection,
+    kept.map(({ name }) => name),
+    at,
+  );
+  return { ...read, objects: all.filter((object) => !kept.includes(object)) };
+};
--- /dev/null
+++ b/src/gateway/returns/note-era.ts
@@ -0,0 +1,87 @@
+/** Notes the era of the store: a later one than before tells that it has returned from a copy. */
+import type { GatewayEffect } from '../effect.js';
+import type { BeliefChange } from '../log/log-event.js';
+import { collectionsOf, type GatewayState } from '../state.js';
+import type { CollectionName } from '../store/collection.js';
+import { beginList, callNow, isOfEarlierEra } from '../store/follow-collection.js';
+import { compareEras, type StoreEra } from '../store/store-position.js';
+
+/** Whence an era is known. */
+export interface EraSource {
+  /** `store`, or the name of a gateway. */
+  readonly from: string;
+  /** The collection that was being read: what came of it says how it is read on. */
+  readonly collection?: CollectionName;
+  /** When the era was first known, to this gateway or to the one that told it. */
+  readonly since: number;
+}
+
+/** A reader lists at once what it knows of an earlier era: its watches would not tell what the store has lost. */
+const listAll = (state: GatewayState, except: CollectionName | undefined): GatewayEffect[] => {
+  const { store, reading, collections } = state;
+  if (!reading.isReading || !store.reachable) {
+    return [];
+  }
+  const behind = collectionsOf(state)
+    .filter((name) => name !== except)
+    .map((name) => collections[name])
+    .filter((progress) => isOfEarlierEra(progress, store.era));
+  behind.forEach(beginList);
+  return behind.map(callNow);
+};
+
+/** Takes note of an era that an answer of the store, or a reader, names. */
+export const noteEra = (
+  state: GatewayState,
+  era: StoreEra,
+  { from, collection, since }: EraSource,
+): GatewayEffect[] => {
+  const { store, returns } = state;
+  const { era: previous } = store;
+  const order = era === undefined ? -1 : compareEras(era, previous);
+  if (order === 0) {
+    returns.eraSince = Math.min(returns.eraSince, since);
+  }
+  if (era === undefined || order <= 0) {
+    return [];
+  }
+  store.era = era;
+  returns.eraSince = since;
+  if (previous === undefined) {
+    return listAll(state, collection);
+  }
+  const { ongoing } = returns;
+  returns.ongoing = {
+    previousEra: ongoing?.previousEra ?? previous,
+    missing: new Map(),
+    older: new Map(),
+  };
+  const change: BeliefChange = { event: 'store-era-changed', era, previous, from };
+  return [
+    { type: 'write-log', level: 'info', part: 'store', change },
+    ...listAll(state, collection),
+  ];
+};
+
+/** Says what a return has changed, once all collections have been read since. */
+export const noteReturnRead = (state: GatewayState, at: number): GatewayEffect[] => {
+  const { returns, store, collections, inForce } = state;
+  const { ongoing, eraSince } = returns;
+  const isBehind = collectionsOf(state).some((name) =>
+    isOfEarlierEra(collections[name], store.era),
+  );
+  if (ongoing === undefined || store.era === undefined || isBehind) {
+    return [];
+  }
+  returns.ongoing = undefined;
+  const change: BeliefChange = {
+    event: 'store-returned',
+    era: store.era,
+    previous: ongoing.previousEra,
+    readAfterMs: Math.round(at - eraSince),
+    version: inForce?.configuration.version ?? 0,
+    missing: Object.fromEntries(ongoing.missing),
+    older: Object.fromEntries(ongoing.older),
+  };
+  return [{ type: 'write-log', level: 'info', part: 'store', change }];
+};
--- /dev/null
+++ b/src/gateway/returns/return-state.ts
@@ -0,0 +1,109 @@
+/**
+ * What is remembered for a return of the store from a copy that is some seconds old. The copy lacks what was written
+ * after it and brings back what had changed since; operators and replicas write theirs again within seconds, gateways
+ * their own entries. Until then what this gateway knows better holds.
+ */
+import type { GatewayBounds } from '../settings.js';
+import type { CollectionName } from '../store/collection.js';
+import type { Stored } from '../store/store-objects.js';
+
+/**
+ * Replicas that live and reach the store are in it again within about two seconds of its return, and operators write
+ * theirs as soon; in milliseconds.
+ */
+const REWRITE_MS = 2_000;
+
+/**
+ * Gateways that are out of touch write their entries later, in milliseconds: one that is forgotten too early has its share
+ * of the budgets given to others while it still uses it.
+ */
+const GATEWAY_REWRITE_MS = 10_000;
+
+/** Entries of replicas that have ended lapse after so many heartbeats without a write. */
+const LAPSE_HEARTBEATS = 3;
+
+/** Time between two heartbeats of a replica where the settings do not tell it, in milliseconds. */
+const ASSUMED_HEARTBEAT_MS = 2_000;
+
+/** Copies are up to 10 s old, and the store is away for some seconds before it returns; in milliseconds. */
+const REMEMBER_MS = 30_000;
+
+/**
+ * An object of which the copy holds something else than this gateway knows. `missing`: the copy lacks it; it is known on.
+ * `older`: the copy has it as it was before, which is not taken. Both until the time `until`, when what the store holds is
+ * taken.
+ */
+export type UnconfirmedObject =
+  | { readonly type: 'missing'; readonly until: number }
+  | { readonly type: 'older'; readonly until: number; readonly stored: Stored<unknown> };
+
+/** What has gone lately: a copy may bring it back. */
+export interface Departed {
+  readonly at: number;
+  /** When the replica started, in milliseconds since 1970; absent where its entry did not tell it. */
+  readonly bornAt?: number;
+}
+
+/** A return of which not all collections have been read since. */
+export interface OngoingReturn {
+  readonly previousEra: number;
+  /** Objects that the copy lacks and that are known on, by collection. */
+  readonly missing: Map<CollectionName, number>;
+  /** Objects that the copy brings back and that are not taken, by collection. */
+  readonly older: Map<CollectionName, number>;
+}
+
+/** All that is remembered for returns. */
+export interface ReturnState {
+  readonly unconfirmed: Readonly<Record<CollectionName, Map<string, UnconfirmedObject>>>;
+  readonly departedReplicas: Map<string, Departed>;
+  readonly reopenedZones: Map<string, Departed>;
+  /** When this gateway, or one that told it, first knew of the era. */
+  eraSince: number;
+  ongoing: OngoingReturn | undefined;
+}
+
+/** Nothing is remembered. */
+export const createReturnState = (): ReturnState => ({
+  unconfirmed: {
+    configuration: new Map(),
+    replicas: new Map(),
+    gateways: new Map(),
+    evacuations: new Map(),
+  },
+  departedReplicas: new Map(),
+  reopenedZones: new Map(),
+  eraSince: Number.NEGATIVE_INFINITY,
+  ongoing: undefined,
+});
+
+/** Until when an object that the copy lacks is known on. */
+export const awaitedUntil = ({ eraSince }: ReturnState, collection: CollectionName): number =>
+  eraSince + (collection === 'gateways' ? GATEWAY_REWRITE_MS : REWRITE_MS);
+
+/** Until when an object that the copy brings back is not taken. */
+export const withheldUntil = (
+  returns: ReturnState,
+  collection: CollectionName,
+  { replicaHeartbeatMs = ASSUMED_HEARTBEAT_MS }: GatewayBounds,
+): number => {
+  const lapseMs = LAPSE_HEARTBEATS * replicaHeartbeatMs;
+  return collection === 'replicas'
+    ? returns.eraSince + REWRITE_MS + lapseMs
+    : awaitedUntil(returns, collection);
+};
+
+/** Forgets what departed too long ago for a copy to bring it back. */
+export const forgetDeparted = (
+  { departedReplicas, reopenedZones }: ReturnState,
+  at: number,
+): void => {
+  for (const departed of [departedReplicas, reopenedZones]) {
+    for (const [name, { at: departedAt }] of departed) {
+      if (departedAt >= at - REMEMBER_MS) {
+        break;
+      }
+      departed.delete(name);
+    }
+  }
+};
--- a/src/gateway/runtime/peers/news-shape.ts
+++ b/src/gateway/runtime/peers/news-shape.ts
@@ -74,6 +74,7 @@
   hasTexts(value, ['id', 'service', 'host', 'zone']) &&
   hasNumbers(value, ['port', 'slots', 'coldMs']) &&
   isOptional(value['coldLeftMs'], isFiniteNumber) &&
+  isOptional(value['bornAt'], isFiniteNumber) &&
   isFlag(value['draining']);
 
 const isAddress: Check = (value) =>
@@ -114,6 +115,9 @@
   return check !== undefined && isListOf(objects, isObjectWith(check));
 };
 
+const hasEra = ({ era, eraAgeMs }: Fields): boolean =>
+  isOptional(era, isFiniteNumber) && isOptional(eraAgeMs, isFiniteNumber);
+
 /** Whether a value is news of a reader. */
 export const isNews: Check = (value) => {
   if (!isFields(value)) {
@@ -123,9 +127,19 @@
     case 'status':
       return isFlag(value['isCurrent']) && isOptional(value['confirmedMsAgo'], isFiniteNumber);
     case 'snapshot':
-      return hasObjects(value) && isFiniteNumber(value['revision']);
+      return (
+        hasObjects(value) &&
+        hasEra(value) &&
+        isFiniteNumber(value['revision']) &&
+        isOptional(value['awaited'], isTexts)
+      );
     case 'changes':
-      return hasObjects(value) && hasNumbers(value, ['revision', 'after']);
+      return (
+        hasObjects(value) &&
+        hasEra(value) &&
+        hasNumbers(value, ['revision', 'after']) &&
+        isOptional(value['afterEra'], isFiniteNumber)
+      );
     default:
       return false;
   }
--- a/src/gateway/runtime/peers/peer-client.ts
+++ b/src/gateway/runtime/peers/peer-client.ts
@@ -9,6 +9,7 @@
 import type { PeerProblem, SubqueryId } from '../../model/subquery.js';
 import type { CallerRequests } from '../caller-requests.js';
 import type { GatewayEventSink } from '../gateway-loop.js';
+import { followMessage } from './follow-message.js';
 import { frameOf, PeerConnection } from './peer-connection.js';
 import type { PeerMessage } from './peer-message.js';
 import { SuspectChecks } from './suspect-checks.js';
@@ -117,9 +118,9 @@
   }
 
   /** Asks a reader of the store to tell what it reads. */
-  follow({ peer, revisions }: FollowReader): void {
+  follow({ peer, positions }: FollowReader): void {
     const link = this.links.get(peer.name) ?? this.open(peer);
-    link.connection.send({ type: 'follow', revisions });
+    link.connection.send(followMessage(positions));
   }
 
   /** Tells a reader that nothing is wanted any more. */
--- a/src/gateway/runtime/peers/peer-codec.ts
+++ b/src/gateway/runtime/peers/peer-codec.ts
@@ -11,6 +11,7 @@
   isFields,
   isFiniteNumber,
   isListOf,
+  isOptional,
   isText,
 } from '../../../protocol/codec/shape.js';
 import { isCrashNews } from './crash-news-shape.js';
@@ -20,6 +21,9 @@
 
 type Check = (fields: Fields) => boolean;
 
+const isNumbers = (value: unknown): boolean =>
+  isFields(value) && Object.values(value).every(isFiniteNumber);
+
 const hasId: Check = ({ id }) => isCount(id);
 
 /** Messages that go as they are; those of subqueries are packed. */
@@ -32,7 +36,7 @@
   ping: () => true,
   pong: ({ isServing }) => typeof isServing === 'boolean',
   stopping: () => true,
-  follow: ({ revisions }) => isFields(revisions) && Object.values(revisions).every(isFiniteNumber),
+  follow: ({ revisions, eras }) => isNumbers(revisions) && isOptional(eras, isNumbers),
   unfollow: () => true,
   news: ({ news }) => isNews(news),
   crashes: ({ from, news }) => isText(from) && isListOf(news, isCrashNews),
--- a/src/gateway/runtime/peers/peer-message.ts
+++ b/src/gateway/runtime/peers/peer-message.ts
@@ -1,6 +1,7 @@
 /** Messages between gateways. Their encoding is in `peer-codec.ts`. */
 import type { CrashNews } from '../../crashes/crash-news.js';
-import type { KnownRevisions, ReaderNews } from '../../readers/reader-news.js';
+import type { CollectionName } from '../../store/collection.js';
+import type { ReaderNews } from '../../readers/reader-news.js';
 import type { Subquery, SubqueryId, SubqueryPart } from '../../model/subquery.js';
 
 /** Asks for the parts of some shards; the request's bytes go with it. */
@@ -54,10 +55,16 @@
   readonly isServing: boolean;
 }
 
+/** A number for some collections. */
+export type CollectionNumbers = Partial<Readonly<Record<CollectionName, number>>>;
+
 /** The sender wants to be told what the receiver reads from the store. */
 export interface FollowMessage {
   readonly type: 'follow';
-  readonly revisions: KnownRevisions;
+  /** Revisions up to which the sender knows the collections. */
+  readonly revisions: CollectionNumbers;
+  /** The eras of these revisions; absent where none is known, and from gateways of an earlier build. */
+  readonly eras?: CollectionNumbers;
 }
 
 /** The sender no longer wants it. */
--- a/src/gateway/runtime/peers/peer-port.ts
+++ b/src/gateway/runtime/peers/peer-port.ts
@@ -9,6 +9,7 @@
 import type { GatewayEventSink } from '../gateway-loop.js';
 import { listenOn } from '../sockets.js';
 import type { FollowerId } from '../../readers/reader-news.js';
+import { positionsOf } from './follow-message.js';
 import { frameOf, PeerConnection } from './peer-connection.js';
 import type { CancelMessage, FollowMessage, PeerMessage, SubqueryMessage } from './peer-message.js';
 
@@ -174,15 +175,16 @@
     }
   }
 
-  private takeFollower(coordinator: Coordinator, { revisions }: FollowMessage): void {
+  private takeFollower(coordinator: Coordinator, message: FollowMessage): void {
     if (coordinator.follower === undefined) {
       coordinator.follower = this.nextFollower;
       this.nextFollower += 1;
       this.followers.set(coordinator.follower, coordinator.connection);
     }
     const { follower } = coordinator;
+    const positions = positionsOf(message);
     const at = this.context.clock.now();
-    this.context.sink.emit({ type: 'follower-joined', at, follower, revisions });
+    this.context.sink.emit({ type: 'follower-joined', at, follower, positions });
   }
 
   private dropFollower(coordinator: Coordinator): void {
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -15,6 +15,8 @@
    * milliseconds; absent where zones are not evacuated.
    */
   readonly evacuationMs?: number;
+  /** Time between two heartbeats of a replica in the store, in milliseconds; absent where it is not known. */
+  readonly replicaHeartbeatMs?: number;
   /** How far the requests to a cold replica may exceed its rate; absent for not at all. */
   readonly coldOvershoot?: number;
   /** Requests a second to a cold replica besides; absent for none. */
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -12,6 +12,7 @@
 import type { FeederPlan } from './peers/feeder-plan.js';
 import { PeerDirectory } from './peers/peer-directory.js';
 import { createReadingState, type ReadingState } from './readers/reading-state.js';
+import { createReturnState, type ReturnState } from './returns/return-state.js';
 import { ReplicaDirectory } from './replicas/directory.js';
 import type { ActiveAttempt, ActiveRequest } from './requests/request-state.js';
 import { createPauseOutcomes, type PauseOutcomes } from './requests/pause-outcomes.js';
@@ -65,6 +66,8 @@
 export interface Registration {
   /** When it was last written. */
   writtenAt: number;
+  /** It is not written before. */
+  notBefore: number;
   /** The generation of the peers when their list was last complete; undefined before the first list. */
   listedGeneration: number | undefined;
 }
@@ -91,6 +94,8 @@
   readonly subqueries: Map<SubqueryId, CallId>;
   nextSubquery: SubqueryId;
   readonly store: StoreReachability;
+  /** What is remembered for returns of the store from a copy. */
+  readonly returns: ReturnState;
   phase: LifecyclePhase;
   /** When the request to stop came. */
   stoppingSince: number;
@@ -130,7 +135,11 @@
   gateways: ASSUMED_GATEWAYS,
   peers: new PeerDirectory(),
   gatewaysSettled: false,
-  registration: { writtenAt: Number.NEGATIVE_INFINITY, listedGeneration: undefined },
+  registration: {
+    writtenAt: Number.NEGATIVE_INFINITY,
+    notBefore: Number.NEGATIVE_INFINITY,
+    listedGeneration: undefined,
+  },
   reading: createReadingState(),
   feeders: undefined,
   connectedPlan: undefined,
@@ -144,6 +153,7 @@
     regainedAt: Number.NEGATIVE_INFINITY,
     era: undefined,
   },
+  returns: createReturnState(),
   phase: 'starting',
   stoppingSince: Number.POSITIVE_INFINITY,
   ready: false,
--- a/src/gateway/store/apply-collections.ts
+++ b/src/gateway/store/apply-collections.ts
@@ -2,8 +2,14 @@
 import type { GatewayEffect } from '../effect.js';
 import type { ChangesRead, CollectionDue, PageRead, StoreCallFailed } from '../event.js';
 import type { BeliefChange } from '../log/log-event.js';
-import { registerIfMissing, takeGatewaysList } from '../peers/follow-gateways.js';
+import {
+  registerIfMissing,
+  spreadRegistration,
+  takeGatewaysList,
+} from '../peers/follow-gateways.js';
 import { tellChanges, tellNamed } from '../readers/tell-followers.js';
+import { awaitUnlisted, withholdOlder } from '../returns/cross-era.js';
+import { noteReturnRead } from '../returns/note-era.js';
 import { collectionsOf, type GatewayState } from '../state.js';
 import { applyObjects, applyWholeList, forgetGoneReplicas } from './apply-objects.js';
 import type { CollectionName } from './collection.js';
@@ -14,14 +20,19 @@
   endSupersededList,
   followNow,
   isListSuperseded,
+  isListTorn,
+  isOfEarlierEra,
   isSuperseded,
+  listAgain,
   listStale,
   notePage,
+  positionOf,
   takeUntold,
   watchAgain,
 } from './follow-collection.js';
 import { type CallFailure, isWatched, noteFailure } from './note-failure.js';
-import { changedNames, unlistedNames } from './list-changes.js';
+import { changedNames, unlistedNames, withAwaited } from './list-changes.js';
+import { compareEras, type StorePosition } from './store-position.js';
 
 /** Lists all collections once, from a copy that may be old. */
 export const listCollections = (state: GatewayState): GatewayEffect[] =>
@@ -29,9 +40,9 @@
 
 /** A collection that was listed is followed at the store only by gateways that read it. */
 const continueAfterList = (
-  { reading }: GatewayState,
+  { reading, store }: GatewayState,
   progress: CollectionProgress,
-): GatewayEffect[] => (reading.isReading ? [followNow(progress)] : []);
+): GatewayEffect[] => (reading.isReading ? [followNow(progress, store.era)] : []);
 
 /**
  * A list that a reader's news have superseded ends: what it lacks may be new, and what it holds may be old. Followers have
@@ -59,41 +70,78 @@
 
 /** Handles `page-read`. */
 export const takePage = (state: GatewayState, read: PageRead): GatewayEffect[] => {
-  const { page, at } = read;
-  const { collection } = page;
-  const progress = state.collections[collection];
-  if (isSuperseded(progress, page.revision)) {
+  const { page, at, era = state.store.era } = read;
+  const { revision } = page;
+  const progress = state.collections[page.collection];
+  if (isListTorn(progress, era)) {
+    return [listAgain(progress)];
+  }
+  if (isSuperseded(progress, { era, revision })) {
     return dropList(state, progress, read);
   }
   changedNames(state, page).forEach((name) => progress.untold.add(name));
-  const applied = applyObjects(state, page, at, 'store');
-  if (isListSuperseded(progress)) {
+  const hasReturned = isOfEarlierEra(progress, era);
+  const taken = hasReturned ? withholdOlder(state, page, at) : page;
+  const applied = applyObjects(state, taken, at, 'store');
+  if (isListSuperseded(progress, era)) {
     return [...applied, ...dropList(state, progress, read)];
   }
-  const { revision: before } = progress;
+  const before = positionOf(progress);
   const names = page.objects.map(({ name }) => name);
-  const listed = notePage(progress, names, page, at);
-  if (listed === undefined) {
-    return [...applied, callNow(progress)];
+  const listed = notePage(progress, names, { ...page, era }, at);
+  return listed === undefined
+    ? [...applied, callNow(progress)]
+    : [...applied, ...takeList(state, progress, { listed, hasReturned, before }, at)];
+};
+
+/** A list that has been read to its end. */
+interface ReadList {
+  readonly listed: ReadonlySet<string>;
+  /** It is the first one since the store has returned from a copy. */
+  readonly hasReturned: boolean;
+  /** Up to where the collection was known before. */
+  readonly before: StorePosition | undefined;
+}
+
+const takeList = (
+  state: GatewayState,
+  progress: CollectionProgress,
+  { listed, hasReturned, before }: ReadList,
+  at: number,
+): GatewayEffect[] => {
+  const { collection } = progress;
+  const unlisted = unlistedNames(
+    state,
+    collection,
+    hasReturned ? listed : withAwaited(state, collection, listed),
+  );
+  const changed = takeUntold(progress, unlisted);
+  if (hasReturned) {
+    awaitUnlisted(state, collection, listed, at);
+    spreadRegistration(state, collection, at);
   }
-  const changed = takeUntold(progress, unlistedNames(state, collection, listed));
-  const removed = applyWholeList(state, collection, listed, at);
+  const removed = applyWholeList(state, collection, withAwaited(state, collection, listed), at);
   const settled = collection === 'gateways' ? takeGatewaysList(state, at) : [];
   return [
-    ...applied,
     ...removed,
     ...tellNamed(state, collection, changed, before, at),
     ...settled,
+    ...noteReturnRead(state, at),
     ...continueAfterList(state, progress),
   ];
 };
 
 /**
  * Handles `changes-read`. A reader may have told later changes meanwhile: what a watch returns is dropped
- * unless it goes further.
+ * unless it goes further. A watch from an earlier era does not tell what the store has written under revisions that it
+ * gave out before: the collection is listed.
  */
-export const takeChanges = (state: GatewayState, { changes, at }: ChangesRead): GatewayEffect[] => {
+export const takeChanges = (state: GatewayState, read: ChangesRead): GatewayEffect[] => {
+  const { changes, at, era = state.store.era } = read;
   const progress = state.collections[changes.collection];
+  if (compareEras(era, progress.era) !== 0) {
+    return [followNow(progress, state.store.era)];
+  }
   const { revision: known = Number.NEGATIVE_INFINITY } = progress;
   const isNews = changes.revision > known;
   progress.failures = 0;
@@ -101,7 +149,10 @@
     progress.revision = changes.revision;
   }
   const effects = isNews
-    ? [...applyObjects(state, changes, at, 'store'), ...tellChanges(state, changes, known)]
+    ? [
+        ...applyObjects(state, changes, at, 'store'),
+        ...tellChanges(state, changes, { era, revision: known }, at),
+      ]
     : [];
   progress.confirmedAt = at;
   const hasChanges = changes.objects.length > 0;
@@ -185,4 +236,6 @@
   collectionsOf(state)
     .map((name) => state.collections[name])
     .filter((progress) => isWanted(state, progress))
-    .map((progress) => (state.reading.isReading ? followNow(progress) : callNow(progress)));
+    .map((progress) =>
+      state.reading.isReading ? followNow(progress, state.store.era) : callNow(progress),
+    );
--- a/src/gateway/store/apply-objects.ts
+++ b/src/gateway/store/apply-objects.ts
@@ -7,6 +7,7 @@
 import type { ReplicaRecord } from '../model/replica-record.js';
 import type { Replica } from '../replicas/replica.js';
 import { RouteTable } from '../routing/route-table.js';
+import type { Departed } from '../returns/return-state.js';
 import type { GatewayState } from '../state.js';
 import type { CollectionName } from './collection.js';
 import { logReplicaChanges, type ReplicaChange } from './log-replica-changes.js';
@@ -70,9 +71,24 @@
   return replica.record.draining ? 'draining' : 'listed';
 };
 
+/** Notes what has gone, or is there again, for a copy of the store that brings it back. */
+const noteDeparture = (
+  departures: Map<string, Departed>,
+  name: string,
+  hasGone: boolean,
+  at: number,
+  bornAt?: number,
+): void => {
+  if (!hasGone) {
+    departures.delete(name);
+  } else if (!departures.has(name)) {
+    departures.set(name, { at, ...(bornAt !== undefined && { bornAt }) });
+  }
+};
+
 /** Takes what the store says of one replica; returns what that changes. */
 const applyReplica = (
-  { replicas }: GatewayState,
+  { replicas, returns }: GatewayState,
   { name, gone, value }: Stored<ReplicaRecord>,
   at: number,
 ): readonly ReplicaChange[] => {
@@ -84,6 +100,7 @@
   }
   const replica = replicas.find(name);
   const after = stateOf(replica);
+  noteDeparture(returns.departedReplicas, name, after === 'gone', at, replica?.record.bornAt);
   return replica === undefined || after === undefined || after === before
     ? []
     : [{ replica: name, service: replica.record.service, state: after }];
@@ -111,12 +128,14 @@
 
 /** Takes an order about a zone; its replicas get requests again once the order is gone. */
 const applyEvacuation = (
-  { evacuatedZones }: GatewayState,
+  { evacuatedZones, returns }: GatewayState,
   { name: zone, gone }: Stored<Evacuation>,
+  at: number,
 ): GatewayEffect[] => {
   if (gone !== evacuatedZones.has(zone)) {
     return [];
   }
+  noteDeparture(returns.reopenedZones, zone, gone, at);
   if (gone) {
     evacuatedZones.delete(zone);
   } else {
@@ -157,7 +176,11 @@
   read: StoreObjects,
   at: number,
   from: string,
-): GatewayEffect[] => [...logUnreadable(read), ...applyReadable(state, read, at, from)];
+): GatewayEffect[] => {
+  const unconfirmed = state.returns.unconfirmed[read.collection];
+  read.objects.forEach(({ name }) => unconfirmed.delete(name));
+  return [...logUnreadable(read), ...applyReadable(state, read, at, from)];
+};
 
 const applyReadable = (
   state: GatewayState,
@@ -176,7 +199,7 @@
       read.objects.forEach((object) => applyGateway(state, object));
       return countGateways(state);
     case 'evacuations':
-      return read.objects.flatMap((object) => applyEvacuation(state, object));
+      return read.objects.flatMap((object) => applyEvacuation(state, object, at));
   }
 };
 
@@ -198,6 +221,18 @@
   return [{ type: 'write-log', level: 'info', part: 'replica', change }];
 };
 
+/** What was not taken as older than what is known, and is not in the store any more, has gone for good. */
+const forgetUnlisted = (
+  { returns }: GatewayState,
+  collection: CollectionName,
+  listed: ReadonlySet<string>,
+): void => {
+  const unconfirmed = returns.unconfirmed[collection];
+  [...unconfirmed]
+    .filter(([name, { type }]) => type === 'older' && !listed.has(name))
+    .forEach(([name]) => unconfirmed.delete(name));
+};
+
 /** Objects that a complete list does not hold are gone. */
 export const applyWholeList = (
   state: GatewayState,
@@ -205,6 +240,7 @@
   listed: ReadonlySet<string>,
   at: number,
 ): GatewayEffect[] => {
+  forgetUnlisted(state, collection, listed);
   switch (collection) {
     case 'configuration':
       return [];
@@ -219,7 +255,7 @@
     case 'evacuations':
       return [...state.evacuatedZones]
         .filter((zone) => !listed.has(zone))
-        .flatMap((zone) => applyEvacuation(state, { name: zone, gone: true }));
+        .flatMap((zone) => applyEvacuation(state, { name: zone, gone: true }, at));
   }
 };
 
--- a/src/gateway/store/follow-collection.ts
+++ b/src/gateway/store/follow-collection.ts
@@ -7,6 +7,12 @@
 import type { GatewayEffect } from '../effect.js';
 import type { GatewayBounds } from '../settings.js';
 import type { CollectionCall, CollectionName } from './collection.js';
+import {
+  compareEras,
+  comparePositions,
+  type StoreEra,
+  type StorePosition,
+} from './store-position.js';
 
 /**
  * How long a watch waits at the store where nothing depends on hearing of a change in time, in
@@ -42,6 +48,8 @@
   nextWaitMs: number;
   /** All changes up to this revision are held; undefined before the first list from the store or a reader. */
   revision: number | undefined;
+  /** The era of the revision, or of what was known last. */
+  era: StoreEra;
   /** Changes after the revision may have been missed: the next call lists the collection. */
   mustList: boolean;
   /** The list goes on after this name. */
@@ -50,6 +58,8 @@
   listed: Set<string>;
   /** Revision at which the list began: what has changed while its pages were read is watched for. */
   listRevision: number;
+  /** Era in which its first page was read. */
+  listEra: StoreEra;
   /** The list that is being read comes from a copy that may be old. */
   isStaleList: boolean;
   /** Names of what the pages of the list have changed so far; followers are told when it is complete. */
@@ -95,10 +105,12 @@
   waitMs: waitOf(collection, bounds),
   nextWaitMs: waitOf(collection, bounds),
   revision: undefined,
+  era: undefined,
   mustList: false,
   listAfter: undefined,
   listed: new Set(),
   listRevision: Number.POSITIVE_INFINITY,
+  listEra: undefined,
   isStaleList: true,
   untold: new Set(),
   isListed: false,
@@ -107,6 +119,14 @@
   confirmedAt: Number.NEGATIVE_INFINITY,
 });
 
+/** Up to where the collection is known; undefined where that cannot be said. */
+export const positionOf = ({ revision, era }: CollectionProgress): StorePosition | undefined =>
+  revision === undefined ? undefined : { era, revision };
+
+/** Whether what is known of the collection is of an earlier era: what has been written since cannot be watched for. */
+export const isOfEarlierEra = ({ isListed, era }: CollectionProgress, now: StoreEra): boolean =>
+  isListed && compareEras(era, now) < 0;
+
 const nextCall = (progress: CollectionProgress): CollectionCall => {
   const { collection, revision, mustList, listAfter, isStaleList: stale } = progress;
   if (revision === undefined || mustList) {
@@ -147,23 +167,39 @@
   return callNow(progress);
 };
 
-/** Follows the collection at the store from what is known of it; an old list is read anew. */
-export const followNow = (progress: CollectionProgress): GatewayEffect => {
-  if (progress.revision === undefined) {
+/** Follows the collection at the store from what is known of it; an old list, or one of an earlier era, is read anew. */
+export const followNow = (progress: CollectionProgress, era: StoreEra): GatewayEffect => {
+  if (progress.revision === undefined || isOfEarlierEra(progress, era)) {
     beginList(progress);
   }
   return callNow(progress);
 };
 
+/** Begins again a list whose pages are of different eras: they do not fit together. */
+export const listAgain = (progress: CollectionProgress): GatewayEffect => {
+  if (progress.isStaleList) {
+    return listStale(progress);
+  }
+  beginList(progress);
+  return callNow(progress);
+};
+
+/** Whether the list goes on with a page of another era than it began with. */
+export const isListTorn = ({ listAfter, listEra }: CollectionProgress, era: StoreEra): boolean =>
+  listAfter !== undefined && listEra !== era;
+
 /** Whether a page is older than what a reader has told since the list began: it must bring nothing back. */
-export const isSuperseded = (
-  { revision, isStaleList }: CollectionProgress,
-  pageRevision: number,
-): boolean => revision !== undefined && (isStaleList || pageRevision < revision);
+export const isSuperseded = (progress: CollectionProgress, page: StorePosition): boolean => {
+  const known = positionOf(progress);
+  return known !== undefined && (progress.isStaleList || comparePositions(page, known) < 0);
+};
 
 /** Whether a reader has told more than the first page of the list held: what the list lacks may be new. */
-export const isListSuperseded = ({ revision, listRevision }: CollectionProgress): boolean =>
-  revision !== undefined && listRevision < revision;
+export const isListSuperseded = (progress: CollectionProgress, era: StoreEra): boolean => {
+  const known = positionOf(progress);
+  const { listRevision: revision } = progress;
+  return known !== undefined && comparePositions({ era, revision }, known) < 0;
+};
 
 /** Gives up a list that was superseded: what was told holds all that it could. */
 export const endSupersededList = (progress: CollectionProgress): void => {
@@ -201,6 +237,7 @@
   readonly more: boolean;
   readonly last: string;
   readonly revision: number;
+  readonly era: StoreEra;
 }
 
 /**
@@ -216,6 +253,7 @@
   progress.failures = 0;
   names.forEach((name) => progress.listed.add(name));
   progress.listRevision = Math.min(progress.listRevision, page.revision);
+  progress.listEra = page.era;
   if (page.more) {
     progress.listAfter = page.last;
     return undefined;
@@ -223,6 +261,7 @@
   const { listed, listRevision, isStaleList } = progress;
   endList(progress);
   progress.isListed = true;
+  progress.era = page.era;
   if (isStaleList) {
     progress.revision = undefined;
   } else {
--- a/src/gateway/store/list-changes.ts
+++ b/src/gateway/store/list-changes.ts
@@ -59,6 +59,22 @@
   }
 };
 
+/** Names of what is known on though the store, since it has returned from a copy, does not list it. */
+export const awaitedNames = (
+  { returns }: GatewayState,
+  collection: CollectionName,
+): readonly string[] =>
+  [...returns.unconfirmed[collection]]
+    .filter(([, { type }]) => type === 'missing')
+    .map(([name]) => name);
+
+/** The listed names and those that are awaited. */
+export const withAwaited = (
+  state: GatewayState,
+  collection: CollectionName,
+  listed: ReadonlySet<string>,
+): ReadonlySet<string> => new Set([...listed, ...awaitedNames(state, collection)]);
+
 /** Names that are known and that a complete list does not hold: these objects are gone. */
 export const unlistedNames = (
   state: GatewayState,
--- a/test/gateway/peer-port.test.ts
+++ b/test/gateway/peer-port.test.ts
@@ -75,7 +75,9 @@
     await until(() => typesOf().includes('follower-joined'));
     const [joined] = events;
     const followers = joined?.type === 'follower-joined' ? [joined.follower] : [];
-    expect(joined).toMatchObject({ revisions: { configuration: 7 } });
+    expect(joined).toMatchObject({
+      positions: { configuration: { era: undefined, revision: 7 } },
+    });
     const news: ReaderNews = {
       type: 'snapshot',
       collection: 'configuration',
--- a/test/gateway/reader-lists.test.ts
+++ b/test/gateway/reader-lists.test.ts
@@ -139,7 +139,13 @@
     const added = { name: 'r-0005', gone: false, value: replicaOf('r-0005') };
     network.store.put('replicas', added.name, added.value);
     const peer = { name: 'x', zone: 'bole', address: { host: '10.0.0.9', port: 1 }, capacity: 1 };
-    const source = { peer, askedAt: network.now, heardAt: network.now, isCurrent: true };
+    const source = {
+      peer,
+      askedAt: network.now,
+      heardAt: network.now,
+      isCurrent: true,
+      isIncomparable: false,
+    };
     reader.state.reading.sources.set(peer.name, source);
     const { revision } = network.store;
     step(reader.state, {
--- a/test/gateway/reader-network.ts
+++ b/test/gateway/reader-network.ts
@@ -556,8 +556,8 @@
       this.nextFollower += 1;
       this.follows.push({ from, to, id });
     }
-    const { revisions } = effect;
-    this.later(LINK_MS, to, { type: 'follower-joined', at: 0, follower: id, revisions });
+    const { positions } = effect;
+    this.later(LINK_MS, to, { type: 'follower-joined', at: 0, follower: id, positions });
   }
 
   private unfollow(from: VirtualNode, reader: string): void {
--- a/test/gateway/store-returns.test.ts
+++ b/test/gateway/store-returns.test.ts
@@ -93,6 +93,17 @@
     }
   });
 
+  it('what it acknowledges at once is in force within the bound too', () => {
+    const network = startNetwork();
+    const copy = network.store.copy();
+    writeOften(network, LOST_CHANGES);
+    network.advance(3_000);
+    returnFrom(network, copy, 'reset');
+    configure(network, 2);
+    network.advance(BOUND_MS);
+    expect(versionsOf(network)).toEqual(everywhere(2));
+  });
+
   it('nothing is missed where its revisions have overtaken what was known', () => {
     const network = startNetwork();
     const copy = network.store.copy();
@@ -120,4 +131,19 @@
     // Three readers of four collections list each once; a page holds 50 of the 60 replicas.
     expect(lists).toBeLessThanOrEqual(3 * 5);
   });
+
+  it('a configuration that it lost stays in force until there is a newer one', () => {
+    const network = startNetwork();
+    const copy = network.store.copy();
+    configure(network, 2);
+    writeOften(network, LOST_CHANGES);
+    network.advance(3_000);
+    returnFrom(network, copy, 'reset');
+    network.advance(2_000);
+    expect(versionsOf(network)).toEqual(everywhere(2));
+    configure(network, 3);
+    network.advance(BOUND_MS);
+    expect(versionsOf(network)).toEqual(everywhere(3));
+    expect(network.nodes.map(({ regressions }) => regressions)).toEqual(everywhere(0));
+  });
 });
