What a copy lacks or brings back, at gateways of different eras: tests; the soak has the store return from copies

Cause: the first form of the mend applied the list of a gateway that had learnt of the return from its reader as any list, and brought back what the reader had kept apart; a replica that was told gone twice was forgotten to have gone; followers held their own older entry for right. Ruled out: that the marks of one gateway suffice; each judges by what it knows, and readers tell entries of gateways as the store has them.

--- a/soak/faults/fault-runner.ts
+++ b/soak/faults/fault-runner.ts
@@ -1,6 +1,7 @@
 /** Brings the faults of a schedule about, each at its time, from outside of the gateways. */
 import { setTimeout as pause } from 'node:timers/promises';
 import { match } from 'ts-pattern';
+import type { Random } from '../../src/core/random.js';
 import type { GatewaySettings } from '../../src/gateway/settings.js';
 import type { Scope } from '../model/observations.js';
 import type { Fault, LinkFault, ScheduledFault } from '../model/schedule.js';
@@ -36,8 +37,11 @@
   readonly played: PlayedFault[] = [];
   private readonly storeFaults: StoreFaults;
 
-  constructor(private readonly world: SoakWorld) {
-    this.storeFaults = new StoreFaults(world);
+  constructor(
+    private readonly world: SoakWorld,
+    random: Random,
+  ) {
+    this.storeFaults = new StoreFaults(world, random);
   }
 
   /** Resolves when all faults are over. */
--- a/soak/faults/store-faults.ts
+++ b/soak/faults/store-faults.ts
@@ -1,6 +1,7 @@
 /** Faults of the store: it is down, loses answers, and its watches are late, silent or reset. */
 import { setTimeout as pause } from 'node:timers/promises';
 import { match } from 'ts-pattern';
+import type { Random } from '../../src/core/random.js';
 import type { Fault } from '../model/schedule.js';
 import { beginDisturbance } from '../world/recorder.js';
 import type { SoakWorld } from '../world/soak-world.js';
@@ -13,7 +14,12 @@
   Fault,
   {
     type:
-      'delay-watches' | 'mute-watches' | 'change-and-forget' | 'store-down' | 'store-loses-answers';
+      | 'delay-watches'
+      | 'mute-watches'
+      | 'change-and-forget'
+      | 'store-down'
+      | 'store-loses-answers'
+      | 'store-returns';
   }
 >;
 
@@ -21,7 +27,10 @@
 export class StoreFaults {
   private busy: Promise<void> = Promise.resolve();
 
-  constructor(private readonly world: SoakWorld) {}
+  constructor(
+    private readonly world: SoakWorld,
+    private readonly random: Random,
+  ) {}
 
   /** Resolves when the fault is over; it waits for the one before. */
   carryOut(fault: StoreFault): Promise<void> {
@@ -61,9 +70,29 @@
         await pause(forMs);
         store.mode = 'serving';
       })
+      .with({ type: 'store-returns' }, (returns) => this.returnFromCopy(returns))
       .exhaustive();
   }
 
+  private async returnFromCopy({
+    outage,
+    copyAgeMs,
+    awayMs,
+    rewriteMs,
+  }: Extract<StoreFault, { type: 'store-returns' }>): Promise<void> {
+    const { store, storeCopies, operator, replicas } = this.world;
+    const copy = storeCopies.find(copyAgeMs);
+    store.mode = outage;
+    store.cutConnections();
+    await pause(awayMs);
+    store.returnFrom(copy);
+    store.mode = 'serving';
+    const rewritten = replicas.writeAgain(rewriteMs, this.random);
+    await pause(rewriteMs);
+    operator.write();
+    await rewritten;
+  }
+
   /** Watches hear nothing while the configuration changes, and are then told that its history is gone. */
   private async changeAndForget(muteMs: number): Promise<void> {
     const { store, operator } = this.world;
--- a/soak/model/plan.ts
+++ b/soak/model/plan.ts
@@ -7,6 +7,7 @@
   drawPeerTroubles,
   drawReleases,
   drawSchedule,
+  drawStoreReturns,
   drawVersions,
   type ScheduledFault,
 } from './schedule.js';
@@ -93,7 +94,8 @@
   | 'peer-links'
   | 'calm'
   | 'last-version'
-  | 'lethal';
+  | 'lethal'
+  | 'store-returns';
 
 /** A new one goes to the end: the seeds that have failed then keep the streams that they had. */
 const STREAMS: readonly RandomStream[] = [
@@ -106,6 +108,7 @@
   'calm',
   'last-version',
   'lethal',
+  'store-returns',
 ];
 
 /** Distance between the seeds of two runs, so that their streams differ. */
@@ -154,6 +157,9 @@
   }));
 };
 
+/** In runs of smaller seeds the store never returns from a copy: those that have failed stay what they were. */
+const FIRST_RETURN_SEED = 2_000;
+
 /** Draws a run. */
 export const drawPlan = (options: SoakOptions): SoakPlan => {
   const random = streamOf(options.seed, 'plan');
@@ -181,6 +187,9 @@
       ...drawVersions(streamOf(seed, 'versions'), faultsMs),
       ...peerTroubles,
       ...(endsQuietly ? drawLastVersion(lastVersion, faultsMs) : []),
+      ...(seed < FIRST_RETURN_SEED
+        ? []
+        : drawStoreReturns(streamOf(seed, 'store-returns'), faultsMs)),
     ],
     lethalRequests: drawLethalRequests(seed),
     plannedWork: drawPlannedWork(seed, gateways, endsQuietly),
--- a/soak/model/schedule.ts
+++ b/soak/model/schedule.ts
@@ -28,6 +28,15 @@
   | { readonly type: 'change-and-forget'; readonly muteMs: number }
   | { readonly type: 'store-down'; readonly outage: StoreOutage; readonly forMs: number }
   | { readonly type: 'store-loses-answers'; readonly forMs: number }
+  | {
+      /** The store goes away and comes back from a copy; what the operator and the replicas wrote is written again. */
+      readonly type: 'store-returns';
+      readonly outage: StoreOutage;
+      readonly copyAgeMs: number;
+      readonly awayMs: number;
+      /** Within this time all is written again. */
+      readonly rewriteMs: number;
+    }
   | LinkFault<'store-link'>
   | LinkFault<'peer-link'>
   | {
@@ -216,6 +225,33 @@
   return schedule;
 };
 
+/** Oldest copy, longest time away, and time in which all is written again, in milliseconds. */
+const OLDEST_COPY_MS = 10_000;
+const LONGEST_AWAY_MS = 3_000;
+const LONGEST_REWRITE_MS = 2_000;
+
+/** Shortest and longest pause between two returns, in milliseconds; one of three follows the one before at once. */
+const LEAST_RETURN_GAP_MS = 4_000;
+const MOST_RETURN_GAP_MS = 10_000;
+
+/** Draws returns of the store from copies, besides the other faults. */
+export const drawStoreReturns = (random: Random, durationMs: number): readonly ScheduledFault[] => {
+  const schedule: ScheduledFault[] = [];
+  for (let atMs = 0; atMs < durationMs - LAST_START_MS;) {
+    const fault: Fault = {
+      type: 'store-returns',
+      outage: pick(random, ['resetting', 'silent', 'busy', 'throttling']),
+      copyAgeMs: random.nextBelow(OLDEST_COPY_MS),
+      awayMs: between(random, 50, LONGEST_AWAY_MS),
+      rewriteMs: random.nextBelow(LONGEST_REWRITE_MS),
+    };
+    schedule.push({ atMs, fault });
+    const isSeries = random.nextBelow(3) === 0;
+    atMs += isSeries ? 100 : between(random, LEAST_RETURN_GAP_MS, MOST_RETURN_GAP_MS);
+  }
+  return schedule;
+};
+
 /** Draws the faults of a run for `durationMs`; some overlap, and between some all is calm. */
 export const drawSchedule = (
   random: Random,
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -8,7 +8,7 @@
 import type { Promised, Violation } from './checker/violation.js';
 import { FaultRunner, type PlayedFault } from './faults/fault-runner.js';
 import type { Observations } from './model/observations.js';
-import { drawPlan, type SoakOptions, type SoakPlan } from './model/plan.js';
+import { drawPlan, type SoakOptions, type SoakPlan, streamOf } from './model/plan.js';
 import { watchForStalls } from './world/recorder.js';
 import { SoakWorld } from './world/soak-world.js';
 
@@ -65,7 +65,7 @@
 
 const playPlan = async (world: SoakWorld, plan: SoakPlan): Promise<readonly PlayedFault[]> => {
   const { observations } = world;
-  const faults = new FaultRunner(world);
+  const faults = new FaultRunner(world, streamOf(plan.seed, 'store-returns', 1));
   world.beginCalls();
   const warm = pause(plan.warmUpMs);
   await untilAllReady(world);
--- a/soak/world/operator.ts
+++ b/soak/world/operator.ts
@@ -16,6 +16,7 @@
 /** The operator of the deployment. */
 export class Operator {
   private version = 0;
+  private newestSpec: unknown;
 
   constructor(
     private readonly store: StandInStore,
@@ -36,7 +37,14 @@
     this.version += 1 + this.random.nextBelow(LARGEST_STEP);
     const specs = routes.map(operatorRouteSpec);
     const spec = configurationSpec(this.version, specs, SERVICES, this.maxConnections);
-    this.store.put(CONFIGURATION_ENTRY.kind, CONFIGURATION_ENTRY.name, spec);
+    this.newestSpec = spec;
+    this.write();
     versions.push({ version: this.version, acknowledgedAt: performance.now(), routes });
   }
+
+  /** Writes the newest version to the store, which may have lost it. */
+  write(): void {
+    const { kind, name } = CONFIGURATION_ENTRY;
+    this.store.put(kind, name, this.newestSpec);
+  }
 }
--- a/soak/world/replica-fleet.ts
+++ b/soak/world/replica-fleet.ts
@@ -1,5 +1,6 @@
 /** Replicas of all services: the stand-ins of the tests, with what happens at them noted. */
 import { setTimeout as pause } from 'node:timers/promises';
+import type { Random } from '../../src/core/random.js';
 import { REPLICA_KIND } from '../../test/platform/operator-spec.js';
 import {
   type ArrivedRequest,
@@ -30,6 +31,8 @@
 /** Starts, watches and ends replicas. */
 export class ReplicaFleet {
   private readonly members = new Set<FleetMember>();
+  /** What replicas have last written of themselves. */
+  private readonly entries = new Map<string, unknown>();
   private started = 0;
   private stopped = false;
 
@@ -55,10 +58,10 @@
       return;
     }
     const { replica, zone } = member;
-    this.store.put(REPLICA_KIND, replica.id, replica.entry(service, zone, 'draining'));
+    this.write(replica.id, replica.entry(service, zone, 'draining'));
     this.noteDeparture(member);
     await pause(this.drainMs + SERVES_LONGER_MS);
-    this.store.remove(REPLICA_KIND, replica.id);
+    this.erase(replica.id);
     await this.end(member);
   }
 
@@ -68,7 +71,7 @@
     if (member === undefined) {
       return;
     }
-    this.store.remove(REPLICA_KIND, member.replica.id);
+    this.erase(member.replica.id);
     this.noteDeparture(member);
     await pause(this.drainMs + SERVES_LONGER_MS);
     await this.end(member);
@@ -87,7 +90,7 @@
     member.leaving = true;
     await this.end(member);
     await pause(ENTRY_LASTS_MS);
-    this.store.remove(REPLICA_KIND, member.replica.id);
+    this.erase(member.replica.id);
     if (!this.stopped) {
       await this.add(member.service, member.zone);
     }
@@ -117,6 +120,26 @@
     member.replica.behaviour.losesAnswers = false;
   }
 
+  /**
+   * The store has returned from a copy: replicas write their entries again, each at its time, and the entries of those that
+   * have left lapse. Resolves when all entries are right.
+   */
+  async writeAgain(withinMs: number, random: Random): Promise<void> {
+    const written = [...this.entries.keys()].map(async (id) => {
+      await pause(random.nextBelow(withinMs + 1));
+      const entry = this.entries.get(id);
+      if (entry !== undefined) {
+        this.store.put(REPLICA_KIND, id, entry);
+      }
+    });
+    const left = this.store.names(REPLICA_KIND).filter((id) => !this.entries.has(id));
+    const lapsed = left.map(async (id) => {
+      await pause(ENTRY_LASTS_MS);
+      this.store.remove(REPLICA_KIND, id);
+    });
+    await Promise.all([...written, ...lapsed]);
+  }
+
   async stop(): Promise<void> {
     this.stopped = true;
     await Promise.all([...this.members].map((member) => this.end(member)));
@@ -142,7 +165,17 @@
     const replica = await StandInReplica.start(id, { slots: REPLICA_SLOTS, bodyOf, workOf });
     replica.observer = this.observe(replica, service);
     this.members.add({ replica, service, zone, leaving: false });
-    this.store.put(REPLICA_KIND, id, replica.entry(service, zone));
+    this.write(id, replica.entry(service, zone));
+  }
+
+  private write(id: string, entry: unknown): void {
+    this.entries.set(id, entry);
+    this.store.put(REPLICA_KIND, id, entry);
+  }
+
+  private erase(id: string): void {
+    this.entries.delete(id);
+    this.store.remove(REPLICA_KIND, id);
   }
 
   private async end(member: FleetMember): Promise<void> {
--- a/soak/world/soak-world.ts
+++ b/soak/world/soak-world.ts
@@ -9,6 +9,7 @@
 import { findPortRow } from './ports.js';
 import { ReplicaFleet } from './replica-fleet.js';
 import { LoopbackLink } from './loopback-link.js';
+import { StoreCopies } from './store-copies.js';
 import { REGION, ZONES, zoneOf } from './topology.js';
 
 const HOST = '127.0.0.1';
@@ -31,6 +32,7 @@
   /** In front of the port for peers of each gateway; none where the plan has no such links. */
   readonly peerLinks: LoopbackLink[] = [];
   readonly replicas: ReplicaFleet;
+  readonly storeCopies: StoreCopies;
   readonly operator: Operator;
   readonly callers: Callers;
 
@@ -40,6 +42,8 @@
   ) {
     const { seed, maxConnections, bounds } = plan;
     const { observations } = this;
+    store.era = 1;
+    this.storeCopies = new StoreCopies(store);
     this.replicas = new ReplicaFleet(store, observations, bounds.drainMs);
     const random = streamOf(seed, 'operator');
     this.operator = new Operator(store, observations, random, maxConnections);
@@ -71,6 +75,7 @@
   async stop(): Promise<void> {
     await Promise.all(this.gateways.map((gateway) => gateway.close()));
     await Promise.all([...this.storeLinks, ...this.peerLinks].map((link) => link.close()));
+    this.storeCopies.stop();
     await this.replicas.stop();
     await this.store.stop();
   }
--- a/src/gateway/readers/take-news.ts
+++ b/src/gateway/readers/take-news.ts
@@ -118,7 +118,7 @@
   progress.revision = revision;
   progress.era = era;
   progress.isListed = true;
-  const taken = hasReturned ? withholdOlder(state, snapshot, at) : snapshot;
+  const taken = withholdOlder(state, snapshot, at);
   const applied = applyObjects(state, taken, at, source.peer.name);
   if (hasReturned) {
     awaitUnlisted(state, collection, listed, at);
--- a/src/gateway/readers/tell-followers.ts
+++ b/src/gateway/readers/tell-followers.ts
@@ -1,6 +1,7 @@
 /** Tells the gateways that follow this one what it reads from the store. */
 import type { GatewayEffect } from '../effect.js';
 import type { FollowerJoined, FollowerLeft } from '../event.js';
+import type { PeerRecord } from '../model/peer-record.js';
 import { collectionsOf, type GatewayState } from '../state.js';
 import type { CollectionName } from '../store/collection.js';
 import { confirmedAt } from '../store/confirmation.js';
@@ -21,6 +22,17 @@
 /** Name of the one object of the configuration where a reader tells it. */
 const CONFIGURATION_OBJECT = 'configuration';
 
+/** A gateway as the store has it, also where it returned with an older entry: only the gateway itself can write it again. */
+const gatewayObject = ({ peers, returns }: GatewayState, name: string): Stored<PeerRecord> => {
+  const unconfirmed = returns.unconfirmed.gateways.get(name);
+  if (unconfirmed?.type === 'older') {
+    // What is kept apart of the gateways are entries of gateways.
+    return unconfirmed.stored as Stored<PeerRecord>;
+  }
+  const value = peers.find(name);
+  return value === undefined ? { name, gone: false } : { name, gone: false, value };
+};
+
 const objectsOf = (state: GatewayState, collection: CollectionName, at: number): StoreObjects => {
   switch (collection) {
     case 'configuration': {
@@ -39,10 +51,7 @@
       return { collection, objects };
     }
     case 'gateways': {
-      const objects = state.peers.names().map((name) => {
-        const value = state.peers.find(name);
-        return value === undefined ? { name, gone: false } : { name, gone: false, value };
-      });
+      const objects = state.peers.names().map((name) => gatewayObject(state, name));
       return { collection, objects };
     }
     case 'evacuations': {
@@ -60,8 +69,13 @@
   { returns }: GatewayState,
   era: StoreEra,
   at: number,
-): Pick<CollectionSnapshot, 'era' | 'eraAgeMs'> =>
-  era === undefined ? {} : { era, eraAgeMs: Math.max(0, at - returns.eraSince) };
+): Pick<CollectionSnapshot, 'era' | 'eraAgeMs'> => {
+  const eraAgeMs = Math.max(0, at - returns.eraSince);
+  return {
+    ...(era !== undefined && { era }),
+    ...(era !== undefined && Number.isFinite(eraAgeMs) && { eraAgeMs }),
+  };
+};
 
 const snapshotOf = (
   state: GatewayState,
--- a/src/gateway/returns/cross-era.ts
+++ b/src/gateway/returns/cross-era.ts
@@ -1,6 +1,6 @@
 /**
- * Reads a collection for the first time since the store has returned from a copy: what the copy lacks or brings back is
- * kept apart until it is confirmed, or its time is over.
+ * Reads collections when the store has returned from a copy: what the copy lacks or brings back is kept apart until it is
+ * confirmed, or its time is over.
  */
 import { isSamePeerRecord, type PeerRecord } from '../model/peer-record.js';
 import type { ReplicaRecord } from '../model/replica-record.js';
@@ -82,7 +82,10 @@
   counts?.set(collection, (counts.get(collection) ?? 0) + 1);
 };
 
-/** The objects without those that the copy brings back; these are kept apart. */
+/**
+ * The listed objects without those that the copy brings back; these are kept apart. Not only the first list since the
+ * return may hold them: a gateway that learnt of it from a reader may list for itself later.
+ */
 export const withholdOlder = <Read extends StoreObjects>(
   state: GatewayState,
   read: Read,
--- a/src/gateway/returns/note-era.ts
+++ b/src/gateway/returns/note-era.ts
@@ -46,10 +46,10 @@
     return [];
   }
   store.era = era;
-  returns.eraSince = since;
   if (previous === undefined) {
     return listAll(state, collection);
   }
+  returns.eraSince = since;
   const { ongoing } = returns;
   returns.ongoing = {
     previousEra: ongoing?.previousEra ?? previous,
--- a/src/gateway/returns/return-state.ts
+++ b/src/gateway/returns/return-state.ts
@@ -58,7 +58,7 @@
   readonly unconfirmed: Readonly<Record<CollectionName, Map<string, UnconfirmedObject>>>;
   readonly departedReplicas: Map<string, Departed>;
   readonly reopenedZones: Map<string, Departed>;
-  /** When this gateway, or one that told it, first knew of the era. */
+  /** When this gateway, or one that told it, first knew that the store has returned; long ago where it has not. */
   eraSince: number;
   ongoing: OngoingReturn | undefined;
 }
--- a/src/gateway/store/apply-collections.ts
+++ b/src/gateway/store/apply-collections.ts
@@ -81,8 +81,7 @@
   }
   changedNames(state, page).forEach((name) => progress.untold.add(name));
   const hasReturned = isOfEarlierEra(progress, era);
-  const taken = hasReturned ? withholdOlder(state, page, at) : page;
-  const applied = applyObjects(state, taken, at, 'store');
+  const applied = applyObjects(state, withholdOlder(state, page, at), at, 'store');
   if (isListSuperseded(progress, era)) {
     return [...applied, ...dropList(state, progress, read)];
   }
--- a/src/gateway/store/apply-objects.ts
+++ b/src/gateway/store/apply-objects.ts
@@ -100,7 +100,7 @@
   }
   const replica = replicas.find(name);
   const after = stateOf(replica);
-  noteDeparture(returns.departedReplicas, name, after === 'gone', at, replica?.record.bornAt);
+  noteDeparture(returns.departedReplicas, name, gone, at, replica?.record.bornAt);
   return replica === undefined || after === undefined || after === before
     ? []
     : [{ replica: name, service: replica.record.service, state: after }];
--- a/test/gateway/reader-network.ts
+++ b/test/gateway/reader-network.ts
@@ -4,6 +4,7 @@
  */
 import type { FollowReader, GatewayEffect, TellFollowers } from '../../src/gateway/effect.js';
 import type { GatewayEvent, StoreCallFailed } from '../../src/gateway/event.js';
+import type { BeliefChange } from '../../src/gateway/log/log-event.js';
 import type { FollowerId, ReaderNews } from '../../src/gateway/readers/reader-news.js';
 import { step } from '../../src/gateway/reducer.js';
 import type { GatewaySettings } from '../../src/gateway/settings.js';
@@ -81,6 +82,8 @@
   now = 0;
   /** Calls to the store, by their type. */
   readonly calls: StoreCall[] = [];
+  /** Sees what gateways log of what they believe. */
+  onLine: (node: VirtualNode, change: BeliefChange) => void = () => undefined;
   /** Sees what readers tell their followers. */
   onTold: (news: ReaderNews) => void = () => undefined;
   private readonly queue: Scheduled[] = [];
@@ -98,6 +101,7 @@
   failsCall: (call: CollectionStoreCall, count: number) => StoreCallFailed['problem'] | undefined =
     () => undefined;
   private answeredCalls = 0;
+  private isStoreAway = false;
   private heldNews: { readonly follow: Follow; readonly news: ReaderNews }[] = [];
   private follows: Follow[] = [];
   private nextFollower = 1;
@@ -238,7 +242,12 @@
 
   /** Takes the store away from all gateways, or gives it back. */
   setStoreAway(isAway: boolean): void {
-    this.nodes.forEach((node) => this.setStore(node, !isAway));
+    this.isStoreAway = isAway;
+  }
+
+  /** Does something later, unless the run is over by then. */
+  after(ms: number, run: () => void): void {
+    this.schedule(ms, run);
   }
 
   /** The store loses what was written since the copy. */
@@ -350,6 +359,8 @@
         return this.unfollow(node, effect.reader);
       case 'tell-followers':
         return this.tell(node, effect);
+      case 'write-log':
+        return this.onLine(node, effect.change);
       case 'check-peer':
         return this.check(node, effect.peer.name);
       default:
@@ -382,7 +393,7 @@
         return this.probe(node, call.timeoutMs);
       case 'register':
         return this.schedule(STORE_MS, () => {
-          if (node.storeReachable) {
+          if (this.reachesStore(node)) {
             this.put('gateways', call.record.name, call.record);
           }
         });
@@ -392,8 +403,12 @@
     }
   }
 
+  private reachesStore({ storeReachable }: VirtualNode): boolean {
+    return storeReachable && !this.isStoreAway;
+  }
+
   private probe(node: VirtualNode, timeoutMs: number): void {
-    const answered = node.storeReachable;
+    const answered = this.reachesStore(node);
     const inMs = answered ? STORE_MS : timeoutMs;
     const { life } = node;
     this.schedule(inMs, () => {
@@ -415,7 +430,7 @@
     this.schedule(STORE_MS, () => {
       if (isWanted() && node.isRefused) {
         this.refuse(node, call, token);
-      } else if (isWanted() && node.storeReachable) {
+      } else if (isWanted() && this.reachesStore(node)) {
         this.answerStore(node, call, token);
       }
     });
@@ -469,9 +484,9 @@
 
   private endWatch(node: VirtualNode, call: WatchCall, token: object): void {
     const isWaiting = node.watches.get(call.collection)?.token === token;
-    if (isWaiting && node.storeReachable && this.store.hasForgotten(call)) {
+    if (isWaiting && this.reachesStore(node) && this.store.hasForgotten(call)) {
       this.failCall(node, call, token, 'history-gone');
-    } else if (isWaiting && node.storeReachable) {
+    } else if (isWaiting && this.reachesStore(node)) {
       node.watches.delete(call.collection);
       node.calls.delete(call.collection);
       const { era } = this.store;
@@ -499,7 +514,7 @@
   private wakeWatch(node: VirtualNode, { call, token }: PendingWatch): void {
     const { collection } = call;
     const changes = this.store.changes(call);
-    if (changes === undefined || !node.storeReachable) {
+    if (changes === undefined || !this.reachesStore(node)) {
       return;
     }
     node.watches.delete(collection);
--- a/test/platform/stand-in-store.ts
+++ b/test/platform/stand-in-store.ts
@@ -22,6 +22,14 @@
   readonly gone: boolean;
 }
 
+/** What the store held at one moment. */
+export interface StoreCopy {
+  readonly revision: number;
+  readonly forgottenBefore: number;
+  readonly kinds: ReadonlyMap<string, ReadonlyMap<string, StoredObject>>;
+  readonly events: readonly StoreEvent[];
+}
+
 /** How the store treats calls; `losing`: it does what is asked and never answers. */
 export type StoreMode = 'serving' | 'busy' | 'throttling' | 'silent' | 'resetting' | 'losing';
 
@@ -50,7 +58,9 @@
   private watchesMuted = false;
   /** Calls by kind and type, e.g. `servers watch`. */
   readonly calls: string[] = [];
-  private readonly kinds = new Map<string, Map<string, StoredObject>>();
+  /** Told in all answers; rises with each return from a copy. Undefined: none is told. */
+  era: number | undefined;
+  private kinds = new Map<string, Map<string, StoredObject>>();
   private events: StoreEvent[] = [];
   private revision = 1;
   private forgottenBefore = 0;
@@ -100,6 +110,27 @@
     this.wake();
   }
 
+  copy(): StoreCopy {
+    const { revision, forgottenBefore, events } = this;
+    const kinds = [...this.kinds].map(([kind, objects]) => [kind, new Map(objects)] as const);
+    return { revision, forgottenBefore, events: [...events], kinds: new Map(kinds) };
+  }
+
+  /** Loses what was written since the copy, and gives its revisions out again in the next era. */
+  returnFrom({ revision, forgottenBefore, events, kinds }: StoreCopy): void {
+    this.era = (this.era ?? 0) + 1;
+    this.revision = revision;
+    this.forgottenBefore = forgottenBefore;
+    this.events = [...events];
+    this.kinds = new Map([...kinds].map(([kind, objects]) => [kind, new Map(objects)]));
+    this.wake();
+  }
+
+  /** Names of the objects of a kind. */
+  names(kind: string): readonly string[] {
+    return [...this.objectsOf(kind).keys()];
+  }
+
   /** Lets watches hear nothing for a while; those that wait are looked at again at its end. */
   muteWatches(muted: boolean): void {
     this.watchesMuted = muted;
@@ -158,7 +189,7 @@
     }
     const { meta, spec } = sent;
     if (this.objectsOf(kind).has(meta.name)) {
-      outgoing.writeHead(409).end();
+      this.answer(outgoing, 409);
       return;
     }
     this.put(kind, meta.name, spec);
@@ -176,7 +207,7 @@
       return;
     }
     if (!this.objectsOf(kind).has(name)) {
-      outgoing.writeHead(404).end();
+      this.answer(outgoing, 404);
       return;
     }
     this.put(kind, name, sent.spec);
@@ -186,10 +217,10 @@
   private misbehave(outgoing: ServerResponse): void {
     switch (this.mode) {
       case 'busy':
-        outgoing.writeHead(503).end();
+        this.answer(outgoing, 503);
         return;
       case 'throttling':
-        outgoing.writeHead(429).end();
+        this.answer(outgoing, 429);
         return;
       case 'resetting':
         outgoing.socket?.resetAndDestroy();
@@ -209,8 +240,8 @@
       if (this.watchesMuted) {
         return false;
       }
-      if (after < this.forgottenBefore) {
-        outgoing.writeHead(410).end();
+      if (after < this.forgottenBefore || after > this.revision) {
+        this.answer(outgoing, 410);
         return true;
       }
       const events = this.events.filter((each) => each.kind === kind && each.revision > after);
@@ -255,8 +286,15 @@
     if (this.mode === 'losing' || outgoing.destroyed) {
       return;
     }
-    const text = JSON.stringify(body);
-    outgoing.writeHead(200, { 'content-type': 'application/json' });
-    outgoing.end(text);
+    this.answer(outgoing, 200, JSON.stringify(body));
+  }
+
+  private answer(outgoing: ServerResponse, status: number, body = ''): void {
+    const { era } = this;
+    outgoing.writeHead(status, {
+      'content-type': 'application/json',
+      ...(era !== undefined && { 'store-era': String(era) }),
+    });
+    outgoing.end(body);
   }
 }
