A configuration that the store has lost is told to gateways that have started since

Cause: at one position of the store gateways may have two versions in force: the lost one, and that of the copy, at those that have started since. Positions were all that was compared. Ruled out: going back at a gateway that knows the newer one (it compares versions). Change: a reader tells its version with its status; a follower asks for a newer one, and for 30 s after a return offers one that the reader lacks. News of an earlier era than is known tell of a return.

--- a/src/gateway/effect.ts
+++ b/src/gateway/effect.ts
@@ -1,7 +1,7 @@
 /** Every effect that the gateway's reducer asks of its driver. Effects are data. */
 import type { CrashNews } from './crashes/crash-news.js';
 import type { BeliefChange, TracedDecision, TraceReason } from './log/log-event.js';
-import type { CallerLimits } from './model/route.js';
+import type { CallerLimits, GatewayConfiguration } from './model/route.js';
 import type { PeerRecord } from './model/peer-record.js';
 import type { Subquery, SubqueryId, SubqueryPart } from './model/subquery.js';
 import type { ReplicaRecord } from './model/replica-record.js';
@@ -177,6 +177,8 @@
   readonly type: 'follow-reader';
   readonly peer: PeerRecord;
   readonly positions: KnownPositions;
+  /** Told to a reader that has an older one, after a return of the store; absent mostly. */
+  readonly configuration?: GatewayConfiguration;
 }
 
 /** Tells a reader that nothing is wanted any more. */
--- a/src/gateway/event.ts
+++ b/src/gateway/event.ts
@@ -3,6 +3,7 @@
  * monotonic clock of the process; the reducer reads no other clock.
  */
 import type { CrashNews } from './crashes/crash-news.js';
+import type { GatewayConfiguration } from './model/route.js';
 import type { PeerProblem, Subquery, SubqueryId, SubqueryPart } from './model/subquery.js';
 import type {
   AttemptId,
@@ -214,6 +215,8 @@
   readonly follower: FollowerId;
   /** Up to where it knows the collections. */
   readonly positions: KnownPositions;
+  /** A newer configuration than this gateway has told; absent mostly. */
+  readonly configuration?: GatewayConfiguration;
 }
 
 /** A follower no longer wants to be told, or is gone. */
--- a/src/gateway/readers/reader-news.ts
+++ b/src/gateway/readers/reader-news.ts
@@ -45,6 +45,8 @@
    * before it has, and from readers of an earlier build.
    */
   readonly confirmedMsAgo?: number;
+  /** Version of the configuration in force at the reader; absent before the first, and from readers of an earlier build. */
+  readonly version?: number;
 }
 
 /** Everything that a reader tells. */
--- a/src/gateway/readers/reading-state.ts
+++ b/src/gateway/readers/reading-state.ts
@@ -49,6 +49,8 @@
   heardAt: number;
   /** Its last word on whether it is current; undefined before its first. */
   isCurrent: boolean | undefined;
+  /** The version of the configuration that it was told, as it has an older one. */
+  offeredVersion: number | undefined;
   /** It tells no eras, and this gateway knows one: what it tells cannot be compared. */
   isIncomparable: boolean;
 }
--- a/src/gateway/readers/take-news.ts
+++ b/src/gateway/readers/take-news.ts
@@ -18,6 +18,7 @@
   withholdOlder,
 } from '../returns/cross-era.js';
 import { noteEra, noteReturnRead } from '../returns/note-era.js';
+import { isReturnRecent } from '../returns/return-state.js';
 import { collectionsOf, type GatewayState } from '../state.js';
 import { applyObjects, applyWholeList, forgetGoneReplicas } from '../store/apply-objects.js';
 import {
@@ -56,6 +57,15 @@
   return [{ type: 'write-log', level: 'info', part: 'store', change }];
 };
 
+/** Versions of the configuration tell by themselves which is newer, wherever the store stood. */
+const takeVersion = (
+  state: GatewayState,
+  { peer }: Source,
+  snapshot: CollectionSnapshot,
+  at: number,
+): GatewayEffect[] =>
+  snapshot.collection === 'configuration' ? applyObjects(state, snapshot, at, peer.name) : [];
+
 /** A watch that waits was made from an earlier position, maybe of another era: another one takes its place. */
 const watchAnew = (
   { reading, store }: GatewayState,
@@ -104,7 +114,7 @@
   const progress = state.collections[collection];
   const before = positionOf(progress);
   if (before !== undefined && comparePositions({ era, revision }, before) <= 0) {
-    return dropNews(state, source, told);
+    return [...takeVersion(state, source, told, at), ...dropNews(state, source, told)];
   }
   const hasReturned = isOfEarlierEra(progress, era);
   const snapshot = listedPart(told);
@@ -189,11 +199,41 @@
   ];
 };
 
+/**
+ * A reader and its followers may have different versions of the configuration at the same position of the store: the store
+ * has lost one when it returned, and those that have started since do not know it. The newer one is asked for, or offered;
+ * this is looked at for as long as a return is remembered.
+ */
+const compareVersions = (
+  state: GatewayState,
+  source: Source,
+  version: number | undefined,
+  at: number,
+): GatewayEffect[] => {
+  const { inForce } = state;
+  if (version === undefined || inForce === undefined) {
+    return [];
+  }
+  const { configuration } = inForce;
+  const { version: own } = configuration;
+  const { peer } = source;
+  if (version > own) {
+    const positions = knownPositions(state, 'configuration');
+    return [{ type: 'follow-reader', peer, positions }];
+  }
+  const isKnownThere = version === own || source.offeredVersion === own;
+  if (isKnownThere || !isReturnRecent(state.returns, at)) {
+    return [];
+  }
+  source.offeredVersion = own;
+  return [{ type: 'follow-reader', peer, positions: knownPositions(state), configuration }];
+};
+
 /** A reader that is current has told all that the store holds. */
 const takeStatus = (
   state: GatewayState,
   source: Source,
-  { isCurrent, confirmedMsAgo = 0 }: ReaderStatus,
+  { isCurrent, confirmedMsAgo = 0, version }: ReaderStatus,
   at: number,
 ): GatewayEffect[] => {
   const wasCurrent = source.isCurrent;
@@ -204,11 +244,12 @@
       progress.confirmedAt = Math.max(progress.confirmedAt, at - confirmedMsAgo);
     });
   }
+  const compared = compareVersions(state, source, version, at);
   if (isCurrent === wasCurrent) {
-    return [];
+    return compared;
   }
   const change: BeliefChange = { event: 'reader-status', reader: source.peer.name, isCurrent };
-  return [{ type: 'write-log', level: 'info', part: 'store', change }];
+  return [...compared, { type: 'write-log', level: 'info', part: 'store', change }];
 };
 
 /** Handles `reader-told`; what comes from a gateway that is no longer followed is dropped. */
--- a/src/gateway/readers/tell-followers.ts
+++ b/src/gateway/readers/tell-followers.ts
@@ -2,7 +2,9 @@
 import type { GatewayEffect } from '../effect.js';
 import type { FollowerJoined, FollowerLeft } from '../event.js';
 import type { PeerRecord } from '../model/peer-record.js';
+import type { GatewayConfiguration } from '../model/route.js';
 import { collectionsOf, type GatewayState } from '../state.js';
+import { applyObjects } from '../store/apply-objects.js';
 import type { CollectionName } from '../store/collection.js';
 import { confirmedAt } from '../store/confirmation.js';
 import { positionOf } from '../store/follow-collection.js';
@@ -111,21 +113,23 @@
 const isCurrent = (state: GatewayState): boolean =>
   state.reading.isReading && canRead(state) && isComplete(state);
 
-/** Up to where this gateway knows the collections. */
-export const knownPositions = (state: GatewayState): KnownPositions =>
+/** Up to where this gateway knows the collections; nothing of `unknown`, so that all of it is told. */
+export const knownPositions = (state: GatewayState, unknown?: CollectionName): KnownPositions =>
   Object.fromEntries(
     collectionsOf(state).flatMap((name) => {
       const position = positionOf(state.collections[name]);
-      return position === undefined ? [] : [[name, position]];
+      return position === undefined || name === unknown ? [] : [[name, position]];
     }),
   );
 
 const statusOf = (state: GatewayState, at: number): ReaderStatus => {
   const confirmedMsAgo = at - confirmedAt(state);
+  const version = state.inForce?.configuration.version;
   return {
     type: 'status',
     isCurrent: isCurrent(state),
     ...(Number.isFinite(confirmedMsAgo) && { confirmedMsAgo }),
+    ...(version !== undefined && { version }),
   };
 };
 
@@ -255,13 +259,37 @@
   return tell(followers, status);
 };
 
+/** Takes a configuration that a follower knows and the store has lost, and tells it to all followers. */
+const takeOffered = (
+  state: GatewayState,
+  value: GatewayConfiguration,
+  at: number,
+): GatewayEffect[] => {
+  if (value.version <= (state.inForce?.configuration.version ?? Number.NEGATIVE_INFINITY)) {
+    return [];
+  }
+  const objects = [{ name: CONFIGURATION_OBJECT, gone: false, value }];
+  const { configuration } = state.collections;
+  return [
+    ...applyObjects(state, { collection: 'configuration', objects }, at, 'a follower'),
+    ...tellNamed(
+      state,
+      'configuration',
+      new Set([CONFIGURATION_OBJECT]),
+      positionOf(configuration),
+      at,
+    ),
+  ];
+};
+
 /** Handles `follower-joined`; one that missed something joins again. */
 export const takeFollower = (
   state: GatewayState,
-  { follower, positions, at }: FollowerJoined,
+  { follower, positions, configuration, at }: FollowerJoined,
 ): GatewayEffect[] => {
   state.reading.followers.set(follower, { positions, isTold: false });
-  return tellNewcomers(state, at);
+  const taken = configuration === undefined ? [] : takeOffered(state, configuration, at);
+  return [...taken, ...tellNewcomers(state, at)];
 };
 
 /** Handles `follower-left`. */
--- a/src/gateway/readers/update-reading.ts
+++ b/src/gateway/readers/update-reading.ts
@@ -112,6 +112,7 @@
     askedAt: at,
     heardAt: at,
     isCurrent: undefined,
+    offeredVersion: undefined,
     isIncomparable: false,
   };
   state.reading.sources.set(peer.name, source);
--- a/src/gateway/returns/note-era.ts
+++ b/src/gateway/returns/note-era.ts
@@ -38,8 +38,12 @@
 ): GatewayEffect[] => {
   const { store, returns } = state;
   const { era: previous } = store;
-  const order = era === undefined ? -1 : compareEras(era, previous);
-  if (order === 0) {
+  const order = era === undefined ? 0 : compareEras(era, previous);
+  if (order < 0 && !Number.isFinite(returns.eraSince)) {
+    // This gateway has started since the return, and learns of it from one that has not noticed yet.
+    returns.eraSince = since;
+  }
+  if (era !== undefined && order === 0) {
     returns.eraSince = Math.min(returns.eraSince, since);
   }
   if (era === undefined || order <= 0) {
--- a/src/gateway/returns/return-state.ts
+++ b/src/gateway/returns/return-state.ts
@@ -77,6 +77,10 @@
   ongoing: undefined,
 });
 
+/** Whether the store has returned so lately that a copy may have brought something back. */
+export const isReturnRecent = ({ eraSince }: ReturnState, at: number): boolean =>
+  at < eraSince + REMEMBER_MS;
+
 /** Until when an object that the copy lacks is known on. */
 export const awaitedUntil = ({ eraSince }: ReturnState, collection: CollectionName): number =>
   eraSince + (collection === 'gateways' ? GATEWAY_REWRITE_MS : REWRITE_MS);
--- a/src/gateway/runtime/peers/follow-message.ts
+++ b/src/gateway/runtime/peers/follow-message.ts
@@ -1,9 +1,10 @@
 /** The message by which a gateway follows a reader: revisions and eras apart, as earlier builds know only the first. */
+import type { FollowReader } from '../../effect.js';
 import type { KnownPositions } from '../../readers/reader-news.js';
 import type { FollowMessage } from './peer-message.js';
 
 /** Creates the message. */
-export const followMessage = (positions: KnownPositions): FollowMessage => {
+export const followMessage = ({ positions, configuration }: FollowReader): FollowMessage => {
   const known = Object.entries(positions);
   const eras = known.flatMap(([name, { era }]) =>
     era === undefined ? [] : [[name, era] as const],
@@ -12,6 +13,7 @@
     type: 'follow',
     revisions: Object.fromEntries(known.map(([name, { revision }]) => [name, revision])),
     ...(eras.length > 0 && { eras: Object.fromEntries(eras) }),
+    ...(configuration !== undefined && { configuration }),
   };
 };
 
--- a/src/gateway/runtime/peers/news-shape.ts
+++ b/src/gateway/runtime/peers/news-shape.ts
@@ -62,7 +62,8 @@
   isFields(value) &&
   hasNumbers(value, ['maxHeaderBytes', 'maxBodyBytes', 'headerTimeoutMs', 'idleTimeoutMs']);
 
-const isConfiguration: Check = (value) =>
+/** Whether a value is a configuration. */
+export const isConfiguration: Check = (value) =>
   isFields(value) &&
   isFiniteNumber(value['version']) &&
   isListOf(value['routes'], isRoute) &&
@@ -125,7 +126,11 @@
   }
   switch (value['type']) {
     case 'status':
-      return isFlag(value['isCurrent']) && isOptional(value['confirmedMsAgo'], isFiniteNumber);
+      return (
+        isFlag(value['isCurrent']) &&
+        isOptional(value['confirmedMsAgo'], isFiniteNumber) &&
+        isOptional(value['version'], isFiniteNumber)
+      );
     case 'snapshot':
       return (
         hasObjects(value) &&
--- a/src/gateway/runtime/peers/peer-client.ts
+++ b/src/gateway/runtime/peers/peer-client.ts
@@ -118,9 +118,10 @@
   }
 
   /** Asks a reader of the store to tell what it reads. */
-  follow({ peer, positions }: FollowReader): void {
+  follow(follow: FollowReader): void {
+    const { peer } = follow;
     const link = this.links.get(peer.name) ?? this.open(peer);
-    link.connection.send(followMessage(positions));
+    link.connection.send(followMessage(follow));
   }
 
   /** Tells a reader that nothing is wanted any more. */
--- a/src/gateway/runtime/peers/peer-codec.ts
+++ b/src/gateway/runtime/peers/peer-codec.ts
@@ -15,7 +15,7 @@
   isText,
 } from '../../../protocol/codec/shape.js';
 import { isCrashNews } from './crash-news-shape.js';
-import { isNews } from './news-shape.js';
+import { isConfiguration, isNews } from './news-shape.js';
 import { isPacked, packParts, packSubquery, unpackMessage } from './pack-message.js';
 import type { PartsMessage, PeerMessage, SubqueryMessage } from './peer-message.js';
 
@@ -36,7 +36,10 @@
   ping: () => true,
   pong: ({ isServing }) => typeof isServing === 'boolean',
   stopping: () => true,
-  follow: ({ revisions, eras }) => isNumbers(revisions) && isOptional(eras, isNumbers),
+  follow: ({ revisions, eras, configuration }) =>
+    isNumbers(revisions) &&
+    isOptional(eras, isNumbers) &&
+    isOptional(configuration, isConfiguration),
   unfollow: () => true,
   news: ({ news }) => isNews(news),
   crashes: ({ from, news }) => isText(from) && isListOf(news, isCrashNews),
--- a/src/gateway/runtime/peers/peer-message.ts
+++ b/src/gateway/runtime/peers/peer-message.ts
@@ -1,6 +1,7 @@
 /** Messages between gateways. Their encoding is in `peer-codec.ts`. */
 import type { CrashNews } from '../../crashes/crash-news.js';
 import type { CollectionName } from '../../store/collection.js';
+import type { GatewayConfiguration } from '../../model/route.js';
 import type { ReaderNews } from '../../readers/reader-news.js';
 import type { Subquery, SubqueryId, SubqueryPart } from '../../model/subquery.js';
 
@@ -65,6 +66,8 @@
   readonly revisions: CollectionNumbers;
   /** The eras of these revisions; absent where none is known, and from gateways of an earlier build. */
   readonly eras?: CollectionNumbers;
+  /** A newer configuration than the receiver has told; absent mostly. */
+  readonly configuration?: GatewayConfiguration;
 }
 
 /** The sender no longer wants it. */
--- a/src/gateway/runtime/peers/peer-port.ts
+++ b/src/gateway/runtime/peers/peer-port.ts
@@ -184,7 +184,14 @@
     const { follower } = coordinator;
     const positions = positionsOf(message);
     const at = this.context.clock.now();
-    this.context.sink.emit({ type: 'follower-joined', at, follower, positions });
+    const { configuration } = message;
+    this.context.sink.emit({
+      type: 'follower-joined',
+      at,
+      follower,
+      positions,
+      ...(configuration !== undefined && { configuration }),
+    });
   }
 
   private dropFollower(coordinator: Coordinator): void {
--- a/test/gateway/reader-lists.test.ts
+++ b/test/gateway/reader-lists.test.ts
@@ -144,6 +144,7 @@
       askedAt: network.now,
       heardAt: network.now,
       isCurrent: true,
+      offeredVersion: undefined,
       isIncomparable: false,
     };
     reader.state.reading.sources.set(peer.name, source);
--- a/test/gateway/reader-network.ts
+++ b/test/gateway/reader-network.ts
@@ -571,8 +571,14 @@
       this.nextFollower += 1;
       this.follows.push({ from, to, id });
     }
-    const { positions } = effect;
-    this.later(LINK_MS, to, { type: 'follower-joined', at: 0, follower: id, positions });
+    const { positions, configuration } = effect;
+    this.later(LINK_MS, to, {
+      type: 'follower-joined',
+      at: 0,
+      follower: id,
+      positions,
+      ...(configuration !== undefined && { configuration }),
+    });
   }
 
   private unfollow(from: VirtualNode, reader: string): void {
--- a/test/gateway/return-fuzz.test.ts
+++ b/test/gateway/return-fuzz.test.ts
@@ -187,6 +187,25 @@
     );
   });
 
+  it('use no replica again that they were told to drain, also where they have started since', () => {
+    // Seed 2, path 105: a gateway that had started after the return was told of a replica by one that had not noticed it.
+    const returning = new ReturningNetwork(4);
+    const run = new Run(returning.network, returning.writers);
+    const faults: readonly (Fault | Return)[] = [
+      { type: 'drain', replica: 0 },
+      { type: 'kill', node: 0 },
+      { type: 'slow', node: 0, ms: 4 },
+      { type: 'advance', ms: 1_895 },
+      { type: 'return', copyAgeMs: 1_396, awayMs: 1_178, rewriteMs: 1_185, resets: false },
+      { type: 'slow', node: 0, ms: 300 },
+    ];
+    faults.forEach((step) => returning.apply(step, run));
+    endFaults(returning);
+    returning.network.forgetHistory();
+    returning.network.advance(CALM_MS);
+    expect(returning.broken).toEqual([]);
+  });
+
   it('know what is written after a return within the bound, and call the store a bounded number of times', () => {
     fc.assert(
       fc.property(
--- a/test/gateway/returned-objects.test.ts
+++ b/test/gateway/returned-objects.test.ts
@@ -337,6 +337,60 @@
   });
 });
 
+describe('a configuration that the store has lost', () => {
+  const startAgain = (network: ReaderNetwork, nodes: readonly VirtualNode[]): void =>
+    nodes.forEach((node) => {
+      network.kill(node);
+      network.start(node);
+    });
+
+  it('is in force at a gateway that starts since, beside others that know it', () => {
+    const { network } = startNetwork();
+    const copy = network.store.copy();
+    network.put('configuration', 'main', configurationOf(2));
+    network.advance(1_000);
+    returnAlone(network, copy);
+    network.advance(500);
+    const follower = network.nodes.find(({ state }) => !state.reading.isReading) as VirtualNode;
+    startAgain(network, [follower]);
+    network.advance(4_000);
+    expect(network.nodes.map(({ version }) => version)).toEqual(Array<number>(9).fill(2));
+  });
+
+  it('is told to a reader that has started since by those that follow it', () => {
+    const { network } = startNetwork();
+    const copy = network.store.copy();
+    network.put('configuration', 'main', configurationOf(2));
+    network.advance(1_000);
+    returnAlone(network, copy);
+    network.advance(500);
+    startAgain(
+      network,
+      network.readers().map((name) => network.find(name)),
+    );
+    network.advance(4_000);
+    expect(network.nodes.map(({ version }) => version)).toEqual(Array<number>(9).fill(2));
+  });
+
+  it('is not offered again and again, nor where the store has not returned', () => {
+    const { network } = startNetwork();
+    const copy = network.store.copy();
+    network.put('configuration', 'main', configurationOf(2));
+    network.advance(1_000);
+    const follower = network.nodes.find(({ state }) => !state.reading.isReading) as VirtualNode;
+    const hearsOlder = (): number => {
+      const [reader = ''] = [...follower.state.reading.sources.keys()];
+      const news = { type: 'status', isCurrent: true, confirmedMsAgo: 1, version: 1 } as const;
+      const effects = step(follower.state, { type: 'reader-told', at: network.now, reader, news });
+      return effects.filter((effect) => 'configuration' in effect).length;
+    };
+    expect(hearsOlder()).toBe(0);
+    returnAlone(network, copy);
+    network.advance(3_000);
+    expect([hearsOlder(), hearsOlder()]).toEqual([1, 0]);
+  });
+});
+
 describe('what a return costs', () => {
   it('no gateway becomes unready, and one line tells both eras and what changed', () => {
     const { network, writers } = startNetwork();
--- a/test/platform/gateway-store.test.ts
+++ b/test/platform/gateway-store.test.ts
@@ -46,6 +46,27 @@
     expect(await statusOf('/one/')).toBe(404);
   });
 
+  it('comes into force after the store has returned from a copy and lost what it had acknowledged', async () => {
+    fixture.store.era = 1;
+    const copy = fixture.store.copy();
+    await fixture.serve();
+    const lost = fixture.configure([moved()], ['desk']);
+    await fixture.untilInForce(lost);
+    fixture.store.mode = 'resetting';
+    fixture.store.cutConnections();
+    await until(() => !fixture.gateway.state.store.reachable, 'the loss is noticed');
+    fixture.store.returnFrom(copy);
+    fixture.store.mode = 'serving';
+    const version = fixture.configure(
+      [moved(), routeSpec({ path_prefix: '/new/', service: 'desk' })],
+      ['desk'],
+    );
+    await fixture.untilInForce(version);
+    expect(await statusOf('/moved/')).toBe(200);
+    expect(await statusOf('/new/')).toBe(200);
+    expect(fixture.gateway.state.store.era).toBe(2);
+  });
+
   it.each(['silent', 'busy', 'throttling', 'resetting'] as const)(
     'comes into force after the store was %s and its connections were lost',
     async (mode) => {
