--- a/src/gateway/explain/find-cause.ts
+++ b/src/gateway/explain/find-cause.ts
@@ -98,6 +98,16 @@
   }
 };
 
+/** Where a return of the store may have to do with it: the version by which the request was routed, and when that was. */
+const describeReturn = (lines: readonly RequestLine[]): string => {
+  const [admitted] = linesOf(lines, 'request-admitted');
+  if (admitted?.storeReturnedMsAgo === undefined) {
+    return '';
+  }
+  const { version, versionAgeMs, storeReturnedMsAgo } = admitted;
+  return `; routed by version ${version}, in force for ${versionAgeMs} ms; the store had returned from a copy ${storeReturnedMsAgo} ms before: see store-returned`;
+};
+
 /** One sentence on what happened and why. */
 export const findCause = (lines: readonly RequestLine[]): string => {
   const [left] = linesOf(lines, 'caller-left');
@@ -106,7 +116,7 @@
   }
   const [answer] = linesOf(lines, 'request-answered');
   if (answer !== undefined) {
-    return explainAnswer(lines, answer);
+    return `${explainAnswer(lines, answer)}${describeReturn(lines)}`;
   }
   return lines.length === 0
     ? 'no line speaks of the request: it was not sampled, reached no gateway, or its gateway was lost'
--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -24,6 +24,8 @@
       readonly version: number;
       /** How long the version is in force. */
       readonly versionAgeMs: number;
+      /** How long before the store had returned from a copy; present for 30 s after that. */
+      readonly storeReturnedMsAgo?: number;
       readonly legs: number;
       readonly budgetMs: number;
       readonly hedgeInMs: number;
--- a/test/gateway/explain.test.ts
+++ b/test/gateway/explain.test.ts
@@ -26,6 +26,18 @@
     expect(findRequestLines(['{"time" broken'], 'r-1').malformed).toBe(1);
   });
 
+  it('leads from a request to the return of the store before it', () => {
+    const admitted = line(1, {
+      event: 'request-admitted',
+      version: 23,
+      versionAgeMs: 14_300,
+      storeReturnedMsAgo: 8_800,
+    });
+    expect(explain([admitted, answered({ outcome: 'whole', elapsedMs: 5 })])).toContain(
+      'routed by version 23, in force for 14300 ms; the store had returned from a copy 8800 ms before',
+    );
+  });
+
   it('names the replicas of a shard that is missing', () => {
     const partial = answered({ outcome: 'partial', missing: ['shard-a'] });
     const texts = [sent(1, 'a'), sent(2, 'b', 'hedge'), ended(1, 'a', 'reset'), partial];
