Reread cold: one's own entry after a start, marks that lists clear, and times at which all read again

Cause: found by reading the mend once more. A gateway that started within a return kept its own entry apart, and with it the suspected requests that it should know again; a mark that a list cleared was not passed on to followers; hundreds of gateways would have asked their readers again in the same moment. Ruled out by reading: budgets, crash memory, feeders' subqueries (none compares revisions). Change: an entry of which nothing is known is taken; marks of either kind are passed on when the object is listed again; gateways read again within 1.5 s of one another, but for orders about zones.

--- a/src/gateway/returns/cross-era.ts
+++ b/src/gateway/returns/cross-era.ts
@@ -8,7 +8,12 @@
 import type { CollectionName } from '../store/collection.js';
 import { unlistedNames } from '../store/list-changes.js';
 import type { Stored, StoreObjects } from '../store/store-objects.js';
-import { awaitedUntil, type UnconfirmedObject, withheldUntil } from './return-state.js';
+import {
+  awaitedUntil,
+  type UnconfirmedObject,
+  withheldSpread,
+  withheldUntil,
+} from './return-state.js';
 
 const startedAgain = (listed: number | undefined, known: number | undefined): boolean =>
   listed !== undefined && known !== undefined && listed > known;
@@ -36,13 +41,9 @@
   return known.goneAt !== undefined || (known.record.draining && !draining);
 };
 
-const isOlderGateway = (
-  { peers, settings }: GatewayState,
-  { name, value }: Stored<PeerRecord>,
-): boolean => {
+const isOlderGateway = ({ peers }: GatewayState, { name, value }: Stored<PeerRecord>): boolean => {
   const known = peers.find(name);
-  const differs = value === undefined || known === undefined || !isSamePeerRecord(known, value);
-  return name === settings.node ? differs : known !== undefined && differs;
+  return known !== undefined && (value === undefined || !isSamePeerRecord(known, value));
 };
 
 const olderNames = (state: GatewayState, read: StoreObjects): ReadonlySet<string> => {
@@ -98,9 +99,12 @@
     return read;
   }
   const all: readonly Stored<unknown>[] = read.objects;
+  const spreadMs = withheldSpread(collection) * state.random.next();
   all
     .filter(({ name }) => older.has(name))
-    .forEach((stored) => note(state, collection, stored.name, { type: 'older', until, stored }));
+    .forEach((stored) =>
+      note(state, collection, stored.name, { type: 'older', until: until + spreadMs, stored }),
+    );
   return { ...read, objects: all.filter(({ name }) => !older.has(name)) };
 };
 
--- a/src/gateway/returns/return-state.ts
+++ b/src/gateway/returns/return-state.ts
@@ -97,6 +97,16 @@
     : awaitedUntil(returns, collection);
 };
 
+/**
+ * Gateways read again what still stands at different times within this span, in milliseconds: a reader sends each some
+ * 100 KB. Orders about zones must be in force in time, and are few.
+ */
+const READ_AGAIN_SPREAD_MS = 1_500;
+
+/** By how much the times may differ at which gateways no longer withhold what a copy has brought back. */
+export const withheldSpread = (collection: CollectionName): number =>
+  collection === 'evacuations' ? 0 : READ_AGAIN_SPREAD_MS;
+
 /** Forgets what departed too long ago for a copy to bring it back. */
 export const forgetDeparted = (
   { departedReplicas, reopenedZones }: ReturnState,
--- a/src/gateway/store/list-changes.ts
+++ b/src/gateway/store/list-changes.ts
@@ -27,13 +27,13 @@
   objects.map(({ name }) => name);
 
 /**
- * Names of the listed objects that are not known as they were read, or that are known on and whose entries are back:
- * followers wait for these as well.
+ * Names of the listed objects that are not known as they were read, or that have been kept apart since the store returned
+ * from a copy: followers wait for these as well.
  */
 export const changedNames = (state: GatewayState, read: StoreObjects): readonly string[] => {
   const unconfirmed = state.returns.unconfirmed[read.collection];
-  const isBack = ({ name }: Stored<unknown>): boolean => unconfirmed.get(name)?.type === 'missing';
-  return [...differingNames(state, read), ...namesOf(read.objects.filter(isBack))];
+  const isAwaited = ({ name }: Stored<unknown>): boolean => unconfirmed.has(name);
+  return [...differingNames(state, read), ...namesOf(read.objects.filter(isAwaited))];
 };
 
 const differingNames = (state: GatewayState, read: StoreObjects): readonly string[] => {
