--- /dev/null
+++ b/src/gateway/readers/news-content.ts
@@ -0,0 +1,111 @@
+/** What a reader tells of a collection: the objects as it knows them, and the era that they are of. */
+import type { PeerRecord } from '../model/peer-record.js';
+import type { GatewayState } from '../state.js';
+import type { CollectionName } from '../store/collection.js';
+import { positionOf } from '../store/follow-collection.js';
+import { awaitedNames } from '../store/list-changes.js';
+import type { Stored, StoreObjects } from '../store/store-objects.js';
+import type { StoreEra } from '../store/store-position.js';
+import type { CollectionSnapshot } from './reader-news.js';
+
+/** Name of the one object of the configuration where a reader tells it. */
+export const CONFIGURATION_OBJECT = 'configuration';
+
+/** A gateway as the store has it, also where it returned with an older entry: only the gateway itself can write it again. */
+const gatewayObject = ({ peers, returns }: GatewayState, name: string): Stored<PeerRecord> => {
+  const unconfirmed = returns.unconfirmed.gateways.get(name);
+  if (unconfirmed?.type === 'older') {
+    // What is kept apart of the gateways are entries of gateways.
+    return unconfirmed.stored as Stored<PeerRecord>;
+  }
+  const value = peers.find(name);
+  return value === undefined ? { name, gone: false } : { name, gone: false, value };
+};
+
+const objectsOf = (state: GatewayState, collection: CollectionName, at: number): StoreObjects => {
+  switch (collection) {
+    case 'configuration': {
+      const value = state.inForce?.configuration;
+      const objects =
+        value === undefined ? [] : [{ name: CONFIGURATION_OBJECT, gone: false, value }];
+      return { collection, objects };
+    }
+    case 'replicas': {
+      const listed = [...state.replicas.all()].filter(({ goneAt }) => goneAt === undefined);
+      const objects = listed.map(({ record, coldUntil }) => ({
+        name: record.id,
+        gone: false,
+        value: { ...record, coldLeftMs: Math.max(0, coldUntil - at) },
+      }));
+      return { collection, objects };
+    }
+    case 'gateways': {
+      const objects = state.peers.names().map((name) => gatewayObject(state, name));
+      return { collection, objects };
+    }
+    case 'evacuations': {
+      const zones = [...state.evacuatedZones];
+      return {
+        collection,
+        objects: zones.map((zone) => ({ name: zone, gone: false, value: { zone } })),
+      };
+    }
+  }
+};
+
+/** What news of the era tell. */
+export const newsEra = (
+  { returns }: GatewayState,
+  era: StoreEra,
+  at: number,
+): Pick<CollectionSnapshot, 'era' | 'eraAgeMs'> => {
+  const eraAgeMs = Math.max(0, at - returns.eraSince);
+  return {
+    ...(era !== undefined && { era }),
+    ...(era !== undefined && Number.isFinite(eraAgeMs) && { eraAgeMs }),
+  };
+};
+
+/** All of a collection; undefined where it is not known to any position. */
+export const snapshotOf = (
+  state: GatewayState,
+  collection: CollectionName,
+  at: number,
+): CollectionSnapshot | undefined => {
+  const position = positionOf(state.collections[collection]);
+  if (position === undefined) {
+    return undefined;
+  }
+  const { era, revision } = position;
+  const awaited = awaitedNames(state, collection);
+  return {
+    type: 'snapshot',
+    ...objectsOf(state, collection, at),
+    revision,
+    ...newsEra(state, era, at),
+    ...(awaited.length > 0 && { awaited }),
+  };
+};
+
+/** The named objects as they are known now; those that are not known, or that the store does not list, are gone. */
+export const objectsNamed = (
+  state: GatewayState,
+  collection: CollectionName,
+  names: ReadonlySet<string>,
+  at: number,
+): StoreObjects => {
+  const known = objectsOf(state, collection, at);
+  if (known.collection === 'configuration') {
+    return names.size === 0 ? { collection: known.collection, objects: [] } : known;
+  }
+  const awaited = new Set(awaitedNames(state, collection));
+  const present = known.objects.filter(({ name }) => names.has(name) && !awaited.has(name));
+  const presentNames = new Set(present.map(({ name }) => name));
+  const gone = [...names].filter((name) => !presentNames.has(name));
+  const objects: readonly Stored<unknown>[] = [
+    ...present,
+    ...gone.map((name) => ({ name, gone: true })),
+  ];
+  // `present` is of the same collection; the union of collections cannot say so.
+  return { collection, objects } as StoreObjects;
+};
--- a/src/gateway/readers/take-news.ts
+++ b/src/gateway/readers/take-news.ts
@@ -18,7 +18,6 @@
   withholdOlder,
 } from '../returns/cross-era.js';
 import { noteEra, noteReturnRead } from '../returns/note-era.js';
-import { isReturnRecent } from '../returns/return-state.js';
 import { collectionsOf, type GatewayState } from '../state.js';
 import { applyObjects, applyWholeList, forgetGoneReplicas } from '../store/apply-objects.js';
 import {
@@ -30,6 +29,7 @@
 import { changedNames, unlistedNames, withAwaited } from '../store/list-changes.js';
 import type { Stored, StoreObjects } from '../store/store-objects.js';
 import { comparePositions, type StorePosition } from '../store/store-position.js';
+import { compareVersions } from './compare-versions.js';
 import type { CollectionChanges, CollectionSnapshot, ReaderStatus } from './reader-news.js';
 import type { Source } from './reading-state.js';
 import { knownPositions, tellChanges, tellNamed } from './tell-followers.js';
@@ -199,36 +199,6 @@
   ];
 };
 
-/**
- * A reader and its followers may have different versions of the configuration at the same position of the store: the store
- * has lost one when it returned, and those that have started since do not know it. The newer one is asked for, or offered;
- * this is looked at for as long as a return is remembered.
- */
-const compareVersions = (
-  state: GatewayState,
-  source: Source,
-  version: number | undefined,
-  at: number,
-): GatewayEffect[] => {
-  const { inForce } = state;
-  if (version === undefined || inForce === undefined) {
-    return [];
-  }
-  const { configuration } = inForce;
-  const { version: own } = configuration;
-  const { peer } = source;
-  if (version > own) {
-    const positions = knownPositions(state, 'configuration');
-    return [{ type: 'follow-reader', peer, positions }];
-  }
-  const isKnownThere = version === own || source.offeredVersion === own;
-  if (isKnownThere || !isReturnRecent(state.returns, at)) {
-    return [];
-  }
-  source.offeredVersion = own;
-  return [{ type: 'follow-reader', peer, positions: knownPositions(state), configuration }];
-};
-
 /** A reader that is current has told all that the store holds. */
 const takeStatus = (
   state: GatewayState,
--- a/src/reference/logs-page.ts
+++ b/src/reference/logs-page.ts
@@ -1,5 +1,5 @@
 /** The page of the gateway's log events, from their descriptions in the code. */
-import { BELIEF_DESCRIPTIONS, DECISION_DESCRIPTIONS } from '../gateway/log/log-event.js';
+import { BELIEF_DESCRIPTIONS, DECISION_DESCRIPTIONS } from '../gateway/log/log-descriptions.js';
 import { formatHead, formatTable, type ReferencePage } from './reference-page.js';
 
 const formatEvents = (descriptions: Readonly<Record<string, string>>): string =>
