--- a/src/gateway/returns/note-era.ts
+++ b/src/gateway/returns/note-era.ts
@@ -6,7 +6,7 @@
 import { beginList, callNow, isOfEarlierEra } from '../store/follow-collection.js';
 import { compareEras, type StoreEra } from '../store/store-position.js';
 
-/** Whence an era is known. */
+/** Where knowledge of an era comes from. */
 export interface EraSource {
   /** `store`, or the name of a gateway. */
   readonly from: string;
@@ -17,7 +17,10 @@
 }
 
 /** A reader lists at once what it knows of an earlier era: its watches would not tell what the store has lost. */
-const listAll = (state: GatewayState, except: CollectionName | undefined): GatewayEffect[] => {
+const listEarlierEra = (
+  state: GatewayState,
+  except: CollectionName | undefined,
+): GatewayEffect[] => {
   const { store, reading, collections } = state;
   if (!reading.isReading || !store.reachable) {
     return [];
@@ -51,7 +54,7 @@
   }
   store.era = era;
   if (previous === undefined) {
-    return listAll(state, collection);
+    return listEarlierEra(state, collection);
   }
   returns.eraSince = since;
   const { ongoing } = returns;
@@ -63,7 +66,7 @@
   const change: BeliefChange = { event: 'store-era-changed', era, previous, from };
   return [
     { type: 'write-log', level: 'info', part: 'store', change },
-    ...listAll(state, collection),
+    ...listEarlierEra(state, collection),
   ];
 };
 
