--- a/src/gateway/crashes/update-knowledge.ts
+++ b/src/gateway/crashes/update-knowledge.ts
@@ -40,11 +40,27 @@
   at: number,
 ): GatewayEffect[] => (state.crashes.untold.has(fingerprint) ? tellBy(state, at) : []);
 
+/** An answer that shows that a replica can run a request. */
+export interface SeenAnswer {
+  readonly replica: string;
+  readonly status: number;
+}
+
+/** How knowledge came, and how soon others need it. */
+export interface UpdateOrigin {
+  /** This gateway's name, or that of the one that told it. */
+  readonly from: string;
+  /** The answer that was seen, where it is one. */
+  readonly answer?: SeenAnswer;
+  /** Told at once: the request may be on its way to another gateway. */
+  readonly isUrgent: boolean;
+}
+
 const describeChange = (
   fingerprint: Fingerprint,
   before: CrashKnowledge,
   after: CrashKnowledge,
-  from: string,
+  { from, answer }: UpdateOrigin,
   at: number,
 ): BeliefChange | undefined => {
   if (after.level > before.level) {
@@ -57,26 +73,19 @@
     return { event: 'request-suspected', fingerprint, rounds, blockingRounds, from };
   }
   return before.rounds >= SERIOUS_ROUNDS && rounds === 0
-    ? { event: 'request-cleared', fingerprint, from }
+    ? { event: 'request-cleared', fingerprint, from, ...answer }
     : undefined;
 };
 
-/** How knowledge came, and how soon others need it. */
-export interface UpdateOrigin {
-  /** This gateway's name, or that of the one that told it. */
-  readonly from: string;
-  /** Told at once: the request may be on its way to another gateway. */
-  readonly isUrgent: boolean;
-}
-
 /** Takes what is known of a request now. */
 export const updateKnowledge = (
   state: GatewayState,
   fingerprint: Fingerprint,
   after: CrashKnowledge,
-  { from, isUrgent }: UpdateOrigin,
+  origin: UpdateOrigin,
   at: number,
 ): GatewayEffect[] => {
+  const { from, isUrgent } = origin;
   const { memory, untold, kept } = state.crashes;
   const before = memory.find(fingerprint, at);
   if (after === before) {
@@ -92,7 +101,7 @@
   } else if (after.rounds > before.rounds && from === state.settings.node) {
     kept.add(fingerprint);
   }
-  const change = describeChange(fingerprint, before, after, from, at);
+  const change = describeChange(fingerprint, before, after, origin, at);
   const level = change?.event === 'request-blocked' ? 'warn' : 'info';
   const log: GatewayEffect[] =
     change === undefined ? [] : [{ type: 'write-log', level, part: 'request', change }];
@@ -103,6 +112,7 @@
 export const noteServed = (
   state: GatewayState,
   fingerprint: Fingerprint,
+  answer: SeenAnswer,
   at: number,
 ): GatewayEffect[] => {
   const { memory, untold, told } = state.crashes;
@@ -112,6 +122,6 @@
     return [];
   }
   const served = addServed(memory.find(fingerprint, at), at);
-  const origin = { from: state.settings.node, isUrgent: false };
+  const origin = { from: state.settings.node, answer, isUrgent: false };
   return updateKnowledge(state, fingerprint, served, origin, at);
 };
--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -272,6 +272,9 @@
       readonly event: 'request-cleared';
       readonly fingerprint: Fingerprint;
       readonly from: string;
+      /** The replica that has answered it, and its status; absent where another gateway told it. */
+      readonly replica?: string;
+      readonly status?: number;
     }
   | {
       readonly event: 'peer-suspected';
--- a/src/gateway/metrics/gateway-counters.ts
+++ b/src/gateway/metrics/gateway-counters.ts
@@ -44,6 +44,11 @@
     help: 'Replicas that ended while they ran requests of this gateway, by service.',
     labelNames: ['service'],
   }),
+  unawaitedRuns: new CounterMetric({
+    name: 'crossroad_gateway_unawaited_runs_total',
+    help: 'Attempts that a replica may have run and that nobody waited for when they ended, by service and outcome.',
+    labelNames: ['service', 'outcome'],
+  }),
   subqueries: new CounterMetric({
     name: 'crossroad_gateway_subqueries_total',
     help: 'Subqueries: sent to feeders, moved to others, and taken as a feeder.',
--- a/src/gateway/requests/broken-attempts.ts
+++ b/src/gateway/requests/broken-attempts.ts
@@ -4,7 +4,7 @@
  */
 import type { BrokenRun } from '../crashes/broken-run.js';
 import { addCrash } from '../crashes/crash-record.js';
-import { noteServed, updateKnowledge } from '../crashes/update-knowledge.js';
+import { noteServed, type SeenAnswer, updateKnowledge } from '../crashes/update-knowledge.js';
 import type { GatewayEffect } from '../effect.js';
 import type { AttemptEnded, ReplicaChecked } from '../event.js';
 import type { BeliefChange } from '../log/log-event.js';
@@ -55,8 +55,11 @@
   return [{ type: 'check-replica', replica: replica.record }];
 };
 
-const isAnsweredByReplica = ({ result }: AttemptEnded): boolean =>
-  result.type === 'answered' && result.answer.signature !== undefined;
+/** The answer of a replica, where the attempt has ended with one. */
+const answerOf = ({ replica }: ActiveAttempt, { result }: AttemptEnded): SeenAnswer | undefined =>
+  result.type === 'answered' && result.answer.signature !== undefined
+    ? { replica, status: result.answer.status }
+    : undefined;
 
 /** Requests that wait for what is known of `fingerprint` go on. */
 export const wakeRequests = (
@@ -85,10 +88,11 @@
     return noteBrokenOff(state, attempt, at);
   }
   const { memory } = state.crashes;
-  if (!isAnsweredByReplica(event) || memory.verdict(fingerprint, at) === 'unsuspected') {
+  const answer = answerOf(attempt, event);
+  if (answer === undefined || memory.verdict(fingerprint, at) === 'unsuspected') {
     return [];
   }
-  return [...noteServed(state, fingerprint, at), ...wakeRequests(state, fingerprint, at)];
+  return [...noteServed(state, fingerprint, answer, at), ...wakeRequests(state, fingerprint, at)];
 };
 
 const logCrash = (
--- a/src/gateway/requests/take-result.ts
+++ b/src/gateway/requests/take-result.ts
@@ -70,6 +70,18 @@
   dropped,
 });
 
+/** A run whose request has ended before, or whose leg another attempt has answered. */
+const countUnawaited = (
+  { counters }: GatewayState,
+  { leg }: ActiveAttempt,
+  { result }: AttemptEnded,
+): void => {
+  const hasNotRun = result.type === 'refused' || (result.type === 'failed' && !result.mayHaveRun);
+  if (!hasNotRun) {
+    counters.unawaitedRuns.add(leg.service, outcomeOf(result));
+  }
+};
+
 /** Handles `attempt-ended`. */
 export const takeResult = (state: GatewayState, event: AttemptEnded): GatewayEffect[] => {
   const attempt = settleAttempt(state, event);
@@ -86,6 +98,9 @@
   event: AttemptEnded,
 ): GatewayEffect[] => {
   const request = state.requests.get(attempt.call);
+  if (request === undefined || attempt.leg.outcome !== undefined) {
+    countUnawaited(state, attempt, event);
+  }
   if (request === undefined) {
     return [];
   }
