Only an answer that shows that a replica can run a request clears it

What callers saw: one replica of each shard failed a request over all shards at once with a signed 500; under the others replicas ended, 1,603 sends of 3 allowed, and nearly no other request over all shards was served meanwhile.

Cause: any signed answer cleared what was known of the request at all gateways. A replica that fails whatever it is asked says nothing of what the request does to those that run it.

Now what clears is what the request's leg takes: a signed success, and outside gathers also what the service itself says of the request (3xx, 4xx but for 408, 421, 429). Why it holds: a lethal request gets no such answer from any replica. What is unsigned, spoilt or broken off, and a part of another shard (421, by the identifier that goes with each attempt) never counted. The other side: a request that is failed each time, with replicas ending beside, is passed its failure each time.

--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -194,6 +194,7 @@
     replica: record.id,
     route: route.name,
     repeatable: route.repeatable,
+    isPart: route.target.type === 'gather',
     sentAt: at,
     isProbe: guardOf(state, request, at) !== 'free',
     knownRounds: state.crashes.memory.find(request.request.fingerprint, at).rounds,
--- a/src/gateway/requests/broken-attempts.ts
+++ b/src/gateway/requests/broken-attempts.ts
@@ -11,6 +11,7 @@
 import { trace } from '../log/trace.js';
 import type { AttemptProblem, Fingerprint } from '../model/request.js';
 import type { GatewayState } from '../state.js';
+import { showsThatItRuns } from './good-answer.js';
 import { progressRequest } from './progress.js';
 import type { ActiveAttempt } from './request-state.js';
 
@@ -55,9 +56,12 @@
   return [{ type: 'check-replica', replica: replica.record }];
 };
 
-/** The answer of a replica, where the attempt has ended with one. */
-const answerOf = ({ replica }: ActiveAttempt, { result }: AttemptEnded): SeenAnswer | undefined =>
-  result.type === 'answered' && result.answer.signature !== undefined
+/** The answer by which the attempt has ended, where it shows that a replica can run the request. */
+const goodAnswerOf = (
+  { replica, isPart }: ActiveAttempt,
+  { result }: AttemptEnded,
+): SeenAnswer | undefined =>
+  result.type === 'answered' && showsThatItRuns(result.answer, isPart)
     ? { replica, status: result.answer.status }
     : undefined;
 
@@ -88,7 +92,7 @@
     return noteBrokenOff(state, attempt, at);
   }
   const { memory } = state.crashes;
-  const answer = answerOf(attempt, event);
+  const answer = goodAnswerOf(attempt, event);
   if (answer === undefined || memory.verdict(fingerprint, at) === 'unsuspected') {
     return [];
   }
--- a/src/gateway/requests/finish.ts
+++ b/src/gateway/requests/finish.ts
@@ -7,6 +7,7 @@
 import { trace, writeTrace } from '../log/trace.js';
 import type { CallerResponse, CallId, MergedAnswer, RefusalReason } from '../model/request.js';
 import type { GatewayState } from '../state.js';
+import { FIRST_FAILURE_STATUS } from './good-answer.js';
 import { giveUpAttempts, LINGER_MS } from './give-up-attempts.js';
 import { mergeRecords } from './merge-records.js';
 import { type ActiveRequest, isAnswered, type Leg } from './request-state.js';
@@ -17,8 +18,6 @@
 /** An answer that leaves so long after the time for the objective is logged as late. */
 const LATE_MS = 8;
 
-const FIRST_FAILURE_STATUS = 500;
-
 /**
  * Answers a call that has no request in progress, or whose request ends now. The connection is closed where
  * the rest of the request is not wanted.
--- a/src/gateway/requests/request-state.ts
+++ b/src/gateway/requests/request-state.ts
@@ -126,6 +126,8 @@
   readonly replica: string;
   readonly route: string;
   readonly repeatable: boolean;
+  /** It asks for a part of a gather. */
+  readonly isPart: boolean;
   readonly sentAt: number;
   /** It was sent to see whether replicas end under the request. */
   readonly isProbe: boolean;
--- a/src/gateway/requests/settle-attempt.ts
+++ b/src/gateway/requests/settle-attempt.ts
@@ -9,6 +9,7 @@
   noteUnfinished,
 } from '../replicas/replica.js';
 import type { GatewayState } from '../state.js';
+import { FIRST_FAILURE_STATUS } from './good-answer.js';
 import type { ActiveAttempt } from './request-state.js';
 import { addLatency } from './route-latency.js';
 
@@ -58,8 +59,6 @@
   }
 };
 
-const FIRST_FAILURE_STATUS = 500;
-
 const noteAnswer = (
   state: GatewayState,
   attempt: ActiveAttempt,
--- a/src/gateway/requests/take-result.ts
+++ b/src/gateway/requests/take-result.ts
@@ -3,30 +3,19 @@
 import type { AttemptEnded, CallerLeft, RequestDue } from '../event.js';
 import type { Decision } from '../log/log-event.js';
 import { trace, writeTrace } from '../log/trace.js';
-import type { AttemptProblem, AttemptResult, ReplicaAnswer } from '../model/request.js';
+import type { AttemptProblem, AttemptResult } from '../model/request.js';
 import type { GatewayState } from '../state.js';
 import { noteRunEnd } from './broken-attempts.js';
 import { abortLeg, giveUpAttempts, LINGER_MS } from './give-up-attempts.js';
+import { FIRST_FAILURE_STATUS, isUsable } from './good-answer.js';
 import { refuseHeldRequest } from './hold-request.js';
 import { progressRequest } from './progress.js';
 import type { ActiveAttempt, ActiveRequest, Leg } from './request-state.js';
 import { endLeg, notePauses, retryLeg } from './retry-leg.js';
 import { settleAttempt } from './settle-attempt.js';
 
-const isSuccess = ({ status }: ReplicaAnswer): boolean => status >= 200 && status < 300;
-
-const FIRST_FAILURE_STATUS = 500;
-
 const MS_PER_SECOND = 1_000;
 
-/** A success counts with its signature only; a gather takes nothing but successes. */
-const isUsable = (request: ActiveRequest, answer: ReplicaAnswer): boolean => {
-  if (isSuccess(answer)) {
-    return answer.signature !== undefined;
-  }
-  return request.route.target.type !== 'gather' && answer.status < FIRST_FAILURE_STATUS;
-};
-
 const takeLegResult = (
   state: GatewayState,
   request: ActiveRequest,
@@ -34,7 +23,8 @@
   result: AttemptResult,
   at: number,
 ): GatewayEffect[] => {
-  if (result.type === 'answered' && isUsable(request, result.answer)) {
+  const isPart = request.route.target.type === 'gather';
+  if (result.type === 'answered' && isUsable(result.answer, isPart)) {
     endLeg(request, leg, { type: 'answered', answer: result.answer });
     notePauses(state, leg);
     return abortLeg(leg, LINGER_MS);
--- /dev/null
+++ b/test/gateway/good-answer.test.ts
@@ -0,0 +1,56 @@
+import { describe, expect, it } from 'vitest';
+import type { ReplicaAnswer } from '../../src/gateway/model/request.js';
+import { isUsable, showsThatItRuns } from '../../src/gateway/requests/good-answer.js';
+
+const answerOf = (status: number, signature?: string): ReplicaAnswer => ({
+  status,
+  headers: [],
+  body: Buffer.alloc(0),
+  ...(signature !== undefined && { signature }),
+});
+
+const signed = (status: number): ReplicaAnswer => answerOf(status, 'signature');
+
+describe('an answer that shows that a replica can run a request', () => {
+  it('is a success that it has signed', () => {
+    expect([true, false].map((isPart) => showsThatItRuns(signed(200), isPart))).toEqual([
+      true,
+      true,
+    ]);
+    expect(showsThatItRuns(answerOf(200), false)).toBe(false);
+  });
+
+  it('is what its service says of the request, but for parts of a gather', () => {
+    expect([302, 404].map((status) => showsThatItRuns(signed(status), false))).toEqual([
+      true,
+      true,
+    ]);
+    expect([302, 404].map((status) => showsThatItRuns(signed(status), true))).toEqual([
+      false,
+      false,
+    ]);
+  });
+
+  it.each([408, 421, 429, 500, 502, 503, 504])('is no refusal and no failure: %i', (status) => {
+    expect([true, false].map((isPart) => showsThatItRuns(signed(status), isPart))).toEqual([
+      false,
+      false,
+    ]);
+  });
+});
+
+describe('an answer that ends its leg', () => {
+  it('is a signed success, or what is passed on to the caller as it is', () => {
+    expect([200, 404, 500].map((status) => isUsable(signed(status), false))).toEqual([
+      true,
+      true,
+      false,
+    ]);
+    expect([200, 404, 500].map((status) => isUsable(signed(status), true))).toEqual([
+      true,
+      false,
+      false,
+    ]);
+    expect(isUsable(answerOf(200), true)).toBe(false);
+  });
+});
--- a/test/gateway/met-crashes.test.ts
+++ b/test/gateway/met-crashes.test.ts
@@ -94,6 +94,20 @@
   });
 });
 
+describe('a request that its service answers with a failure each time', () => {
+  it('is never taken for one that ends replicas, and its failure is passed on', () => {
+    const network = networkOf(10);
+    network.insteadOfRunning = (_place, fingerprint) =>
+      fingerprint === 'failing' ? 'fails' : undefined;
+    for (let at = 0; at < 10_000; at += 50) {
+      network.at(at, () => network.ask({ fingerprint: 'failing', path: '/one/x', retries: 0 }));
+    }
+    network.at(5_000, () => network.crash(({ name }) => name.endsWith('/0')));
+    network.advance(12_000);
+    expect(new Set(network.asked.flatMap(reasonsOf))).toEqual(new Set(['pass-through']));
+  });
+});
+
 /** The lethal request comes in pairs, each `everyMs`, at any gateway. */
 const playLethal = (network: CrashNetwork, path: string, everyMs: number, forMs: number): void => {
   network.lethal.add('lethal');
