Replicas that end under attempts that nobody waits for any more count for their request

Cause: a gateway looked at a replica only when the replica broke a connection that was waited on. Attempts that are given up have their connections closed by the gateway itself, so that nothing broke when the replica ended a moment later. Ruled out: that the news were late (nothing was known at the gateway itself), and that answers cleared it (no answer came).

Now a run that is given up is remembered for as long as the replica may work on it (its time and half a second, 5 s at most), and its replica is watched over a connection that is kept, or opened where there is none. Where that breaks and the replica takes no other, the run counts as any other. Nothing is watched where a replica has sent a part of the request: most of what gathers and hedges leave behind. Once a request is suspected, its attempts get 400 ms to end, so that their ends are seen and an answer clears it; half a second is what replicas may work for callers who have left.

Why it holds: after an attempt may have reached a replica, either its connection or the watched one stays with the gateway while the replica may work on it; a replica that ends breaks both. Not covered yet: one that is back before it is looked at, or goes dark.

--- a/src/gateway/effect.ts
+++ b/src/gateway/effect.ts
@@ -35,6 +35,16 @@
   readonly replica: ReplicaRecord;
 }
 
+/**
+ * Keeps a connection to a replica until then, and looks at the replica when one breaks; ends in `replica-checked` each
+ * time, and once at first where there is none.
+ */
+export interface WatchReplica {
+  readonly type: 'watch-replica';
+  readonly replica: ReplicaRecord;
+  readonly untilAt: number;
+}
+
 /** Tells other gateways of requests under which replicas have ended. */
 export interface TellCrashes {
   readonly type: 'tell-crashes';
@@ -248,6 +258,7 @@
   | AbortAttempt
   | OpenConnection
   | CheckReplica
+  | WatchReplica
   | TellCrashes
   | SetCrashNewsTimer
   | CloseReplica
--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -248,8 +248,9 @@
       readonly service: string;
       /** Some of the requests that it was running, those of this gateway. */
       readonly fingerprints: readonly Fingerprint[];
-      /** How many they were. */
+      /** How many they were, and how many of them nobody waited for any more. */
       readonly requests: number;
+      readonly unawaited: number;
     }
   | {
       readonly event: 'request-suspected';
--- a/src/gateway/requests/accept-subquery.ts
+++ b/src/gateway/requests/accept-subquery.ts
@@ -113,7 +113,7 @@
   trace(request.decisions, at, { event: 'subquery-cancelled', elapsedMs });
   return [
     { type: 'forget-call', call },
-    ...giveUpAttempts(state, request, withinMs),
+    ...giveUpAttempts(state, request, withinMs, at),
     ...writeTrace(request.request.requestId, request.decisions, true),
   ];
 };
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -189,6 +189,7 @@
   state.attempts.set(attempt, {
     id: attempt,
     call,
+    owner: request,
     fingerprint: request.request.fingerprint,
     leg,
     replica: record.id,
--- a/src/gateway/requests/broken-attempts.ts
+++ b/src/gateway/requests/broken-attempts.ts
@@ -3,7 +3,8 @@
  * is looked into: a connection breaks in many ways that say nothing about the request.
  */
 import type { BrokenRun } from '../crashes/broken-run.js';
-import { addCrash } from '../crashes/crash-record.js';
+import { addCrash, type Crash } from '../crashes/crash-record.js';
+import type { UnawaitedRun } from '../crashes/unawaited-runs.js';
 import { noteServed, type SeenAnswer, updateKnowledge } from '../crashes/update-knowledge.js';
 import type { GatewayEffect } from '../effect.js';
 import type { AttemptEnded, ReplicaChecked } from '../event.js';
@@ -14,6 +15,7 @@
 import { showsThatItRuns } from './good-answer.js';
 import { progressRequest } from './progress.js';
 import type { ActiveAttempt } from './request-state.js';
+import { noteUnawaited } from './unawaited-attempts.js';
 
 /** How an attempt ends whose replica has ended. */
 const BROKEN_OFF: ReadonlySet<AttemptProblem> = new Set<AttemptProblem>([
@@ -93,7 +95,10 @@
   }
   const { memory } = state.crashes;
   const answer = goodAnswerOf(attempt, event);
-  if (answer === undefined || memory.verdict(fingerprint, at) === 'unsuspected') {
+  if (answer === undefined) {
+    return noteUnawaited(state, attempt, event);
+  }
+  if (memory.verdict(fingerprint, at) === 'unsuspected') {
     return [];
   }
   return [...noteServed(state, fingerprint, answer, at), ...wakeRequests(state, fingerprint, at)];
@@ -102,17 +107,20 @@
 const logCrash = (
   state: GatewayState,
   replica: string,
-  runs: readonly BrokenRun[],
+  broken: readonly BrokenRun[],
+  unawaited: readonly UnawaitedRun[],
 ): GatewayEffect => {
   const service = state.replicas.find(replica)?.record.service ?? '';
   state.counters.replicaCrashes.add(service);
-  const fingerprints = [...new Set(runs.map(({ attempt }) => attempt.fingerprint))];
+  const runs = [...broken.map(({ attempt }) => attempt), ...unawaited];
+  const fingerprints = [...new Set(runs.map(({ fingerprint }) => fingerprint))];
   const change: BeliefChange = {
     event: 'replica-crashed',
     replica,
     service,
     fingerprints: fingerprints.slice(0, MOST_NAMED),
     requests: runs.length,
+    unawaited: unawaited.length,
   };
   return { type: 'write-log', level: 'warn', part: 'replica', change };
 };
@@ -130,38 +138,70 @@
   return request.crashes >= URGENT_CRASHES && request.answeredLegs === 0;
 };
 
-const takeCrash = (state: GatewayState, run: BrokenRun, at: number): GatewayEffect[] => {
-  const { fingerprint } = run.attempt;
-  const isStriking = countCrash(state, run, at);
-  const before = state.crashes.memory.find(fingerprint, at);
-  const { knownRounds, sentAt } = run.attempt;
-  const after = addCrash(before, { knownRounds, sentAt, crashedAt: run.brokenAt });
+/** Takes note of a crash under a request, at this gateway and, where it is serious, at all others. */
+const addToKnowledge = (
+  state: GatewayState,
+  fingerprint: Fingerprint,
+  crash: Crash,
+  isStriking: boolean,
+  at: number,
+): GatewayEffect[] => {
+  const after = addCrash(state.crashes.memory.find(fingerprint, at), crash);
   const isUrgent = isStriking || after.rounds > 1;
   const { node: from } = state.settings;
   return updateKnowledge(state, fingerprint, after, { from, isUrgent }, at);
 };
 
+const takeBroken = (state: GatewayState, run: BrokenRun, at: number): GatewayEffect[] => {
+  const isStriking = countCrash(state, run, at);
+  const { fingerprint, knownRounds, sentAt } = run.attempt;
+  const crash = { knownRounds, sentAt, crashedAt: run.brokenAt };
+  return addToKnowledge(state, fingerprint, crash, isStriking, at);
+};
+
+const takeUnawaited = (
+  state: GatewayState,
+  { fingerprint, knownRounds, sentAt }: UnawaitedRun,
+  at: number,
+): GatewayEffect[] =>
+  addToKnowledge(state, fingerprint, { knownRounds, sentAt, crashedAt: at }, false, at);
+
+/** What a replica that has ended may have been working on without anybody waiting; one that drains ends by itself. */
+const unawaitedAt = (state: GatewayState, replica: string, at: number): readonly UnawaitedRun[] => {
+  const isDraining = state.replicas.find(replica)?.record.draining === true;
+  const runs = state.unawaitedRuns.take(replica, at);
+  return isDraining ? [] : runs;
+};
+
 /** Handles `replica-checked`. */
 export const takeReplicaChecked = (
   state: GatewayState,
   { replica, isDown, at }: ReplicaChecked,
 ): GatewayEffect[] => {
-  const runs = state.brokenRuns.get(replica) ?? [];
+  const broken = state.brokenRuns.get(replica) ?? [];
   state.brokenRuns.delete(replica);
-  const requests = new Set(runs.flatMap(({ attempt }) => state.requests.get(attempt.call) ?? []));
-  for (const { attempt } of runs) {
+  const requests = new Set(broken.flatMap(({ attempt }) => state.requests.get(attempt.call) ?? []));
+  for (const { attempt } of broken) {
     const request = state.requests.get(attempt.call);
     if (request !== undefined) {
       request.uncheckedBreaks -= 1;
     }
   }
+  const unawaited = isDown ? unawaitedAt(state, replica, at) : [];
   const crashes =
-    isDown && runs.length > 0
-      ? [logCrash(state, replica, runs), ...runs.flatMap((run) => takeCrash(state, run, at))]
+    isDown && broken.length + unawaited.length > 0
+      ? [
+          logCrash(state, replica, broken, unawaited),
+          ...broken.flatMap((run) => takeBroken(state, run, at)),
+          ...unawaited.flatMap((run) => takeUnawaited(state, run, at)),
+        ]
       : [];
+  const fingerprints = [...broken.map(({ attempt }) => attempt), ...unawaited].map(
+    ({ fingerprint }) => fingerprint,
+  );
   return [
     ...crashes,
     ...[...requests].flatMap((request) => progressRequest(state, request, at)),
-    ...runs.flatMap(({ attempt }) => wakeRequests(state, attempt.fingerprint, at)),
+    ...[...new Set(fingerprints)].flatMap((fingerprint) => wakeRequests(state, fingerprint, at)),
   ];
 };
--- a/src/gateway/requests/finish.ts
+++ b/src/gateway/requests/finish.ts
@@ -86,7 +86,7 @@
   const failed = !isCalm(decision) || at > request.objectiveAt + LATE_MS;
   return [
     answerCall(state, request.call, response),
-    ...giveUpAttempts(state, request, LINGER_MS),
+    ...giveUpAttempts(state, request, LINGER_MS, at),
     ...writeTrace(request.request.requestId, request.decisions, failed),
   ];
 };
--- a/src/gateway/requests/report-parts.ts
+++ b/src/gateway/requests/report-parts.ts
@@ -71,7 +71,7 @@
   const isLate = at > request.objectiveAt;
   return [
     takeUnreported(request, maxRecords, true),
-    ...giveUpAttempts(state, request, LINGER_MS),
+    ...giveUpAttempts(state, request, LINGER_MS, at),
     ...writeTrace(request.request.requestId, request.decisions, isLate || missing.length > 0),
   ];
 };
--- a/src/gateway/requests/request-state.ts
+++ b/src/gateway/requests/request-state.ts
@@ -121,6 +121,8 @@
 export interface ActiveAttempt {
   readonly id: AttemptId;
   readonly call: CallId;
+  /** The request that it was sent for, also after that has ended. */
+  readonly owner: ActiveRequest;
   readonly fingerprint: Fingerprint;
   readonly leg: Leg;
   readonly replica: string;
--- a/src/gateway/requests/take-result.ts
+++ b/src/gateway/requests/take-result.ts
@@ -129,7 +129,7 @@
   trace(request.decisions, at, { event: 'caller-left', elapsedMs });
   return [
     { type: 'forget-call', call },
-    ...giveUpAttempts(state, request, 0),
+    ...giveUpAttempts(state, request, 0, at),
     ...writeTrace(request.request.requestId, request.decisions, true),
   ];
 };
--- a/src/gateway/runtime/replica-client.ts
+++ b/src/gateway/runtime/replica-client.ts
@@ -1,6 +1,6 @@
 /** Sends attempts to replicas over a small pool of connections for each. */
 import type { MonotonicClock } from '../../runtime/monotonic-clock.js';
-import type { CheckReplica, OpenConnection, SendAttempt } from '../effect.js';
+import type { CheckReplica, OpenConnection, SendAttempt, WatchReplica } from '../effect.js';
 import type { ReplicaRecord } from '../model/replica-record.js';
 import type { AttemptId, AttemptProblem, AttemptResult } from '../model/request.js';
 import type { GatewayProtocol, HeaderNames } from '../protocol/protocol.js';
@@ -38,8 +38,8 @@
 };
 
 /**
- * Carries out the effects about replicas: `send-attempt`, `abort-attempt`, `open-connection`, `check-replica` and
- * `close-replica`. Emits `attempt-ended` and `replica-checked`.
+ * Carries out the effects about replicas: `send-attempt`, `abort-attempt`, `open-connection`, `check-replica`,
+ * `watch-replica` and `close-replica`. Emits `attempt-ended` and `replica-checked`.
  */
 export class ReplicaClient implements PoolListener {
   private readonly pools = new Map<string, ReplicaPool>();
@@ -73,10 +73,12 @@
 
   /** Looks whether a replica takes connections. */
   check({ replica }: CheckReplica): void {
-    const { sink, clock } = this.context;
-    this.poolOf(replica).check((isDown) =>
-      sink.emit({ type: 'replica-checked', at: clock.now(), replica: replica.id, isDown }),
-    );
+    this.poolOf(replica).check((isDown) => this.emitChecked(replica, isDown));
+  }
+
+  /** Keeps a connection to a replica, and looks at it when one breaks. */
+  watch({ replica, untilAt }: WatchReplica): void {
+    this.poolOf(replica).watch(untilAt, (isDown) => this.emitChecked(replica, isDown));
   }
 
   /** Closes the idle connections to a replica; the others close when their requests end. */
@@ -152,6 +154,11 @@
     this.emitEnd(attempt, result);
   }
 
+  private emitChecked({ id: replica }: ReplicaRecord, isDown: boolean): void {
+    const { sink, clock } = this.context;
+    sink.emit({ type: 'replica-checked', at: clock.now(), replica, isDown });
+  }
+
   private emitEnd(attempt: AttemptId, result: AttemptResult): void {
     const { sink, clock } = this.context;
     sink.emit({ type: 'attempt-ended', at: clock.now(), attempt, result });
--- a/src/gateway/runtime/replica-pool.ts
+++ b/src/gateway/runtime/replica-pool.ts
@@ -20,6 +20,9 @@
   readonly since: number;
 }
 
+/** Is told whether the replica refuses connections. */
+type CheckListener = (isDown: boolean) => void;
+
 /** What a pool tells its client. */
 export interface PoolListener {
   /** A connection is free for the attempt; its time left is counted from now. */
@@ -36,7 +39,9 @@
   private readonly idle: IdleConnection[] = [];
   private readonly waiting: SendAttempt[] = [];
   /** Those who wait to hear whether the replica takes connections. */
-  private readonly checks: ((isDown: boolean) => void)[] = [];
+  private readonly checks: CheckListener[] = [];
+  /** Who is told when a connection breaks, until when; undefined while nobody is. */
+  private watcher: { readonly untilAt: number; readonly onChecked: CheckListener } | undefined;
   private open = 0;
   private opening = 0;
   private maxConnections = 1;
@@ -68,7 +73,7 @@
    *
    * @param onChecked - told once; `isDown` where the connection was refused
    */
-  check(onChecked: (isDown: boolean) => void): void {
+  check(onChecked: CheckListener): void {
     this.checks.push(onChecked);
     if (this.opening > 0) {
       return;
@@ -80,6 +85,20 @@
     }
   }
 
+  /**
+   * Keeps a connection until `untilAt`, and looks at the replica at once when one breaks: whether a replica ends that
+   * works on nothing that is waited for shows nowhere else.
+   *
+   * @param onChecked - told of each look
+   */
+  watch(untilAt: number, onChecked: CheckListener): void {
+    const known = this.watcher?.untilAt ?? untilAt;
+    this.watcher = { untilAt: Math.max(known, untilAt), onChecked };
+    if (this.open === 0) {
+      this.check(onChecked);
+    }
+  }
+
   /** Takes an attempt that waits out of the queue; false when it does not wait here. */
   withdraw(attempt: AttemptId): boolean {
     const index = this.waiting.findIndex((each) => each.attempt === attempt);
@@ -178,7 +197,9 @@
     if (index >= 0) {
       this.idle.splice(index, 1);
     }
-    if (!connection.wasOpened) {
+    if (connection.wasOpened) {
+      this.lookIfWatched(index >= 0);
+    } else {
       this.opening -= 1;
       this.endChecks(problem === 'connect-refused');
       this.failWaiting(problem);
@@ -186,6 +207,19 @@
     this.serveWaiting();
   }
 
+  /** A watched replica is looked at when a connection without a request breaks, or the last one is given up. */
+  private lookIfWatched(wasIdle: boolean): void {
+    const { watcher } = this;
+    if (watcher === undefined || this.closed) {
+      return;
+    }
+    if (this.clock.now() > watcher.untilAt) {
+      this.watcher = undefined;
+    } else if (wasIdle || this.open === 0) {
+      this.check(watcher.onChecked);
+    }
+  }
+
   /**
    * The attempt for which the connection was to be opened goes to another replica; so do all that wait where
    * no connection is open: the replica cannot be reached.
--- a/src/gateway/runtime/start-gateway.ts
+++ b/src/gateway/runtime/start-gateway.ts
@@ -162,6 +162,7 @@
       .with({ type: 'announce-stop' }, () => this.peerPort.announceStop())
       .with({ type: 'open-connection' }, (open) => this.replicas.preconnect(open))
       .with({ type: 'check-replica' }, (check) => this.replicas.check(check))
+      .with({ type: 'watch-replica' }, (watch) => this.replicas.watch(watch))
       .with({ type: 'tell-crashes' }, (tell) => this.peerClient.tellCrashes(tell))
       .with({ type: 'set-crash-news-timer' }, ({ at }) => this.timers.set('crash-news', at))
       .with({ type: 'close-replica' }, ({ replica }) => this.replicas.close(replica))
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -3,6 +3,7 @@
 import { RetryBudget } from './budget/retry-budget.js';
 import type { BrokenRun } from './crashes/broken-run.js';
 import { type CrashState, createCrashState } from './crashes/crash-state.js';
+import { UnawaitedRuns } from './crashes/unawaited-runs.js';
 import type { RequestReceived } from './event.js';
 import { createGatewayCounters, type GatewayCounters } from './metrics/gateway-counters.js';
 import type { GatewayConfiguration } from './model/route.js';
@@ -115,6 +116,8 @@
   nextAttempt: AttemptId;
   /** Runs that broke off, by the replica that is being looked at. */
   readonly brokenRuns: Map<string, BrokenRun[]>;
+  /** Runs that are not waited for any more, by their replica. */
+  readonly unawaitedRuns: UnawaitedRuns;
   /** Requests under which replicas have ended. */
   readonly crashes: CrashState;
   readonly budgets: Map<string, RetryBudget>;
@@ -172,6 +175,7 @@
   attempts: new Map(),
   nextAttempt: 1,
   brokenRuns: new Map(),
+  unawaitedRuns: new UnawaitedRuns(),
   crashes: createCrashState(),
   budgets: new Map(),
   latencies: new Map(),
--- a/test/gateway/crash-network.ts
+++ b/test/gateway/crash-network.ts
@@ -9,6 +9,7 @@
   SendAttempt,
   SendSubquery,
   TellCrashes,
+  WatchReplica,
 } from '../../src/gateway/effect.js';
 import type { GatewayEvent } from '../../src/gateway/event.js';
 import type { PeerRecord } from '../../src/gateway/model/peer-record.js';
@@ -70,6 +71,12 @@
   record: ReplicaRecord;
   isUp = true;
   readonly running = new Set<RunningAttempt>();
+  /** Gateways that look at the replica when it ends. */
+  readonly watchers: {
+    readonly node: CrashNode;
+    readonly life: number;
+    readonly untilAt: number;
+  }[] = [];
 
   constructor(
     readonly name: string,
@@ -387,6 +394,7 @@
     running.forEach((attempt) =>
       this.endAttempt(attempt, { type: 'failed', problem: 'reset', mayHaveRun: true }),
     );
+    this.tellWatchers(place);
     this.schedule(LAPSE_MS, () => this.tellReplica(record, true));
     this.schedule(RESTART_MS * (0.8 + 0.4 * this.random.next()), () => this.restart(place));
   }
@@ -489,6 +497,24 @@
     this.later(2 * LINK_MS, node, { type: 'replica-checked', at: 0, replica, isDown });
   }
 
+  /** A watched replica is looked at when it ends, since a connection to it breaks, or where it has ended before. */
+  private watch(node: CrashNode, { replica, untilAt }: WatchReplica): void {
+    const place = this.places.find(({ record }) => record.id === replica.id);
+    if (place?.isUp !== true) {
+      return this.check(node, replica.id);
+    }
+    place.watchers.push({ node, life: node.life, untilAt });
+  }
+
+  private tellWatchers(place: Place): void {
+    const { id } = place.record;
+    for (const { node, life, untilAt } of place.watchers.splice(0)) {
+      if (node.life === life && this.now <= untilAt) {
+        this.schedule(LINK_MS, () => node.life === life && this.check(node, id));
+      }
+    }
+  }
+
   private isLinked(from: CrashNode, to: CrashNode): boolean {
     const key = [from.record.name, to.record.name].sort().join('|');
     return to.alive && !this.cuts.has(key);
@@ -550,6 +576,8 @@
         return this.abort(node, effect.attempt, effect.withinMs);
       case 'check-replica':
         return this.check(node, effect.replica.id);
+      case 'watch-replica':
+        return this.watch(node, effect);
       case 'call-store':
         return this.register(node, effect.call);
       case 'tell-crashes':
--- a/test/gateway/replica-pool.test.ts
+++ b/test/gateway/replica-pool.test.ts
@@ -142,3 +142,53 @@
     expect(await look()).toBe(true);
   });
 });
+
+describe('a replica that is watched', () => {
+  const looks = (untilAt: number): boolean[] => {
+    const seen: boolean[] = [];
+    pool.watch(untilAt, (isDown) => seen.push(isDown));
+    return seen;
+  };
+
+  it('has a connection kept, and is looked at when it ends', async () => {
+    const seen = looks(1_000);
+    await delay(20);
+    expect([replica.connections, seen]).toEqual([1, [false]]);
+    await replica.stop();
+    await delay(20);
+    expect(seen).toEqual([false, true]);
+  });
+
+  it('costs no connection where one is open', async () => {
+    await use(true);
+    const seen = looks(1_000);
+    await replica.stop();
+    await delay(20);
+    expect([replica.connections, seen]).toEqual([1, [true]]);
+  });
+
+  it('is found to have ended before', async () => {
+    await replica.stop();
+    const seen = looks(1_000);
+    await delay(20);
+    expect(seen).toEqual([true]);
+  });
+
+  it('gets another connection when the last one is given up', async () => {
+    await use(true);
+    pool.submit(attemptOf(true));
+    const seen = looks(1_000);
+    free.at(-1)?.destroy();
+    await delay(20);
+    expect([replica.connections, seen]).toEqual([2, [false]]);
+  });
+
+  it('is looked at no more once the time is over', async () => {
+    await use(true);
+    const seen = looks(1_000);
+    now = 1_001;
+    await replica.stop();
+    await delay(20);
+    expect(seen).toEqual([]);
+  });
+});
--- /dev/null
+++ b/test/gateway/unawaited-attempts.test.ts
@@ -0,0 +1,123 @@
+import { describe, expect, it } from 'vitest';
+import type { GatewayEffect, WatchReplica } from '../../src/gateway/effect.js';
+import type { AttemptProblem, AttemptResult, CallId } from '../../src/gateway/model/request.js';
+import { gatherOf, routeTo, VirtualGateway } from './virtual-gateway.js';
+
+const BUDGET_MS = 900;
+
+/** Time kept back of the caller's patience for the way back. */
+const MARGIN_MS = 10;
+
+const gatewayWith = (shards: number): VirtualGateway => {
+  const gateway = new VirtualGateway();
+  gateway.checksReplicas = false;
+  gateway.configure(1, [routeTo(gatherOf(shards, 0.5))]);
+  gateway.listReplicas(Array.from({ length: shards }, (_, index) => `s${index}`));
+  return gateway;
+};
+
+const failed = (problem: AttemptProblem, mayHaveRun = true): AttemptResult => ({
+  type: 'failed',
+  problem,
+  mayHaveRun,
+});
+
+const answered: AttemptResult = {
+  type: 'answered',
+  answer: { status: 200, headers: [], body: Buffer.alloc(16), signature: 'signature' },
+  closing: false,
+};
+
+const leave = (gateway: VirtualGateway, call: CallId): void =>
+  gateway.emit({ type: 'caller-left', at: gateway.now, call });
+
+const watches = ({ effects }: VirtualGateway): readonly WatchReplica[] =>
+  effects.filter((effect): effect is WatchReplica => effect.type === 'watch-replica');
+
+const crashLogs = ({ effects }: VirtualGateway): readonly GatewayEffect[] =>
+  effects.filter(
+    (effect) => effect.type === 'write-log' && effect.change.event === 'replica-crashed',
+  );
+
+/** A caller leaves, and the only attempt ends as if the gateway had closed its connection. */
+const giveUpOne = (problem: AttemptProblem = 'aborted', mayHaveRun = true): VirtualGateway => {
+  const gateway = gatewayWith(1);
+  leave(gateway, gateway.request(BUDGET_MS, false, 'print'));
+  gateway.sent.forEach((attempt) => gateway.end(attempt, failed(problem, mayHaveRun)));
+  return gateway;
+};
+
+const checkFirst = (gateway: VirtualGateway, at: number): void => {
+  const replica = gateway.sent[0]?.replica.id ?? '';
+  gateway.emit({ type: 'replica-checked', at, replica, isDown: true });
+};
+
+const verdictOf = ({ state, now }: VirtualGateway): string =>
+  state.crashes.memory.verdict('print', now);
+
+describe('an attempt that is no longer waited for', () => {
+  it.each(['aborted', 'timed-out', 'foreign-answer', 'bad-answer'] as const)(
+    'has its replica watched while that may work on: %s',
+    (problem) => {
+      const gateway = giveUpOne(problem);
+      const [attempt] = gateway.sent;
+      expect(watches(gateway)).toMatchObject([
+        { replica: attempt?.replica, untilAt: BUDGET_MS - MARGIN_MS + 500 },
+      ]);
+    },
+  );
+
+  it('does not where it was not sent', () => {
+    expect(watches(giveUpOne('aborted', false))).toEqual([]);
+  });
+
+  it('does not where a replica has sent another part', () => {
+    const gateway = gatewayWith(2);
+    const call = gateway.request(BUDGET_MS);
+    const [first, second] = gateway.sent;
+    if (first !== undefined && second !== undefined) {
+      gateway.end(first, answered);
+      leave(gateway, call);
+      gateway.end(second, failed('aborted'));
+    }
+    expect(watches(gateway)).toEqual([]);
+  });
+
+  it('counts for its request when the replica is found to have ended, and is logged', () => {
+    const gateway = giveUpOne();
+    checkFirst(gateway, 100);
+    expect(verdictOf(gateway)).toBe('suspected');
+    expect(crashLogs(gateway)).toMatchObject([
+      { change: { fingerprints: ['print'], requests: 1, unawaited: 1 } },
+    ]);
+  });
+
+  it('does not count where the replica ends after it cannot work on it any more', () => {
+    const gateway = giveUpOne();
+    checkFirst(gateway, BUDGET_MS + 500);
+    expect(verdictOf(gateway)).toBe('unsuspected');
+    expect(crashLogs(gateway)).toEqual([]);
+  });
+
+  it('does not count where the replica was going to end', () => {
+    const gateway = giveUpOne();
+    const replica = gateway.state.replicas.find(gateway.sent[0]?.replica.id ?? '');
+    if (replica !== undefined) {
+      gateway.state.replicas.put({ ...replica.record, draining: true }, 50);
+    }
+    checkFirst(gateway, 100);
+    expect(verdictOf(gateway)).toBe('unsuspected');
+  });
+});
+
+describe('an attempt of a request under which replicas may end', () => {
+  it('is waited for longer than its caller waits: its end shows whether they do', () => {
+    const gateway = giveUpOne();
+    checkFirst(gateway, 10);
+    leave(gateway, gateway.request(BUDGET_MS, false, 'print'));
+    const aborts = gateway.effects.filter(({ type }) => type === 'abort-attempt');
+    expect(aborts.map((abort) => abort.type === 'abort-attempt' && abort.withinMs)).toEqual([
+      0, 400,
+    ]);
+  });
+});
