Tries of a suspected request wait for each other, at a gateway and over gateways

Cause: each try of a suspected request is at one replica at a time, but many tries are at replicas at the same time: where replicas end seconds after they have begun, all that came meanwhile had begun too. And a try that replicas only refused or failed showed nothing, so that the next one came at once.

Now a try waits while another one of the same request is at a replica from here; from two rounds on the gateway tells the others that it tries (1 s, and they go on one after the other within 0.4 s); and a try that has shown nothing is followed by the next after as long as has passed since a replica last ended under it (0.25 to 30 s), one that can't go in its time is refused at once with that.

Why it holds: tries that reach replicas are causally one after the other but for those sent before news arrive, and without result they become rarer by the factor two.

--- a/src/gateway/crashes/crash-news.ts
+++ b/src/gateway/crashes/crash-news.ts
@@ -10,6 +10,8 @@
   readonly crashedMsAgo?: number;
   /** Absent where no replica has answered it. */
   readonly servedMsAgo?: number;
+  /** How much longer a suspected one is not to be tried by others; absent where it may be. */
+  readonly pauseLeftMs?: number;
   /** Absent where it is not blocked. */
   readonly block?: {
     readonly level: number;
@@ -30,6 +32,7 @@
   rounds,
   ...(Number.isFinite(crashedAt) && { crashedMsAgo: at - crashedAt }),
   ...(Number.isFinite(servedAt) && { servedMsAgo: at - servedAt }),
+  ...(level === 0 && trialUntil > at && { pauseLeftMs: trialUntil - at }),
   ...(level > 0 && {
     block: {
       level,
@@ -42,13 +45,14 @@
 
 /** What was told, by this gateway's clock. */
 export const fromNews = (
-  { rounds, crashedMsAgo, servedMsAgo, block }: CrashNews,
+  { rounds, crashedMsAgo, servedMsAgo, pauseLeftMs, block }: CrashNews,
   at: number,
 ): CrashKnowledge => ({
   ...NOTHING_KNOWN,
   rounds,
   ...(crashedMsAgo !== undefined && { crashedAt: at - crashedMsAgo }),
   ...(servedMsAgo !== undefined && { servedAt: at - servedMsAgo }),
+  ...(pauseLeftMs !== undefined && { trialUntil: at + pauseLeftMs }),
   ...(block !== undefined && {
     level: block.level,
     blockedAt: at - block.blockedMsAgo,
--- a/src/gateway/crashes/crash-record.ts
+++ b/src/gateway/crashes/crash-record.ts
@@ -120,12 +120,28 @@
 export const recalledKnowledge = (rounds: number, at: number): CrashKnowledge =>
   addRounds(NOTHING_KNOWN, rounds, at);
 
-/** Takes note that a gateway tries a blocked request now. */
+/** The same for a suspected request: it is tried often, and most that are suspected have only met crashes. */
+const PROBE_MS = 1_000;
+
+/** Takes note that a gateway tries a blocked or suspected request now. */
 export const beginTrial = (known: CrashKnowledge, at: number): CrashKnowledge => ({
   ...known,
-  trialUntil: at + TRIAL_MS,
+  trialUntil: at + (known.level > 0 ? TRIAL_MS : PROBE_MS),
 });
 
+/**
+ * A suspected request whose try has shown nothing, since replicas refused or failed it, is tried again after as long as has
+ * passed since a replica last ended under it, within these bounds in milliseconds: each try reaches replicas too.
+ */
+const LEAST_PAUSE_MS = 250;
+const LONGEST_PAUSE_MS = 30_000;
+
+/** Takes note that a try of a suspected request has ended without showing whether replicas end under it. */
+export const addInconclusive = (known: CrashKnowledge, at: number): CrashKnowledge => {
+  const pauseMs = Math.max(LEAST_PAUSE_MS, Math.min(LONGEST_PAUSE_MS, at - known.crashedAt));
+  return { ...known, trialUntil: Math.max(known.trialUntil, at + pauseMs) };
+};
+
 /**
  * Joins what this gateway knows with what another one has told. Of two blocks of the same level the own one stays:
  * what is told is later by the time that it was on its way, and would grow with each time that it is told.
--- a/src/gateway/crashes/update-knowledge.ts
+++ b/src/gateway/crashes/update-knowledge.ts
@@ -121,7 +121,9 @@
     memory.remove(fingerprint);
     return [];
   }
-  const served = addServed(memory.find(fingerprint, at), at);
-  const origin = { from: state.settings.node, answer, isUrgent: false };
+  const known = memory.find(fingerprint, at);
+  const served = addServed(known, at);
+  const isAwaited = known.trialUntil > at;
+  const origin = { from: state.settings.node, answer, isUrgent: isAwaited };
   return updateKnowledge(state, fingerprint, served, origin, at);
 };
--- a/src/gateway/requests/accept-request.ts
+++ b/src/gateway/requests/accept-request.ts
@@ -10,6 +10,7 @@
 import { isReturnRecent } from '../returns/return-state.js';
 import { type GatewayState, isInformed } from '../state.js';
 import { refuseCall } from './finish.js';
+import { pausedUntil } from './guard.js';
 import { holdRequest } from './hold-request.js';
 import { retryAfterUnread } from './retry-after.js';
 import { sendLegs } from './send-legs.js';
@@ -129,6 +130,10 @@
     return refuseBlocked(state, event, at);
   }
   const created = createRequest(state, route, event, at);
+  const untilAt = pausedUntil(state, created);
+  if (verdict === 'suspected' && untilAt >= created.deadlineAt) {
+    return refuseCall(state, event, 'replicas-crashed', Math.ceil(untilAt - at), at);
+  }
   created.isTrial = verdict === 'trial-due';
   const claimed = created.isTrial ? claimTrial(state, fingerprint, at) : [];
   return [...claimed, ...startRequest(state, created, at)];
--- a/src/gateway/requests/finish.ts
+++ b/src/gateway/requests/finish.ts
@@ -10,6 +10,7 @@
 import { FIRST_FAILURE_STATUS } from './good-answer.js';
 import { giveUpAttempts, LINGER_MS } from './give-up-attempts.js';
 import { mergeRecords } from './merge-records.js';
+import { noteInconclusive } from './note-inconclusive.js';
 import { type ActiveRequest, isAnswered, type Leg } from './request-state.js';
 import { retryAfter } from './retry-after.js';
 
@@ -85,6 +86,7 @@
   countAnswer(state, request, decision);
   const failed = !isCalm(decision) || at > request.objectiveAt + LATE_MS;
   return [
+    ...noteInconclusive(state, request, at),
     answerCall(state, request.call, response),
     ...giveUpAttempts(state, request, LINGER_MS, at),
     ...writeTrace(request.request.requestId, request.decisions, failed),
--- a/src/gateway/requests/guard.ts
+++ b/src/gateway/requests/guard.ts
@@ -5,6 +5,7 @@
  * only there is served after one more answer. Sent on as any other, it ended nearly all replicas of an index within a
  * tenth of a second, and no request over all shards was served for as long as it came.
  */
+import { hash32 } from '../../core/hash.js';
 import { trace } from '../log/trace.js';
 import type { GatewayState } from '../state.js';
 import type { ActiveRequest, Leg } from './request-state.js';
@@ -16,8 +17,8 @@
   legs.length > 1 && uncheckedBreaks + crashes > 0;
 
 /** One replica was tried after others had ended, and has ended too: its caller may ask again. */
-const hasLostProbe = ({ legs, isTrial, lostProbes }: ActiveRequest): boolean =>
-  lostProbes > 0 && (isTrial || legs.length > 1);
+const hasLostProbe = ({ legs, isTrial, hasClaimed, lostProbes }: ActiveRequest): boolean =>
+  lostProbes > 0 && (isTrial || hasClaimed || legs.length > 1);
 
 /** What may be sent for the request now. */
 export const guardOf = (state: GatewayState, request: ActiveRequest, at: number): Guard => {
@@ -33,9 +34,73 @@
 };
 
 /** Whether no replica works on the request, and none of its attempts has broken off unexplained. */
-export const isQuiet = ({ legs, subqueries, uncheckedBreaks }: ActiveRequest): boolean =>
+const isQuiet = ({ legs, subqueries, uncheckedBreaks }: ActiveRequest): boolean =>
   uncheckedBreaks === 0 && subqueries.size === 0 && legs.every(({ running }) => running.size === 0);
 
+/** Whether another try of the same request is at a replica, or asks a feeder, from this gateway. */
+const isTriedHere = ({ attempts, requests }: GatewayState, request: ActiveRequest): boolean => {
+  const { fingerprint } = request.request;
+  const isRunning = [...attempts.values()].some(
+    (attempt) => attempt.fingerprint === fingerprint && attempt.owner !== request,
+  );
+  // A feeder does not wait for a try that may be waiting for it.
+  const mayAsk = request.origin === 'caller';
+  return (
+    isRunning ||
+    (mayAsk &&
+      [...requests.values()].some(
+        (other) =>
+          other !== request &&
+          other.request.fingerprint === fingerprint &&
+          other.subqueries.size > 0,
+      ))
+  );
+};
+
+/**
+ * Gateways that wait for the same request go on one after the other, within this time in milliseconds: the first tells the
+ * others that it tries.
+ */
+const SPREAD_MS = 400;
+const HASH_RANGE = 2 ** 32;
+
+/**
+ * Until when a suspected request is not to be tried from here: another gateway tries it, or its last try has shown nothing.
+ * In the past where it may be.
+ */
+export const pausedUntil = (
+  { crashes, settings }: GatewayState,
+  { origin, request, isTrial, hasClaimed }: ActiveRequest,
+): number => {
+  const known = crashes.memory.all().get(request.fingerprint);
+  if (known === undefined || origin === 'coordinator' || isTrial || hasClaimed) {
+    return Number.NEGATIVE_INFINITY;
+  }
+  const place = hash32(`${settings.node} ${request.fingerprint}`) / HASH_RANGE;
+  return known.trialUntil + SPREAD_MS * place;
+};
+
+/**
+ * Whether a request that is at one replica at a time may go to the next one. Tries of a suspected request wait for each
+ * other: replicas may end long after they began to run it, and all that had begun meanwhile would end too.
+ */
+export const mayGoOn = (state: GatewayState, request: ActiveRequest, at: number): boolean => {
+  const isSuspected = state.crashes.memory.verdict(request.request.fingerprint, at) === 'suspected';
+  if (!isQuiet(request) || !isSuspected) {
+    return isQuiet(request);
+  }
+  return pausedUntil(state, request) <= at && !isTriedHere(state, request);
+};
+
+/** When a request with held legs is looked at again, if nothing wakes it before. */
+export const heldUntil = (state: GatewayState, request: ActiveRequest, at: number): number => {
+  if (mayGoOn(state, request, at)) {
+    return at;
+  }
+  const until = pausedUntil(state, request);
+  return until > at ? until : Number.POSITIVE_INFINITY;
+};
+
 /** Keeps a leg without an attempt back until the guard lets it go. */
 export const holdLeg = (request: ActiveRequest, leg: Leg, at: number): void => {
   if (!request.legs.some(({ isHeld }) => isHeld)) {
--- /dev/null
+++ b/src/gateway/requests/note-inconclusive.ts
@@ -0,0 +1,34 @@
+/** Tries of suspected requests that end without showing whether replicas end under them. */
+import { addInconclusive } from '../crashes/crash-record.js';
+import { updateKnowledge } from '../crashes/update-knowledge.js';
+import type { GatewayEffect } from '../effect.js';
+import type { GatewayState } from '../state.js';
+import type { ActiveRequest } from './request-state.js';
+
+const hasReachedReplica = ({ legs }: ActiveRequest): boolean =>
+  legs.some(({ arrivals, runs }) => arrivals + runs > 0);
+
+/**
+ * Takes note of a caller's try that ends now: where replicas refused or failed all of it, the next one waits, at all
+ * gateways. A try under which a replica has ended counts as a round instead.
+ */
+export const noteInconclusive = (
+  state: GatewayState,
+  request: ActiveRequest,
+  at: number,
+): GatewayEffect[] => {
+  const { fingerprint } = request.request;
+  const { memory } = state.crashes;
+  const hasShown = request.answeredLegs + request.crashes + request.uncheckedBreaks > 0;
+  if (
+    hasShown ||
+    request.origin === 'coordinator' ||
+    memory.verdict(fingerprint, at) !== 'suspected' ||
+    !hasReachedReplica(request)
+  ) {
+    return [];
+  }
+  const paused = addInconclusive(memory.find(fingerprint, at), at);
+  const origin = { from: state.settings.node, isUrgent: true };
+  return updateKnowledge(state, fingerprint, paused, origin, at);
+};
--- a/src/gateway/requests/progress.ts
+++ b/src/gateway/requests/progress.ts
@@ -8,7 +8,7 @@
 import { retryLeg } from './retry-leg.js';
 import { finishGather, finishRequest, giveUp } from './finish.js';
 import { finishSubquery, hasUnsent, reportParts } from './report-parts.js';
-import { isQuiet } from './guard.js';
+import { heldUntil } from './guard.js';
 import { releaseLegs } from './release-legs.js';
 import type { ActiveRequest, Leg } from './request-state.js';
 
@@ -110,7 +110,7 @@
   const moved = checkSubqueries(state, request, at);
   const resumed = resumeLegs(state, request, at);
   const hedges = !request.hedged && at >= request.hedgeAt ? hedgeLegs(state, request, at) : [];
-  return [...moved, ...resumed, ...hedges, ...setTimer(request, nextDue(request, at))];
+  return [...moved, ...resumed, ...hedges, ...setTimer(request, nextDue(state, request, at))];
 };
 
 const setTimer = (request: ActiveRequest, dueAt: number): GatewayEffect[] => {
@@ -121,10 +121,9 @@
   return [{ type: 'set-request-timer', call: request.call, at: dueAt }];
 };
 
-const nextDue = (request: ActiveRequest, at: number): number => {
-  if (isQuiet(request) && request.legs.some(({ isHeld }) => isHeld)) {
-    return at;
-  }
+const nextDue = (state: GatewayState, request: ActiveRequest, at: number): number => {
+  const isHeld = request.legs.some((leg) => leg.isHeld);
+  const heldTime = isHeld ? heldUntil(state, request, at) : request.deadlineAt;
   const { hedged, hedgeAt, objectiveAt, deadlineAt } = request;
   const resumeTimes = request.legs.map((leg) => leg.resumeAt ?? deadlineAt);
   const hedgeTime = hedged ? deadlineAt : hedgeAt;
@@ -133,7 +132,14 @@
     ({ acknowledgeBy }) => acknowledgeBy ?? deadlineAt,
   );
   const acknowledgeTime = request.acknowledgeAt ?? deadlineAt;
-  const times = [hedgeTime, objectiveTime, acknowledgeTime, ...resumeTimes, ...acknowledgeTimes];
+  const times = [
+    heldTime,
+    hedgeTime,
+    objectiveTime,
+    acknowledgeTime,
+    ...resumeTimes,
+    ...acknowledgeTimes,
+  ];
   return Math.min(deadlineAt, ...times);
 };
 
--- a/src/gateway/requests/release-legs.ts
+++ b/src/gateway/requests/release-legs.ts
@@ -2,7 +2,7 @@
 import type { GatewayEffect } from '../effect.js';
 import { trace } from '../log/trace.js';
 import type { GatewayState } from '../state.js';
-import { guardOf, isQuiet } from './guard.js';
+import { guardOf, mayGoOn } from './guard.js';
 import type { ActiveRequest, Leg } from './request-state.js';
 import { endLeg, retryLeg } from './retry-leg.js';
 import { sendLegs } from './send-legs.js';
@@ -40,7 +40,7 @@
   const effects: GatewayEffect[] = [];
   for (const leg of heldFromAnywhere(state, request)) {
     const guard = guardOf(state, request, at);
-    if (guard === 'one-at-a-time' && !isQuiet(request)) {
+    if (guard === 'one-at-a-time' && !mayGoOn(state, request, at)) {
       break;
     }
     leg.isHeld = false;
--- a/src/gateway/requests/request-state.ts
+++ b/src/gateway/requests/request-state.ts
@@ -113,6 +113,8 @@
   lostProbes: number;
   /** It was blocked, and is tried now. */
   isTrial: boolean;
+  /** It is suspected, and the other gateways were told that it is tried here. */
+  hasClaimed: boolean;
   /** Legs were not sent because replicas end under the request. */
   isStopped: boolean;
 }
@@ -197,5 +199,6 @@
   crashes: 0,
   lostProbes: 0,
   isTrial: false,
+  hasClaimed: false,
   isStopped: false,
 });
--- a/src/gateway/requests/retry-leg.ts
+++ b/src/gateway/requests/retry-leg.ts
@@ -6,7 +6,8 @@
 import { type GatewayState, pauseOutcomesOf } from '../state.js';
 import { sendAttempt } from './attempts.js';
 import { doesPausePay, notePauseOutcome } from './pause-outcomes.js';
-import { guardOf, holdLeg, isQuiet } from './guard.js';
+import { claimProbe } from './claim-probe.js';
+import { guardOf, holdLeg, mayGoOn } from './guard.js';
 import type { ActiveRequest, Leg, LegOutcome } from './request-state.js';
 
 /** Pauses before all replicas are tried again, in milliseconds: doubled each time. */
@@ -80,7 +81,7 @@
 ): GatewayEffect[] => {
   const guard = guardOf(state, request, at);
   const isRunning = leg.running.size > 0;
-  if (guard === 'one-at-a-time' && !isQuiet(request)) {
+  if (guard === 'one-at-a-time' && !mayGoOn(state, request, at)) {
     if (!isRunning) {
       holdLeg(request, leg, at);
     }
@@ -88,7 +89,7 @@
   }
   const attempt = guard === 'stopped' ? undefined : sendAttempt(state, request, leg, reason, at);
   if (attempt !== undefined) {
-    return [attempt];
+    return [...claimProbe(state, request, at), attempt];
   }
   if (guard === 'stopped') {
     request.isStopped = true;
--- a/src/gateway/requests/send-legs.ts
+++ b/src/gateway/requests/send-legs.ts
@@ -11,7 +11,8 @@
 import { usualPatience } from '../delay-estimate.js';
 import { feederPlan, isFed } from '../peers/service-share.js';
 import { budgetOf, type GatewayState } from '../state.js';
-import { guardOf, holdLeg, isQuiet } from './guard.js';
+import { claimProbe } from './claim-probe.js';
+import { guardOf, holdLeg, mayGoOn } from './guard.js';
 import type { ActiveRequest, ActiveSubquery, Leg } from './request-state.js';
 import { retryLeg } from './retry-leg.js';
 
@@ -129,10 +130,11 @@
     isRepeat,
   });
   const subquery = createSubquery(request, target, legs, isRepeat, at);
-  return [{ type: 'send-subquery', id, call: request.call, peer, subquery }];
+  const claimed = claimProbe(state, request, at);
+  return [...claimed, { type: 'send-subquery', id, call: request.call, peer, subquery }];
 };
 
-/** Whether legs must wait because replicas may have ended under the request; one alone need not while it is quiet. */
+/** Whether legs must wait because replicas may have ended under the request; one alone need not while it may go on. */
 const mustHold = (
   state: GatewayState,
   request: ActiveRequest,
@@ -140,7 +142,7 @@
   at: number,
 ): boolean => {
   const guard = guardOf(state, request, at);
-  const isOneMore = legs.length === 1 && isQuiet(request);
+  const isOneMore = legs.length === 1 && mayGoOn(state, request, at);
   return guard === 'stopped' || (guard === 'one-at-a-time' && !isOneMore);
 };
 
--- a/src/gateway/requests/take-result.ts
+++ b/src/gateway/requests/take-result.ts
@@ -5,7 +5,7 @@
 import { trace, writeTrace } from '../log/trace.js';
 import type { AttemptProblem, AttemptResult } from '../model/request.js';
 import type { GatewayState } from '../state.js';
-import { noteRunEnd } from './broken-attempts.js';
+import { noteRunEnd, wakeRequests } from './broken-attempts.js';
 import { abortLeg, giveUpAttempts, LINGER_MS } from './give-up-attempts.js';
 import { FIRST_FAILURE_STATUS, isUsable } from './good-answer.js';
 import { refuseHeldRequest } from './hold-request.js';
@@ -78,8 +78,11 @@
   if (attempt === undefined) {
     return [];
   }
+  const { fingerprint } = attempt;
   const noted = noteRunEnd(state, attempt, event);
-  return [...noted, ...takeRequestResult(state, attempt, event)];
+  const taken = takeRequestResult(state, attempt, event);
+  const isSuspected = state.crashes.memory.verdict(fingerprint, event.at) !== 'unsuspected';
+  return [...noted, ...taken, ...(isSuspected ? wakeRequests(state, fingerprint, event.at) : [])];
 };
 
 const takeRequestResult = (
--- a/src/gateway/requests/unawaited-attempts.ts
+++ b/src/gateway/requests/unawaited-attempts.ts
@@ -1,18 +1,18 @@
 /**
  * Attempts that are given up while a replica may run them: their caller left, their time is over, or what came was no
  * answer. The gateway closes their connections itself, so that none of them breaks when the replica ends. The replica is
- * watched for as long as it may work on: a request that ends replicas does so also when nobody waits for it.
+ * watched for a while: a request that ends replicas does so also when nobody waits for it.
  */
 import type { GatewayEffect } from '../effect.js';
 import type { AttemptEnded } from '../event.js';
 import type { GatewayState } from '../state.js';
 import type { ActiveAttempt } from './request-state.js';
 
-/** A replica may work on for so long after the time that it was given is over, in milliseconds. */
-const OVERTIME_MS = 500;
-
-/** A replica is watched for so long at most, in milliseconds: what ends it later is hardly the run. */
-const LONGEST_WATCH_MS = 5_000;
+/**
+ * A replica is watched for so long, in milliseconds: some work on after the time that they were given. A replica that ends
+ * later has hardly ended by the run.
+ */
+const WATCH_MS = 5_000;
 
 /**
  * Takes note of an attempt that ended without the replica's doing. A request of which some replica has sent a part ends
@@ -28,9 +28,8 @@
   if (replica === undefined || !mayRunOn || attempt.owner.answeredLegs > 0) {
     return [];
   }
-  const { fingerprint, knownRounds, sentAt, owner } = attempt;
-  const worksUntil = Math.max(at, owner.deadlineAt) + OVERTIME_MS;
-  const watchedUntil = Math.min(worksUntil, at + LONGEST_WATCH_MS);
+  const { fingerprint, knownRounds, sentAt } = attempt;
+  const watchedUntil = at + WATCH_MS;
   const run = { fingerprint, knownRounds, sentAt, watchedUntil };
   state.unawaitedRuns.add(attempt.replica, run, at);
   return [{ type: 'watch-replica', replica: replica.record, untilAt: watchedUntil }];
--- a/src/gateway/runtime/peers/crash-news-shape.ts
+++ b/src/gateway/runtime/peers/crash-news-shape.ts
@@ -23,4 +23,5 @@
   isCount(value['rounds']) &&
   isOptional(value['crashedMsAgo'], isFiniteNumber) &&
   isOptional(value['servedMsAgo'], isFiniteNumber) &&
+  isOptional(value['pauseLeftMs'], isFiniteNumber) &&
   isOptional(value['block'], isBlock);
--- a/test/gateway/crash-record.test.ts
+++ b/test/gateway/crash-record.test.ts
@@ -3,6 +3,7 @@
 import { fromNews, toNews } from '../../src/gateway/crashes/crash-news.js';
 import {
   addCrash,
+  addInconclusive,
   addServed,
   beginTrial,
   type CrashKnowledge,
@@ -132,3 +133,20 @@
     expect(memory.size).toBe(0);
   });
 });
+
+describe('a try of a suspected request that has shown nothing', () => {
+  const suspected = crash(NOTHING_KNOWN, 1_000);
+  const pauseAt = (at: number): number => addInconclusive(suspected, at).trialUntil - at;
+
+  it('is followed by the next after as long as has passed since a replica last ended under it', () => {
+    expect([1_010, 3_000, 9_000, 90_000].map(pauseAt)).toEqual([250, 2_000, 8_000, 30_000]);
+  });
+
+  it('leaves it suspected, and is news to other gateways', () => {
+    const paused = addInconclusive(suspected, 3_000);
+    expect(verdictOf(paused, 3_000)).toBe('suspected');
+    expect(isNews(suspected, paused)).toBe(true);
+    const told = fromNews(toNews('print', paused, 3_000), 13_000);
+    expect(joinKnowledge(NOTHING_KNOWN, told).trialUntil).toBe(15_000);
+  });
+});
--- a/test/gateway/unseen-crashes.test.ts
+++ b/test/gateway/unseen-crashes.test.ts
@@ -13,7 +13,13 @@
  * and which replicas answer with a failure. No record of the day itself has lines of a gateway.
  */
 import { describe, expect, it } from 'vitest';
-import { type Asking, CrashNetwork, sendsTooLate, shareServed } from './crash-network.js';
+import {
+  type Asking,
+  CrashNetwork,
+  sendsTooLate,
+  shareServed,
+  triesTooLate,
+} from './crash-network.js';
 import { gatherOf, routeTo } from './virtual-gateway.js';
 
 const CONTACT_MS = 4_000;
@@ -78,7 +84,23 @@
   });
 });
 
+describe('a request that comes again before replicas end under it', () => {
+  it.each(PATHS)('reaches replicas no more: %s', (path) => {
+    expectStopped(play({ seed: 14, lethalMs: 2_000, asking: { path, leavesAfterMs: 300 } }));
+  });
+});
+
 describe('a request that ends the replicas that run it', () => {
+  it.each(PATHS)('reaches replicas no more where they refuse half of what comes: %s', (path) => {
+    let count = 0;
+    const insteadOfRunning: CrashNetwork['insteadOfRunning'] = () => {
+      count += 1;
+      return count % 2 === 0 ? 'refuses' : undefined;
+    };
+    const network = play({ seed: 15, insteadOfRunning, asking: { path, retries: 1 } });
+    expect(triesTooLate(network, LETHAL, CONTACT_MS)).toBeLessThanOrEqual(MOST_LATE_SENDS);
+  });
+
   it('reaches replicas no more where others answer it with a failure that they sign', () => {
     const insteadOfRunning: CrashNetwork['insteadOfRunning'] = (place, fingerprint) =>
       place.endsWith('/0') && fingerprint === LETHAL ? 'fails' : undefined;
