The least serious request makes room in the memory of requests

What callers could see: 256 requests that had met one crash each, of any partner, pushed out one under which replicas had ended twice, since the one whose time was over first made room. Now level and rounds decide before time; the test holds one of two rounds against 1,000 of one. Left: 256 requests that each end replicas twice still push out others, and a fingerprint does not say whose it is.

--- a/src/gateway/crashes/crash-memory.ts
+++ b/src/gateway/crashes/crash-memory.ts
@@ -4,6 +4,7 @@
   type CrashKnowledge,
   type CrashVerdict,
   forgottenAt,
+  isForgottenBefore,
   NOTHING_KNOWN,
   verdictOf,
 } from './crash-record.js';
@@ -42,7 +43,7 @@
     return this.known;
   }
 
-  /** Takes what is known now. The request that would be forgotten first makes room for a new one. */
+  /** Takes what is known now. The least serious request makes room for a new one. */
   put(fingerprint: Fingerprint, known: CrashKnowledge): void {
     this.known.set(fingerprint, known);
     if (this.known.size > MOST_REMEMBERED) {
@@ -63,18 +64,11 @@
     }
   }
 
+  /** Many requests that met one crash do not push out one that ends replicas. */
   private forgetFirst(): void {
-    let first: Fingerprint | undefined;
-    let firstAt = Number.POSITIVE_INFINITY;
-    for (const [fingerprint, known] of this.known) {
-      const at = forgottenAt(known);
-      if (at < firstAt) {
-        first = fingerprint;
-        firstAt = at;
-      }
-    }
-    if (first !== undefined) {
-      this.known.delete(first);
-    }
+    const [first] = [...this.known].reduce((least, each) =>
+      isForgottenBefore(each[1], least[1]) ? each : least,
+    );
+    this.known.delete(first);
   }
 }
--- a/src/gateway/crashes/crash-record.ts
+++ b/src/gateway/crashes/crash-record.ts
@@ -194,3 +194,13 @@
   }
   return rounds === 0 ? servedAt + SERVED_MEMORY_MS : crashedAt + MEMORY_MS;
 };
+
+/** Whether a request makes room before another one: the less serious, of two alike the one whose time is over first. */
+export const isForgottenBefore = (known: CrashKnowledge, other: CrashKnowledge): boolean => {
+  if (known.level !== other.level) {
+    return known.level < other.level;
+  }
+  return known.rounds === other.rounds
+    ? forgottenAt(known) < forgottenAt(other)
+    : known.rounds < other.rounds;
+};
--- a/test/gateway/crash-record.test.ts
+++ b/test/gateway/crash-record.test.ts
@@ -121,6 +121,15 @@
     expect(memory.verdict('suspected-0', 1_500)).toBe('unsuspected');
   });
 
+  it('holds one under which replicas have ended twice, whatever many others have met once', () => {
+    const memory = new CrashMemory();
+    memory.put('twice', crashedTimes(2));
+    for (let index = 0; index < 1_000; index += 1) {
+      memory.put(`once-${index}`, crash(NOTHING_KNOWN, 400 + index));
+    }
+    expect(memory.find('twice', 1_500).rounds).toBe(2);
+  });
+
   it('forgets a suspicion after ten minutes, and a block ten minutes after its end', () => {
     const memory = new CrashMemory();
     memory.put('suspected', crashedTimes(1));
