A replica that is back before it is looked at has ended all the same

What callers could see: a replica that ends and is up again at its address before the gateway looks takes connections, so that nothing counted. Now a run whose connection broke is watched on where the replica takes connections; another replica at its address (421), or its entry with a later start (born) shows that the one before has ended, and its runs count. Part of a feeder shows like an answer that a replica can run the request. Runs at replicas that are forgotten are forgotten with them. Not shown: replicas that go dark and come back under another identifier at another address; nothing of them is seen but that their entry goes, as of one that has left.

--- a/src/gateway/crashes/unawaited-runs.ts
+++ b/src/gateway/crashes/unawaited-runs.ts
@@ -37,6 +37,11 @@
     this.byReplica.set(replica, runs);
   }
 
+  /** Whether a replica may be at one. */
+  has(replica: string, at: number): boolean {
+    return this.unfinished(replica, at).size > 0;
+  }
+
   /** Takes the runs out that a replica may have been at when it ended. */
   take(replica: string, at: number): readonly UnawaitedRun[] {
     const runs = [...this.unfinished(replica, at).values()];
--- a/src/gateway/crashes/update-knowledge.ts
+++ b/src/gateway/crashes/update-knowledge.ts
@@ -108,11 +108,15 @@
   return [...log, ...tellBy(state, isUrgent ? at : at + TELL_TOGETHER_MS)];
 };
 
-/** A replica has answered the request: what was seen of it before no longer counts. */
+/**
+ * A replica has answered the request: what was seen of it before no longer counts.
+ *
+ * @param answer - undefined where a feeder has it
+ */
 export const noteServed = (
   state: GatewayState,
   fingerprint: Fingerprint,
-  answer: SeenAnswer,
+  answer: SeenAnswer | undefined,
   at: number,
 ): GatewayEffect[] => {
   const { memory, untold, told } = state.crashes;
@@ -124,6 +128,7 @@
   const known = memory.find(fingerprint, at);
   const served = addServed(known, at);
   const isAwaited = known.trialUntil > at;
-  const origin = { from: state.settings.node, answer, isUrgent: isAwaited };
+  const seen = answer === undefined ? {} : { answer };
+  const origin = { from: state.settings.node, ...seen, isUrgent: isAwaited };
   return updateKnowledge(state, fingerprint, served, origin, at);
 };
--- a/src/gateway/requests/broken-attempts.ts
+++ b/src/gateway/requests/broken-attempts.ts
@@ -15,7 +15,7 @@
 import { showsThatItRuns } from './good-answer.js';
 import { progressRequest } from './progress.js';
 import type { ActiveAttempt } from './request-state.js';
-import { noteUnawaited } from './unawaited-attempts.js';
+import { noteUnawaited, watchRun } from './unawaited-attempts.js';
 
 /** How an attempt ends whose replica has ended. */
 const BROKEN_OFF: ReadonlySet<AttemptProblem> = new Set<AttemptProblem>([
@@ -79,6 +79,16 @@
   return waiting.flatMap((request) => progressRequest(state, request, at));
 };
 
+/** Another replica answers at the address of one that may have been at a run: that one has ended. */
+const noteReplaced = (
+  state: GatewayState,
+  { replica }: ActiveAttempt,
+  { result, at }: AttemptEnded,
+): GatewayEffect[] => {
+  const isReplaced = result.type === 'refused' && result.reason === 'wrong-instance';
+  return isReplaced ? takeReplicaEnded(state, replica, at) : [];
+};
+
 /**
  * Takes note of what the end of an attempt says of its request: whether a replica may have ended under it, or has
  * answered it. The replica of one that broke off is looked at, once for all that break together.
@@ -96,7 +106,7 @@
   const { memory } = state.crashes;
   const answer = goodAnswerOf(attempt, event);
   if (answer === undefined) {
-    return noteUnawaited(state, attempt, event);
+    return [...noteUnawaited(state, attempt, event), ...noteReplaced(state, attempt, event)];
   }
   if (memory.verdict(fingerprint, at) === 'unsuspected') {
     return [];
@@ -187,6 +197,8 @@
       request.uncheckedBreaks -= 1;
     }
   }
+  // One that takes connections may have ended and started again, or only be cut off: the run may go on, or show later.
+  const watched = isDown ? [] : broken.flatMap(({ attempt }) => watchRun(state, attempt, at));
   const unawaited = isDown ? unawaitedAt(state, replica, at) : [];
   const crashes =
     isDown && broken.length + unawaited.length > 0
@@ -200,8 +212,19 @@
     ({ fingerprint }) => fingerprint,
   );
   return [
+    ...watched,
     ...crashes,
     ...[...requests].flatMap((request) => progressRequest(state, request, at)),
     ...[...new Set(fingerprints)].flatMap((fingerprint) => wakeRequests(state, fingerprint, at)),
   ];
 };
+
+/** A replica is known to have ended, though it was not found down: what it may have been at counts. */
+export const takeReplicaEnded = (
+  state: GatewayState,
+  replica: string,
+  at: number,
+): GatewayEffect[] =>
+  state.unawaitedRuns.has(replica, at)
+    ? takeReplicaChecked(state, { type: 'replica-checked', replica, isDown: true, at })
+    : [];
--- a/src/gateway/requests/take-subquery-result.ts
+++ b/src/gateway/requests/take-subquery-result.ts
@@ -11,7 +11,9 @@
 import { trace } from '../log/trace.js';
 import type { SubqueryId, SubqueryPart } from '../model/subquery.js';
 import { noteDelay } from '../delay-estimate.js';
+import { noteServed } from '../crashes/update-knowledge.js';
 import type { GatewayState } from '../state.js';
+import { wakeRequests } from './broken-attempts.js';
 import { moveLegs, suspectPeer } from './check-subqueries.js';
 import { progressRequest } from './progress.js';
 import { type ActiveRequest, type ActiveSubquery, openLegsOf } from './request-state.js';
@@ -115,6 +117,16 @@
   return sendLegs(state, request, legs, isRepeat, at);
 };
 
+/** A part shows that a replica can run the request, so that its other tries need not wait for it any more. */
+const noteAnsweredPart = (
+  state: GatewayState,
+  { request: { fingerprint } }: ActiveRequest,
+  at: number,
+): GatewayEffect[] =>
+  state.crashes.memory.verdict(fingerprint, at) === 'unsuspected'
+    ? []
+    : [...noteServed(state, fingerprint, undefined, at), ...wakeRequests(state, fingerprint, at)];
+
 /** Handles `subquery-answered`. */
 export const takeSubqueryAnswer = (
   state: GatewayState,
@@ -139,12 +151,13 @@
     elapsedMs,
   });
   const moved = moveUnsent(state, request, subquery, unsent, at);
+  const cleared = parts > 0 ? noteAnsweredPart(state, request, at) : [];
   if (isFinal) {
     request.subqueries.delete(id);
     state.subqueries.delete(id);
     endMissing(request, subquery, at);
   }
-  return [...moved, ...progressRequest(state, request, at)];
+  return [...moved, ...cleared, ...progressRequest(state, request, at)];
 };
 
 /** Handles `subquery-failed`. */
--- a/src/gateway/requests/unawaited-attempts.ts
+++ b/src/gateway/requests/unawaited-attempts.ts
@@ -15,22 +15,27 @@
 const WATCH_MS = 5_000;
 
 /**
- * Takes note of an attempt that ended without the replica's doing. A request of which some replica has sent a part ends
- * none, so that nothing is watched for what most gathers leave behind.
+ * Remembers a run that its replica may still work on, and has the replica watched. A request of which some replica has sent
+ * a part ends none, so that nothing is watched for what most gathers leave behind.
  */
-export const noteUnawaited = (
+export const watchRun = (
   state: GatewayState,
-  attempt: ActiveAttempt,
-  { result, at }: AttemptEnded,
+  { fingerprint, knownRounds, sentAt, owner, replica: id }: ActiveAttempt,
+  at: number,
 ): GatewayEffect[] => {
-  const replica = state.replicas.find(attempt.replica);
-  const mayRunOn = result.type === 'failed' && result.mayHaveRun;
-  if (replica === undefined || !mayRunOn || attempt.owner.answeredLegs > 0) {
+  const replica = state.replicas.find(id);
+  if (replica === undefined || owner.answeredLegs > 0) {
     return [];
   }
-  const { fingerprint, knownRounds, sentAt } = attempt;
   const watchedUntil = at + WATCH_MS;
-  const run = { fingerprint, knownRounds, sentAt, watchedUntil };
-  state.unawaitedRuns.add(attempt.replica, run, at);
+  state.unawaitedRuns.add(id, { fingerprint, knownRounds, sentAt, watchedUntil }, at);
   return [{ type: 'watch-replica', replica: replica.record, untilAt: watchedUntil }];
 };
+
+/** Takes note of an attempt that ended without the replica's doing. */
+export const noteUnawaited = (
+  state: GatewayState,
+  attempt: ActiveAttempt,
+  { result, at }: AttemptEnded,
+): GatewayEffect[] =>
+  result.type === 'failed' && result.mayHaveRun ? watchRun(state, attempt, at) : [];
--- a/src/gateway/store/apply-objects.ts
+++ b/src/gateway/store/apply-objects.ts
@@ -8,6 +8,7 @@
 import type { Replica } from '../replicas/replica.js';
 import { RouteTable } from '../routing/route-table.js';
 import type { Departed } from '../returns/return-state.js';
+import { takeReplicaEnded } from '../requests/broken-attempts.js';
 import type { GatewayState } from '../state.js';
 import type { CollectionName } from './collection.js';
 import { logReplicaChanges, type ReplicaChange } from './log-replica-changes.js';
@@ -106,14 +107,25 @@
     : [{ replica: name, service: replica.record.service, state: after }];
 };
 
+/** Whether the entry is of a later start of a replica than the one that is known: the one before has ended. */
+const hasStartedAgain = (
+  { replicas }: GatewayState,
+  { name, value }: Stored<ReplicaRecord>,
+): boolean => {
+  const bornAt = replicas.find(name)?.record.bornAt;
+  return bornAt !== undefined && value?.bornAt !== undefined && value.bornAt > bornAt;
+};
+
 /** Takes what the store says of replicas. The first list is not logged as changes. */
 const applyReplicas = (
   state: GatewayState,
   objects: readonly Stored<ReplicaRecord>[],
   at: number,
 ): GatewayEffect[] => {
+  const startedAgain = objects.filter((object) => hasStartedAgain(state, object));
+  const ended = startedAgain.flatMap(({ name }) => takeReplicaEnded(state, name, at));
   const changes = objects.flatMap((object) => applyReplica(state, object, at));
-  return state.replicasListed ? logReplicaChanges(changes) : [];
+  return [...ended, ...(state.replicasListed ? logReplicaChanges(changes) : [])];
 };
 
 const applyGateway = (
@@ -262,7 +274,8 @@
 /** Forgets replicas that have been gone for long, and closes the connections to them. */
 export const forgetGoneReplicas = (state: GatewayState, at: number): GatewayEffect[] => {
   const before = at - state.settings.bounds.drainMs * FORGET_SHARE;
-  return state.replicas
-    .forgetGone(before)
-    .map((replica): GatewayEffect => ({ type: 'close-replica', replica }));
+  return state.replicas.forgetGone(before).map((replica): GatewayEffect => {
+    state.unawaitedRuns.take(replica, at);
+    return { type: 'close-replica', replica };
+  });
 };
--- a/test/gateway/unawaited-attempts.test.ts
+++ b/test/gateway/unawaited-attempts.test.ts
@@ -119,3 +119,47 @@
     ]);
   });
 });
+
+describe('a replica that is back before it is looked at', () => {
+  const idOf = (gateway: VirtualGateway): string => gateway.sent[0]?.replica.id ?? '';
+
+  it('has ended where another one answers at its address', () => {
+    const gateway = new VirtualGateway();
+    gateway.configure(1, [routeTo(gatherOf(1, 0.5))]);
+    gateway.listReplicas(['s0'], ['bole']);
+    leave(gateway, gateway.request(BUDGET_MS, false, 'print'));
+    gateway.sent.forEach((attempt) => gateway.end(attempt, failed('aborted')));
+    gateway.request(BUDGET_MS, false, 'other');
+    const [, asked] = gateway.sent;
+    if (asked !== undefined) {
+      gateway.end(asked, { type: 'refused', reason: 'wrong-instance' });
+    }
+    expect(verdictOf(gateway)).toBe('suspected');
+  });
+
+  it('has ended where its entry tells a later start', () => {
+    const gateway = giveUpOne();
+    const record = gateway.state.replicas.find(idOf(gateway))?.record;
+    const list = (bornAt: number, revision: number): void => {
+      const objects = [
+        { name: idOf(gateway), gone: false, ...(record && { value: { ...record, bornAt } }) },
+      ];
+      const changes = { collection: 'replicas', objects, revision } as const;
+      gateway.emit({ type: 'changes-read', at: gateway.now, changes });
+    };
+    list(1_000, 11);
+    expect(verdictOf(gateway)).toBe('unsuspected');
+    list(2_000, 12);
+    expect(verdictOf(gateway)).toBe('suspected');
+  });
+
+  it('is watched on where it takes connections after one of them broke', () => {
+    const gateway = gatewayWith(1);
+    gateway.request(BUDGET_MS, false, 'print');
+    gateway.sent.forEach((attempt) => gateway.end(attempt, failed('reset')));
+    gateway.emit({ type: 'replica-checked', at: 5, replica: idOf(gateway), isDown: false });
+    expect(watches(gateway).map(({ replica }) => replica.id)).toEqual([idOf(gateway)]);
+    checkFirst(gateway, 200);
+    expect(verdictOf(gateway)).toBe('suspected');
+  });
+});
