Entries of replicas that cannot be read name no replica to use; a replica is its identifier and its start

What callers could see: entries overwritten by another writer (fields missing, of another type, a state that is not known, born that is no whole number, no fields at all) left their replicas in use, 19 of 19 kinds, since the last readable entry was kept or fields had fallbacks; and a replica that starts again under its identifier kept the health, load, pace, cold time and drain of the one before, its connections and its service.

Now a replica whose entry cannot be read gets no requests from the moment at which that is known, at readers and followers alike (a reader names it without a value), until its entry is written again; the log has the first field that was wrong. Decided: also where all become unreadable at once; gateways and evacuations as before (a gateway is counted, a zone stays evacuated). With another born a replica is a new one: nothing learnt holds, connections are closed, what the one before was at has ended. Which of two starts is later is for the store's order, that lists and news follow, not for their clocks: tried and left was to ignore an earlier born, which loses a replica whose machine's time stepped back (returned-objects.test.ts).

--- a/src/gateway/log/log-descriptions.ts
+++ b/src/gateway/log/log-descriptions.ts
@@ -34,7 +34,7 @@
   'configuration-in-force':
     'A version of the configuration came into force; it is late by `unconfirmedMs` at most.',
   'object-unreadable':
-    'An object of the store has content that this gateway cannot read; what was known of it stays in force.',
+    'An object of the store has content that this gateway cannot read: a replica gets no requests until it has written its entry again; what was known of other objects stays in force.',
   'request-unreadable':
     'A caller sent something that is no request and was refused with `status`; at most ten lines a second for each problem.',
   'store-era-changed':
--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -164,7 +164,13 @@
       /** How long before this it was last known that nothing newer is in the store; absent at first. */
       readonly unconfirmedMs?: number;
     }
-  | { readonly event: 'object-unreadable'; readonly collection: string; readonly name: string }
+  | {
+      readonly event: 'object-unreadable';
+      readonly collection: string;
+      readonly name: string;
+      /** The field, and what is wrong with it; absent where a reader told it. */
+      readonly problem?: string;
+    }
   | {
       readonly event: 'request-unreadable';
       readonly problem: UnreadableProblem;
--- a/src/gateway/model/replica-record.ts
+++ b/src/gateway/model/replica-record.ts
@@ -1,8 +1,7 @@
 /** What a replica tells of itself through the store. */
 
-/** One incarnation of a replica; a restart has another `id`. */
+/** One incarnation of a replica: a restart has another `id`, or the same and another `bornAt`. */
 export interface ReplicaRecord {
-  /** Names this incarnation and no other, ever. */
   readonly id: string;
   readonly service: string;
   readonly host: string;
@@ -31,3 +30,10 @@
   left.draining === right.draining &&
   left.coldMs === right.coldMs &&
   left.bornAt === right.bornAt;
+
+/**
+ * Whether two records are of different starts of the replica; false where one does not tell its start. Which is later is
+ * for the store's order to say: a machine's time of day may have stepped back between them.
+ */
+export const isOtherStart = (record: ReplicaRecord, other: ReplicaRecord): boolean =>
+  record.bornAt !== undefined && other.bornAt !== undefined && record.bornAt !== other.bornAt;
--- a/src/gateway/readers/news-content.ts
+++ b/src/gateway/readers/news-content.ts
@@ -1,5 +1,7 @@
 /** What a reader tells of a collection: the objects as it knows them, and the era that they are of. */
 import type { PeerRecord } from '../model/peer-record.js';
+import type { ReplicaRecord } from '../model/replica-record.js';
+import type { Replica } from '../replicas/replica.js';
 import type { GatewayState } from '../state.js';
 import type { CollectionName } from '../store/collection.js';
 import { positionOf } from '../store/follow-collection.js';
@@ -22,6 +24,16 @@
   return value === undefined ? { name, gone: false } : { name, gone: false, value };
 };
 
+/** A replica as followers may use it; one whose entry cannot be read is named without a value. */
+const replicaObject = (
+  { record, coldUntil, isUnreadable }: Replica,
+  at: number,
+): Stored<ReplicaRecord> => {
+  const name = record.id;
+  const value = { ...record, coldLeftMs: Math.max(0, coldUntil - at) };
+  return isUnreadable ? { name, gone: false } : { name, gone: false, value };
+};
+
 const objectsOf = (state: GatewayState, collection: CollectionName, at: number): StoreObjects => {
   switch (collection) {
     case 'configuration': {
@@ -32,12 +44,7 @@
     }
     case 'replicas': {
       const listed = [...state.replicas.all()].filter(({ goneAt }) => goneAt === undefined);
-      const objects = listed.map(({ record, coldUntil }) => ({
-        name: record.id,
-        gone: false,
-        value: { ...record, coldLeftMs: Math.max(0, coldUntil - at) },
-      }));
-      return { collection, objects };
+      return { collection, objects: listed.map((replica) => replicaObject(replica, at)) };
     }
     case 'gateways': {
       const objects = state.peers.names().map((name) => gatewayObject(state, name));
--- a/src/gateway/replicas/directory.ts
+++ b/src/gateway/replicas/directory.ts
@@ -1,11 +1,12 @@
 /** All replicas that the store lists, and those that have just left, by service. */
-import type { ReplicaRecord } from '../model/replica-record.js';
+import { isOtherStart, type ReplicaRecord } from '../model/replica-record.js';
 import { createReplica, type Replica } from './replica.js';
 
 /** Replicas by their identifiers and by service. */
 export class ReplicaDirectory {
   private readonly byId = new Map<string, Replica>();
   private readonly byService = new Map<string, Replica[]>();
+  private unreadable = 0;
   /** Rises whenever a replica is listed or is gone. */
   generation = 0;
 
@@ -17,9 +18,10 @@
     return this.byId.get(id);
   }
 
-  /** Replicas of a service, those that leave among them. */
+  /** Replicas of a service, those that leave among them, but none whose entry cannot be read. */
   of(service: string): readonly Replica[] {
-    return this.byService.get(service) ?? [];
+    const replicas = this.siblingsOf(service);
+    return this.unreadable === 0 ? replicas : replicas.filter(({ isUnreadable }) => !isUnreadable);
   }
 
   all(): IterableIterator<Replica> {
@@ -33,9 +35,11 @@
       const replica = createReplica(record, at);
       this.generation += 1;
       this.byId.set(record.id, replica);
-      const siblings = this.byService.get(record.service) ?? [];
-      siblings.push(replica);
-      this.byService.set(record.service, siblings);
+      this.addSibling(replica);
+      return;
+    }
+    if (isOtherStart(record, known.record)) {
+      this.replace(known, createReplica(record, at));
       return;
     }
     if (record.coldMs !== known.record.coldMs) {
@@ -44,9 +48,18 @@
     known.record = record;
     this.generation += Number(known.goneAt !== undefined);
     known.goneAt = undefined;
+    this.setUnreadable(known, false);
     known.drainingSince = record.draining ? (known.drainingSince ?? at) : undefined;
   }
 
+  /** Another writer has overwritten the entry of the replica. */
+  markUnreadable(id: string): void {
+    const known = this.byId.get(id);
+    if (known !== undefined) {
+      this.setUnreadable(known, true);
+    }
+  }
+
   /** The store no longer lists the replica. */
   markGone(id: string, at: number): void {
     const known = this.byId.get(id);
@@ -61,11 +74,44 @@
     const gone = [...this.byId.values()].filter(
       (replica) => replica.goneAt !== undefined && replica.goneAt < before,
     );
-    for (const replica of gone) {
-      this.byId.delete(replica.record.id);
-      const siblings = this.of(replica.record.service).filter((each) => each !== replica);
-      this.byService.set(replica.record.service, siblings);
-    }
+    gone.forEach((replica) => this.remove(replica));
     return gone.map((replica) => replica.record.id);
   }
+
+  /** Another start of the same replica: nothing that was learnt of the one before holds. */
+  private replace(known: Replica, started: Replica): void {
+    this.remove(known);
+    this.byId.set(started.record.id, started);
+    this.addSibling(started);
+    this.generation += 1;
+  }
+
+  private remove(replica: Replica): void {
+    const { id, service } = replica.record;
+    this.setUnreadable(replica, false);
+    this.byId.delete(id);
+    this.byService.set(
+      service,
+      this.siblingsOf(service).filter((each) => each !== replica),
+    );
+  }
+
+  private addSibling(replica: Replica): void {
+    const { service } = replica.record;
+    const siblings = this.byService.get(service) ?? [];
+    siblings.push(replica);
+    this.byService.set(service, siblings);
+  }
+
+  private siblingsOf(service: string): readonly Replica[] {
+    return this.byService.get(service) ?? [];
+  }
+
+  private setUnreadable(replica: Replica, isUnreadable: boolean): void {
+    if (replica.isUnreadable !== isUnreadable) {
+      replica.isUnreadable = isUnreadable;
+      this.unreadable += isUnreadable ? 1 : -1;
+      this.generation += 1;
+    }
+  }
 }
--- a/src/gateway/replicas/replica.ts
+++ b/src/gateway/replicas/replica.ts
@@ -31,6 +31,8 @@
   sentWhileCold: readonly number[];
   /** When this gateway learnt that it is gone from the store; undefined while it is listed. */
   goneAt: number | undefined;
+  /** Its entry cannot be read: it gets no requests until it has written it again. */
+  isUnreadable: boolean;
   /** When this gateway learnt that it drains; long ago when it was first seen draining. */
   drainingSince: number | undefined;
   /** Attempts that run, in the order in which they were sent. */
@@ -56,6 +58,7 @@
   coldUntil: at + (record.coldLeftMs ?? record.coldMs),
   sentWhileCold: [],
   goneAt: undefined,
+  isUnreadable: false,
   drainingSince: record.draining ? Number.NEGATIVE_INFINITY : undefined,
   pending: new Map(),
   slowdown: 1,
--- a/src/gateway/store/apply-objects.ts
+++ b/src/gateway/store/apply-objects.ts
@@ -4,7 +4,7 @@
 import type { Evacuation } from '../model/evacuation.js';
 import type { PeerRecord } from '../model/peer-record.js';
 import { type GatewayConfiguration, shardsOf } from '../model/route.js';
-import type { ReplicaRecord } from '../model/replica-record.js';
+import { isOtherStart, type ReplicaRecord } from '../model/replica-record.js';
 import type { Replica } from '../replicas/replica.js';
 import { RouteTable } from '../routing/route-table.js';
 import type { Departed } from '../returns/return-state.js';
@@ -96,7 +96,9 @@
   const before = stateOf(replicas.find(name));
   if (gone) {
     replicas.markGone(name, at);
-  } else if (value !== undefined) {
+  } else if (value === undefined) {
+    replicas.markUnreadable(name);
+  } else {
     replicas.put(value, at);
   }
   const replica = replicas.find(name);
@@ -107,13 +109,17 @@
     : [{ replica: name, service: replica.record.service, state: after }];
 };
 
-/** Whether the entry is of a later start of a replica than the one that is known: the one before has ended. */
-const hasStartedAgain = (
-  { replicas }: GatewayState,
+/** A replica has started again: what the one before was at has ended, and so have the connections to it. */
+const endEarlierStart = (
+  state: GatewayState,
   { name, value }: Stored<ReplicaRecord>,
-): boolean => {
-  const bornAt = replicas.find(name)?.record.bornAt;
-  return bornAt !== undefined && value?.bornAt !== undefined && value.bornAt > bornAt;
+  at: number,
+): GatewayEffect[] => {
+  const known = state.replicas.find(name);
+  if (known === undefined || value === undefined || !isOtherStart(value, known.record)) {
+    return [];
+  }
+  return [...takeReplicaEnded(state, name, at), { type: 'close-replica', replica: name }];
 };
 
 /** Takes what the store says of replicas. The first list is not logged as changes. */
@@ -122,8 +128,7 @@
   objects: readonly Stored<ReplicaRecord>[],
   at: number,
 ): GatewayEffect[] => {
-  const startedAgain = objects.filter((object) => hasStartedAgain(state, object));
-  const ended = startedAgain.flatMap(({ name }) => takeReplicaEnded(state, name, at));
+  const ended = objects.flatMap((object) => endEarlierStart(state, object, at));
   const changes = objects.flatMap((object) => applyReplica(state, object, at));
   return [...ended, ...(state.replicasListed ? logReplicaChanges(changes) : [])];
 };
@@ -172,8 +177,9 @@
 /** Says which objects have content that this gateway cannot read, so that they were left out. */
 const logUnreadable = ({ collection, objects }: StoreObjects): GatewayEffect[] => {
   const unreadable = objects.filter(({ gone, value }) => !gone && value === undefined);
-  return unreadable.map(({ name }): GatewayEffect => {
-    const change: BeliefChange = { event: 'object-unreadable', collection, name };
+  return unreadable.map(({ name, problem }): GatewayEffect => {
+    const what = problem === undefined ? {} : { problem };
+    const change: BeliefChange = { event: 'object-unreadable', collection, name, ...what };
     return { type: 'write-log', level: 'warn', part: 'store', change };
   });
 };
--- a/src/gateway/store/store-objects.ts
+++ b/src/gateway/store/store-objects.ts
@@ -19,6 +19,8 @@
   readonly name: string;
   readonly gone: boolean;
   readonly value?: Value;
+  /** What could not be read of it; absent where nothing was wrong, or where a reader told it. */
+  readonly problem?: string;
 }
 
 /** A page of a list. */
