--- a/src/gateway/requests/broken-attempts.ts
+++ b/src/gateway/requests/broken-attempts.ts
@@ -14,7 +14,7 @@
 import type { GatewayState } from '../state.js';
 import { showsThatItRuns } from './good-answer.js';
 import { progressRequest } from './progress.js';
-import type { ActiveAttempt } from './request-state.js';
+import type { ActiveAttempt, ActiveRequest } from './request-state.js';
 import { noteUnawaited, watchRun } from './unawaited-attempts.js';
 
 /** How an attempt ends whose replica has ended. */
@@ -183,39 +183,55 @@
   return isDraining ? [] : runs;
 };
 
-/** Handles `replica-checked`. */
+/** Counts the end of a replica at all requests that it may have been at. */
+const countEnd = (
+  state: GatewayState,
+  replica: string,
+  broken: readonly BrokenRun[],
+  unawaited: readonly UnawaitedRun[],
+  at: number,
+): GatewayEffect[] =>
+  broken.length + unawaited.length === 0
+    ? []
+    : [
+        logCrash(state, replica, broken, unawaited),
+        ...broken.flatMap((run) => takeBroken(state, run, at)),
+        ...unawaited.flatMap((run) => takeUnawaited(state, run, at)),
+      ];
+
+/** The requests of these runs that are still in progress, once each; their breaks are explained now. */
+const explainBreaks = (
+  state: GatewayState,
+  broken: readonly BrokenRun[],
+): ReadonlySet<ActiveRequest> => {
+  const requests = broken.flatMap(({ attempt }) => state.requests.get(attempt.call) ?? []);
+  requests.forEach((request) => {
+    request.uncheckedBreaks -= 1;
+  });
+  return new Set(requests);
+};
+
+/**
+ * Handles `replica-checked`. A replica that takes connections may have ended and started again, or only have been cut off:
+ * what it was at is watched on.
+ */
 export const takeReplicaChecked = (
   state: GatewayState,
   { replica, isDown, at }: ReplicaChecked,
 ): GatewayEffect[] => {
   const broken = state.brokenRuns.get(replica) ?? [];
   state.brokenRuns.delete(replica);
-  const requests = new Set(broken.flatMap(({ attempt }) => state.requests.get(attempt.call) ?? []));
-  for (const { attempt } of broken) {
-    const request = state.requests.get(attempt.call);
-    if (request !== undefined) {
-      request.uncheckedBreaks -= 1;
-    }
-  }
-  // One that takes connections may have ended and started again, or only be cut off: the run may go on, or show later.
-  const watched = isDown ? [] : broken.flatMap(({ attempt }) => watchRun(state, attempt, at));
+  const requests = explainBreaks(state, broken);
   const unawaited = isDown ? unawaitedAt(state, replica, at) : [];
-  const crashes =
-    isDown && broken.length + unawaited.length > 0
-      ? [
-          logCrash(state, replica, broken, unawaited),
-          ...broken.flatMap((run) => takeBroken(state, run, at)),
-          ...unawaited.flatMap((run) => takeUnawaited(state, run, at)),
-        ]
-      : [];
-  const fingerprints = [...broken.map(({ attempt }) => attempt), ...unawaited].map(
-    ({ fingerprint }) => fingerprint,
-  );
+  const runs = [...broken.map(({ attempt }) => attempt), ...unawaited];
+  const fingerprints = new Set(runs.map(({ fingerprint }) => fingerprint));
+  const noted = isDown
+    ? countEnd(state, replica, broken, unawaited, at)
+    : broken.flatMap(({ attempt }) => watchRun(state, attempt, at));
   return [
-    ...watched,
-    ...crashes,
+    ...noted,
     ...[...requests].flatMap((request) => progressRequest(state, request, at)),
-    ...[...new Set(fingerprints)].flatMap((fingerprint) => wakeRequests(state, fingerprint, at)),
+    ...[...fingerprints].flatMap((fingerprint) => wakeRequests(state, fingerprint, at)),
   ];
 };
 
