--- a/src/gateway/model/request.ts
+++ b/src/gateway/model/request.ts
@@ -29,7 +29,8 @@
   'malformed' | 'cut-off' | 'headers-late' | 'headers-too-large' | 'chunk-extensions-too-large';
 
 /**
- * Why a request ends without the answer of a replica. `replicas-crashed`: they ended while they ran it.
+ * Why a request ends without the answer of a replica. `replicas-crashed`: they ended while they ran it, or
+ * have before and it is too soon to try it again.
  * `crashes-replicas`: it is blocked, and was sent to none.
  */
 export type RefusalReason =
--- a/src/gateway/requests/guard.ts
+++ b/src/gateway/requests/guard.ts
@@ -2,8 +2,8 @@
  * Keeps a request that may end the replicas that run it from more of them. As soon as an attempt of a gather has broken
  * off, or replicas are known to have ended under the request before, it is at one replica at a time until one answers:
  * a request that ends replicas costs one of each shard at the first try and one more at each further, while one that was
- * only there is served after one more answer. Sent on as any other, it ended nearly all replicas of an index within a
- * tenth of a second, and no request over all shards was served for as long as it came.
+ * only there is served after one more answer. Its tries go one after the other too. Sent on as any other, it ended nearly
+ * all replicas of an index within a tenth of a second, and no request over all shards was served for as long as it came.
  */
 import { hash32 } from '../../core/hash.js';
 import { trace } from '../log/trace.js';
@@ -37,25 +37,24 @@
 const isQuiet = ({ legs, subqueries, uncheckedBreaks }: ActiveRequest): boolean =>
   uncheckedBreaks === 0 && subqueries.size === 0 && legs.every(({ running }) => running.size === 0);
 
-/** Whether another try of the same request is at a replica, or asks a feeder, from this gateway. */
-const isTriedHere = ({ attempts, requests }: GatewayState, request: ActiveRequest): boolean => {
-  const { fingerprint } = request.request;
-  const isRunning = [...attempts.values()].some(
-    (attempt) => attempt.fingerprint === fingerprint && attempt.owner !== request,
+/** Whether another try of the same request is at a replica, from this gateway. */
+const isAtReplica = ({ attempts }: GatewayState, request: ActiveRequest): boolean =>
+  [...attempts.values()].some(
+    ({ fingerprint, owner }) => fingerprint === request.request.fingerprint && owner !== request,
   );
-  // A feeder does not wait for a try that may be waiting for it.
-  const mayAsk = request.origin === 'caller';
-  return (
-    isRunning ||
-    (mayAsk &&
-      [...requests.values()].some(
-        (other) =>
-          other !== request &&
-          other.request.fingerprint === fingerprint &&
-          other.subqueries.size > 0,
-      ))
+
+/** Whether another try of the same request asks a feeder, from this gateway. */
+const isAtFeeder = ({ requests }: GatewayState, request: ActiveRequest): boolean =>
+  [...requests.values()].some(
+    (other) =>
+      other !== request &&
+      other.subqueries.size > 0 &&
+      other.request.fingerprint === request.request.fingerprint,
   );
-};
+
+/** Whether another try runs from here; a feeder does not wait for one that may be waiting for it. */
+const isTriedHere = (state: GatewayState, request: ActiveRequest): boolean =>
+  isAtReplica(state, request) || (request.origin === 'caller' && isAtFeeder(state, request));
 
 /**
  * Gateways that wait for the same request go on one after the other, within this time in milliseconds: the first tells the
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -116,7 +116,7 @@
   nextAttempt: AttemptId;
   /** Runs that broke off, by the replica that is being looked at. */
   readonly brokenRuns: Map<string, BrokenRun[]>;
-  /** Runs that are not waited for any more, by their replica. */
+  /** Runs that nobody waits for any more, and under which replicas may still end. */
   readonly unawaitedRuns: UnawaitedRuns;
   /** Requests under which replicas have ended. */
   readonly crashes: CrashState;
--- a/test/gateway/unseen-crashes.test.ts
+++ b/test/gateway/unseen-crashes.test.ts
@@ -46,12 +46,20 @@
   /** Time after which a replica ends; drawn as any work where absent. */
   readonly lethalMs?: number;
   readonly insteadOfRunning?: CrashNetwork['insteadOfRunning'];
+  /** Where there are many, gathers go over feeders. */
+  readonly gateways?: number;
 }
 
 /** The lethal request comes each 300 ms for 13 s, others each 30 ms all the while. */
-const play = ({ seed, asking, lethalMs, insteadOfRunning }: Incident): CrashNetwork => {
+const play = ({
+  seed,
+  asking,
+  lethalMs,
+  insteadOfRunning,
+  gateways = 8,
+}: Incident): CrashNetwork => {
   const network = new CrashNetwork(seed);
-  network.build(8, [GATHER, SINGLE], 3);
+  network.build(gateways, [GATHER, SINGLE], 3, gateways > 16 ? 40 : 32);
   network.lethal.add(LETHAL);
   network.lethalMs = lethalMs;
   network.insteadOfRunning = insteadOfRunning ?? network.insteadOfRunning;
@@ -77,6 +85,11 @@
     }
   });
 
+  it('reaches replicas no more where feeders ask them, and are told that the rest is not wanted', () => {
+    const asking = { path: '/all/x', leavesAfterMs: 40 };
+    expectStopped(play({ seed: 16, lethalMs: 90, gateways: 40, asking }));
+  });
+
   it('reaches replicas no more where the time of its callers is over before', () => {
     for (const path of PATHS) {
       expectStopped(play({ seed: 12, lethalMs: 120, asking: { path, budgetMs: 70 } }));
--- a/test/platform/unseen-crashes.test.ts
+++ b/test/platform/unseen-crashes.test.ts
@@ -3,8 +3,7 @@
 import { describe, expect, it } from 'vitest';
 import { GatewayFixture, until } from './gateway-fixture.js';
 import { routeSpec } from './operator-spec.js';
-import type { StandInReplica } from './stand-in-replica.js';
-import { type ReplicaBehaviour } from './stand-in-replica.js';
+import type { ReplicaBehaviour, StandInReplica } from './stand-in-replica.js';
 
 const SHARDS = ['a', 'b', 'c', 'd'];
 const COPIES = [1, 2, 3];
