Remove a count that no test read

Cause: the stand-in of gateways and replicas counted the tries of a caller, left from an earlier form of its check of slow answers; nothing read it. Change: the field is gone, no assertion with it.

--- a/test/gateway/crash-network.ts
+++ b/test/gateway/crash-network.ts
@@ -149,8 +149,6 @@
 export interface Asked extends Asking {
   readonly askedAt: number;
   readonly responses: CallerResponse[];
-  /** Tries that were sent so far. */
-  tries: number;
   /** A gateway ended before it answered, or none ran. */
   isLost: boolean;
 }
@@ -283,7 +281,7 @@
 
   /** A caller asks; its tries go to gateways that are drawn. */
   ask(asking: Asking): Asked {
-    const asked: Asked = { ...asking, askedAt: this.now, responses: [], tries: 0, isLost: false };
+    const asked: Asked = { ...asking, askedAt: this.now, responses: [], isLost: false };
     this.asked.push(asked);
     this.try(
       asked,
@@ -329,7 +327,6 @@
     }
     const call = this.nextCall;
     this.nextCall += 1;
-    asked.tries += 1;
     const { fingerprint, path = '/all/x', budgetMs = 1_500 } = asked;
     const requestId = `r-${call}`;
     this.waiting.set(call, { node, asked, retries, sentAt: this.now });
