Nodes of the process tests take peers at an address of their own

Cause: the successor listens at the port of the node that was killed, which the kernel had chosen and had free again for some seconds, while other tests ask it for ports and connections. A node whose port is taken ends with code 1, prints nothing to standard output and 'listen EADDRINUSE' to standard error (run by hand with the port taken): the same message. Ruled out: a fault of the node's start by any other way that prints nothing, since each writes to standard error too.

Change: peers are taken at a loopback address that only this test process uses, and from which no connection leaves, so that no other socket can be given the port; an end at the start tells code, signal and standard error. No assertion changed.

--- a/test/runtime/node-process.ts
+++ b/test/runtime/node-process.ts
@@ -28,14 +28,20 @@
   return { code, signal, errors };
 };
 
+/**
+ * Where the nodes of this process take peers. A successor comes back at the port of the one before, which nothing else may
+ * have been given meanwhile: the address is this process's own, and no connection leaves from it.
+ */
+const PEER_ADDRESS = `127.1.${(process.pid >> 8) & 0xff}.${process.pid & 0xff}`;
+
 const argumentsOf = (name: string, options: NodeProcessOptions): string[] => [
   options.main,
   'node',
   ...['--node', name, '--zone', 'bole', '--region', 'addis'],
   ...['--caller', '127.0.0.1:0', '--operator', '127.0.0.1:0'],
-  ...['--peer', `127.0.0.1:${options.peerPort ?? 0}`],
+  ...['--peer', `${PEER_ADDRESS}:${options.peerPort ?? 0}`],
   ...['--platform', options.platform],
-  ...(options.seeds ?? []).flatMap((port) => ['--seeds', `127.0.0.1:${port}`]),
+  ...(options.seeds ?? []).flatMap((port) => ['--seeds', `${PEER_ADDRESS}:${port}`]),
 ];
 
 const PORTS_PATTERN = /listens on ports (\d+), (\d+), (\d+)/;
@@ -53,9 +59,14 @@
   /** Starts a node; resolves when its ports are open. */
   static async start(name: string, options: NodeProcessOptions): Promise<NodeProcess> {
     const child = spawn(process.execPath, argumentsOf(name, options), {
-      stdio: ['ignore', 'pipe', 'inherit'],
+      stdio: ['ignore', 'pipe', 'pipe'],
       env: { ...process.env, CROSSROAD_PEER_SECRET: PEER_SECRET },
     });
+    let errors = '';
+    child.stderr.on('data', (chunk: Buffer) => {
+      errors += chunk.toString();
+      process.stderr.write(chunk);
+    });
     const ports = await new Promise<number[]>((resolve, reject) => {
       let printed = '';
       child.stdout.on('data', (chunk: Buffer) => {
@@ -65,7 +76,10 @@
           resolve(found.slice(1).map(Number));
         }
       });
-      child.once('exit', () => reject(new Error(`${name} ended at its start: ${printed}`)));
+      child.once('close', (code, signal) => {
+        const end = `code ${code}, signal ${signal}`;
+        reject(new Error(`${name} ended at its start (${end}): ${printed}${errors}`));
+      });
     });
     const [caller = 0, peer = 0, operator = 0] = ports;
     return new NodeProcess(name, child, caller, peer, operator);
