Tries of a suspected request wait also where the caller of the one before has left

A try whose caller leaves was the only one that ends without a note: one that is answered, refused or given up asks the next one to wait, one that is left did not. Its run went on at a replica for 2.2 s, and the next try, 1.6 and 1.9 s later, went to the next replica meanwhile.

Change: a caller that leaves has its try noted as one that has shown nothing, at all gateways. An answer within the time that attempts of suspected requests have to end clears that at once, so that a request which ends no replica is not held.

--- a/src/gateway/requests/note-inconclusive.ts
+++ b/src/gateway/requests/note-inconclusive.ts
@@ -9,8 +9,9 @@
   legs.some(({ arrivals, runs }) => arrivals + runs > 0);
 
 /**
- * Takes note of a caller's try that ends now: where replicas refused or failed all of it, the next one waits, at all
- * gateways. A try under which a replica has ended counts as a round instead.
+ * Takes note of a caller's try that ends now: where replicas refused or failed all of it, or its caller has left while one
+ * may still run it, the next one waits, at all gateways. Sent at once, it would be at the next replica when the one before
+ * ends. A try under which a replica has ended counts as a round instead.
  */
 export const noteInconclusive = (
   state: GatewayState,
--- a/src/gateway/requests/take-result.ts
+++ b/src/gateway/requests/take-result.ts
@@ -9,6 +9,7 @@
 import { abortLeg, giveUpAttempts, LINGER_MS } from './give-up-attempts.js';
 import { FIRST_FAILURE_STATUS, isUsable } from './good-answer.js';
 import { refuseHeldRequest } from './hold-request.js';
+import { noteInconclusive } from './note-inconclusive.js';
 import { progressRequest } from './progress.js';
 import type { ActiveAttempt, ActiveRequest, Leg } from './request-state.js';
 import { endLeg, notePauses, retryLeg } from './retry-leg.js';
@@ -132,6 +133,7 @@
   trace(request.decisions, at, { event: 'caller-left', elapsedMs });
   return [
     { type: 'forget-call', call },
+    ...noteInconclusive(state, request, at),
     ...giveUpAttempts(state, request, 0, at),
     ...writeTrace(request.request.requestId, request.decisions, true),
   ];
--- a/test/gateway/unawaited-attempts.test.ts
+++ b/test/gateway/unawaited-attempts.test.ts
@@ -120,6 +120,29 @@
   });
 });
 
+describe('a try of a request under which replicas may end, whose caller has left', () => {
+  /** The second try has ended so, and a third one has come. */
+  const tryAgainAfter = (result: AttemptResult): VirtualGateway => {
+    const gateway = giveUpOne();
+    checkFirst(gateway, 10);
+    leave(gateway, gateway.request(BUDGET_MS, false, 'print'));
+    const [, attempt] = gateway.sent;
+    if (attempt !== undefined) {
+      gateway.end(attempt, result);
+    }
+    gateway.request(BUDGET_MS, false, 'print');
+    return gateway;
+  };
+
+  it('is followed by no other while nothing has shown whether its replica ends', () => {
+    expect(tryAgainAfter(failed('aborted')).sent).toHaveLength(2);
+  });
+
+  it('is followed at once when its replica has answered it', () => {
+    expect(tryAgainAfter(answered).sent).toHaveLength(3);
+  });
+});
+
 describe('a replica that is back before it is looked at', () => {
   const idOf = (gateway: VirtualGateway): string => gateway.sent[0]?.replica.id ?? '';
 
