A gateway that starts reads from all entries in the store under which requests replicas have ended

A request under which replicas had ended in two rounds reached replicas in a fourth late try (3 allowed).

Cause, by trace: a gateway that had started 0.16 s before knew nothing of it, sent it as any other, and the replica ended; a run that its gateway sent in ignorance counts as the first round, so that two rounds stayed two, and the time of the last crash, from which pauses grow, began anew. Its entry in the store lacked the request, since others had learnt it first-hand, and the entries of these, which it lists before its first request, were not read. Neighbours tell it within 3 s only. Ruled out: the refusals themselves (each pause before had grown as it should: 1, 2.2, 4.4 s).

Change: from the lists of gateways that it reads at its start, a gateway takes what stands in all entries. What another one has written may be out of date: it blocks nothing (two rounds at most), and is older than any answer still remembered. Costs nothing in calls: the entries are listed anyway.

--- a/src/gateway/crashes/crash-record.ts
+++ b/src/gateway/crashes/crash-record.ts
@@ -120,6 +120,13 @@
 export const recalledKnowledge = (rounds: number, at: number): CrashKnowledge =>
   addRounds(NOTHING_KNOWN, rounds, at);
 
+/**
+ * What another gateway's entry in the store says. It may be out of date, so that it blocks nothing, and is taken for older
+ * than any answer that a gateway still remembers.
+ */
+export const readKnowledge = (rounds: number, at: number): CrashKnowledge =>
+  addRounds(NOTHING_KNOWN, Math.min(rounds, BLOCKING_ROUNDS - 1), at - SERVED_MEMORY_MS);
+
 /** The same for a suspected request: it is tried often, and most that are suspected have only met crashes. */
 const PROBE_MS = 1_000;
 
--- a/src/gateway/crashes/recall-suspects.ts
+++ b/src/gateway/crashes/recall-suspects.ts
@@ -1,21 +1,43 @@
-/** Knows again, after a start, under which requests replicas ended: they stand in the gateway's entry in the store. */
+/**
+ * Knows, after a start, under which requests replicas have ended: gateways keep those in their entries in the store, which
+ * are listed before the first request is taken, and before a neighbour may tell.
+ */
 import type { GatewayEffect } from '../effect.js';
+import type { PeerRecord, SuspectedRequest } from '../model/peer-record.js';
 import type { GatewayState } from '../state.js';
-import { NOTHING_KNOWN, recalledKnowledge } from './crash-record.js';
+import {
+  type CrashKnowledge,
+  NOTHING_KNOWN,
+  readKnowledge,
+  recalledKnowledge,
+} from './crash-record.js';
 import { updateKnowledge } from './update-knowledge.js';
 
-/** Reads this gateway's entry once, from the first list of gateways; the others are told. */
+/** Takes a request that stands in an entry, unless more is known of it. */
+const recall = (
+  state: GatewayState,
+  { name: from }: PeerRecord,
+  { fingerprint, rounds }: SuspectedRequest,
+  at: number,
+): GatewayEffect[] => {
+  if (state.crashes.memory.find(fingerprint, at) !== NOTHING_KNOWN) {
+    return [];
+  }
+  const isOwn = from === state.settings.node;
+  const known: CrashKnowledge = isOwn ? recalledKnowledge(rounds, at) : readKnowledge(rounds, at);
+  return updateKnowledge(state, fingerprint, known, { from, isUrgent: isOwn }, at);
+};
+
+/** Reads the entries of all gateways, this one's first, from each list until one has its own. */
 export const recallSuspects = (state: GatewayState, at: number): GatewayEffect[] => {
   const { crashes, peers, settings } = state;
-  const own = peers.find(settings.node);
-  if (crashes.isRecalled || own === undefined) {
+  if (crashes.isRecalled) {
     return [];
   }
-  crashes.isRecalled = true;
-  return (own.suspects ?? []).flatMap(({ fingerprint, rounds }) => {
-    const isKnown = crashes.memory.find(fingerprint, at) !== NOTHING_KNOWN;
-    const origin = { from: settings.node, isUrgent: true };
-    const recalled = recalledKnowledge(rounds, at);
-    return isKnown ? [] : updateKnowledge(state, fingerprint, recalled, origin, at);
-  });
+  const own = peers.find(settings.node);
+  crashes.isRecalled = own !== undefined;
+  const others = [...peers.all()].filter(({ name }) => name !== settings.node);
+  return [...(own === undefined ? [] : [own]), ...others].flatMap((entry) =>
+    (entry.suspects ?? []).flatMap((suspect) => recall(state, entry, suspect, at)),
+  );
 };
--- a/test/gateway/met-crashes.test.ts
+++ b/test/gateway/met-crashes.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest';
 import type { CallerResponse } from '../../src/gateway/model/request.js';
-import { type Asked, CrashNetwork, triesTooLate } from './crash-network.js';
+import { type Asked, CrashNetwork, type CrashNode, triesTooLate } from './crash-network.js';
 import { gatherOf, routeTo } from './virtual-gateway.js';
 
 const GATHER = routeTo(gatherOf(20, 0.89), { pathPrefix: '/all/', objectiveMs: 116 });
@@ -198,6 +198,43 @@
     expect(asked.map((each) => reasonsOf(each)[0])).toEqual(asked.map(() => 'crashes-replicas'));
   });
 
+  /** A gateway that did not know of the request starts anew, cut off from all others, with the store in reach. */
+  const startAlone = (network: CrashNetwork): CrashNode | undefined => {
+    const [first, ...others] = network.nodes;
+    if (first !== undefined) {
+      network.kill(first);
+      first.stored = first.record;
+      others.forEach((other) => network.setCut(first, other, true));
+      network.start(first);
+    }
+    return first;
+  };
+
+  const verdictAt = (node: CrashNode | undefined, network: CrashNetwork): string | undefined =>
+    node?.state.crashes.memory.verdict('lethal', network.now);
+
+  it('is suspected by a gateway that starts, from the entries of those that cannot tell it', () => {
+    const network = networkOf(11);
+    playLethal(network, '/all/x', 500, 5_000);
+    network.advance(6_000);
+    const alone = startAlone(network);
+    expect(verdictAt(alone, network)).toBe('suspected');
+    network.ask({ fingerprint: 'lethal', path: '/all/x', gateway: 'front-0', retries: 0 });
+    network.advance(2_000);
+    expect(verdictAt(alone, network)).toBe('blocked');
+  });
+
+  it('is served by one that starts, if its cause is gone, whatever entries of others still say', () => {
+    const network = networkOf(12);
+    playLethal(network, '/all/x', 500, 5_000);
+    network.advance(10_000);
+    network.lethal.clear();
+    startAlone(network);
+    const asked = network.ask({ fingerprint: 'lethal', path: '/all/x', gateway: 'front-0' });
+    network.advance(2_000);
+    expect(isServed(asked)).toBe(true);
+  });
+
   it('is stopped while the store is away', () => {
     const network = networkOf(8);
     network.isStoreAway = true;
