A request that met one crash is not kept waiting for long by a try that has shown nothing

A request that ends no replica had met one that ended 13 s before; the first try after that found all replicas full, and for 14 s every try of it was refused at all 20 gateways: 'not served', three times.

Cause: the pause after a try that has shown nothing grows with the time since the last crash, whatever is known. That bounds a request under which replicas have ended in two rounds; after one round, which is met by all that a replica ran, the request is most likely an innocent one that is seldom asked for.

Change: after one round the pause is 5 s at most, as long as a run that nobody waits for is watched; from two rounds on 30 s as before.

The test of the pauses had its figures at one round; it has the same at two rounds now, and those of one round besides.

--- a/src/gateway/crashes/crash-record.ts
+++ b/src/gateway/crashes/crash-record.ts
@@ -143,9 +143,16 @@
 const LEAST_PAUSE_MS = 250;
 const LONGEST_PAUSE_MS = 30_000;
 
+/**
+ * The longest pause after one round, in milliseconds: longer than replicas work on after nobody waits. One round is met by
+ * every request that was at a replica when it ended, and an innocent one must not be refused for long.
+ */
+const LONGEST_FIRST_PAUSE_MS = 5_000;
+
 /** Takes note that a try of a suspected request has ended without showing whether replicas end under it. */
 export const addInconclusive = (known: CrashKnowledge, at: number): CrashKnowledge => {
-  const pauseMs = Math.max(LEAST_PAUSE_MS, Math.min(LONGEST_PAUSE_MS, at - known.crashedAt));
+  const longestMs = known.rounds > 1 ? LONGEST_PAUSE_MS : LONGEST_FIRST_PAUSE_MS;
+  const pauseMs = Math.max(LEAST_PAUSE_MS, Math.min(longestMs, at - known.crashedAt));
   return { ...known, trialUntil: Math.max(known.trialUntil, at + pauseMs) };
 };
 
--- a/test/gateway/crash-record.test.ts
+++ b/test/gateway/crash-record.test.ts
@@ -145,10 +145,16 @@
 
 describe('a try of a suspected request that has shown nothing', () => {
   const suspected = crash(NOTHING_KNOWN, 1_000);
-  const pauseAt = (at: number): number => addInconclusive(suspected, at).trialUntil - at;
+  const twice = crash(suspected, 1_000);
+  const pausesOf = (known: CrashKnowledge): readonly number[] =>
+    [1_010, 3_000, 9_000, 90_000].map((at) => addInconclusive(known, at).trialUntil - at);
 
   it('is followed by the next after as long as has passed since a replica last ended under it', () => {
-    expect([1_010, 3_000, 9_000, 90_000].map(pauseAt)).toEqual([250, 2_000, 8_000, 30_000]);
+    expect(pausesOf(twice)).toEqual([250, 2_000, 8_000, 30_000]);
+  });
+
+  it('is followed soon where replicas have ended in one round only, as under all that they ran', () => {
+    expect(pausesOf(suspected)).toEqual([250, 2_000, 5_000, 5_000]);
   });
 
   it('leaves it suspected, and is news to other gateways', () => {
