A gateway whose machine was suspended is as one that was stopped; one that stood still has confirmed what it knows

What callers would see: a machine that was suspended for 5 s goes on, and its gateway takes all that it knows for as young as before: it sends to replicas that have left, by a configuration that is not in force any more, for callers whose time is over, and tells the load balancer that it is ready. Node's steady clock (performance.now) does not count a suspension. One that was stopped by a signal has a clock that goes on, and the same answer to the load balancer.

Each duration corrected on its own: 85 constants, all of which go through the one clock of a process.

Change: the gateway's clock counts a suspension, where time of day and time since the machine's start have jumped by the same (a time of day that is set moves only the first). All that reads it sees a freeze; timers that were due fire at once. Readings 1.5 s apart tell that the process stood still (an idle one reads each 0.5 s): it is not ready, holds requests as at its start, refuses subqueries, lists the store or asks its readers again, and goes on once that is answered; after 1 s, or where the store is away, with what it knows. What had come before it went on is read first and confirms nothing.

--- a/src/gateway/event.ts
+++ b/src/gateway/event.ts
@@ -25,6 +25,16 @@
   readonly at: number;
 }
 
+/** The process did nothing for a while: it was stopped, or its machine suspended. Emitted when it goes on. */
+export interface StoodStill {
+  readonly type: 'stood-still';
+  readonly at: number;
+  /** In milliseconds. */
+  readonly forMs: number;
+  /** How much of it the machine was suspended. */
+  readonly suspendedMs: number;
+}
+
 /** The process is told to stop; requests in progress are finished. */
 export interface StopRequested {
   readonly type: 'stop-requested';
@@ -263,6 +273,7 @@
 /** All events of the gateway. */
 export type GatewayEvent =
   | Started
+  | StoodStill
   | StopRequested
   | SettingsReloaded
   | RequestReceived
--- a/src/gateway/log/log-descriptions.ts
+++ b/src/gateway/log/log-descriptions.ts
@@ -27,6 +27,10 @@
 export const BELIEF_DESCRIPTIONS: Readonly<Record<BeliefChange['event'], string>> = {
   started: 'The process has opened its ports.',
   ready: 'The load balancer is told whether new callers are wanted.',
+  'stood-still':
+    'The process did nothing for `forMs`, for `suspendedMs` of it since its machine was suspended: what it knows may be out of date.',
+  'went-on':
+    'After it stood still, what the gateway knows was confirmed, or nothing could confirm it.',
   stopping: 'The process was told to stop; requests in progress are finished.',
   ended: 'The process ends.',
   'settings-reloaded': 'Changed settings were taken.',
--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -150,6 +150,8 @@
 export type BeliefChange =
   | { readonly event: 'started' }
   | { readonly event: 'ready'; readonly ready: boolean; readonly phase: string }
+  | { readonly event: 'stood-still'; readonly forMs: number; readonly suspendedMs: number }
+  | { readonly event: 'went-on'; readonly afterMs: number; readonly isConfirmed: boolean }
   | { readonly event: 'stopping'; readonly requests: number }
   | { readonly event: 'ended'; readonly requests: number; readonly stopMs: number }
   | { readonly event: 'settings-reloaded' }
--- a/src/gateway/readers/update-reading.ts
+++ b/src/gateway/readers/update-reading.ts
@@ -12,6 +12,7 @@
 import { resumeCollections } from '../store/apply-collections.js';
 import { stopFollowing } from '../store/follow-collection.js';
 import { probeIfWanted } from '../store/probe-store.js';
+import { askAnew } from './ask-anew.js';
 import { readerCandidates, seedCandidates } from './candidates.js';
 import { followTiming, type Source } from './reading-state.js';
 import { canRead, knownPositions, tellStatus } from './tell-followers.js';
@@ -180,6 +181,7 @@
 /** Handles `reading-due`. */
 export const takeReadingDue = (state: GatewayState, at: number): GatewayEffect[] => [
   ...settleUnconfirmed(state, at),
+  ...askAnew(state, at),
   ...updateReading(state, at),
   { type: 'set-reading-timer', at: at + followTiming(state.settings.bounds).firstWordMs },
 ];
--- a/src/gateway/reducer.ts
+++ b/src/gateway/reducer.ts
@@ -31,6 +31,7 @@
 import { takeUnreadable } from './requests/take-unreadable.js';
 import { refuseAllHeld } from './requests/hold-request.js';
 import { takeCallerLeft, takeRequestDue, takeResult } from './requests/take-result.js';
+import { endStandstill, takeStoodStill } from './standstill.js';
 import type { GatewayState } from './state.js';
 import {
   listCollections,
@@ -72,6 +73,7 @@
 const dispatch = (state: GatewayState, event: GatewayEvent): GatewayEffect[] =>
   match(event)
     .with({ type: 'started' }, (started) => start(state, started))
+    .with({ type: 'stood-still' }, (stood) => takeStoodStill(state, stood))
     .with({ type: 'stop-requested' }, (stop) => beginStop(state, stop))
     .with({ type: 'stop-due' }, (due) => continueStop(state, due))
     .with({ type: 'settings-reloaded' }, ({ settings }) => {
@@ -144,5 +146,10 @@
     .exhaustive();
 
 /** Takes one event. Ends of attempts, the most frequent, go past the match. */
-export const step = (state: GatewayState, event: GatewayEvent): GatewayEffect[] =>
-  event.type === 'attempt-ended' ? takeResult(state, event) : dispatch(state, event);
+export const step = (state: GatewayState, event: GatewayEvent): GatewayEffect[] => {
+  if (event.type === 'attempt-ended') {
+    return takeResult(state, event);
+  }
+  const effects = dispatch(state, event);
+  return state.outdated === undefined ? effects : [...effects, ...endStandstill(state, event.at)];
+};
--- a/src/gateway/requests/hold-request.ts
+++ b/src/gateway/requests/hold-request.ts
@@ -1,5 +1,6 @@
 /**
- * Holds requests that arrive before this process knows a configuration and the replicas. After all
+ * Holds requests that arrive before this process knows a configuration and the replicas, or has had confirmed what it knows
+ * after it stood still. After all
  * gateways have lost power, their callers come back in the same tenth of a second: most have one retry,
  * and an immediate refusal would use it up at another gateway that has not read the store either.
  */
@@ -27,15 +28,19 @@
 /** Requests can be served without the list of gateways. */
 const isNeeded = (name: CollectionName): boolean => name !== 'gateways';
 
-/** Whether the store has failed to tell what is needed: it is not known how long that goes on. */
+/**
+ * Whether the store has failed to tell what is needed: it is not known how long that goes on. A gateway that stood still
+ * goes on with what it knows once it finds that.
+ */
 const isStoreFailing = (state: GatewayState): boolean =>
-  !state.store.reachable ||
-  collectionsOf(state)
-    .filter(isNeeded)
-    .some((name) => {
-      const { isListed, failures } = state.collections[name];
-      return !isListed && failures > 0;
-    });
+  state.outdated === undefined &&
+  (!state.store.reachable ||
+    collectionsOf(state)
+      .filter(isNeeded)
+      .some((name) => {
+        const { isListed, failures } = state.collections[name];
+        return !isListed && failures > 0;
+      }));
 
 /**
  * Holds a request; it is refused when nothing is known by the time its timer is due, and at once while the
--- a/src/gateway/runtime/gateway-timers.ts
+++ b/src/gateway/runtime/gateway-timers.ts
@@ -34,6 +34,11 @@
     }
   }
 
+  /** Counts the time to the next timer anew, since the clock has jumped. */
+  refresh(): void {
+    this.deadlines.refresh();
+  }
+
   /** Forgets all timers. */
   close(): void {
     this.timers.clear();
--- a/src/gateway/runtime/start-gateway.ts
+++ b/src/gateway/runtime/start-gateway.ts
@@ -1,6 +1,5 @@
 /** Starts a gateway: opens its ports, builds its parts and runs the reducer over them. */
 import { match } from 'ts-pattern';
-import { createMonotonicClock, type MonotonicClock } from '../../runtime/monotonic-clock.js';
 import type {
   AbortAttempt,
   AnswerCaller,
@@ -19,6 +18,7 @@
 import { CallerPort } from './caller-port.js';
 import { CallerRequests } from './caller-requests.js';
 import type { EarlyPort } from './early-port.js';
+import { CLOCK_READING_INTERVAL_MS, ElapsedClock, type Standstill } from './elapsed-clock.js';
 import { GatewayLoop } from './gateway-loop.js';
 import { GatewayTimers } from './gateway-timers.js';
 import { MetricsPort } from './metrics-port.js';
@@ -57,7 +57,8 @@
 class GatewayProcess implements RunningGateway {
   readonly ended: Promise<void>;
   readonly state: GatewayState;
-  private readonly clock: MonotonicClock = createMonotonicClock();
+  private readonly clock = new ElapsedClock({ onStandstill: (stood) => this.goOn(stood) });
+  private clockTimer: NodeJS.Timeout | undefined;
   private readonly loop: GatewayLoop;
   private readonly timers: GatewayTimers;
   private readonly callers: CallerPort;
@@ -113,6 +114,7 @@
       this.peerPort.listen(settings.peers),
       ...(settings.metrics === undefined ? [] : [this.metrics.listen(settings.metrics)]),
     ]);
+    this.clockTimer = setInterval(() => this.clock.now(), CLOCK_READING_INTERVAL_MS).unref();
     this.loop.emit({ type: 'started', at: this.clock.now() });
   }
 
@@ -128,6 +130,12 @@
     this.loop.emit({ type: 'settings-reloaded', at: this.clock.now(), settings });
   }
 
+  /** The process's timers do not count a suspension. */
+  private goOn(standstill: Standstill): void {
+    this.timers.refresh();
+    this.loop.emit({ type: 'stood-still', at: this.clock.now(), ...standstill });
+  }
+
   private carryOut(effect: GatewayEffect): void {
     switch (effect.type) {
       case 'send-attempt':
@@ -207,6 +215,7 @@
 
   private end(): void {
     this.loop.halt();
+    clearInterval(this.clockTimer);
     this.timers.close();
     this.callers.destroy();
     this.readiness.close();
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -63,6 +63,14 @@
   era: StoreEra;
 }
 
+/** The process stood still: what it knows may be out of date until that has been confirmed. */
+export interface Outdated {
+  /** When it went on. */
+  readonly since: number;
+  /** When it asked for what confirms it; undefined before. */
+  askedAt: number | undefined;
+}
+
 /** This gateway's own entry among the gateways. */
 export interface Registration {
   /** When it was last written. */
@@ -102,6 +110,8 @@
   stoppingSince: number;
   /** What the load balancer was told last. */
   ready: boolean;
+  /** Undefined unless the process stood still, and what it knows has not been confirmed since. */
+  outdated: Outdated | undefined;
   inForce: ConfigurationInForce | undefined;
   readonly collections: Readonly<Record<CollectionName, CollectionProgress>>;
   /** All replicas have been listed once. */
@@ -160,6 +170,7 @@
   phase: 'starting',
   stoppingSince: Number.POSITIVE_INFINITY,
   ready: false,
+  outdated: undefined,
   inForce: undefined,
   collections: {
     configuration: createCollectionProgress('configuration', settings.bounds),
@@ -197,7 +208,10 @@
  * can serve.
  */
 export const isInformed = (state: GatewayState): boolean =>
-  state.inForce !== undefined && state.replicasListed && knowsEvacuations(state);
+  state.inForce !== undefined &&
+  state.replicasListed &&
+  knowsEvacuations(state) &&
+  state.outdated === undefined;
 
 /** The retry budget of a service. */
 export const budgetOf = (state: GatewayState, service: string): RetryBudget => {
--- a/src/runtime/deadline-queue.ts
+++ b/src/runtime/deadline-queue.ts
@@ -57,6 +57,11 @@
     }
   }
 
+  /** Counts the time to the first deadline anew: the clock has jumped, and the process's timers have not. */
+  refresh(): void {
+    this.arm();
+  }
+
   /** Forgets all deadlines. */
   clear(): void {
     this.live = 0;
--- a/test/gateway/reader-network.ts
+++ b/test/gateway/reader-network.ts
@@ -55,6 +55,8 @@
   isRefused = false;
   /** Answers of the store take so long to reach this gateway. */
   storeMs = STORE_MS;
+  /** Until when it stands still: it takes nothing, and what comes waits. */
+  stillUntil = 0;
   readonly timers = new Map<string, object>();
   readonly calls = new Map<CollectionName, object>();
   readonly watches = new Map<CollectionName, PendingWatch>();
@@ -149,6 +151,7 @@
   start(node: VirtualNode): void {
     node.alive = true;
     node.life += 1;
+    node.stillUntil = 0;
     node.state = createGatewayState(node.settings, this.nodes.indexOf(node) + node.life);
     node.highestVersion = 0;
     node.timers.clear();
@@ -157,6 +160,17 @@
     this.emit(node, { type: 'started', at: this.now });
   }
 
+  /** Stops a gateway for a time; when it goes on it notices that, and takes what has come meanwhile. */
+  standStill(node: VirtualNode, forMs: number): void {
+    const { life } = node;
+    this.schedule(forMs, () => {
+      if (node.alive && node.life === life) {
+        this.emit(node, { type: 'stood-still', at: this.now, forMs, suspendedMs: 0 });
+      }
+    });
+    node.stillUntil = this.now + forMs;
+  }
+
   startAll(): void {
     this.nodes.forEach((node) => this.start(node));
   }
@@ -319,6 +333,17 @@
   }
 
   private emit(node: VirtualNode, event: GatewayEvent): void {
+    if (this.now < node.stillUntil) {
+      const { life } = node;
+      // What has come over connections is read before timers are looked at.
+      const isTimer = event.type.endsWith('-due');
+      this.schedule(node.stillUntil - this.now + Number(isTimer), () => {
+        if (node.alive && node.life === life) {
+          this.emit(node, { ...event, at: this.now });
+        }
+      });
+      return;
+    }
     this.steps += 1;
     if (this.steps > MOST_STEPS) {
       throw new Error('the run does not come to an end');
--- /dev/null
+++ b/test/gateway/standstill.test.ts
@@ -0,0 +1,138 @@
+import { describe, expect, it } from 'vitest';
+import { ReaderNetwork, type VirtualNode } from './reader-network.js';
+import { routeTo, VirtualGateway } from './virtual-gateway.js';
+import { configurationOf, replicaOf } from './virtual-store.js';
+
+const BOUND_MS = 3_000;
+const SETTLED_MS = 8_000;
+const STANDSTILL_MS = 5_000;
+
+/** Enough for a list of the store, or an answer of a reader. */
+const CONFIRMED_MS = 100;
+
+/** Longest time for which a gateway waits for what confirms it, where nothing does. */
+const LONGEST_CONFIRM_MS = 1_200;
+
+/** Three gateways of one zone: one reads the store, the others follow it. */
+const networkOf = (): ReaderNetwork => {
+  const network = new ReaderNetwork();
+  network.store.put('configuration', 'main', configurationOf(1));
+  network.store.put('replicas', 'r-1', replicaOf('r-1'));
+  for (let index = 0; index < 3; index += 1) {
+    network.add(`bole-${index}`, 'bole', 1, BOUND_MS);
+  }
+  network.startAll();
+  network.advance(SETTLED_MS);
+  return network;
+};
+
+const nodeThat = (network: ReaderNetwork, role: 'reads' | 'follows'): VirtualNode => {
+  const readers = network.readers();
+  const found = network.nodes.find(({ name }) => readers.includes(name) === (role === 'reads'));
+  if (found === undefined) {
+    throw new Error(`no gateway ${role}`);
+  }
+  return found;
+};
+
+/** A gateway stands still while another version comes into force. */
+const missVersion = (network: ReaderNetwork, node: VirtualNode): void => {
+  network.standStill(node, STANDSTILL_MS);
+  network.advance(STANDSTILL_MS - 100);
+  network.put('configuration', 'main', configurationOf(2));
+  network.advance(100);
+};
+
+describe.each(['reads', 'follows'] as const)('a gateway that %s and stood still', (role) => {
+  it('is ready again only when what it knows has been confirmed', () => {
+    const network = networkOf();
+    const node = nodeThat(network, role);
+    missVersion(network, node);
+    expect(node.state.ready).toBe(false);
+    network.advance(CONFIRMED_MS);
+    expect(node.state.ready).toBe(true);
+    expect(node.version).toBe(2);
+  });
+
+  it('is ready again soon where the store is away, with what it knows', () => {
+    const network = networkOf();
+    const node = nodeThat(network, role);
+    network.setStoreAway(true);
+    network.standStill(node, STANDSTILL_MS);
+    network.advance(STANDSTILL_MS + LONGEST_CONFIRM_MS);
+    expect(node.state.ready).toBe(true);
+  });
+
+  it('is ready again soon where it can hear neither the store nor a reader', () => {
+    const network = networkOf();
+    const node = nodeThat(network, role);
+    network.setStore(node, false);
+    network.nodes
+      .filter((each) => each !== node)
+      .forEach((each) => network.setCut(node, each, true));
+    network.standStill(node, STANDSTILL_MS);
+    network.advance(STANDSTILL_MS + LONGEST_CONFIRM_MS);
+    expect(node.state.ready).toBe(true);
+  });
+});
+
+describe('a request at a gateway that stood still', () => {
+  const FOR_MS = 4_000;
+
+  /** A gateway that reads the store, alone, has stood still until now. */
+  const stoodStill = (): VirtualGateway => {
+    const gateway = new VirtualGateway();
+    gateway.configure(1, [routeTo({ type: 'service', service: 's0' })]);
+    gateway.listReplicas(['s0']);
+    gateway.state.reading.isReading = true;
+    gateway.now = FOR_MS;
+    gateway.emit({ type: 'stood-still', at: gateway.now, forMs: FOR_MS, suspendedMs: 0 });
+    return gateway;
+  };
+
+  it('is sent once what the gateway knows has been confirmed', () => {
+    const gateway = stoodStill();
+    gateway.request();
+    gateway.emit({ type: 'reading-due', at: gateway.now });
+    expect(gateway.sent).toEqual([]);
+    gateway.now += 5;
+    gateway.configure(2, [routeTo({ type: 'service', service: 's0' })]);
+    gateway.listReplicas(['s0']);
+    expect(gateway.sent).toHaveLength(1);
+  });
+
+  it('is refused with the time to come back where nothing confirms it meanwhile', () => {
+    const gateway = stoodStill();
+    const call = gateway.request();
+    gateway.advanceTo(gateway.now + 200);
+    expect(gateway.answers.get(call)).toMatchObject({ type: 'refusal', mayHaveRun: false });
+    expect(gateway.sent).toEqual([]);
+  });
+
+  it('is sent by what the gateway knows once the store is found away', () => {
+    const gateway = stoodStill();
+    gateway.request();
+    gateway.emit({ type: 'reading-due', at: gateway.now });
+    gateway.emit({ type: 'probe-ended', at: gateway.now, answered: false, era: undefined });
+    expect(gateway.sent).toHaveLength(1);
+  });
+
+  it('is refused at once where another gateway asks for parts of it, and may ask a third', () => {
+    const gateway = stoodStill();
+    const call = gateway.askForParts({ shards: ['s0'] });
+    expect(gateway.effects.at(-1)).toEqual({ type: 'refuse-subquery', call });
+  });
+
+  it('gets no work where its time was over meanwhile, and its caller is told at once', () => {
+    const gateway = new VirtualGateway();
+    gateway.configure(1, [routeTo({ type: 'service', service: 's0' })]);
+    gateway.listReplicas(['s0']);
+    const call = gateway.request(900);
+    const sent = gateway.sent.length;
+    gateway.now = FOR_MS;
+    gateway.emit({ type: 'stood-still', at: gateway.now, forMs: FOR_MS, suspendedMs: 0 });
+    gateway.advanceTo(gateway.now);
+    expect(gateway.answers.get(call)).toMatchObject({ type: 'refusal' });
+    expect(gateway.sent).toHaveLength(sent);
+  });
+});
