Failing test: a caller is answered before the other gateways hear that replicas have ended under its request

Trace: with the time between two messages set to 30 ms in place of 4 (trial) it fails each time, in the same way: the caller has its answer, and asks the next gateway, before the timer has let the news go. The test over sockets stays as it is.

--- a/test/gateway/replica-crashes.test.ts
+++ b/test/gateway/replica-crashes.test.ts
@@ -67,3 +67,36 @@
     expect(crashLogs(gateway)).toEqual([]);
   });
 });
+
+describe('a request that is given up since replicas have ended under it in two rounds', () => {
+  const OTHER = {
+    name: 'front-2',
+    zone: 'arada',
+    address: { host: '10.0.0.2', port: 1 },
+    capacity: 1,
+  };
+
+  /** The replica of the newest attempt ends under it, a millisecond after it was sent. */
+  const endNewest = (gateway: VirtualGateway): void => {
+    const attempt = gateway.sent.at(-1);
+    if (attempt !== undefined) {
+      gateway.now += 1;
+      gateway.end(attempt, { type: 'failed', problem: 'reset', mayHaveRun: true });
+      const replica = attempt.replica.id;
+      gateway.emit({ type: 'replica-checked', at: gateway.now, replica, isDown: true });
+    }
+  };
+
+  it('is told to other gateways before its caller may ask one of them', () => {
+    const gateway = gatewayWith(1);
+    gateway.listGateways([OTHER]);
+    gateway.request(900, false, 'print');
+    endNewest(gateway);
+    endNewest(gateway);
+    const told = gateway.effects.findIndex(({ type }) => type === 'tell-crashes');
+    const answered = gateway.effects.findIndex(({ type }) => type === 'answer-caller');
+    expect(answered).toBeGreaterThan(-1);
+    expect(told).toBeGreaterThan(-1);
+    expect(told).toBeLessThan(answered);
+  });
+});
