What is serious of a request is told to other gateways before its caller is answered

Cause: giving a request up set a timer for the news, up to 4 ms later and after the answer, though the comment there said that others are told before. A caller that is at the next gateway within that time finds one that does not know.

Change: where two rounds or more are known, and others do not know it, the news are an effect of the same step, before the answer.

--- a/src/gateway/crashes/tell-crashes.ts
+++ b/src/gateway/crashes/tell-crashes.ts
@@ -49,6 +49,27 @@
   return tell(neighboursOf(state, at), newsOf(state, fingerprints, at));
 };
 
+/**
+ * Tells what the neighbours do not know of a request whose caller is answered now, without a replica's answer. What is
+ * serious goes before the answer: the caller may ask one of them next. The rest can wait, and goes with what else is told.
+ */
+export const tellBeforeAnswer = (
+  state: GatewayState,
+  fingerprint: Fingerprint,
+  at: number,
+): GatewayEffect[] => {
+  const { memory, untold, told } = state.crashes;
+  if (!untold.has(fingerprint)) {
+    return [];
+  }
+  if (!isSerious(memory.find(fingerprint, at))) {
+    return tellBy(state, at);
+  }
+  untold.delete(fingerprint);
+  told.add(fingerprint);
+  return tell(neighboursOf(state, at), newsOf(state, [fingerprint], at));
+};
+
 /** Tells the neighbours whose turn it is what is serious, again. */
 const tellAgain = (state: GatewayState, at: number): GatewayEffect[] => {
   const { crashes } = state;
--- a/src/gateway/crashes/update-knowledge.ts
+++ b/src/gateway/crashes/update-knowledge.ts
@@ -34,11 +34,8 @@
 };
 
 /** Has what is known of a request told at once, unless others know it. */
-export const tellAtOnce = (
-  state: GatewayState,
-  fingerprint: Fingerprint,
-  at: number,
-): GatewayEffect[] => (state.crashes.untold.has(fingerprint) ? tellBy(state, at) : []);
+const tellAtOnce = (state: GatewayState, fingerprint: Fingerprint, at: number): GatewayEffect[] =>
+  state.crashes.untold.has(fingerprint) ? tellBy(state, at) : [];
 
 /** An answer that shows that a replica can run a request. */
 export interface SeenAnswer {
--- a/src/gateway/requests/finish.ts
+++ b/src/gateway/requests/finish.ts
@@ -1,6 +1,6 @@
 /** Ends requests: with a replica's answer, a merged one, or the gateway's own. */
 import { unblockedAt } from '../crashes/crash-record.js';
-import { tellAtOnce } from '../crashes/update-knowledge.js';
+import { tellBeforeAnswer } from '../crashes/tell-crashes.js';
 import type { GatewayEffect } from '../effect.js';
 import type { RequestReceived } from '../event.js';
 import type { Decision } from '../log/log-event.js';
@@ -164,7 +164,7 @@
   const ran = mayHaveRun(request);
   const retry = ran ? {} : { retryAfterMs: retryAfter(state, request, reason, at) };
   const response = { type: 'refusal', reason, mayHaveRun: ran, ...retry } as const;
-  const told = tellAtOnce(state, request.request.fingerprint, at);
+  const told = tellBeforeAnswer(state, request.request.fingerprint, at);
   return [...told, ...finishRequest(state, request, response, at)];
 };
 
