--- a/scenarios/platform/play.sh
+++ b/scenarios/platform/play.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays every day of this folder on one site and prints a table: day, worth, what was broken.
+# Plays every day of this folder and of deploy/days on one site and prints a table: day, worth, what was broken.
 # Usage: scenarios/platform/play.sh BENCH SITE OUT [JOBS] [PATTERN]
 #   BENCH    the users' bench          SITE     a site file
 #   OUT      a folder for the reports  JOBS     days at once (2)
@@ -23,4 +23,4 @@
 }
 export -f play_one
 export bench site out
-find "$here" -name "$pattern" | sort | xargs -P "$jobs" -I{} bash -c 'play_one {}'
+find "$here" "$here/../../deploy/days" -name "$pattern" | sort | xargs -P "$jobs" -I{} bash -c 'play_one {}'
