Soak: callers that leave before replicas end, replicas that start again under their identifier, entries of other writers

Callers of half of the lethal requests leave after 10 to 210 ms, and a replica ends up to 400 ms after it has begun to run one, without an answer; replicas end and are back under the same identifier, at another address and with another start, after 50 ms to 3 s; another writer overwrites the entry of a replica in one of six ways for 1 to 9 s. New promise: spoilt-entries, a gateway in touch sends to such a replica later than the bound. A suspension can't be brought about by signals; what signals show is a process that is stopped (already there), the rest is in test/gateway/elapsed-clock and standstill.

--- a/soak/checker/drained-replicas.ts
+++ b/soak/checker/drained-replicas.ts
@@ -1,7 +1,17 @@
-/** A replica that drains or is gone gets no request once that has been known for long enough. */
+/** A replica that drains, is gone, or has an entry that cannot be read gets no request once that can be known. */
 import type { Departure } from '../model/observations.js';
 import type { Evidence } from './evidence.js';
-import type { Violation } from './violation.js';
+import type { Promised, Violation } from './violation.js';
+
+const promiseOf = ({ why }: Departure): Promised =>
+  why === 'leaves' ? 'drained-replicas' : 'spoilt-entries';
+
+const reasonOf = ({ why }: Departure): string =>
+  why === 'leaves' ? 'the store said that it leaves' : 'its entry was spoilt';
+
+/** Whether a replica had its own entry again. */
+const hasReturned = ({ returnedAt }: Departure, at: number): boolean =>
+  returnedAt !== undefined && at >= returnedAt;
 
 /** Whether the store had been calm when it acknowledged that the replica leaves. */
 const wasStable = (evidence: Evidence, { acknowledgedAt }: Departure): boolean =>
@@ -18,10 +28,14 @@
     const from = departure.acknowledgedAt + drainMs;
     const cases = arrivals.filter(({ service, at, requestId }) => {
       const request = evidence.requests.get(requestId);
-      const isTimely = service === departure.service && at > from && at < from + SERVES_LONGER_MS;
+      const isTimely =
+        service === departure.service &&
+        at > from &&
+        at < from + SERVES_LONGER_MS &&
+        !hasReturned(departure, at);
       return isTimely && request !== undefined && evidence.isRequestInTouch(request, at, at);
     });
-    evidence.noteJudged('drained-replicas', cases.length);
+    evidence.noteJudged(promiseOf(departure), cases.length);
   }
 };
 
@@ -38,12 +52,13 @@
       return [];
     }
     const lateMs = Math.round(arrival.at - departure.acknowledgedAt);
-    const isLate = lateMs > drainMs && wasStable(evidence, departure);
+    const isKnown = lateMs > drainMs && !hasReturned(departure, arrival.at);
+    const isLate = isKnown && wasStable(evidence, departure);
     if (!isLate || !evidence.isRequestInTouch(request, arrival.at, arrival.at)) {
       return [];
     }
     const { id, gateway, path } = request;
-    const text = `${path} reached ${arrival.replica} ${lateMs} ms after the store said that it leaves`;
-    return [{ promise: 'drained-replicas', at: arrival.at, gateway, requestId: id, text }];
+    const text = `${path} reached ${arrival.replica} ${lateMs} ms after ${reasonOf(departure)}`;
+    return [{ promise: promiseOf(departure), at: arrival.at, gateway, requestId: id, text }];
   });
 };
--- a/soak/checker/violation.ts
+++ b/soak/checker/violation.ts
@@ -7,6 +7,7 @@
   'at-most-once',
   'refused-never-ran',
   'drained-replicas',
+  'spoilt-entries',
   'configuration',
   'planned-stops',
   'retry-budget',
--- a/soak/faults/fault-runner.ts
+++ b/soak/faults/fault-runner.ts
@@ -39,7 +39,7 @@
 
   constructor(
     private readonly world: SoakWorld,
-    random: Random,
+    private readonly random: Random,
   ) {
     this.storeFaults = new StoreFaults(world, random);
   }
@@ -76,6 +76,12 @@
       .with({ type: 'replica-loses-answers' }, ({ service, forMs }) =>
         this.troubleService(service, 'loses answers', () => replicas.loseAnswers(service, forMs)),
       )
+      .with({ type: 'replica-restarts' }, ({ service, downMs }) =>
+        this.troubleService(service, 'restarts', () => replicas.restart(service, downMs)),
+      )
+      .with({ type: 'entry-spoilt' }, ({ service, forMs }) =>
+        replicas.spoilEntry(service, forMs, this.random),
+      )
       .otherwise((storeFault) => this.storeFaults.carryOut(storeFault)) as Promise<void>;
   }
 
--- a/soak/model/observations.ts
+++ b/soak/model/observations.ts
@@ -87,11 +87,14 @@
   readonly routes: readonly VersionRoute[];
 }
 
-/** A replica that the store said drains or is gone. */
+/** A replica that the store said drains or is gone, or whose entry cannot be read. */
 export interface Departure {
   readonly replica: string;
   readonly service: string;
+  readonly why: 'leaves' | 'entry-spoilt';
   readonly acknowledgedAt: number;
+  /** When it had written its own entry again; undefined where it has not. */
+  returnedAt: number | undefined;
 }
 
 /** What a fault has to do with. */
--- a/soak/model/plan.ts
+++ b/soak/model/plan.ts
@@ -1,8 +1,9 @@
 /** What one run does, drawn from its seed. */
-import { createRandom } from '../../src/core/random.js';
+import { createRandom, type Random } from '../../src/core/random.js';
 import type { GatewayBounds } from '../../src/gateway/settings.js';
 import { PREFIXES } from '../world/routes.js';
 import {
+  drawEntryFaults,
   drawLastVersion,
   drawPeerTroubles,
   drawReleases,
@@ -66,6 +67,8 @@
   readonly prefix: string;
   /** Usual time between two of its callers, in milliseconds. */
   readonly everyMs: number;
+  /** Its callers leave after so long, in milliseconds; absent where they wait. */
+  readonly leavesAfterMs?: number;
 }
 
 /** One run. */
@@ -80,6 +83,10 @@
   readonly schedule: readonly ScheduledFault[];
   /** Requests that end replicas, which come all through the run. */
   readonly lethalRequests: readonly LethalRequest[];
+  /** A replica ends so long after it has begun to run one, in milliseconds. */
+  readonly lethalAfterMs: number;
+  /** Replicas tell in their entries when they have started. */
+  readonly tellsStarts: boolean;
   /** Planned work that goes on after the faults, with times from their end. */
   readonly plannedWork: readonly ScheduledFault[];
 }
@@ -95,7 +102,8 @@
   | 'calm'
   | 'last-version'
   | 'lethal'
-  | 'store-returns';
+  | 'store-returns'
+  | 'entries';
 
 /** A new one goes to the end: the seeds that have failed then keep the streams that they had. */
 const STREAMS: readonly RandomStream[] = [
@@ -109,6 +117,7 @@
   'last-version',
   'lethal',
   'store-returns',
+  'entries',
 ];
 
 /** Distance between the seeds of two runs, so that their streams differ. */
@@ -160,6 +169,27 @@
 /** In runs of smaller seeds the store never returns from a copy: those that have failed stay what they were. */
 const FIRST_RETURN_SEED = 2_000;
 
+/**
+ * In runs of smaller seeds replicas end at once and for all callers that wait, have a new identifier with each start, and
+ * nobody else writes their entries: those that have failed stay what they were.
+ */
+const FIRST_ENTRY_SEED = 3_000;
+
+/** Longest time until a caller of a lethal request leaves, and until a replica ends under it, in milliseconds. */
+const LONGEST_LETHAL_WAIT_MS = 200;
+const LONGEST_LETHAL_RUN_MS = 400;
+
+/** Lets the callers of half of the lethal requests leave, mostly before the replicas end. */
+const drawLeaving = (
+  random: Random,
+  requests: readonly LethalRequest[],
+): readonly LethalRequest[] =>
+  requests.map((request) =>
+    random.nextBelow(2) === 0
+      ? request
+      : { ...request, leavesAfterMs: 10 + random.nextBelow(LONGEST_LETHAL_WAIT_MS) },
+  );
+
 /** Draws a run. */
 export const drawPlan = (options: SoakOptions): SoakPlan => {
   const random = streamOf(options.seed, 'plan');
@@ -175,6 +205,9 @@
   const peerTroubles = usesPeerLinks
     ? drawPeerTroubles(streamOf(seed, 'peer-links'), faultsMs, gateways)
     : [];
+  const hasEntryFaults = seed >= FIRST_ENTRY_SEED;
+  const entries = streamOf(seed, 'entries');
+  const lethalRequests = drawLethalRequests(seed);
   return {
     ...options,
     bounds: { ...BOUNDS, retrySlack },
@@ -190,8 +223,11 @@
       ...(seed < FIRST_RETURN_SEED
         ? []
         : drawStoreReturns(streamOf(seed, 'store-returns'), faultsMs)),
+      ...(hasEntryFaults ? drawEntryFaults(entries, faultsMs) : []),
     ],
-    lethalRequests: drawLethalRequests(seed),
+    lethalRequests: hasEntryFaults ? drawLeaving(entries, lethalRequests) : lethalRequests,
+    lethalAfterMs: hasEntryFaults ? entries.nextBelow(LONGEST_LETHAL_RUN_MS) : 0,
+    tellsStarts: hasEntryFaults,
     plannedWork: drawPlannedWork(seed, gateways, endsQuietly),
   };
 };
--- a/soak/model/schedule.ts
+++ b/soak/model/schedule.ts
@@ -44,7 +44,11 @@
       readonly service: string;
       readonly how: 'drain' | 'vanish' | 'crash';
     }
-  | { readonly type: 'replica-loses-answers'; readonly service: string; readonly forMs: number };
+  | { readonly type: 'replica-loses-answers'; readonly service: string; readonly forMs: number }
+  /** A replica ends, and starts again under the identifier that it had. */
+  | { readonly type: 'replica-restarts'; readonly service: string; readonly downMs: number }
+  /** Another writer overwrites the entry of a replica; after a while the replica writes its own again. */
+  | { readonly type: 'entry-spoilt'; readonly service: string; readonly forMs: number };
 
 /** A fault and when it begins, in milliseconds from the first possible one. */
 export interface ScheduledFault {
@@ -252,6 +256,32 @@
   return schedule;
 };
 
+/** Shortest and longest time for which a replica is down that starts again, and for which an entry is spoilt. */
+const LEAST_DOWN_MS = 50;
+const MOST_DOWN_MS = 3_000;
+const LEAST_SPOILT_MS = 1_000;
+const MOST_SPOILT_MS = 9_000;
+
+/** Shortest and longest pause between two of these, in milliseconds; one of three follows the one before at once. */
+const LEAST_ENTRY_GAP_MS = 1_000;
+const MOST_ENTRY_GAP_MS = 5_000;
+
+/** Draws replicas that start again under their identifiers, and entries of other writers, besides the other faults. */
+export const drawEntryFaults = (random: Random, durationMs: number): readonly ScheduledFault[] => {
+  const schedule: ScheduledFault[] = [];
+  for (let atMs = 0; atMs < durationMs - LAST_START_MS;) {
+    const service = pickService(random);
+    const fault = pick<Fault>(random, [
+      { type: 'replica-restarts', service, downMs: between(random, LEAST_DOWN_MS, MOST_DOWN_MS) },
+      { type: 'entry-spoilt', service, forMs: between(random, LEAST_SPOILT_MS, MOST_SPOILT_MS) },
+    ]);
+    schedule.push({ atMs, fault });
+    const isSeries = random.nextBelow(3) === 0;
+    atMs += isSeries ? 100 : between(random, LEAST_ENTRY_GAP_MS, MOST_ENTRY_GAP_MS);
+  }
+  return schedule;
+};
+
 /** Draws the faults of a run for `durationMs`; some overlap, and between some all is calm. */
 export const drawSchedule = (
   random: Random,
--- a/soak/world/callers.ts
+++ b/soak/world/callers.ts
@@ -112,7 +112,7 @@
   /** Lets callers ask for a lethal request, at any gateway; one that is not served is asked for once more. */
   beginLethal(
     gateways: readonly GatewayProcess[],
-    { prefix, everyMs }: LethalRequest,
+    { prefix, everyMs, leavesAfterMs }: LethalRequest,
     number: number,
   ): void {
     const random = streamOf(this.context.seed, 'lethal', 1 + number);
@@ -123,7 +123,7 @@
       for (let tries = 0; tries < LETHAL_TRIES; tries += 1) {
         const gateway = drawGateway();
         if (gateway !== undefined) {
-          await this.sendPath(gateway, { method: 'GET', path, body: '' });
+          await this.sendPath(gateway, { method: 'GET', path, body: '', leavesAfterMs });
         }
       }
     };
--- a/soak/world/replica-fleet.ts
+++ b/soak/world/replica-fleet.ts
@@ -8,7 +8,7 @@
   StandInReplica,
 } from '../../test/platform/stand-in-replica.js';
 import type { StandInStore } from '../../test/platform/stand-in-store.js';
-import type { Arrival, Observations } from '../model/observations.js';
+import type { Arrival, Departure, Observations } from '../model/observations.js';
 import { bodyOf, digestOf } from './answer-body.js';
 import { isLethal, workOf } from './paths.js';
 import { beginDisturbance } from './recorder.js';
@@ -17,6 +17,28 @@
 /** A replica that leaves serves for longer than it has to by this time, in milliseconds. */
 const SERVES_LONGER_MS = 3_000;
 
+/** What other writers put in the place of a replica's entry: it names no replica to use. */
+const SPOILT_FIELDS: readonly Readonly<Record<string, unknown>>[] = [
+  { service: 7 },
+  { address: 'nowhere' },
+  { state: 'sleeping' },
+  { slots: 'many' },
+  { born: 1.5 },
+  { zone: undefined },
+];
+
+/** Work that a replica is not done with before it ends, in milliseconds. */
+const NEVER_DONE_MS = 10_000;
+
+/** What a run asks of its replicas. */
+export interface FleetOptions {
+  readonly drainMs: number;
+  /** A replica ends so long after it has begun to run a lethal request, in milliseconds. */
+  readonly lethalAfterMs: number;
+  /** Replicas tell in their entries when they have started. */
+  readonly tellsStarts: boolean;
+}
+
 /** Time after which the store drops the entry of a replica that has crashed, in milliseconds. */
 const ENTRY_LASTS_MS = 3_600;
 
@@ -24,6 +46,8 @@
   readonly replica: StandInReplica;
   readonly service: string;
   readonly zone: string;
+  /** When it has started, on the Unix clock, in milliseconds. */
+  readonly bornAt: number;
   /** It leaves, or has left. */
   leaving: boolean;
 }
@@ -39,7 +63,7 @@
   constructor(
     private readonly store: StandInStore,
     private readonly observations: Observations,
-    private readonly drainMs: number,
+    private readonly options: FleetOptions,
   ) {}
 
   /** Starts all replicas of the deployment. */
@@ -57,10 +81,10 @@
     if (member === undefined) {
       return;
     }
-    const { replica, zone } = member;
-    this.write(replica.id, replica.entry(service, zone, 'draining'));
+    const { replica } = member;
+    this.write(replica.id, this.entryOf(member, 'draining'));
     this.noteDeparture(member);
-    await pause(this.drainMs + SERVES_LONGER_MS);
+    await pause(this.options.drainMs + SERVES_LONGER_MS);
     this.erase(replica.id);
     await this.end(member);
   }
@@ -73,7 +97,7 @@
     }
     this.erase(member.replica.id);
     this.noteDeparture(member);
-    await pause(this.drainMs + SERVES_LONGER_MS);
+    await pause(this.options.drainMs + SERVES_LONGER_MS);
     await this.end(member);
   }
 
@@ -96,8 +120,43 @@
     }
   }
 
+  /** A replica ends, and is back under its identifier, at another address, with another start. */
+  async restart(service: string, downMs: number): Promise<void> {
+    const member = this.findOne(service);
+    if (member === undefined) {
+      return;
+    }
+    member.leaving = true;
+    await this.end(member);
+    await pause(downMs);
+    if (!this.stopped) {
+      await this.startReplica(member.replica.id, service, member.zone);
+    }
+  }
+
+  /** Another writer overwrites the entry of a replica, which goes on and later writes its own again. */
+  async spoilEntry(service: string, forMs: number, random: Random): Promise<void> {
+    const member = this.findOne(service);
+    if (member === undefined) {
+      return;
+    }
+    const { id } = member.replica;
+    const fields = SPOILT_FIELDS[random.nextBelow(SPOILT_FIELDS.length)];
+    this.store.put(REPLICA_KIND, id, { ...(this.entryOf(member) as object), ...fields });
+    const departure = this.noteDeparture(member, 'entry-spoilt');
+    await pause(forMs);
+    departure.returnedAt = performance.now();
+    if (this.members.has(member) && !member.leaving) {
+      this.write(id, this.entryOf(member));
+    }
+  }
+
   /** A replica ends under a request, with all that it runs. */
   private async endUnder(replica: StandInReplica, path: string): Promise<void> {
+    const { lethalAfterMs } = this.options;
+    if (lethalAfterMs > 0) {
+      await pause(lethalAfterMs);
+    }
     const member = [...this.members].find((each) => each.replica === replica);
     if (member === undefined) {
       return;
@@ -161,11 +220,33 @@
 
   private async add(service: string, zone: string): Promise<void> {
     this.started += 1;
-    const id = `${service}~${this.started}`;
-    const replica = await StandInReplica.start(id, { slots: REPLICA_SLOTS, bodyOf, workOf });
+    await this.startReplica(`${service}~${this.started}`, service, zone);
+  }
+
+  private async startReplica(id: string, service: string, zone: string): Promise<void> {
+    const bornAt = Date.now();
+    const replica = await StandInReplica.start(id, {
+      slots: REPLICA_SLOTS,
+      bodyOf,
+      workOf: (path) => this.workOf(path),
+      start: bornAt,
+    });
     replica.observer = this.observe(replica, service);
-    this.members.add({ replica, service, zone, leaving: false });
-    this.write(id, replica.entry(service, zone));
+    const member = { replica, service, zone, bornAt, leaving: false };
+    this.members.add(member);
+    this.write(id, this.entryOf(member));
+  }
+
+  /** A replica answers no request under which it is about to end. */
+  private workOf(path: string): number {
+    const { lethalAfterMs } = this.options;
+    return isLethal(path) && lethalAfterMs > 0 ? lethalAfterMs + NEVER_DONE_MS : workOf(path);
+  }
+
+  /** What a replica tells of itself. */
+  private entryOf({ replica, service, zone, bornAt }: FleetMember, state = 'ready'): unknown {
+    const entry = replica.entry(service, zone, state) as object;
+    return this.options.tellsStarts ? { ...entry, born: bornAt } : entry;
   }
 
   private write(id: string, entry: unknown): void {
@@ -183,9 +264,20 @@
     await member.replica.stop();
   }
 
-  private noteDeparture({ replica, service }: FleetMember): void {
+  private noteDeparture(
+    { replica, service }: FleetMember,
+    why: Departure['why'] = 'leaves',
+  ): Departure {
     const acknowledgedAt = performance.now();
-    this.observations.departures.push({ replica: replica.id, service, acknowledgedAt });
+    const departure: Departure = {
+      replica: replica.id,
+      service,
+      why,
+      acknowledgedAt,
+      returnedAt: undefined,
+    };
+    this.observations.departures.push(departure);
+    return departure;
   }
 
   private observe(replica: StandInReplica, service: string): ReplicaObserver {
--- a/soak/world/soak-world.ts
+++ b/soak/world/soak-world.ts
@@ -44,7 +44,11 @@
     const { observations } = this;
     store.era = 1;
     this.storeCopies = new StoreCopies(store);
-    this.replicas = new ReplicaFleet(store, observations, bounds.drainMs);
+    this.replicas = new ReplicaFleet(store, observations, {
+      drainMs: bounds.drainMs,
+      lethalAfterMs: plan.lethalAfterMs,
+      tellsStarts: plan.tellsStarts,
+    });
     const random = streamOf(seed, 'operator');
     this.operator = new Operator(store, observations, random, maxConnections);
     this.callers = new Callers({ seed, observations, operator: this.operator });
--- a/test/platform/stand-in-replica.ts
+++ b/test/platform/stand-in-replica.ts
@@ -18,6 +18,8 @@
   /** Signs its answers. */
   signed: boolean;
   body: Buffer;
+  /** Sets the signatures of one start apart from those of another under the same identifier; absent where there is none. */
+  start?: number;
   /** Body of the answer with a signature; absent where all answers have `body`. */
   bodyOf?: (signature: string) => Buffer;
   /** Time of work on the request for a path, in milliseconds; absent where it is `workMs` for all. */
@@ -150,7 +152,9 @@
       return;
     }
     this.signatures += 1;
-    const signature = `${this.id}.${this.signatures}`;
+    const { start } = this.behaviour;
+    const signer = start === undefined ? this.id : `${this.id}-${start}`;
+    const signature = `${signer}.${this.signatures}`;
     const body = this.behaviour.bodyOf?.(signature) ?? this.behaviour.body;
     this.observer?.answered(request, signature, status);
     outgoing.writeHead(status, {
--- a/test/soak/checker.test.ts
+++ b/test/soak/checker.test.ts
@@ -119,8 +119,13 @@
 
 describe('replicas that leave', () => {
   const leave = (): void => {
-    const departure = { replica: 'desk~1', service: 'desk', acknowledgedAt: 16_000 };
-    run.observations.departures.push(departure);
+    run.observations.departures.push({
+      replica: 'desk~1',
+      service: 'desk',
+      why: 'leaves',
+      acknowledgedAt: 16_000,
+      returnedAt: undefined,
+    });
   };
 
   it('get no request later than the bound', () => {
@@ -159,6 +164,30 @@
   });
 });
 
+describe('replicas whose entries are spoilt', () => {
+  const spoil = (returnedAt?: number): void => {
+    run.observations.departures.push({
+      replica: 'desk~1',
+      service: 'desk',
+      why: 'entry-spoilt',
+      acknowledgedAt: 16_000,
+      returnedAt,
+    });
+  };
+
+  it('get no request later than the bound', () => {
+    spoil();
+    run.addServed('/once/x', 'desk', { sentAt: 19_100 });
+    expect(run.broken()).toEqual(['spoilt-entries']);
+  });
+
+  it('get requests again when they have written their own', () => {
+    spoil(18_000);
+    run.addServed('/once/x', 'desk', { sentAt: 19_100 });
+    expect(run.broken()).toEqual([]);
+  });
+});
+
 describe('a version', () => {
   it('is in force after the bound: a route that has moved', () => {
     run.addVersion(10_000);
--- a/test/soak/schedule.test.ts
+++ b/test/soak/schedule.test.ts
@@ -25,6 +25,24 @@
     expect(new Set(plans).size).toBe(plans.length);
   });
 
+  it('has replicas that start again, spoilt entries and callers that leave with seeds from 3,000 on', () => {
+    const plans = Array.from({ length: 20 }, (_, index) => drawPlan(optionsOf(3_000 + index)));
+    const types = new Set(plans.flatMap(({ schedule }) => schedule).map(({ fault }) => fault.type));
+    expect(types).toContain('replica-restarts');
+    expect(types).toContain('entry-spoilt');
+    expect(types).toContain('store-returns');
+    const waits = plans.flatMap(({ lethalRequests }) => lethalRequests);
+    expect(waits.some(({ leavesAfterMs }) => leavesAfterMs !== undefined)).toBe(true);
+    expect(waits.some(({ leavesAfterMs }) => leavesAfterMs === undefined)).toBe(true);
+  });
+
+  it('has none of these with smaller seeds', () => {
+    const { schedule, lethalAfterMs, tellsStarts } = drawPlan(optionsOf(2_999));
+    const types = new Set(schedule.map(({ fault }) => fault.type));
+    expect([types.has('replica-restarts'), types.has('entry-spoilt')]).toEqual([false, false]);
+    expect({ lethalAfterMs, tellsStarts }).toEqual({ lethalAfterMs: 0, tellsStarts: false });
+  });
+
   it('has faults of every kind over some seeds, all in time and on gateways that exist', () => {
     const faults = Array.from(
       { length: 50 },
