--- a/soak/model/plan.ts
+++ b/soak/model/plan.ts
@@ -8,6 +8,7 @@
   drawPeerTroubles,
   drawReleases,
   drawSchedule,
+  drawService,
   drawStoreReturns,
   drawVersions,
   type ScheduledFault,
@@ -175,6 +176,10 @@
  */
 const FIRST_ENTRY_SEED = 3_000;
 
+/** Of these runs every second one has no returns: little can be judged of entries while the store is never calm. */
+const hasStoreReturns = (seed: number): boolean =>
+  seed >= FIRST_RETURN_SEED && (seed < FIRST_ENTRY_SEED || seed % 2 === 0);
+
 /** Longest time until a caller of a lethal request leaves, and until a replica ends under it, in milliseconds. */
 const LONGEST_LETHAL_WAIT_MS = 200;
 const LONGEST_LETHAL_RUN_MS = 400;
@@ -190,6 +195,16 @@
       : { ...request, leavesAfterMs: 10 + random.nextBelow(LONGEST_LETHAL_WAIT_MS) },
   );
 
+/** Entries that are spoilt after the faults, once the store has been calm, and for how long, in milliseconds. */
+const CALM_SPOILT_ENTRIES = 3;
+const CALM_SPOILT_MS = 6_000;
+
+const drawSpoiltEntries = (random: Random): readonly ScheduledFault[] =>
+  Array.from({ length: CALM_SPOILT_ENTRIES }, () => ({
+    atMs: PLANNED_STOP_MS,
+    fault: { type: 'entry-spoilt', service: drawService(random), forMs: CALM_SPOILT_MS },
+  }));
+
 /** Draws a run. */
 export const drawPlan = (options: SoakOptions): SoakPlan => {
   const random = streamOf(options.seed, 'plan');
@@ -220,14 +235,15 @@
       ...drawVersions(streamOf(seed, 'versions'), faultsMs),
       ...peerTroubles,
       ...(endsQuietly ? drawLastVersion(lastVersion, faultsMs) : []),
-      ...(seed < FIRST_RETURN_SEED
-        ? []
-        : drawStoreReturns(streamOf(seed, 'store-returns'), faultsMs)),
+      ...(hasStoreReturns(seed) ? drawStoreReturns(streamOf(seed, 'store-returns'), faultsMs) : []),
       ...(hasEntryFaults ? drawEntryFaults(entries, faultsMs) : []),
     ],
     lethalRequests: hasEntryFaults ? drawLeaving(entries, lethalRequests) : lethalRequests,
     lethalAfterMs: hasEntryFaults ? entries.nextBelow(LONGEST_LETHAL_RUN_MS) : 0,
     tellsStarts: hasEntryFaults,
-    plannedWork: drawPlannedWork(seed, gateways, endsQuietly),
+    plannedWork: [
+      ...drawPlannedWork(seed, gateways, endsQuietly),
+      ...(hasEntryFaults ? drawSpoiltEntries(entries) : []),
+    ],
   };
 };
--- a/soak/model/schedule.ts
+++ b/soak/model/schedule.ts
@@ -82,7 +82,8 @@
   );
 };
 
-const pickService = (random: Random): string =>
+/** One of the services. */
+export const drawService = (random: Random): string =>
   SERVICES[random.nextBelow(SERVICES.length)] ?? 'desk';
 
 const troubleMs = (random: Random): number => between(random, 300, LONGEST_TROUBLE_MS);
@@ -137,17 +138,17 @@
   }),
   (random) => ({
     type: 'replica-leaves',
-    service: pickService(random),
+    service: drawService(random),
     how: pick(random, ['drain', 'vanish', 'crash']),
   }),
   (random) => ({
     type: 'replica-leaves',
-    service: pickService(random),
+    service: drawService(random),
     how: pick(random, ['drain', 'vanish']),
   }),
   (random) => ({
     type: 'replica-loses-answers',
-    service: pickService(random),
+    service: drawService(random),
     forMs: troubleMs(random),
   }),
 ];
@@ -199,7 +200,7 @@
   const schedule: ScheduledFault[] = [];
   for (let atMs = 0; atMs < durationMs;) {
     const how = pick<'drain' | 'vanish'>(random, ['drain', 'vanish']);
-    schedule.push({ atMs, fault: { type: 'replica-leaves', service: pickService(random), how } });
+    schedule.push({ atMs, fault: { type: 'replica-leaves', service: drawService(random), how } });
     atMs += between(random, LEAST_RELEASE_GAP_MS, MOST_RELEASE_GAP_MS);
   }
   return schedule;
@@ -270,7 +271,7 @@
 export const drawEntryFaults = (random: Random, durationMs: number): readonly ScheduledFault[] => {
   const schedule: ScheduledFault[] = [];
   for (let atMs = 0; atMs < durationMs - LAST_START_MS;) {
-    const service = pickService(random);
+    const service = drawService(random);
     const fault = pick<Fault>(random, [
       { type: 'replica-restarts', service, downMs: between(random, LEAST_DOWN_MS, MOST_DOWN_MS) },
       { type: 'entry-spoilt', service, forMs: between(random, LEAST_SPOILT_MS, MOST_SPOILT_MS) },
