--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -172,6 +172,8 @@
       readonly name: string;
       /** The field, and what is wrong with it; absent where a reader told it. */
       readonly problem?: string;
+      /** Others that came with it and have no line; absent where all have one. */
+      readonly unnamed?: number;
     }
   | {
       readonly event: 'request-unreadable';
--- a/src/gateway/metrics/gateway-counters.ts
+++ b/src/gateway/metrics/gateway-counters.ts
@@ -64,6 +64,11 @@
     help: 'Lists and watches of the store that failed, by collection and problem.',
     labelNames: ['collection', 'problem'],
   }),
+  unreadableObjects: new CounterMetric({
+    name: 'crossroad_gateway_unreadable_objects_total',
+    help: 'Objects of the store whose content could not be read, by collection; once each time they are read.',
+    labelNames: ['collection'],
+  }),
 });
 
 /** The counters of one gateway. */
--- a/src/gateway/store/apply-objects.ts
+++ b/src/gateway/store/apply-objects.ts
@@ -12,6 +12,7 @@
 import type { GatewayState } from '../state.js';
 import type { CollectionName } from './collection.js';
 import { logReplicaChanges, type ReplicaChange } from './log-replica-changes.js';
+import { logUnreadable } from './log-unreadable.js';
 import type { Stored, StoreObjects } from './store-objects.js';
 
 /** Gone replicas are forgotten after this part of the time for which they still serve. */
@@ -174,16 +175,6 @@
   return [{ type: 'write-log', level: 'info', part: 'lifecycle', change }];
 };
 
-/** Says which objects have content that this gateway cannot read, so that they were left out. */
-const logUnreadable = ({ collection, objects }: StoreObjects): GatewayEffect[] => {
-  const unreadable = objects.filter(({ gone, value }) => !gone && value === undefined);
-  return unreadable.map(({ name, problem }): GatewayEffect => {
-    const what = problem === undefined ? {} : { problem };
-    const change: BeliefChange = { event: 'object-unreadable', collection, name, ...what };
-    return { type: 'write-log', level: 'warn', part: 'store', change };
-  });
-};
-
 /**
  * Takes objects of a collection.
  *
@@ -197,7 +188,7 @@
 ): GatewayEffect[] => {
   const unconfirmed = state.returns.unconfirmed[read.collection];
   read.objects.forEach(({ name }) => unconfirmed.delete(name));
-  return [...logUnreadable(read), ...applyReadable(state, read, at, from)];
+  return [...logUnreadable(state, read), ...applyReadable(state, read, at, from)];
 };
 
 const applyReadable = (
--- /dev/null
+++ b/src/gateway/store/log-unreadable.ts
@@ -0,0 +1,29 @@
+/** Counts and logs objects of the store whose content cannot be read, in a bounded number of lines. */
+import type { WriteLog } from '../effect.js';
+import type { BeliefChange } from '../log/log-event.js';
+import type { GatewayState } from '../state.js';
+import type { StoreObjects } from './store-objects.js';
+
+/** Objects of one page, watch answer or reader's news that get a line each; the last line counts the others. */
+const MAX_LINES = 8;
+
+/** Says which objects have content that this gateway cannot read, so that they were left out. */
+export const logUnreadable = (
+  { counters }: GatewayState,
+  { collection, objects }: StoreObjects,
+): WriteLog[] => {
+  const unreadable = objects.filter(({ gone, value }) => !gone && value === undefined);
+  unreadable.forEach(() => counters.unreadableObjects.add(collection));
+  const unnamed = unreadable.length - MAX_LINES;
+  return unreadable.slice(0, MAX_LINES).map(({ name, problem }, index) => {
+    const isLast = index === MAX_LINES - 1;
+    const change: BeliefChange = {
+      event: 'object-unreadable',
+      collection,
+      name,
+      ...(problem !== undefined && { problem }),
+      ...(isLast && unnamed > 0 && { unnamed }),
+    };
+    return { type: 'write-log', level: 'warn', part: 'store', change };
+  });
+};
