--- a/test/gateway/unseen-crashes.test.ts
+++ b/test/gateway/unseen-crashes.test.ts
@@ -103,6 +103,36 @@
   });
 });
 
+describe('a request over feeders that comes again before replicas end under it', () => {
+  /** Late tries of each case: a seed, and the time after which replicas end. */
+  const triesOf = (
+    cases: readonly (readonly [number, number])[],
+    asking: Partial<Asking>,
+  ): readonly number[] =>
+    cases.map(([seed, lethalMs]) =>
+      triesTooLate(play({ seed, lethalMs, gateways: 40, asking }), LETHAL, CONTACT_MS),
+    );
+
+  it('reaches replicas no more where its callers leave', () => {
+    const cases = [
+      [13, 2_000],
+      [16, 3_000],
+    ] as const;
+    const tries = triesOf(cases, { path: '/all/x', leavesAfterMs: 300 });
+    expect(Math.max(...tries), tries.join()).toBeLessThanOrEqual(MOST_LATE_SENDS);
+  });
+
+  it('reaches replicas no more where its callers wait', () => {
+    const cases = [
+      [13, 500],
+      [14, 2_000],
+      [16, 1_000],
+    ] as const;
+    const tries = triesOf(cases, { path: '/all/x' });
+    expect(Math.max(...tries), tries.join()).toBeLessThanOrEqual(MOST_LATE_SENDS);
+  });
+});
+
 describe('a request that ends the replicas that run it', () => {
   it.each(PATHS)('reaches replicas no more where they refuse half of what comes: %s', (path) => {
     let count = 0;
