A try over feeders that has shown nothing has the next one wait, too

What callers saw: on large fleets, where a gather goes over feeders, a request under which replicas end after 2 to 3 s, and whose callers leave after 300 ms, reached replicas in up to 8 late tries (3 allowed).

Cause: whether a try may have reached a replica was told by its own attempts. A gateway that asks feeders has none, so that its tries ended without a note; feeders leave the note to the gateway that asked. Class: as the ends that nobody sees, what is learnt was tied to one way of sending. Ruled out: the watch at feeders (each crash was counted there, and told).

Change: a try that ends while a feeder may still run it counts as one that may have reached a replica.

--- a/src/gateway/requests/note-inconclusive.ts
+++ b/src/gateway/requests/note-inconclusive.ts
@@ -5,8 +5,9 @@
 import type { GatewayState } from '../state.js';
 import type { ActiveRequest } from './request-state.js';
 
-const hasReachedReplica = ({ legs }: ActiveRequest): boolean =>
-  legs.some(({ arrivals, runs }) => arrivals + runs > 0);
+/** Whether a replica may have been sent the request, from here or by a feeder that has not ended yet. */
+const mayHaveReachedReplica = ({ legs, subqueries }: ActiveRequest): boolean =>
+  subqueries.size > 0 || legs.some(({ arrivals, runs }) => arrivals + runs > 0);
 
 /**
  * Takes note of a caller's try that ends now: where replicas refused or failed all of it, or its caller has left while one
@@ -25,7 +26,7 @@
     hasShown ||
     request.origin === 'coordinator' ||
     memory.verdict(fingerprint, at) !== 'suspected' ||
-    !hasReachedReplica(request)
+    !mayHaveReachedReplica(request)
   ) {
     return [];
   }
