From the first round on a try that follows one that has shown nothing is told to other gateways

Ruled out: tries that go on at feeders (each gateway had one).

Change: a request that met one round is claimed too where a try of it has shown nothing since. In a mass crash most requests are served by their next try, so that none of these messages comes (met-crashes 'costs no message', 'costs few' hold).

--- a/src/gateway/requests/claim-probe.ts
+++ b/src/gateway/requests/claim-probe.ts
@@ -1,14 +1,18 @@
 /** Tells the other gateways that this one tries a suspected request, so that they wait for the outcome. */
-import { beginTrial } from '../crashes/crash-record.js';
+import { beginTrial, type CrashKnowledge } from '../crashes/crash-record.js';
 import { SERIOUS_ROUNDS, updateKnowledge } from '../crashes/update-knowledge.js';
 import type { GatewayEffect } from '../effect.js';
 import type { GatewayState } from '../state.js';
 import type { ActiveRequest } from './request-state.js';
 
 /**
- * Claims a request under which replicas have ended in several rounds, before it is sent to one more. One that met a single
- * round is not claimed: all that replicas ran when they ended has, and the messages would come when most is to do.
+ * Whether others are told of a try. Of a request that met a single round they are not, unless a try of it has shown nothing
+ * since: all that replicas ran when they ended has met one, and the messages would come when most is to do.
  */
+const isClaimable = ({ level, rounds, trialUntil }: CrashKnowledge): boolean =>
+  level === 0 && rounds > 0 && (rounds >= SERIOUS_ROUNDS || Number.isFinite(trialUntil));
+
+/** Claims a request under which replicas have ended, before it is sent to one more. */
 export const claimProbe = (
   state: GatewayState,
   request: ActiveRequest,
@@ -16,8 +20,12 @@
 ): GatewayEffect[] => {
   const { fingerprint } = request.request;
   const known = state.crashes.memory.find(fingerprint, at);
-  const isClaimable = known.level === 0 && known.rounds >= SERIOUS_ROUNDS;
-  if (!isClaimable || request.origin === 'coordinator' || request.isTrial || request.hasClaimed) {
+  if (
+    !isClaimable(known) ||
+    request.origin === 'coordinator' ||
+    request.isTrial ||
+    request.hasClaimed
+  ) {
     return [];
   }
   request.hasClaimed = true;
