A try that a replica may still run is followed by the next when its end has been watched for

Cause: the pause after a try that has shown nothing grows with the time since the last crash, which a crash sets back to nothing, and knows neither whether a run is still under way nor how often tries have shown nothing.

Change: from two rounds on such a pause is 5 s at least where a replica may still run the try, as long as its end is watched for, and twice the time since the last crash in place of once. After one round nothing changes. An answer in time clears the pause as before.

--- a/src/gateway/crashes/crash-record.ts
+++ b/src/gateway/crashes/crash-record.ts
@@ -138,8 +138,10 @@
 
 /**
  * A suspected request whose try has shown nothing, since replicas refused or failed it, is tried again after as long as has
- * passed since a replica last ended under it, within these bounds in milliseconds: each try reaches replicas too.
+ * passed since a replica last ended under it, from two rounds on after twice as long, within these bounds in milliseconds:
+ * each try reaches replicas too.
  */
+const SEVERAL_ROUNDS_FACTOR = 2;
 const LEAST_PAUSE_MS = 250;
 const LONGEST_PAUSE_MS = 30_000;
 
@@ -149,10 +151,27 @@
  */
 const LONGEST_FIRST_PAUSE_MS = 5_000;
 
-/** Takes note that a try of a suspected request has ended without showing whether replicas end under it. */
-export const addInconclusive = (known: CrashKnowledge, at: number): CrashKnowledge => {
-  const longestMs = known.rounds > 1 ? LONGEST_PAUSE_MS : LONGEST_FIRST_PAUSE_MS;
-  const pauseMs = Math.max(LEAST_PAUSE_MS, Math.min(longestMs, at - known.crashedAt));
+/**
+ * The shortest pause after a try that a replica may still run, in milliseconds, from two rounds on: as long as its end is
+ * watched for. Sent before, the next try would be at another replica when the first one ends.
+ */
+const LEAST_RUNNING_PAUSE_MS = 5_000;
+
+/**
+ * Takes note that a try of a suspected request has ended without showing whether replicas end under it.
+ *
+ * @param mayStillRun - a replica may still run it
+ */
+export const addInconclusive = (
+  known: CrashKnowledge,
+  at: number,
+  mayStillRun = false,
+): CrashKnowledge => {
+  const hasSeveralRounds = known.rounds > 1;
+  const longestMs = hasSeveralRounds ? LONGEST_PAUSE_MS : LONGEST_FIRST_PAUSE_MS;
+  const leastMs = hasSeveralRounds && mayStillRun ? LEAST_RUNNING_PAUSE_MS : LEAST_PAUSE_MS;
+  const sinceCrashMs = (at - known.crashedAt) * (hasSeveralRounds ? SEVERAL_ROUNDS_FACTOR : 1);
+  const pauseMs = Math.max(leastMs, Math.min(longestMs, sinceCrashMs));
   return { ...known, trialUntil: Math.max(known.trialUntil, at + pauseMs) };
 };
 
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -188,14 +188,12 @@
   replica.pending.set(attempt, { sentAt: at, expectedMs: latencyOf(state, request).median });
   state.attempts.set(attempt, {
     id: attempt,
-    call,
     owner: request,
     fingerprint: request.request.fingerprint,
     leg,
     replica: record.id,
     route: route.name,
     repeatable: route.repeatable,
-    isPart: route.target.type === 'gather',
     sentAt: at,
     isProbe: guardOf(state, request, at) !== 'free',
     knownRounds: state.crashes.memory.find(request.request.fingerprint, at).rounds,
--- a/src/gateway/requests/broken-attempts.ts
+++ b/src/gateway/requests/broken-attempts.ts
@@ -14,7 +14,7 @@
 import type { GatewayState } from '../state.js';
 import { showsThatItRuns } from './good-answer.js';
 import { progressRequest } from './progress.js';
-import type { ActiveAttempt, ActiveRequest } from './request-state.js';
+import { type ActiveAttempt, type ActiveRequest, asksForParts } from './request-state.js';
 import { noteUnawaited, watchRun } from './unawaited-attempts.js';
 
 /** How an attempt ends whose replica has ended. */
@@ -45,7 +45,7 @@
   if (replica === undefined) {
     return [];
   }
-  const request = state.requests.get(attempt.call);
+  const request = state.requests.get(attempt.owner.call);
   if (request !== undefined) {
     request.uncheckedBreaks += 1;
   }
@@ -60,10 +60,10 @@
 
 /** The answer by which the attempt has ended, where it shows that a replica can run the request. */
 const goodAnswerOf = (
-  { replica, isPart }: ActiveAttempt,
+  { replica, owner }: ActiveAttempt,
   { result }: AttemptEnded,
 ): SeenAnswer | undefined =>
-  result.type === 'answered' && showsThatItRuns(result.answer, isPart)
+  result.type === 'answered' && showsThatItRuns(result.answer, asksForParts(owner))
     ? { replica, status: result.answer.status }
     : undefined;
 
@@ -137,7 +137,7 @@
 
 /** Counts a crash at the request under which it came; returns whether others must know of it at once. */
 const countCrash = (state: GatewayState, { attempt }: BrokenRun, at: number): boolean => {
-  const request = state.requests.get(attempt.call);
+  const request = state.requests.get(attempt.owner.call);
   if (request === undefined) {
     return false;
   }
@@ -204,7 +204,7 @@
   state: GatewayState,
   broken: readonly BrokenRun[],
 ): ReadonlySet<ActiveRequest> => {
-  const requests = broken.flatMap(({ attempt }) => state.requests.get(attempt.call) ?? []);
+  const requests = broken.flatMap(({ attempt }) => state.requests.get(attempt.owner.call) ?? []);
   requests.forEach((request) => {
     request.uncheckedBreaks -= 1;
   });
--- a/src/gateway/requests/note-inconclusive.ts
+++ b/src/gateway/requests/note-inconclusive.ts
@@ -5,6 +5,9 @@
 import type { GatewayState } from '../state.js';
 import type { ActiveRequest } from './request-state.js';
 
+const mayStillRun = ({ legs, subqueries }: ActiveRequest): boolean =>
+  subqueries.size > 0 || legs.some(({ running }) => running.size > 0);
+
 /** Whether a replica may have been sent the request, from here or by a feeder that has not ended yet. */
 const mayHaveReachedReplica = ({ legs, subqueries }: ActiveRequest): boolean =>
   subqueries.size > 0 || legs.some(({ arrivals, runs }) => arrivals + runs > 0);
@@ -30,7 +33,7 @@
   ) {
     return [];
   }
-  const paused = addInconclusive(memory.find(fingerprint, at), at);
+  const paused = addInconclusive(memory.find(fingerprint, at), at, mayStillRun(request));
   const origin = { from: state.settings.node, isUrgent: true };
   return updateKnowledge(state, fingerprint, paused, origin, at);
 };
--- a/src/gateway/requests/request-state.ts
+++ b/src/gateway/requests/request-state.ts
@@ -122,7 +122,6 @@
 /** An attempt at a replica that has not ended. */
 export interface ActiveAttempt {
   readonly id: AttemptId;
-  readonly call: CallId;
   /** The request that it was sent for, also after that has ended. */
   readonly owner: ActiveRequest;
   readonly fingerprint: Fingerprint;
@@ -130,8 +129,6 @@
   readonly replica: string;
   readonly route: string;
   readonly repeatable: boolean;
-  /** It asks for a part of a gather. */
-  readonly isPart: boolean;
   readonly sentAt: number;
   /** It was sent to see whether replicas end under the request. */
   readonly isProbe: boolean;
@@ -139,6 +136,9 @@
   readonly knownRounds: number;
 }
 
+/** Whether what replicas answer to the request are parts of a gather. */
+export const asksForParts = ({ route }: ActiveRequest): boolean => route.target.type === 'gather';
+
 /** Creates a leg without attempts. */
 export const createLeg = (service: string): Leg => ({
   service,
--- a/src/gateway/requests/take-result.ts
+++ b/src/gateway/requests/take-result.ts
@@ -11,7 +11,7 @@
 import { refuseHeldRequest } from './hold-request.js';
 import { noteInconclusive } from './note-inconclusive.js';
 import { progressRequest } from './progress.js';
-import type { ActiveAttempt, ActiveRequest, Leg } from './request-state.js';
+import { type ActiveAttempt, type ActiveRequest, asksForParts, type Leg } from './request-state.js';
 import { endLeg, notePauses, retryLeg } from './retry-leg.js';
 import { settleAttempt } from './settle-attempt.js';
 
@@ -24,8 +24,7 @@
   result: AttemptResult,
   at: number,
 ): GatewayEffect[] => {
-  const isPart = request.route.target.type === 'gather';
-  if (result.type === 'answered' && isUsable(result.answer, isPart)) {
+  if (result.type === 'answered' && isUsable(result.answer, asksForParts(request))) {
     endLeg(request, leg, { type: 'answered', answer: result.answer });
     notePauses(state, leg);
     return abortLeg(leg, LINGER_MS);
@@ -91,7 +90,7 @@
   attempt: ActiveAttempt,
   event: AttemptEnded,
 ): GatewayEffect[] => {
-  const request = state.requests.get(attempt.call);
+  const request = state.requests.get(attempt.owner.call);
   if (request === undefined || attempt.leg.outcome !== undefined) {
     countUnawaited(state, attempt, event);
   }
--- a/test/gateway/crash-fuzz.test.ts
+++ b/test/gateway/crash-fuzz.test.ts
@@ -238,6 +238,7 @@
 /**
  * Seeds that have failed where callers leave: tries of the same request were at replicas at the same time while those had
  * not ended yet, or one followed the other while replicas refused them; a gateway that had started anew did not know of it. In 235 one that ends none was not sent for 14 s.
+ * 251 still fails, by one late try: all replicas refuse two of them.
  */
 const LEAVING_REGRESSION_SEEDS = [
   15, 22, 23, 24, 27, 30, 46, 52, 60, 64, 75, 83, 89, 92, 96, 100, 235, 251,
