--- a/soak/regression-seeds.ts
+++ b/soak/regression-seeds.ts
@@ -57,4 +57,12 @@
     minutes: 1,
     cause: 'the same as seed 3',
   })),
+  {
+    seed: 3_010,
+    gateways: 4,
+    minutes: 1,
+    cause:
+      'a gateway that starts hears of a blocked request from its neighbours within 3 s only, where the gateway that kept it ' +
+      'has lost its entry with a copy of the store: three replicas of a service ended meanwhile',
+  },
 ];
--- a/src/gateway/crashes/update-knowledge.ts
+++ b/src/gateway/crashes/update-knowledge.ts
@@ -62,7 +62,7 @@
 ): BeliefChange | undefined => {
   if (after.level > before.level) {
     const forMs = Math.round(after.trialDueAt - at);
-    return { event: 'request-blocked', fingerprint, level: after.level, forMs, from };
+    return { event: 'request-blocked', fingerprint, times: after.level, forMs, from };
   }
   const { rounds } = after;
   if (rounds > before.rounds && rounds >= SERIOUS_ROUNDS) {
--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -146,7 +146,7 @@
 /** What the store says of a replica. */
 export type ReplicaState = 'listed' | 'draining' | 'gone';
 
-/** A change of what the gateway believes, or of its own life. */
+/** A change of what the gateway believes, or of its own life. The line has `time`, `node`, `level` and `part` besides. */
 export type BeliefChange =
   | { readonly event: 'started' }
   | { readonly event: 'ready'; readonly ready: boolean; readonly phase: string }
@@ -275,7 +275,7 @@
       readonly event: 'request-blocked';
       readonly fingerprint: Fingerprint;
       /** How often it was blocked in a row. */
-      readonly level: number;
+      readonly times: number;
       readonly forMs: number;
       readonly from: string;
     }
--- a/test/gateway/bounded-log.test.ts
+++ b/test/gateway/bounded-log.test.ts
@@ -54,6 +54,18 @@
     ]);
   });
 
+  it('tells the level of a change, whatever the change itself tells', () => {
+    const change = {
+      event: 'request-blocked',
+      fingerprint: 'print',
+      times: 2,
+      forMs: 60_000,
+      from: 'front-2',
+    } as const;
+    log.write({ level: 'warn', part: 'request', change });
+    expect(lines).toMatchObject([{ node: 'front-1', level: 'warn', part: 'request', times: 2 }]);
+  });
+
   it('is bounded in the long run, and counts what it left out', () => {
     for (let second = 0; second < 20; second += 1) {
       now = second * 1_000;
