--- a/test/runtime/processes.test.ts
+++ b/test/runtime/processes.test.ts
@@ -203,7 +203,7 @@
     expect(tally.failed).toEqual([]);
   });
 
-  it('goes on when another node is paused, and takes it back when it wakes', async () => {
+  it('goes on when another node is paused and takes it back when it wakes', async () => {
     await startTier();
     const running = startLoad();
     await untilAnswered(running, 50);
