One constant for how long a run that nobody waits for is watched; plainer name of what another gateway's entry tells

Read as a newcomer would: three constants of 5 s told the same thing in three places, and readKnowledge did not say of what.

--- a/src/gateway/crashes/crash-record.ts
+++ b/src/gateway/crashes/crash-record.ts
@@ -124,7 +124,7 @@
  * What another gateway's entry in the store says. It may be out of date, so that it blocks nothing, and is taken for older
  * than any answer that a gateway still remembers.
  */
-export const readKnowledge = (rounds: number, at: number): CrashKnowledge =>
+export const knowledgeOfOther = (rounds: number, at: number): CrashKnowledge =>
   addRounds(NOTHING_KNOWN, Math.min(rounds, BLOCKING_ROUNDS - 1), at - SERVED_MEMORY_MS);
 
 /** The same for a suspected request: it is tried often, and most that are suspected have only met crashes. */
@@ -146,16 +146,22 @@
 const LONGEST_PAUSE_MS = 30_000;
 
 /**
- * The longest pause after one round, in milliseconds: longer than replicas work on after nobody waits. One round is met by
- * every request that was at a replica when it ended, and an innocent one must not be refused for long.
+ * A run that nobody waits for is watched for so long, in milliseconds: some replicas work on after the time that they were
+ * given. A replica that ends later has hardly ended by the run.
  */
-const LONGEST_FIRST_PAUSE_MS = 5_000;
+export const WATCH_MS = 5_000;
 
 /**
- * The shortest pause after a try that a replica may still run, in milliseconds, from two rounds on: as long as its end is
- * watched for. Sent before, the next try would be at another replica when the first one ends.
+ * The longest pause after one round, in milliseconds. One round is met by every request that was at a replica when it ended,
+ * and an innocent one must not be refused for long.
  */
-const LEAST_RUNNING_PAUSE_MS = 5_000;
+const LONGEST_FIRST_PAUSE_MS = WATCH_MS;
+
+/**
+ * The shortest pause after a try that a replica may still run, in milliseconds, from two rounds on. Sent before, the next
+ * try would be at another replica when the first one ends.
+ */
+const LEAST_RUNNING_PAUSE_MS = WATCH_MS;
 
 /**
  * Takes note that a try of a suspected request has ended without showing whether replicas end under it.
--- a/src/gateway/crashes/recall-suspects.ts
+++ b/src/gateway/crashes/recall-suspects.ts
@@ -5,12 +5,7 @@
 import type { GatewayEffect } from '../effect.js';
 import type { PeerRecord, SuspectedRequest } from '../model/peer-record.js';
 import type { GatewayState } from '../state.js';
-import {
-  type CrashKnowledge,
-  NOTHING_KNOWN,
-  readKnowledge,
-  recalledKnowledge,
-} from './crash-record.js';
+import { NOTHING_KNOWN, knowledgeOfOther, recalledKnowledge } from './crash-record.js';
 import { updateKnowledge } from './update-knowledge.js';
 
 /** Takes a request that stands in an entry, unless more is known of it. */
@@ -24,7 +19,7 @@
     return [];
   }
   const isOwn = from === state.settings.node;
-  const known: CrashKnowledge = isOwn ? recalledKnowledge(rounds, at) : readKnowledge(rounds, at);
+  const known = isOwn ? recalledKnowledge(rounds, at) : knowledgeOfOther(rounds, at);
   return updateKnowledge(state, fingerprint, known, { from, isUrgent: isOwn }, at);
 };
 
--- a/src/gateway/requests/unawaited-attempts.ts
+++ b/src/gateway/requests/unawaited-attempts.ts
@@ -3,17 +3,12 @@
  * answer. The gateway closes their connections itself, so that none of them breaks when the replica ends. The replica is
  * watched for a while: a request that ends replicas does so also when nobody waits for it.
  */
+import { WATCH_MS } from '../crashes/crash-record.js';
 import type { GatewayEffect } from '../effect.js';
 import type { AttemptEnded } from '../event.js';
 import type { GatewayState } from '../state.js';
 import type { ActiveAttempt } from './request-state.js';
 
-/**
- * A replica is watched for so long, in milliseconds: some work on after the time that they were given. A replica that ends
- * later has hardly ended by the run.
- */
-const WATCH_MS = 5_000;
-
 /**
  * Remembers a run that its replica may still work on, and has the replica watched. A request of which some replica has sent
  * a part ends none, so that nothing is watched for what most gathers leave behind.
