--- a/test/gateway/feeders.test.ts
+++ b/test/gateway/feeders.test.ts
@@ -528,3 +528,21 @@
     expect(slack.filter((each) => each >= 10)).toHaveLength(4);
   });
 });
+
+describe('a request under which replicas have ended, over feeders', () => {
+  /** Other gateways have seen a replica end under it three seconds ago. */
+  const suspect = (gateway: VirtualGateway): void => {
+    const news = [{ fingerprint: 'print', rounds: 1, crashedMsAgo: 3_000 }];
+    gateway.emit({ type: 'crashes-told', at: gateway.now, from: 'front-2', news });
+  };
+
+  it('is not asked of another feeder at once where its caller has left', () => {
+    const gateway = coordinator();
+    suspect(gateway);
+    const call = gateway.request(900, false, 'print');
+    expect(gateway.subqueries).toHaveLength(1);
+    gateway.emit({ type: 'caller-left', at: gateway.now, call });
+    gateway.request(900, false, 'print');
+    expect(gateway.subqueries).toHaveLength(1);
+  });
+});
--- a/test/gateway/replica-crashes.test.ts
+++ b/test/gateway/replica-crashes.test.ts
@@ -1,15 +1,8 @@
 import { describe, expect, it } from 'vitest';
 import type { GatewayEffect, SendAttempt } from '../../src/gateway/effect.js';
 import type { AttemptProblem } from '../../src/gateway/model/request.js';
-import { gatherOf, routeTo, VirtualGateway } from './virtual-gateway.js';
-
-const gatewayWith = (shards: number): VirtualGateway => {
-  const gateway = new VirtualGateway();
-  gateway.checksReplicas = false;
-  gateway.configure(1, [routeTo(gatherOf(shards, 0.5))]);
-  gateway.listReplicas(Array.from({ length: shards }, (_, index) => `s${index}`));
-  return gateway;
-};
+import type { VirtualGateway } from './virtual-gateway.js';
+import { gatheringGateway } from './virtual-gateway.js';
 
 const breakOff = (gateway: VirtualGateway, problem: AttemptProblem, mayHaveRun = true): void => {
   const [attempt] = gateway.sent;
@@ -30,7 +23,7 @@
   it.each(['reset', 'refused-connection', 'cut-off'] as const)(
     'has its replica looked at: %s',
     (problem) => {
-      const gateway = gatewayWith(2);
+      const gateway = gatheringGateway(2);
       gateway.request();
       breakOff(gateway, problem);
       expect(checked(gateway)).toEqual([gateway.sent[0]?.replica.id]);
@@ -40,7 +33,7 @@
   it.each(['timed-out', 'aborted', 'foreign-answer'] as const)(
     'says nothing of it: %s',
     (problem) => {
-      const gateway = gatewayWith(2);
+      const gateway = gatheringGateway(2);
       gateway.request();
       breakOff(gateway, problem);
       expect(checked(gateway)).toEqual([]);
@@ -48,7 +41,7 @@
   );
 
   it('is logged with the request once its replica is found to have ended', () => {
-    const gateway = gatewayWith(2);
+    const gateway = gatheringGateway(2);
     gateway.request(900, false, 'print');
     breakOff(gateway, 'reset');
     const replica = gateway.sent[0]?.replica.id ?? '';
@@ -59,7 +52,7 @@
   });
 
   it('is not where the replica takes connections', () => {
-    const gateway = gatewayWith(2);
+    const gateway = gatheringGateway(2);
     gateway.request();
     breakOff(gateway, 'reset');
     const replica = gateway.sent[0]?.replica.id ?? '';
@@ -87,7 +80,7 @@
   };
 
   it('is told to other gateways before its caller may ask one of them', () => {
-    const gateway = gatewayWith(2);
+    const gateway = gatheringGateway(2);
     gateway.listGateways([OTHER]);
     gateway.request(900, false, 'print');
     const [first, second] = gateway.sent;
--- a/test/gateway/replica-log.test.ts
+++ b/test/gateway/replica-log.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest';
 import type { BeliefChange } from '../../src/gateway/log/log-event.js';
 import type { StoreObjects } from '../../src/gateway/store/store-objects.js';
-import { VirtualGateway } from './virtual-gateway.js';
+import { replicaRecord, VirtualGateway } from './virtual-gateway.js';
 
 type ReplicaObjects = Extract<StoreObjects, { collection: 'replicas' }>['objects'];
 
@@ -15,16 +15,7 @@
   replicaNames(service, count).map((id) => ({
     name: id,
     gone: false,
-    value: {
-      id,
-      service,
-      host: '127.0.0.1',
-      port: 1,
-      zone: 'bole',
-      slots: 2,
-      draining,
-      coldMs: 0,
-    },
+    value: replicaRecord(id, service, draining),
   }));
 
 const goneObjects = (service: string, count: number): ReplicaObjects =>
--- a/test/gateway/unawaited-attempts.test.ts
+++ b/test/gateway/unawaited-attempts.test.ts
@@ -1,21 +1,13 @@
 import { describe, expect, it } from 'vitest';
 import type { GatewayEffect, WatchReplica } from '../../src/gateway/effect.js';
 import type { AttemptProblem, AttemptResult, CallId } from '../../src/gateway/model/request.js';
-import { gatherOf, routeTo, VirtualGateway } from './virtual-gateway.js';
+import { gatheringGateway, gatherOf, routeTo, VirtualGateway } from './virtual-gateway.js';
 
 const BUDGET_MS = 900;
 
 /** A replica is watched for so long. */
 const WATCH_MS = 5_000;
 
-const gatewayWith = (shards: number): VirtualGateway => {
-  const gateway = new VirtualGateway();
-  gateway.checksReplicas = false;
-  gateway.configure(1, [routeTo(gatherOf(shards, 0.5))]);
-  gateway.listReplicas(Array.from({ length: shards }, (_, index) => `s${index}`));
-  return gateway;
-};
-
 const failed = (problem: AttemptProblem, mayHaveRun = true): AttemptResult => ({
   type: 'failed',
   problem,
@@ -41,7 +33,7 @@
 
 /** A caller leaves, and the only attempt ends as if the gateway had closed its connection. */
 const giveUpOne = (problem: AttemptProblem = 'aborted', mayHaveRun = true): VirtualGateway => {
-  const gateway = gatewayWith(1);
+  const gateway = gatheringGateway(1);
   leave(gateway, gateway.request(BUDGET_MS, false, 'print'));
   gateway.sent.forEach((attempt) => gateway.end(attempt, failed(problem, mayHaveRun)));
   return gateway;
@@ -70,7 +62,7 @@
   });
 
   it('does not where a replica has sent another part', () => {
-    const gateway = gatewayWith(2);
+    const gateway = gatheringGateway(2);
     const call = gateway.request(BUDGET_MS);
     const [first, second] = gateway.sent;
     if (first !== undefined && second !== undefined) {
@@ -177,7 +169,7 @@
   });
 
   it('is watched on where it takes connections after one of them broke', () => {
-    const gateway = gatewayWith(1);
+    const gateway = gatheringGateway(1);
     gateway.request(BUDGET_MS, false, 'print');
     gateway.sent.forEach((attempt) => gateway.end(attempt, failed('reset')));
     gateway.emit({ type: 'replica-checked', at: 5, replica: idOf(gateway), isDown: false });
--- a/test/gateway/unreadable-objects.test.ts
+++ b/test/gateway/unreadable-objects.test.ts
@@ -2,7 +2,7 @@
 import { describe, expect, it } from 'vitest';
 import type { BeliefChange } from '../../src/gateway/log/log-event.js';
 import type { StoreObjects } from '../../src/gateway/store/store-objects.js';
-import { gatherOf, routeTo, VirtualGateway } from './virtual-gateway.js';
+import { gatherOf, replicaRecord, routeTo, VirtualGateway } from './virtual-gateway.js';
 
 type ReplicaObject = Extract<StoreObjects, { collection: 'replicas' }>['objects'][number];
 
@@ -18,16 +18,7 @@
 const whole = (id: string, service: string): ReplicaObject => ({
   name: id,
   gone: false,
-  value: {
-    id,
-    service,
-    host: '127.0.0.1',
-    port: 1,
-    zone: 'bole',
-    slots: 2,
-    draining: false,
-    coldMs: 0,
-  },
+  value: replicaRecord(id, service),
 });
 
 /** A page of which the first and the last entry can be read, and the others cannot. */
--- a/test/gateway/virtual-gateway.ts
+++ b/test/gateway/virtual-gateway.ts
@@ -2,6 +2,7 @@
 import type { GatewayEffect, SendAttempt, SendSubquery } from '../../src/gateway/effect.js';
 import type { GatewayEvent } from '../../src/gateway/event.js';
 import type { PeerRecord } from '../../src/gateway/model/peer-record.js';
+import type { ReplicaRecord } from '../../src/gateway/model/replica-record.js';
 import type { Subquery } from '../../src/gateway/model/subquery.js';
 import {
   type GatewayConfiguration,
@@ -266,3 +267,23 @@
     }
   }
 }
+
+/** A gateway with a route over `shards` shards of two replicas each; the test tells what looks at replicas find. */
+export const gatheringGateway = (shards: number): VirtualGateway => {
+  const gateway = new VirtualGateway();
+  gateway.checksReplicas = false;
+  gateway.configure(1, [routeTo(gatherOf(shards, 0.5))]);
+  gateway.listReplicas(Array.from({ length: shards }, (_, index) => `s${index}`));
+  return gateway;
+};
+
+/** A replica that can be used. */
+export const replicaRecord = (id: string, service: string, draining = false): ReplicaRecord => ({
+  id,
+  service,
+  ...HOST,
+  zone: 'bole',
+  slots: 2,
+  draining,
+  coldMs: 0,
+});
