Specify tenants, quotas and priority scheduling, and the types between their parts

Cause: requests are admitted without regard to who sends them. API keys are passed on to replicas, tenants' quotas are not enforced, and the priority of a route has no effect.

--- a/src/gateway/effect.ts
+++ b/src/gateway/effect.ts
@@ -4,6 +4,12 @@
 import type { CallerLimits, GatewayConfiguration } from './model/route.js';
 import type { PeerRecord } from './model/peer-record.js';
 import type { Subquery, SubqueryId, SubqueryPart } from './model/subquery.js';
+import type {
+  PeerAnswer,
+  PeerExchangeId,
+  PeerRequest,
+  PeerRequestId,
+} from './model/peer-request.js';
 import type { ReplicaRecord } from './model/replica-record.js';
 import type { AttemptId, CallerResponse, CallId } from './model/request.js';
 import type { FollowerId, KnownPositions, ReaderUpdate } from './readers/reader-update.js';
@@ -23,6 +29,44 @@
   readonly repeatable: boolean;
 }
 
+/**
+ * Replaces the headers that identify the caller of a request before it is sent: the API key is removed, and replicas are
+ * given the name of the tenant instead.
+ */
+export interface SetCaller {
+  readonly type: 'set-caller';
+  readonly call: CallId;
+  /** Absent for an anonymous request. */
+  readonly tenant?: string;
+}
+
+/** Sends a request to another gateway; an answer results in `peer-request-answered`. */
+export interface SendPeerRequest {
+  readonly type: 'send-peer-request';
+  readonly id: PeerRequestId;
+  readonly peer: PeerRecord;
+  readonly request: PeerRequest;
+}
+
+/** Answers a request of another gateway. */
+export interface AnswerPeer {
+  readonly type: 'answer-peer';
+  readonly exchange: PeerExchangeId;
+  readonly answer: PeerAnswer;
+}
+
+/** Sets the timer of the key confirmation. */
+export interface SetKeyConfirmationTimer {
+  readonly type: 'set-key-confirmation-timer';
+  readonly at: number;
+}
+
+/** Sets the timer of the tenants' limits. */
+export interface SetQuotasTimer {
+  readonly type: 'set-quotas-timer';
+  readonly at: number;
+}
+
 /** Opens a connection to a replica before its first attempt. */
 export interface OpenConnection {
   readonly type: 'open-connection';
@@ -285,6 +329,11 @@
   | UnfollowReader
   | SendReaderUpdate
   | SetStopTimer
+  | SetCaller
+  | SendPeerRequest
+  | AnswerPeer
+  | SetKeyConfirmationTimer
+  | SetQuotasTimer
   | SetReadiness
   | ApplyLimits
   | CloseCallerPort
--- a/src/gateway/event.ts
+++ b/src/gateway/event.ts
@@ -4,6 +4,12 @@
  */
 import type { CrashUpdate } from './crashes/crash-update.js';
 import type { GatewayConfiguration } from './model/route.js';
+import type {
+  PeerAnswer,
+  PeerExchangeId,
+  PeerRequest,
+  PeerRequestId,
+} from './model/peer-request.js';
 import type { PeerProblem, Subquery, SubqueryId, SubqueryPart } from './model/subquery.js';
 import type {
   AttemptId,
@@ -264,6 +270,37 @@
   readonly collection: CollectionName;
 }
 
+/** Another gateway has sent a request, which is answered with `answer-peer`. */
+export interface PeerRequestReceived {
+  readonly type: 'peer-request-received';
+  readonly at: number;
+  readonly exchange: PeerExchangeId;
+  /** Name of the gateway that sent it. */
+  readonly from: string;
+  readonly request: PeerRequest;
+}
+
+/** Another gateway has answered a request of this one. */
+export interface PeerRequestAnswered {
+  readonly type: 'peer-request-answered';
+  readonly at: number;
+  readonly id: PeerRequestId;
+  readonly peer: string;
+  readonly answer: PeerAnswer;
+}
+
+/** The timer of the key confirmation has expired. */
+export interface KeyConfirmationDue {
+  readonly type: 'key-confirmation-due';
+  readonly at: number;
+}
+
+/** The timer of the tenants' limits has expired. */
+export interface QuotasDue {
+  readonly type: 'quotas-due';
+  readonly at: number;
+}
+
 /** The next step of a stop is due. */
 export interface StopDue {
   readonly type: 'stop-due';
@@ -302,4 +339,8 @@
   | ReaderUpdateReceived
   | ReadingDue
   | RegistrationDue
+  | PeerRequestReceived
+  | PeerRequestAnswered
+  | KeyConfirmationDue
+  | QuotasDue
   | StopDue;
--- a/src/gateway/model/request.ts
+++ b/src/gateway/model/request.ts
@@ -1,5 +1,7 @@
 /** Requests of callers, attempts and their results, independent of the protocol. */
 
+import type { KeyDigest } from './tenant.js';
+
 /** Identifies a caller's request or a received subquery within this process. */
 export type CallId = number;
 
@@ -16,6 +18,8 @@
   readonly fingerprint: Fingerprint;
   readonly host: string;
   readonly path: string;
+  /** Digests of the API keys that the request carries; absent if it carries none. */
+  readonly keyDigests?: readonly KeyDigest[];
   /** How long the caller waits, in milliseconds; absent if it does not say. */
   readonly budgetMs?: number;
   /** It is the first request on its connection, so that the caller has also waited for the connection to open. */
@@ -31,6 +35,8 @@
 /**
  * Why a request ends without the answer of a replica. `replicas-crashed`: replicas crashed while they ran it, now or
  * earlier, and it is too soon for another attempt. `crashes-replicas`: the request is blocked and was sent to no replica.
+ * `keys-unconfirmed`: API keys may have been revoked since this gateway last read them. `limit-unavailable`: no gateway that
+ * keeps the tenant's limit answers. `no-room`: replicas have more urgent requests than they can run in time.
  */
 export type RefusalReason =
   | 'no-configuration'
@@ -47,7 +53,13 @@
   | 'replicas-crashed'
   | 'crashes-replicas'
   | 'too-few-shards'
-  | 'deadline';
+  | 'deadline'
+  | 'key-missing'
+  | 'key-unknown'
+  | 'keys-unconfirmed'
+  | 'over-limit'
+  | 'limit-unavailable'
+  | 'no-room';
 
 /** A replica's answer, forwarded unchanged. */
 export interface PassThrough {
--- a/src/gateway/model/route.ts
+++ b/src/gateway/model/route.ts
@@ -1,4 +1,5 @@
-/** The configuration of a gateway: routes, services and limits. */
+/** The configuration of a gateway: routes, services, tenants and limits. */
+import type { Tenant } from './tenant.js';
 
 /** One service of a split, with its share of the requests. */
 export interface SplitPart {
@@ -51,6 +52,8 @@
   readonly priority: number;
   /** Regions in which requests may be served; absent if all are allowed. */
   readonly allowedRegions?: readonly string[];
+  /** Requests need no API key even if the configuration has tenants; absent for false. */
+  readonly anonymous?: boolean;
   readonly target: RouteTarget;
 }
 
@@ -79,6 +82,8 @@
   readonly routes: readonly Route[];
   readonly services: ReadonlyMap<string, ServicePolicy>;
   readonly limits: CallerLimits;
+  /** Absent if requests need no API key. */
+  readonly tenants?: readonly Tenant[];
 }
 
 /** Services that are shards of a gather. */
--- a/src/gateway/model/subquery.ts
+++ b/src/gateway/model/subquery.ts
@@ -1,5 +1,8 @@
 /** Subqueries, by which a gateway requests the parts of some shards of a gather from a feeder. */
 
+import type { ClassRank } from '../scheduling/class-rank.js';
+import type { Fingerprint } from './request.js';
+
 /** Identifies a subquery within the process that sends it. */
 export type SubqueryId = number;
 
@@ -23,6 +26,10 @@
   readonly allowedRegions?: readonly string[];
   /** The request is blocked because it crashed replicas, and this is a trial of it; absent otherwise. */
   readonly isTrial?: boolean;
+  /** Class of the request; absent for 0, and for callers without a tenant, where the route's priority determines it. */
+  readonly rank?: ClassRank;
+  /** The request's fingerprint; absent if the receiver can compute it, because all headers are passed on. */
+  readonly fingerprint?: Fingerprint;
 }
 
 /** The answer of one shard; its records are merged with those of the other shards. */
--- a/src/gateway/protocol/protocol.ts
+++ b/src/gateway/protocol/protocol.ts
@@ -28,6 +28,10 @@
   readonly missingParts: string;
   /** Era of the store, in its answers. */
   readonly storeEra: string;
+  /** API key of the caller. */
+  readonly apiKey: string;
+  /** Name of the caller's tenant, for replicas. */
+  readonly tenant: string;
   /** Headers that identify the caller. */
   readonly caller: readonly string[];
 }
--- a/src/gateway/read-settings.ts
+++ b/src/gateway/read-settings.ts
@@ -31,6 +31,12 @@
   }),
   ...(fields.has('coldOvershoot') && { coldOvershoot: fields.number('coldOvershoot', 1) }),
   ...(fields.has('coldSlack') && { coldSlack: fields.number('coldSlack', 0) }),
+  ...(fields.has('keyRevocationMs') && { keyRevocationMs: fields.number('keyRevocationMs', 1) }),
+  ...(fields.has('quotaWindowSeconds') && {
+    quotaWindowMs: fields.number('quotaWindowSeconds', 0) * MS_PER_SECOND,
+  }),
+  ...(fields.has('quotaOvershoot') && { quotaOvershoot: fields.number('quotaOvershoot', 0) }),
+  ...(fields.has('quotaSlack') && { quotaSlack: fields.number('quotaSlack', 0) }),
   retryRatio: fields.number('retryRatio', 0),
   retryWindowMs: fields.number('retryWindowSeconds', 0) * MS_PER_SECOND,
   retrySlack: fields.number('retrySlack', 0),
--- a/src/gateway/reducer.ts
+++ b/src/gateway/reducer.ts
@@ -3,11 +3,17 @@
  * order in which the driver must execute them.
  */
 import { match } from 'ts-pattern';
+import {
+  handleConfirmationAnswer,
+  handleConfirmationDue,
+  handleConfirmationRequest,
+} from './authorization/key-confirmation.js';
 import { handleCrashUpdates, handleCrashUpdatesDue } from './crashes/publish-crashes.js';
 import type { GatewayEffect } from './effect.js';
-import type { GatewayEvent, Started } from './event.js';
+import type { GatewayEvent, PeerRequestAnswered, PeerRequestReceived, Started } from './event.js';
 import { handleStopRequested, handleStopDue, updateReadiness } from './lifecycle.js';
 import { handleRegistrationDue } from './peers/follow-gateways.js';
+import { handleQuotasDue, handleTokenAnswer, handleTokenRequest } from './quotas/take-token.js';
 import { handleReaderUpdate } from './readers/handle-reader-update.js';
 import { handleFollowerJoined, handleFollowerLeft } from './readers/publish-to-followers.js';
 import {
@@ -66,6 +72,26 @@
     ...(collection !== undefined && { collection }),
   });
 
+const handlePeerRequest = (state: GatewayState, received: PeerRequestReceived): GatewayEffect[] => {
+  const { request } = received;
+  switch (request.type) {
+    case 'key-confirmation':
+      return handleConfirmationRequest(state, received, request);
+    case 'tokens':
+      return handleTokenRequest(state, received, request);
+  }
+};
+
+const handlePeerAnswer = (state: GatewayState, answered: PeerRequestAnswered): GatewayEffect[] => {
+  const { answer } = answered;
+  switch (answer.type) {
+    case 'key-confirmation':
+      return handleConfirmationAnswer(state, answered, answer);
+    case 'tokens':
+      return handleTokenAnswer(state, answered, answer);
+  }
+};
+
 /** Runs what depends on the state of the store, after an update from the store or a reader. */
 const resumeAfterStoreUpdate = (state: GatewayState, at: number): GatewayEffect[] => [
   ...routeHeldRequests(state, at),
@@ -121,6 +147,10 @@
       ...updateReading(state, ended.at),
     ])
     .with({ type: 'registration-due' }, (due) => handleRegistrationDue(state, due))
+    .with({ type: 'peer-request-received' }, (received) => handlePeerRequest(state, received))
+    .with({ type: 'peer-request-answered' }, (answered) => handlePeerAnswer(state, answered))
+    .with({ type: 'key-confirmation-due' }, ({ at }) => handleConfirmationDue(state, at))
+    .with({ type: 'quotas-due' }, ({ at }) => handleQuotasDue(state, at))
     .with({ type: 'reading-due' }, ({ at }) => handleReadingDue(state, at))
     .with({ type: 'follower-joined' }, (joined) => [
       ...handleFollowerJoined(state, joined),
--- a/src/gateway/requests/accept-request.ts
+++ b/src/gateway/requests/accept-request.ts
@@ -4,11 +4,16 @@
 import type { GatewayEffect } from '../effect.js';
 import type { RequestReceived } from '../event.js';
 import { recordDecision } from '../log/trace.js';
-import type { CallerRequest, Fingerprint, RefusalReason } from '../model/request.js';
+import type { CallerRequest, CallId, Fingerprint, RefusalReason } from '../model/request.js';
 import type { Route } from '../model/route.js';
+import type { Tenant } from '../model/tenant.js';
 import { SplitCursor, isSameSplit } from '../routing/split-cursor.js';
 import { isRestoreRecent } from '../returns/restore-state.js';
-import { type GatewayState, canServe } from '../state.js';
+import { areKeysConfirmed } from '../authorization/key-confirmation.js';
+import { takeToken } from '../quotas/take-token.js';
+import { classRank } from '../scheduling/class-rank.js';
+import { type ConfigurationInForce, type GatewayState, canServe } from '../state.js';
+import { type CallerIdentity, identifyCaller } from '../tenants/caller-identity.js';
 import { refuseCall } from './finish.js';
 import { pausedUntil } from './guard.js';
 import { holdRequest } from './hold-request.js';
@@ -55,8 +60,10 @@
   state: GatewayState,
   route: Route,
   { call, request, at: receivedAt }: RequestReceived,
+  identity: CallerIdentity,
   at: number,
 ): ActiveRequest => {
+  const tenant = tenantOf(identity);
   const legs = createLegs(state, route);
   const callerWaitMs = (request.budgetMs ?? route.timeoutMs) - DEADLINE_MARGIN_MS;
   const connectMs = request.isFirstOnConnection === true ? CONNECT_MARGIN_MS : 0;
@@ -74,6 +81,8 @@
     objectiveAt: receivedAt + route.objectiveMs - margin,
     hedgeAt: at + hedgeDelay(latency, route),
     acknowledgeAt: undefined,
+    rank: classRank(tenant?.priority, route.priority),
+    tenant: tenant?.name,
   });
 };
 
@@ -117,19 +126,103 @@
   return updateHistory(state, fingerprint, known, origin, at);
 };
 
-/** Routes and sends a request; `at` is later than its arrival when the request was held. */
-const routeRequest = (state: GatewayState, event: RequestReceived, at: number): GatewayEffect[] => {
-  const { request } = event;
-  const route = state.inForce?.table.find(request.host, request.path);
-  if (route === undefined) {
-    return refuseCall(state, event, 'no-route', undefined);
+const tenantOf = (identity: CallerIdentity): Tenant | undefined =>
+  identity.type === 'tenant' ? identity.tenant : undefined;
+
+/** Replaces the headers that identify the caller, where the configuration has tenants. */
+const setCaller = (call: CallId, identity: CallerIdentity): GatewayEffect[] => {
+  const tenant = tenantOf(identity);
+  return identity.type === 'unrestricted'
+    ? []
+    : [{ type: 'set-caller', call, ...(tenant !== undefined && { tenant: tenant.name }) }];
+};
+
+/** The route with the regions in which both the route and the tenant may be served. */
+const withRegionsOf = (route: Route, tenant: Tenant | undefined): Route => {
+  const { allowedRegions: own } = route;
+  const tenantRegions = tenant?.allowedRegions;
+  if (tenantRegions === undefined) {
+    return route;
+  }
+  const allowedRegions =
+    own === undefined ? tenantRegions : own.filter((region) => tenantRegions.includes(region));
+  return { ...route, allowedRegions };
+};
+
+/** Sends a request whose caller is known, if it is within its tenant's limit. */
+const admitRequest = (
+  state: GatewayState,
+  route: Route,
+  event: RequestReceived,
+  identity: CallerIdentity,
+  at: number,
+): GatewayEffect[] => {
+  const tenant = tenantOf(identity);
+  if (tenant === undefined) {
+    return [
+      ...setCaller(event.call, identity),
+      ...sendUnlessCrashing(state, route, event, identity, at),
+    ];
+  }
+  const token = takeToken(state, tenant, event, at);
+  switch (token.type) {
+    case 'waiting':
+      return [...token.effects];
+    case 'refused':
+      return [...token.effects, ...refuseCall(state, event, token.reason, token.retryAfterMs, at)];
+    case 'granted':
+      return [
+        ...setCaller(event.call, identity),
+        ...sendUnlessCrashing(state, withRegionsOf(route, tenant), event, identity, at),
+      ];
+  }
+};
+
+/** Identifies the caller of a request and admits it, or refuses it. */
+const authorizeRequest = (
+  state: GatewayState,
+  inForce: ConfigurationInForce,
+  route: Route,
+  event: RequestReceived,
+  at: number,
+): GatewayEffect[] => {
+  const identity = identifyCaller(inForce, route, event.request);
+  if (identity.type === 'rejected') {
+    return refuseCall(state, event, identity.reason, undefined, at);
   }
-  const { fingerprint } = request;
+  if (identity.type === 'tenant' && !areKeysConfirmed(state, at)) {
+    return refuseCall(state, event, 'keys-unconfirmed', retryAfterUnrouted(state), at);
+  }
+  return admitRequest(state, route, event, identity, at);
+};
+
+/** Routes a request; `at` is later than its arrival when the request was held. */
+export const routeRequest = (
+  state: GatewayState,
+  event: RequestReceived,
+  at: number,
+): GatewayEffect[] => {
+  const { inForce } = state;
+  const route = inForce?.table.find(event.request.host, event.request.path);
+  return inForce === undefined || route === undefined
+    ? refuseCall(state, event, 'no-route', undefined)
+    : authorizeRequest(state, inForce, route, event, at);
+};
+
+/** Sends a request, unless it is known to crash replicas. */
+const sendUnlessCrashing = (
+  state: GatewayState,
+  route: Route,
+  event: RequestReceived,
+  identity: CallerIdentity,
+  at: number,
+): GatewayEffect[] => {
+  const { fingerprint } = event.request;
   const verdict = state.crashes.histories.verdict(fingerprint, at);
   if (verdict === 'blocked') {
     return refuseBlocked(state, event, at);
   }
-  const created = createRequest(state, route, event, at);
+  const created = createRequest(state, route, event, identity, at);
   const untilAt = pausedUntil(state, created);
   if (verdict === 'suspected' && untilAt >= created.deadlineAt) {
     return refuseCall(state, event, 'replicas-crashed', Math.ceil(untilAt - at), at);
--- a/src/gateway/requests/accept-subquery.ts
+++ b/src/gateway/requests/accept-subquery.ts
@@ -5,6 +5,7 @@
 import type { CallId } from '../model/request.js';
 import type { Route } from '../model/route.js';
 import type { Subquery } from '../model/subquery.js';
+import { classRank } from '../scheduling/class-rank.js';
 import type { GatewayState } from '../state.js';
 import { giveUpAttempts } from './give-up-attempts.js';
 import { progressRequest } from './progress.js';
@@ -38,6 +39,10 @@
   },
 });
 
+/** The priority of the gather's route by the configuration in force here; the highest one if it has no such route. */
+const priorityOf = ({ inForce }: GatewayState, name: string): number =>
+  inForce?.configuration.routes.find((route) => route.name === name)?.priority ?? 0;
+
 const createRequest = (
   state: GatewayState,
   { call, requestId, fingerprint, subquery, at }: SubqueryReceived,
@@ -55,6 +60,8 @@
     objectiveAt: at + subquery.partsWithinMs,
     hedgeAt: at + hedgeDelay(latency, route),
     acknowledgeAt: at + ACKNOWLEDGE_AFTER_MS,
+    rank: subquery.rank ?? classRank(undefined, priorityOf(state, subquery.route)),
+    tenant: undefined,
   });
 };
 
--- a/src/gateway/requests/progress.ts
+++ b/src/gateway/requests/progress.ts
@@ -3,6 +3,7 @@
 import type { RefusalReason } from '../model/request.js';
 import type { GatherTarget } from '../model/route.js';
 import type { GatewayState } from '../state.js';
+import { answerDueAt } from './answer-timing.js';
 import { checkSubqueries } from './check-subqueries.js';
 import { hedgeLegs } from './hedge-legs.js';
 import { retryLeg } from './retry-leg.js';
@@ -21,14 +22,6 @@
 const canComplete = (request: ActiveRequest, needed: number): boolean =>
   request.answeredLegs + request.openLegs >= needed;
 
-/**
- * When a gather is answered with the parts received so far, if they reach the required coverage. Before the objective each
- * further part adds value and waiting costs nothing; after it, even a whole answer is worth little. A caller whose deadline
- * is before the objective gets the parts received by then rather than a refusal.
- */
-const answerDueAt = ({ objectiveAt, deadlineAt }: ActiveRequest): number =>
-  Math.min(objectiveAt, deadlineAt);
-
 const progressGather = (
   state: GatewayState,
   request: ActiveRequest,
--- a/src/gateway/requests/request-state.ts
+++ b/src/gateway/requests/request-state.ts
@@ -8,6 +8,7 @@
   Fingerprint,
   ReplicaAnswer,
 } from '../model/request.js';
+import type { ClassRank } from '../scheduling/class-rank.js';
 import type { SubqueryId } from '../model/subquery.js';
 
 /** The part of a request that one service answers. */
@@ -79,6 +80,10 @@
   readonly origin: RequestOrigin;
   readonly request: CallerRequest;
   readonly route: Route;
+  /** Class of the request. */
+  readonly rank: ClassRank;
+  /** Name of the caller's tenant; undefined if it has none, and at feeders. */
+  readonly tenant: string | undefined;
   readonly legs: readonly Leg[];
   readonly receivedAt: number;
   /** When the final answer is due, complete or not. */
@@ -179,6 +184,8 @@
   | 'objectiveAt'
   | 'hedgeAt'
   | 'acknowledgeAt'
+  | 'rank'
+  | 'tenant'
 >;
 
 /** Creates a request for which nothing has been sent yet. */
--- a/src/gateway/requests/send-legs.ts
+++ b/src/gateway/requests/send-legs.ts
@@ -74,7 +74,7 @@
   Math.max(MIN_ACKNOWLEDGE_MS, objectiveMs * ACKNOWLEDGE_SHARE, overdueAfterMs(feederDelay));
 
 const createSubquery = (
-  { route, objectiveAt, deadlineAt, isTrial }: ActiveRequest,
+  { request, route, objectiveAt, deadlineAt, isTrial, tenant, rank }: ActiveRequest,
   { maxRecords }: GatherTarget,
   legs: readonly Leg[],
   isRepeat: boolean,
@@ -90,6 +90,7 @@
   isRepeat,
   ...(route.allowedRegions !== undefined && { allowedRegions: route.allowedRegions }),
   ...(isTrial && { isTrial }),
+  ...(tenant !== undefined && { rank, fingerprint: request.fingerprint }),
 });
 
 const sendSubquery = (
--- a/src/gateway/runtime/caller-requests.ts
+++ b/src/gateway/runtime/caller-requests.ts
@@ -2,7 +2,7 @@
 import type { CallId, Fingerprint, Header } from '../model/request.js';
 import type { HeaderNames } from '../protocol/protocol.js';
 import { fingerprintOf } from './fingerprint.js';
-import { endToEndHeaders, flattenHeaders } from './headers.js';
+import { endToEndHeaders, flattenHeaders, pairHeaders } from './headers.js';
 
 /** A request as received from its caller. */
 export interface ReceivedRequest {
@@ -38,10 +38,12 @@
   /** Headers that the gateway or its HTTP client sets itself. */
   private readonly ownHeaders: ReadonlySet<string>;
   private readonly callerHeaders: readonly string[];
+  private readonly tenantHeader: string;
 
-  constructor({ timeBudget, targetInstance, caller }: HeaderNames) {
+  constructor({ timeBudget, targetInstance, caller, tenant }: HeaderNames) {
     this.ownHeaders = new Set([timeBudget, targetInstance, 'content-length', 'expect']);
     this.callerHeaders = caller;
+    this.tenantHeader = tenant;
   }
 
   /** Adds a request of a caller and assigns its identifiers. */
@@ -50,15 +52,34 @@
     return this.addPending({ method, path, requestId, passedHeaders, body });
   }
 
-  /** Adds a request whose headers are already filtered for replicas, and assigns its identifiers. */
-  addPending(request: Omit<PendingRequest, 'fingerprint'>): AddedRequest {
+  /**
+   * Adds a request whose headers are already filtered for replicas, and assigns its identifiers.
+   *
+   * @param knownFingerprint - computed where the request was received, before the caller's headers were replaced
+   */
+  addPending(
+    request: Omit<PendingRequest, 'fingerprint'>,
+    knownFingerprint?: Fingerprint,
+  ): AddedRequest {
     const call = this.nextCall;
     this.nextCall += 1;
-    const fingerprint = fingerprintOf(request, this.callerHeaders);
+    const fingerprint = knownFingerprint ?? fingerprintOf(request, this.callerHeaders);
     this.requests.set(call, { ...request, fingerprint });
     return { call, fingerprint };
   }
 
+  /** Replaces the headers that identify the caller by the name of its tenant; none for an anonymous request. */
+  setCaller(call: CallId, tenant: string | undefined): void {
+    const request = this.requests.get(call);
+    if (request === undefined) {
+      return;
+    }
+    const replaced = new Set([...this.callerHeaders, this.tenantHeader]);
+    const kept = endToEndHeaders(pairHeaders(request.passedHeaders), replaced);
+    const named = tenant === undefined ? [] : [{ name: this.tenantHeader, value: tenant }];
+    this.requests.set(call, { ...request, passedHeaders: flattenHeaders([...kept, ...named]) });
+  }
+
   find(call: CallId): PendingRequest | undefined {
     return this.requests.get(call);
   }
--- a/src/gateway/runtime/format-response.ts
+++ b/src/gateway/runtime/format-response.ts
@@ -27,13 +27,16 @@
 /** The caller port sets the length. */
 const LENGTH_HEADER: ReadonlySet<string> = new Set(['content-length']);
 
-/** Statuses of refusals caused by the request itself; a retry does not help. */
+/** Statuses of refusals caused by the caller. Only a request over its limit may be retried. */
 const CALLER_STATUSES: Readonly<Partial<Record<RefusalReason, number>>> = {
   'no-request-id': 400,
   'no-host': 400,
+  'key-missing': 401,
+  'key-unknown': 401,
   'no-route': 404,
   'body-too-large': 413,
   'headers-too-large': 431,
+  'over-limit': 429,
 };
 
 /** Status 503 guarantees that the request has not run and will not run; 502 and 504 guarantee nothing. */
--- a/src/gateway/runtime/gateway-timers.ts
+++ b/src/gateway/runtime/gateway-timers.ts
@@ -6,7 +6,15 @@
 import type { GatewayEventSink } from './gateway-loop.js';
 
 type TimerKey =
-  CallId | CollectionName | 'stop' | 'probe' | 'reading' | 'registration' | 'crash-updates';
+  | CallId
+  | CollectionName
+  | 'stop'
+  | 'probe'
+  | 'reading'
+  | 'registration'
+  | 'crash-updates'
+  | 'key-confirmation'
+  | 'quotas';
 
 /** Sets timers and emits their events. */
 export class GatewayTimers {
@@ -59,6 +67,10 @@
         return this.sink.emit({ type: 'registration-due', at });
       case 'crash-updates':
         return this.sink.emit({ type: 'crash-updates-due', at });
+      case 'key-confirmation':
+        return this.sink.emit({ type: 'key-confirmation-due', at });
+      case 'quotas':
+        return this.sink.emit({ type: 'quotas-due', at });
       case 'configuration':
       case 'replicas':
       case 'gateways':
--- a/src/gateway/runtime/peers/pack-message.ts
+++ b/src/gateway/runtime/peers/pack-message.ts
@@ -6,7 +6,13 @@
  */
 import type { Subquery, SubqueryPart } from '../../model/subquery.js';
 import { isCount, isFiniteNumber, isListOf, isText } from '../../../protocol/codec/shape.js';
-import type { PartsMessage, SubqueryMessage } from './peer-message.js';
+import { ANSWER_TAG, REQUEST_TAG, unpackAnswer, unpackRequest } from './pack-peer-request.js';
+import type {
+  AnswerMessage,
+  PartsMessage,
+  RequestMessage,
+  SubqueryMessage,
+} from './peer-message.js';
 
 /** First value of a list: type of the message. */
 const SUBQUERY_TAG = 1;
@@ -18,12 +24,15 @@
 /** Returns whether a decoded value is a packed message. */
 export const isPacked = (value: unknown): value is PackedMessage => Array.isArray(value);
 
-/** Packs the optional fields; they are left out if possible, so that gateways of earlier builds can read the list. */
-const packOptional = ({ allowedRegions, isTrial }: Subquery): readonly unknown[] => {
-  if (isTrial === true) {
-    return [allowedRegions ?? null, true];
-  }
-  return allowedRegions === undefined ? [] : [allowedRegions];
+/**
+ * Packs the optional fields, up to the last one that is present, so that gateways of earlier builds can read the lists of
+ * requests that use none of the newer fields.
+ */
+const packOptional = (subquery: Subquery): readonly unknown[] => {
+  const { allowedRegions, isTrial = false, rank = 0, fingerprint } = subquery;
+  const values = [allowedRegions ?? null, isTrial, rank, fingerprint ?? null];
+  const isPresent = [allowedRegions !== undefined, isTrial, rank !== 0, fingerprint !== undefined];
+  return values.slice(0, isPresent.lastIndexOf(true) + 1);
 };
 
 /** Packs a subquery. */
@@ -65,6 +74,11 @@
 
 const isTexts = (value: unknown): value is readonly string[] => isListOf(value, isText);
 
+const isNullOr = <Value>(
+  isValue: (value: unknown) => value is Value,
+  value: unknown,
+): value is Value | null => value === null || isValue(value);
+
 const isFlag = (value: unknown): value is boolean => typeof value === 'boolean';
 
 const unpackSubquery = (values: PackedMessage): SubqueryMessage | undefined => {
@@ -86,12 +100,22 @@
 /** Unpacks the optional fields; undefined if they are malformed. */
 const unpackOptional = (
   values: readonly unknown[],
-): Pick<Subquery, 'allowedRegions' | 'isTrial'> | undefined => {
-  const [regions = null, isTrial = false] = values;
-  if ((regions !== null && !isTexts(regions)) || !isFlag(isTrial)) {
+): Pick<Subquery, 'allowedRegions' | 'isTrial' | 'rank' | 'fingerprint'> | undefined => {
+  const [regions = null, isTrial = false, rank = 0, fingerprint = null] = values;
+  if (
+    !isNullOr(isTexts, regions) ||
+    !isFlag(isTrial) ||
+    !isCount(rank) ||
+    !isNullOr(isText, fingerprint)
+  ) {
     return undefined;
   }
-  return { ...(regions !== null && { allowedRegions: regions }), ...(isTrial && { isTrial }) };
+  return {
+    ...(regions !== null && { allowedRegions: regions }),
+    ...(isTrial && { isTrial }),
+    ...(rank !== 0 && { rank }),
+    ...(fingerprint !== null && { fingerprint }),
+  };
 };
 
 const unpackDetails = (values: readonly unknown[]): Subquery | undefined => {
@@ -154,12 +178,16 @@
 /** Returns the message packed as a list; undefined if the list is no valid message. */
 export const unpackMessage = (
   values: PackedMessage,
-): SubqueryMessage | PartsMessage | undefined => {
+): SubqueryMessage | PartsMessage | RequestMessage | AnswerMessage | undefined => {
   switch (values[0]) {
     case SUBQUERY_TAG:
       return unpackSubquery(values);
     case PARTS_TAG:
       return unpackParts(values);
+    case REQUEST_TAG:
+      return unpackRequest(values);
+    case ANSWER_TAG:
+      return unpackAnswer(values);
     default:
       return undefined;
   }
--- a/src/gateway/runtime/peers/peer-client.ts
+++ b/src/gateway/runtime/peers/peer-client.ts
@@ -4,7 +4,13 @@
  */
 import { connect } from 'node:net';
 import type { MonotonicClock } from '../../../runtime/monotonic-clock.js';
-import type { CancelSubquery, FollowReader, SendSubquery, SendCrashUpdates } from '../../effect.js';
+import type {
+  CancelSubquery,
+  FollowReader,
+  SendCrashUpdates,
+  SendPeerRequest,
+  SendSubquery,
+} from '../../effect.js';
 import type { PeerRecord } from '../../model/peer-record.js';
 import type { PeerProblem, SubqueryId } from '../../model/subquery.js';
 import type { CallerRequests } from '../caller-requests.js';
@@ -116,6 +122,13 @@
     }
   }
 
+  /** Sends a request to a peer. */
+  sendRequest({ id, peer, request }: SendPeerRequest): void {
+    const link = this.links.get(peer.name) ?? this.openLink(peer);
+    link.usedAt = this.now;
+    link.connection.send({ type: 'request', id, from: this.context.node, request });
+  }
+
   /** Requests updates from a reader of the store. */
   follow(follow: FollowReader): void {
     const { peer } = follow;
@@ -213,6 +226,11 @@
       case 'stopping':
         sink.emit({ type: 'peer-lost', at, peer: link.peer, problem: 'stopping' });
         return;
+      case 'answer': {
+        const { id, answer } = message;
+        sink.emit({ type: 'peer-request-answered', at, id, peer: link.peer, answer });
+        return;
+      }
       case 'news':
         link.usedAt = at;
         sink.emit({ type: 'reader-update-received', at, reader: link.peer, news: message.news });
--- a/src/gateway/runtime/peers/peer-codec.ts
+++ b/src/gateway/runtime/peers/peer-codec.ts
@@ -15,8 +15,15 @@
 } from '../../../protocol/codec/shape.js';
 import { isCrashUpdate } from './crash-update-shape.js';
 import { isConfiguration, isReaderUpdate } from './reader-update-shape.js';
+import { packAnswer, packRequest } from './pack-peer-request.js';
 import { isPacked, packParts, packSubquery, unpackMessage } from './pack-message.js';
-import type { PartsMessage, PeerMessage, SubqueryMessage } from './peer-message.js';
+import type {
+  AnswerMessage,
+  PartsMessage,
+  PeerMessage,
+  RequestMessage,
+  SubqueryMessage,
+} from './peer-message.js';
 
 type Check = (fields: Fields) => boolean;
 
@@ -26,7 +33,10 @@
 const hasId: Check = ({ id }) => isCount(id);
 
 /** Messages that are encoded with their field names; the others are packed. */
-type NamedMessage = Exclude<PeerMessage, SubqueryMessage | PartsMessage>;
+type NamedMessage = Exclude<
+  PeerMessage,
+  SubqueryMessage | PartsMessage | RequestMessage | AnswerMessage
+>;
 
 const SHAPE_CHECKS: Readonly<Record<NamedMessage['type'], Check>> = {
   cancel: (fields) => hasId(fields) && isFiniteNumber(fields['withinMs']),
@@ -50,6 +60,10 @@
       return packSubquery(message);
     case 'parts':
       return packParts(message);
+    case 'request':
+      return packRequest(message);
+    case 'answer':
+      return packAnswer(message);
     default:
       return message;
   }
--- a/src/gateway/runtime/peers/peer-message.ts
+++ b/src/gateway/runtime/peers/peer-message.ts
@@ -2,6 +2,7 @@
 import type { CrashUpdate } from '../../crashes/crash-update.js';
 import type { CollectionName } from '../../store/collection.js';
 import type { GatewayConfiguration } from '../../model/route.js';
+import type { PeerAnswer, PeerRequest, PeerRequestId } from '../../model/peer-request.js';
 import type { ReaderUpdate } from '../../readers/reader-update.js';
 import type { Subquery, SubqueryId, SubqueryPart } from '../../model/subquery.js';
 
@@ -90,6 +91,22 @@
   readonly news: readonly CrashUpdate[];
 }
 
+/** A request that is answered once. */
+export interface RequestMessage {
+  readonly type: 'request';
+  readonly id: PeerRequestId;
+  /** Name of the sender. */
+  readonly from: string;
+  readonly request: PeerRequest;
+}
+
+/** The answer to a request. */
+export interface AnswerMessage {
+  readonly type: 'answer';
+  readonly id: PeerRequestId;
+  readonly answer: PeerAnswer;
+}
+
 /** Any message between gateways. */
 export type PeerMessage =
   | SubqueryMessage
@@ -102,4 +119,6 @@
   | FollowMessage
   | UnfollowMessage
   | ReaderUpdateMessage
-  | CrashesMessage;
+  | CrashesMessage
+  | RequestMessage
+  | AnswerMessage;
--- a/src/gateway/runtime/peers/peer-port.ts
+++ b/src/gateway/runtime/peers/peer-port.ts
@@ -2,8 +2,9 @@
 import { createServer, type Server, type Socket } from 'node:net';
 import type { MonotonicClock } from '../../../runtime/monotonic-clock.js';
 import type { HostPort } from '../../../settings/node-settings.js';
-import type { AnswerSubquery, SendReaderUpdate } from '../../effect.js';
+import type { AnswerPeer, AnswerSubquery, SendReaderUpdate } from '../../effect.js';
 import type { CallId } from '../../model/request.js';
+import type { PeerExchangeId, PeerRequestId } from '../../model/peer-request.js';
 import type { SubqueryId } from '../../model/subquery.js';
 import type { CallerRequests } from '../caller-requests.js';
 import type { GatewayEventSink } from '../gateway-loop.js';
@@ -11,7 +12,13 @@
 import type { FollowerId } from '../../readers/reader-update.js';
 import { positionsOf } from './follow-message.js';
 import { frameOf, PeerConnection } from './peer-connection.js';
-import type { CancelMessage, FollowMessage, PeerMessage, SubqueryMessage } from './peer-message.js';
+import type {
+  CancelMessage,
+  FollowMessage,
+  PeerMessage,
+  RequestMessage,
+  SubqueryMessage,
+} from './peer-message.js';
 
 /** Interval at which connections are checked, in milliseconds. */
 const SWEEP_MS = 5_000;
@@ -42,6 +49,12 @@
   follower: FollowerId | undefined;
 }
 
+/** A received request that has not been answered. */
+interface OpenExchange {
+  readonly connection: PeerConnection;
+  readonly id: PeerRequestId;
+}
+
 interface OpenCall {
   readonly coordinator: Coordinator;
   readonly id: SubqueryId;
@@ -55,6 +68,8 @@
   private readonly openCalls = new Map<CallId, OpenCall>();
   private readonly followers = new Map<FollowerId, PeerConnection>();
   private nextFollower: FollowerId = 1;
+  private readonly exchanges = new Map<PeerExchangeId, OpenExchange>();
+  private nextExchange: PeerExchangeId = 1;
   private readonly sweepTimer: NodeJS.Timeout;
   private sweptAt: number;
 
@@ -93,6 +108,13 @@
     this.discard(call);
   }
 
+  /** Answers a request of another gateway; without effect if its connection has been closed. */
+  answerRequest({ exchange, answer }: AnswerPeer): void {
+    const open = this.exchanges.get(exchange);
+    this.exchanges.delete(exchange);
+    open?.connection.send({ type: 'answer', id: open.id, answer });
+  }
+
   /** Sends an update to followers; the message is encoded once for all of them. */
   sendUpdate({ followers, news }: SendReaderUpdate): void {
     const frame = frameOf({ type: 'news', news });
@@ -165,6 +187,9 @@
       case 'unfollow':
         this.removeFollower(coordinator);
         return;
+      case 'request':
+        this.handleRequest(coordinator, message);
+        return;
       case 'crashes': {
         const { sink, clock } = this.context;
         const { from, news } = message;
@@ -175,6 +200,14 @@
     }
   }
 
+  private handleRequest({ connection }: Coordinator, { id, from, request }: RequestMessage): void {
+    const { sink, clock } = this.context;
+    const exchange = this.nextExchange;
+    this.nextExchange += 1;
+    this.exchanges.set(exchange, { connection, id });
+    sink.emit({ type: 'peer-request-received', at: clock.now(), exchange, from, request });
+  }
+
   private handleFollow(coordinator: Coordinator, message: FollowMessage): void {
     if (coordinator.follower === undefined) {
       coordinator.follower = this.nextFollower;
@@ -221,10 +254,10 @@
     const { requests, sink, clock } = this.context;
     const { id, requestId, method, path, headers, body, subquery } = message;
     const requestFields = { method, path, requestId, passedHeaders: headers };
-    const { call, fingerprint } = requests.addPending({
-      ...requestFields,
-      body: body === null ? null : Buffer.from(body),
-    });
+    const { call, fingerprint } = requests.addPending(
+      { ...requestFields, body: body === null ? null : Buffer.from(body) },
+      subquery.fingerprint,
+    );
     coordinator.calls.set(id, call);
     this.openCalls.set(call, { coordinator, id });
     const at = clock.now();
@@ -243,6 +276,11 @@
   private handleClosed(coordinator: Coordinator): void {
     this.coordinators.delete(coordinator);
     coordinator.unstarted.clear();
+    for (const [exchange, { connection }] of this.exchanges) {
+      if (connection === coordinator.connection) {
+        this.exchanges.delete(exchange);
+      }
+    }
     this.removeFollower(coordinator);
     const at = this.context.clock.now();
     for (const call of [...coordinator.calls.values()]) {
--- a/src/gateway/runtime/start-gateway.ts
+++ b/src/gateway/runtime/start-gateway.ts
@@ -61,6 +61,7 @@
   private clockTimer: NodeJS.Timeout | undefined;
   private readonly loop: GatewayLoop;
   private readonly timers: GatewayTimers;
+  private readonly requests: CallerRequests;
   private readonly callers: CallerPort;
   private readonly readiness: ReadinessPort;
   private readonly metrics: MetricsPort;
@@ -84,6 +85,7 @@
     const sink = new GatewayLoop(this.state, (effect) => this.executeEffect(effect));
     const requests = new CallerRequests(protocol.headers);
     this.loop = sink;
+    this.requests = requests;
     this.timers = new GatewayTimers(clock, sink);
     this.callers = new CallerPort({ protocol, requests, clock, sink });
     this.readiness = new ReadinessPort(protocol.readinessPath);
@@ -160,6 +162,13 @@
         this.callers.discard(call);
         this.peerPort.discard(call);
       })
+      .with({ type: 'set-caller' }, ({ call, tenant }) => this.requests.setCaller(call, tenant))
+      .with({ type: 'send-peer-request' }, (send) => this.peerClient.sendRequest(send))
+      .with({ type: 'answer-peer' }, (answer) => this.peerPort.answerRequest(answer))
+      .with({ type: 'set-key-confirmation-timer' }, ({ at }) =>
+        this.timers.set('key-confirmation', at),
+      )
+      .with({ type: 'set-quotas-timer' }, ({ at }) => this.timers.set('quotas', at))
       .with({ type: 'send-subquery' }, (send) => this.peerClient.send(send))
       .with({ type: 'cancel-subquery' }, (cancel) => this.peerClient.cancel(cancel))
       .with({ type: 'answer-subquery' }, (answer) => this.answerSubquery(answer))
--- /dev/null
+++ b/src/gateway/scheduling/class-rank.ts
@@ -0,0 +1,15 @@
+/** The class of a request, which determines the order in which requests are served when capacity is scarce. */
+
+/** Rank of a class; a lower rank is more urgent. */
+export type ClassRank = number;
+
+/** Priorities of routes are below this number; larger ones are not distinguished. */
+const ROUTE_PRIORITIES = 1_000;
+
+/**
+ * Returns the rank of a request's class. The tenant's priority takes precedence over that of the route; the route's priority
+ * also stands for that of a tenant without one.
+ */
+export const classRank = (tenantPriority: number | undefined, routePriority: number): ClassRank =>
+  (tenantPriority ?? routePriority) * ROUTE_PRIORITIES +
+  Math.min(routePriority, ROUTE_PRIORITIES - 1);
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -21,6 +21,17 @@
   readonly coldOvershoot?: number;
   /** Requests per second to a cold replica allowed in addition; absent for none. */
   readonly coldSlack?: number;
+  /**
+   * Time after which a request may no longer run whose API key was removed before the request was sent, in milliseconds, at
+   * any gateway; absent if revocations have the bound of other changes of the configuration.
+   */
+  readonly keyRevocationMs?: number;
+  /** Sliding window over which tenants' limits apply, in milliseconds; absent if they are not enforced. */
+  readonly quotaWindowMs?: number;
+  /** Share by which a tenant's requests in a window may exceed its limit; absent for 0. */
+  readonly quotaOvershoot?: number;
+  /** Requests of a tenant in a window that are tolerated in addition; absent for none. */
+  readonly quotaSlack?: number;
   /** Additional attempts that each request to a service allows, over all gateways. */
   readonly retryRatio: number;
   /** Sliding window over which the ratio applies, in milliseconds. */
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -7,6 +7,7 @@
 import type { RequestReceived } from './event.js';
 import { createGatewayCounters, type GatewayCounters } from './metrics/gateway-counters.js';
 import type { GatewayConfiguration } from './model/route.js';
+import type { PeerRequestId } from './model/peer-request.js';
 import type { AttemptId, CallId, UnreadableProblem } from './model/request.js';
 import type { SubqueryId } from './model/subquery.js';
 import { createDelayEstimate, type DelayEstimate } from './delay-estimate.js';
@@ -102,6 +103,8 @@
   readonly feederDelay: DelayEstimate;
   readonly subqueries: Map<SubqueryId, CallId>;
   nextSubquery: SubqueryId;
+  /** Identifier of the next request to another gateway. */
+  nextPeerRequest: PeerRequestId;
   readonly store: StoreReachability;
   /** Unconfirmed objects and recent departures, for restores of the store from a backup. */
   readonly storeRestores: RestoreState;
@@ -159,6 +162,7 @@
   feederDelay: createDelayEstimate(),
   subqueries: new Map(),
   nextSubquery: 1,
+  nextPeerRequest: 1,
   store: {
     reachable: true,
     isProbed: false,
