Read tenants and anonymous routes from the configuration

Cause: the fields `tenants` and `anonymous` of the operator's configuration were ignored, and readers would have passed on tenants without checks. Configurations from other gateways are checked for the new fields.

--- a/src/gateway/runtime/peers/reader-update-shape.ts
+++ b/src/gateway/runtime/peers/reader-update-shape.ts
@@ -46,6 +46,7 @@
   isFlag(value['repeatable']) &&
   hasNumbers(value, ['timeoutMs', 'objectiveMs', 'maxAttempts', 'priority']) &&
   isOptional(value['allowedRegions'], isTexts) &&
+  isOptional(value['anonymous'], isFlag) &&
   isTarget(value['target']);
 
 const isService: Check = (value) =>
@@ -54,6 +55,17 @@
   isFiniteNumber(value['maxConnections']) &&
   isOptional(value['coldRequestsPerSecond'], isFiniteNumber);
 
+const isTenantLimit: Check = (value) =>
+  isFields(value) && hasNumbers(value, ['ratePerSecond', 'burst']);
+
+const isTenant: Check = (value) =>
+  isFields(value) &&
+  isText(value['name']) &&
+  isTexts(value['keyDigests']) &&
+  isOptional(value['priority'], isFiniteNumber) &&
+  isOptional(value['limit'], isTenantLimit) &&
+  isOptional(value['allowedRegions'], isTexts);
+
 /** Services are a map by name, both in memory and in CBOR. */
 const isServices: Check = (value) =>
   value instanceof Map && [...value].every(([name, service]) => isText(name) && isService(service));
@@ -68,7 +80,8 @@
   isFiniteNumber(value['version']) &&
   isListOf(value['routes'], isRoute) &&
   isServices(value['services']) &&
-  isLimits(value['limits']);
+  isLimits(value['limits']) &&
+  isOptional(value['tenants'], (tenants) => isListOf(tenants, isTenant));
 
 const isReplica: Check = (value) =>
   isFields(value) &&
--- a/test/gateway/peer-message.test.ts
+++ b/test/gateway/peer-message.test.ts
@@ -1,4 +1,5 @@
 import { expect, it } from 'vitest';
+import type { GatewayConfiguration } from '../../src/gateway/model/route.js';
 import {
   decodePeerMessage,
   encodePeerMessage,
@@ -121,6 +122,52 @@
   }
 });
 
+const TENANT = {
+  name: 'bulk',
+  keyDigests: ['digest'],
+  priority: 1,
+  limit: { ratePerSecond: 0.05, burst: 0 },
+  allowedRegions: ['addis'],
+};
+
+const newsWith = (configuration: unknown): ReaderUpdateMessage =>
+  newsOf({
+    type: 'snapshot',
+    collection: 'configuration',
+    objects: [{ name: 'main', gone: false, value: configuration as GatewayConfiguration }],
+    revision: 9,
+  });
+
+it('decodes a configuration with tenants and anonymous routes', () => {
+  const configuration = {
+    ...configurationOf(3, [routeTo(gatherOf(2, 0.5), { anonymous: true })]),
+    tenants: [TENANT, { name: 'small', keyDigests: [] }],
+  };
+  const message = newsWith(configuration);
+  expect(decodePeerMessage(encodePeerMessage(message)).unsafeCoerce()).toEqual(message);
+});
+
+it.each<readonly [string, unknown]>([
+  ['tenants that are no list', 'bulk'],
+  ['tenants that are null', null],
+  ['a tenant without a name', [{ ...TENANT, name: undefined }]],
+  ['a tenant without digests', [{ ...TENANT, keyDigests: undefined }]],
+  ['a digest of another type', [{ ...TENANT, keyDigests: [7] }]],
+  ['a priority of another type', [{ ...TENANT, priority: 'high' }]],
+  ['a limit without a burst', [{ ...TENANT, limit: { ratePerSecond: 1 } }]],
+  ['a rate that is not finite', [{ ...TENANT, limit: { ratePerSecond: Infinity, burst: 0 } }]],
+  ['regions of another type', [{ ...TENANT, allowedRegions: 'addis' }]],
+])('rejects a configuration with %s', (_case, tenants) => {
+  const message = newsWith({ ...configurationOf(3), tenants });
+  expect(decodePeerMessage(encodePeerMessage(message)).isLeft()).toBe(true);
+});
+
+it('rejects a route whose flag for anonymous requests has another type', () => {
+  const route = { ...routeTo(gatherOf(2, 0.5)), anonymous: 'no' };
+  const message = newsWith({ ...configurationOf(3), routes: [route] });
+  expect(decodePeerMessage(encodePeerMessage(message)).isLeft()).toBe(true);
+});
+
 it('rejects reader updates whose objects have the wrong shape', () => {
   const news = {
     type: 'changes',
--- a/test/platform/gateway-fixture.ts
+++ b/test/platform/gateway-fixture.ts
@@ -179,10 +179,11 @@
     services: readonly string[],
     maxConnections = 26,
     limits: Partial<typeof LIMITS> = {},
+    tenants?: unknown,
   ): number {
     this.version += 3;
     const { version } = this;
-    const spec = configurationSpec(version, routes, services, maxConnections, limits);
+    const spec = configurationSpec(version, routes, services, maxConnections, limits, tenants);
     this.store.put('config', 'main', spec);
     return this.version;
   }
--- a/test/platform/operator-spec.ts
+++ b/test/platform/operator-spec.ts
@@ -27,6 +27,13 @@
 const serviceSpecs = (services: readonly string[], maxConnections: number): readonly unknown[] =>
   services.map((name) => ({ name, health_path: '/health', max_conns: maxConnections }));
 
+/** Returns a tenant in the operator's format. */
+export const tenantSpec = (
+  name: string,
+  keys: readonly string[],
+  fields: Readonly<Record<string, unknown>> = {},
+): unknown => ({ name, api_keys: keys, ...fields });
+
 /** Kind and name of the configuration's entry in the store. */
 export const CONFIGURATION_ENTRY = { kind: 'config', name: 'main' } as const;
 
@@ -40,11 +47,13 @@
   services: readonly string[],
   maxConnections: number,
   limits: Partial<typeof LIMITS> = {},
+  tenants?: unknown,
 ): unknown => ({
   version,
   routes,
   services: serviceSpecs(services, maxConnections),
   limits: { ...LIMITS, ...limits },
+  ...(tenants !== undefined && { tenants }),
 });
 
 /** A route, independent of the operator's format. */
