Identify the tenant of a request by its API key

Cause: requests were admitted without regard to their key, and replicas received the key and whatever X-Tenant the caller had sent. Change: a directory of tenants is built once for each configuration that comes into force; identifyCaller looks up the digest of the key. Refusals for the key log route, number of different keys, version in force and its age. The driver removes key and tenant headers in one pass over the headers and names the tenant in UTF-8. Subqueries carry the fingerprint also for anonymous requests, whose key is removed as well: a feeder would compute another one.

--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -20,6 +20,8 @@
   | {
       readonly event: 'request-admitted';
       readonly route: string;
+      /** The caller's tenant; absent if it has none. */
+      readonly tenant?: string;
       readonly fingerprint: Fingerprint;
       readonly version: number;
       /** How long the version has been in force. */
@@ -121,6 +123,16 @@
         readonly version: number;
         readonly versionAgeMs: number;
       };
+      /**
+       * The route and the version by which the API key was refused, and the number of different keys in the request, 2
+       * for more; present if that is the reason.
+       */
+      readonly refusedKey?: {
+        readonly route: string;
+        readonly keys: number;
+        readonly version: number;
+        readonly versionAgeMs: number;
+      };
       /** The blocked request, its rounds of crashes, and the time left; present if that is the reason. */
       readonly blocked?: {
         readonly fingerprint: Fingerprint;
--- a/src/gateway/model/request.ts
+++ b/src/gateway/model/request.ts
@@ -18,7 +18,7 @@
   readonly fingerprint: Fingerprint;
   readonly host: string;
   readonly path: string;
-  /** Digests of the API keys that the request carries; absent if it carries none. */
+  /** Digests of the different API keys that the request carries, at most two; absent if it carries none. */
   readonly keyDigests?: readonly KeyDigest[];
   /** How long the caller waits, in milliseconds; absent if it does not say. */
   readonly budgetMs?: number;
--- a/src/gateway/requests/accept-request.ts
+++ b/src/gateway/requests/accept-request.ts
@@ -83,6 +83,7 @@
     acknowledgeAt: undefined,
     rank: classRank(tenant?.priority, route.priority),
     tenant: tenant?.name,
+    isCallerReplaced: identity.type !== 'unrestricted',
   });
 };
 
@@ -90,6 +91,7 @@
   recordDecision(request.decisions, at, {
     event: 'request-admitted',
     route: request.route.name,
+    ...(request.tenant !== undefined && { tenant: request.tenant }),
     fingerprint: request.request.fingerprint,
     version: state.inForce?.configuration.version ?? 0,
     versionAgeMs: Math.round(at - (state.inForce?.since ?? at)),
--- a/src/gateway/requests/accept-subquery.ts
+++ b/src/gateway/requests/accept-subquery.ts
@@ -62,6 +62,7 @@
     acknowledgeAt: at + ACKNOWLEDGE_AFTER_MS,
     rank: subquery.rank ?? classRank(undefined, priorityOf(state, subquery.route)),
     tenant: undefined,
+    isCallerReplaced: false,
   });
 };
 
--- a/src/gateway/requests/finish.ts
+++ b/src/gateway/requests/finish.ts
@@ -93,17 +93,30 @@
   ];
 };
 
+const describeVersion = ({ inForce }: GatewayState, at: number) => ({
+  version: inForce?.configuration.version ?? 0,
+  versionAgeMs: Math.round(at - (inForce?.since ?? at)),
+});
+
 const describeNoRoute = (
-  { inForce }: GatewayState,
+  state: GatewayState,
   { host, path }: RequestReceived['request'],
   at: number,
-): NonNullable<AnswerDecision['noRoute']> => ({
-  host,
-  path,
-  version: inForce?.configuration.version ?? 0,
-  versionAgeMs: Math.round(at - (inForce?.since ?? at)),
+): NonNullable<AnswerDecision['noRoute']> => ({ host, path, ...describeVersion(state, at) });
+
+const describeRefusedKey = (
+  state: GatewayState,
+  { host, path, keyDigests = [] }: RequestReceived['request'],
+  at: number,
+): NonNullable<AnswerDecision['refusedKey']> => ({
+  route: state.inForce?.table.find(host, path)?.name ?? '',
+  keys: keyDigests.length,
+  ...describeVersion(state, at),
 });
 
+const isKeyRefusal = (reason: RefusalReason): boolean =>
+  reason === 'key-missing' || reason === 'key-unknown';
+
 const describeBlock = (
   { crashes }: GatewayState,
   { fingerprint }: RequestReceived['request'],
@@ -135,6 +148,7 @@
     reason,
     mayHaveRun: false,
     ...(reason === 'no-route' && { noRoute: describeNoRoute(state, request, at) }),
+    ...(isKeyRefusal(reason) && { refusedKey: describeRefusedKey(state, request, at) }),
     ...(reason === 'crashes-replicas' && { blocked: describeBlock(state, request, at) }),
     missing: [],
     objectiveMs: 0,
--- a/src/gateway/requests/request-state.ts
+++ b/src/gateway/requests/request-state.ts
@@ -84,6 +84,8 @@
   readonly rank: ClassRank;
   /** Name of the caller's tenant; undefined if it has none, and at feeders. */
   readonly tenant: string | undefined;
+  /** The headers that identify the caller are not passed on as received, so that a feeder cannot compute the fingerprint. */
+  readonly isCallerReplaced: boolean;
   readonly legs: readonly Leg[];
   readonly receivedAt: number;
   /** When the final answer is due, complete or not. */
@@ -186,6 +188,7 @@
   | 'acknowledgeAt'
   | 'rank'
   | 'tenant'
+  | 'isCallerReplaced'
 >;
 
 /** Creates a request for which nothing has been sent yet. */
--- a/src/gateway/requests/send-legs.ts
+++ b/src/gateway/requests/send-legs.ts
@@ -74,7 +74,16 @@
   Math.max(MIN_ACKNOWLEDGE_MS, objectiveMs * ACKNOWLEDGE_SHARE, overdueAfterMs(feederDelay));
 
 const createSubquery = (
-  { request, route, objectiveAt, deadlineAt, isTrial, tenant, rank }: ActiveRequest,
+  {
+    request,
+    route,
+    objectiveAt,
+    deadlineAt,
+    isTrial,
+    tenant,
+    isCallerReplaced,
+    rank,
+  }: ActiveRequest,
   { maxRecords }: GatherTarget,
   legs: readonly Leg[],
   isRepeat: boolean,
@@ -90,7 +99,8 @@
   isRepeat,
   ...(route.allowedRegions !== undefined && { allowedRegions: route.allowedRegions }),
   ...(isTrial && { isTrial }),
-  ...(tenant !== undefined && { rank, fingerprint: request.fingerprint }),
+  ...(tenant !== undefined && { rank }),
+  ...(isCallerReplaced && { fingerprint: request.fingerprint }),
 });
 
 const sendSubquery = (
--- a/src/gateway/runtime/caller-port.ts
+++ b/src/gateway/runtime/caller-port.ts
@@ -17,6 +17,7 @@
 import { formatResponse, type WireResponse } from './format-response.js';
 import type { GatewayEventSink } from './gateway-loop.js';
 import { findHeader, flattenHeaders, pairHeaders } from './headers.js';
+import { readKeyDigests } from './key-digest.js';
 import { isBodyless, readBody } from './read-body.js';
 import { readTarget } from './request-target.js';
 import { listenOn, takeOverPort } from './sockets.js';
@@ -182,6 +183,7 @@
     const isFirstOnConnection = !this.usedConnections.has(incoming.socket);
     this.usedConnections.add(incoming.socket);
     const budgetMs = Number(findHeader(headers, protocol.headers.timeBudget));
+    const keyDigests = excess === undefined ? readKeyDigests(headers, protocol.headers.apiKey) : [];
     sink.emit({
       type: 'request-received',
       at: clock.now(),
@@ -191,6 +193,7 @@
         fingerprint,
         host,
         path,
+        ...(keyDigests.length > 0 && { keyDigests }),
         ...(budgetMs > 0 && { budgetMs }),
         isFirstOnConnection,
         ...(excess !== undefined && { excess }),
--- a/src/gateway/runtime/caller-requests.ts
+++ b/src/gateway/runtime/caller-requests.ts
@@ -2,7 +2,7 @@
 import type { CallId, Fingerprint, Header } from '../model/request.js';
 import type { HeaderNames } from '../protocol/protocol.js';
 import { fingerprintOf } from './fingerprint.js';
-import { endToEndHeaders, flattenHeaders, pairHeaders } from './headers.js';
+import { endToEndHeaders, flattenHeaders, withoutHeaders } from './headers.js';
 
 /** A request as received from its caller. */
 export interface ReceivedRequest {
@@ -31,6 +31,9 @@
   readonly fingerprint: Fingerprint;
 }
 
+/** Returns a text as a header value: its bytes in UTF-8, one character for each byte. */
+const headerValueOf = (text: string): string => Buffer.from(text, 'utf8').toString('latin1');
+
 /** The requests in progress. */
 export class CallerRequests {
   private readonly requests = new Map<CallId, PendingRequest>();
@@ -39,11 +42,14 @@
   private readonly ownHeaders: ReadonlySet<string>;
   private readonly callerHeaders: readonly string[];
   private readonly tenantHeader: string;
+  /** Headers that are not passed on once the caller is known. */
+  private readonly replacedHeaders: ReadonlySet<string>;
 
   constructor({ timeBudget, targetInstance, caller, tenant }: HeaderNames) {
     this.ownHeaders = new Set([timeBudget, targetInstance, 'content-length', 'expect']);
     this.callerHeaders = caller;
     this.tenantHeader = tenant;
+    this.replacedHeaders = new Set([...caller, tenant]);
   }
 
   /** Adds a request of a caller and assigns its identifiers. */
@@ -74,10 +80,9 @@
     if (request === undefined) {
       return;
     }
-    const replaced = new Set([...this.callerHeaders, this.tenantHeader]);
-    const kept = endToEndHeaders(pairHeaders(request.passedHeaders), replaced);
-    const named = tenant === undefined ? [] : [{ name: this.tenantHeader, value: tenant }];
-    this.requests.set(call, { ...request, passedHeaders: flattenHeaders([...kept, ...named]) });
+    const kept = withoutHeaders(request.passedHeaders, this.replacedHeaders);
+    const named = tenant === undefined ? [] : [this.tenantHeader, headerValueOf(tenant)];
+    this.requests.set(call, { ...request, passedHeaders: [...kept, ...named] });
   }
 
   find(call: CallId): PendingRequest | undefined {
--- a/src/gateway/runtime/headers.ts
+++ b/src/gateway/runtime/headers.ts
@@ -43,6 +43,21 @@
   });
 };
 
+/** Returns a flat list of names and values without the headers in `removed`, whose names are in lower case. */
+export const withoutHeaders = (
+  flat: readonly string[],
+  removed: ReadonlySet<string>,
+): readonly string[] => {
+  const kept: string[] = [];
+  for (let index = 0; index + 1 < flat.length; index += 2) {
+    const [name = '', value = ''] = [flat[index], flat[index + 1]];
+    if (!removed.has(name.toLowerCase())) {
+      kept.push(name, value);
+    }
+  }
+  return kept;
+};
+
 /** Converts headers to a flat list of names and values. */
 export const flattenHeaders = (headers: readonly Header[]): string[] =>
   headers.flatMap(({ name, value }) => [name, value]);
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -24,6 +24,7 @@
 import type { SplitCursor } from './routing/split-cursor.js';
 import type { GatewaySettings } from './settings.js';
 import { type CollectionName, followedCollections } from './store/collection.js';
+import type { TenantDirectory } from './tenants/tenant-directory.js';
 import { type CollectionProgress, createCollectionProgress } from './store/follow-collection.js';
 import type { StoreEra } from './store/store-position.js';
 
@@ -39,6 +40,8 @@
   readonly table: RouteTable;
   /** Services that gathers name as shards. */
   readonly shards: ReadonlySet<string>;
+  /** Undefined if the configuration has no tenants. */
+  readonly tenants: TenantDirectory | undefined;
   readonly since: number;
 }
 
--- a/src/gateway/store/apply-objects.ts
+++ b/src/gateway/store/apply-objects.ts
@@ -9,7 +9,8 @@
 import { RouteTable } from '../routing/route-table.js';
 import type { Departure } from '../returns/restore-state.js';
 import { applyReplicaCrash } from '../requests/broken-attempts.js';
-import type { GatewayState } from '../state.js';
+import type { ConfigurationInForce, GatewayState } from '../state.js';
+import { TenantDirectory } from '../tenants/tenant-directory.js';
 import type { CollectionName } from './collection.js';
 import { logReplicaChanges, type ReplicaChange } from './log-replica-changes.js';
 import { logUnreadable } from './log-unreadable.js';
@@ -34,6 +35,17 @@
   }
 };
 
+const putInForce = (configuration: GatewayConfiguration, at: number): ConfigurationInForce => {
+  const { routes, tenants } = configuration;
+  return {
+    configuration,
+    table: new RouteTable(routes),
+    shards: shardsOf(routes),
+    tenants: tenants === undefined ? undefined : new TenantDirectory(tenants),
+    since: at,
+  };
+};
+
 /** Puts a configuration into force if its version is higher than that of the current one. */
 const applyConfiguration = (
   state: GatewayState,
@@ -54,8 +66,7 @@
     from,
     ...(Number.isFinite(confirmedAt) && { unconfirmedMs: Math.round(at - confirmedAt) }),
   };
-  const shards = shardsOf(configuration.routes);
-  state.inForce = { configuration, table: new RouteTable(configuration.routes), shards, since: at };
+  state.inForce = putInForce(configuration, at);
   removeUnusedRouteState(state, configuration);
   return [
     { type: 'apply-limits', limits: configuration.limits },
--- a/src/gateway/tenants/caller-identity.ts
+++ b/src/gateway/tenants/caller-identity.ts
@@ -16,7 +16,23 @@
 
 /** Identifies the caller of a request on `route` by the configuration in force. */
 export const identifyCaller = (
-  _inForce: ConfigurationInForce,
-  _route: Route,
-  _request: CallerRequest,
-): CallerIdentity => ({ type: 'unrestricted' });
+  { tenants }: Pick<ConfigurationInForce, 'tenants'>,
+  { anonymous }: Pick<Route, 'anonymous'>,
+  { keyDigests = [] }: Pick<CallerRequest, 'keyDigests'>,
+): CallerIdentity => {
+  if (tenants === undefined) {
+    return { type: 'unrestricted' };
+  }
+  if (anonymous === true) {
+    return { type: 'anonymous' };
+  }
+  const [first, ...others] = keyDigests;
+  if (first === undefined) {
+    return { type: 'rejected', reason: 'key-missing' };
+  }
+  const isAmbiguous = others.some((digest) => digest !== first);
+  const tenant = isAmbiguous ? undefined : tenants.find(first);
+  return tenant === undefined
+    ? { type: 'rejected', reason: 'key-unknown' }
+    : { type: 'tenant', tenant };
+};
--- a/test/gateway/virtual-gateway.ts
+++ b/test/gateway/virtual-gateway.ts
@@ -4,6 +4,7 @@
 import type { PeerRecord } from '../../src/gateway/model/peer-record.js';
 import type { ReplicaRecord } from '../../src/gateway/model/replica-record.js';
 import type { Subquery } from '../../src/gateway/model/subquery.js';
+import type { KeyDigest, Tenant } from '../../src/gateway/model/tenant.js';
 import {
   type GatewayConfiguration,
   type Route,
@@ -113,6 +114,7 @@
     routes: readonly Route[],
     maxConnections = 32,
     coldRequestsPerSecond?: number,
+    tenants?: readonly Tenant[],
   ): void {
     const policy = {
       maxConnections,
@@ -127,6 +129,7 @@
           .map((name) => [name, { name, ...policy }]),
       ),
       limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+      ...(tenants !== undefined && { tenants }),
     };
     this.emit({
       type: 'page-read',
@@ -204,7 +207,12 @@
   }
 
   /** Emits a caller's request; each has a fingerprint of its own unless one is given. */
-  request(budgetMs = 900, isFirstOnConnection = false, fingerprint?: string): CallId {
+  request(
+    budgetMs = 900,
+    isFirstOnConnection = false,
+    fingerprint?: string,
+    keyDigests?: readonly KeyDigest[],
+  ): CallId {
     const call = this.nextCall;
     this.nextCall += 1;
     const requestId = `r-${call}`;
@@ -215,6 +223,7 @@
       path: '/x',
       budgetMs,
       isFirstOnConnection,
+      ...(keyDigests !== undefined && { keyDigests }),
     };
     this.emit({ type: 'request-received', at: this.now, call, request });
     return call;
