Explain refusals of API keys

Cause: `crossroad explain` printed only the reason of such a refusal. Change: it names the route, the version in force and its age, and tells missing, unknown and several different keys apart. Result: explain tests pass.

--- a/src/gateway/explain/find-cause.ts
+++ b/src/gateway/explain/find-cause.ts
@@ -61,6 +61,23 @@
 }: NonNullable<LineOf<'request-answered'>['noRoute']>): string =>
   `refused: no route of version ${version}, in force for ${versionAgeMs} ms, matches ${host}${path}`;
 
+const describeRefusedKey = ({
+  route,
+  keys,
+  version,
+  versionAgeMs,
+}: NonNullable<LineOf<'request-answered'>['refusedKey']>): string => {
+  const inForce = `version ${version}, in force for ${versionAgeMs} ms`;
+  switch (keys) {
+    case 0:
+      return `refused: the request has no API key, and ${inForce}, requires one on route ${route}`;
+    case 1:
+      return `refused: no tenant of ${inForce}, holds the API key of the request on route ${route}`;
+    default:
+      return `refused: the request on route ${route} has several different API keys; ${inForce}`;
+  }
+};
+
 const describeBlock = ({
   fingerprint,
   rounds,
@@ -87,6 +104,9 @@
       if (answer.noRoute !== undefined) {
         return describeNoRoute(answer.noRoute);
       }
+      if (answer.refusedKey !== undefined) {
+        return describeRefusedKey(answer.refusedKey);
+      }
       if (answer.blocked !== undefined) {
         return describeBlock(answer.blocked);
       }
--- a/test/gateway/explain.test.ts
+++ b/test/gateway/explain.test.ts
@@ -53,6 +53,27 @@
     expect(explain([sent(1, 'a'), denied, refused])).toContain('denied by the retry budget');
   });
 
+  it.each([
+    [
+      0,
+      'key-missing',
+      'refused: the request has no API key, and version 7, in force for 2400 ms, requires one on route desk',
+    ],
+    [
+      1,
+      'key-unknown',
+      'refused: no tenant of version 7, in force for 2400 ms, holds the API key of the request on route desk',
+    ],
+    [
+      2,
+      'key-unknown',
+      'refused: the request on route desk has several different API keys; version 7, in force for 2400 ms',
+    ],
+  ])('names the version that refused a request with %i keys', (keys, reason, cause) => {
+    const refusedKey = { route: 'desk', keys, version: 7, versionAgeMs: 2_400 };
+    expect(explain([answered({ outcome: 'refused', reason, refusedKey })])).toBe(cause);
+  });
+
   it('names the target that matches no route, and the age of the version in force', () => {
     const noRoute = { host: 'shop.example', path: '/none/x', version: 7, versionAgeMs: 2_400 };
     const refused = answered({ outcome: 'refused', reason: 'no-route', noRoute });
