Take the tenants of a version that came without them

Cause: a reader of an earlier build ignores the tenants of the configuration that it reads and sends on. A follower of this build that got version N from it admitted every request until version N + 1, also after all readers were upgraded. Change: a configuration of the same version that has tenants replaces one without them, and readers send it on.

--- a/src/gateway/store/apply-objects.ts
+++ b/src/gateway/store/apply-objects.ts
@@ -3,15 +3,14 @@
 import type { StateChange, ReplicaState } from '../log/log-event.js';
 import type { Evacuation } from '../model/evacuation.js';
 import type { PeerRecord } from '../model/peer-record.js';
-import { type GatewayConfiguration, shardsOf } from '../model/route.js';
+import type { GatewayConfiguration } from '../model/route.js';
 import { isOtherIncarnation, type ReplicaRecord } from '../model/replica-record.js';
 import type { Replica } from '../replicas/replica.js';
-import { RouteTable } from '../routing/route-table.js';
 import type { Departure } from '../returns/restore-state.js';
 import { applyReplicaCrash } from '../requests/broken-attempts.js';
-import type { ConfigurationInForce, GatewayState } from '../state.js';
-import { TenantDirectory } from '../tenants/tenant-directory.js';
+import type { GatewayState } from '../state.js';
 import type { CollectionName } from './collection.js';
+import { createInForce, isNewConfiguration } from './configuration-in-force.js';
 import { logReplicaChanges, type ReplicaChange } from './log-replica-changes.js';
 import { logUnreadable } from './log-unreadable.js';
 import type { Stored, StoreObjects } from './store-objects.js';
@@ -35,28 +34,17 @@
   }
 };
 
-const putInForce = (configuration: GatewayConfiguration, at: number): ConfigurationInForce => {
-  const { routes, tenants } = configuration;
-  return {
-    configuration,
-    table: new RouteTable(routes),
-    shards: shardsOf(routes),
-    tenants: tenants === undefined ? undefined : new TenantDirectory(tenants),
-    since: at,
-  };
-};
-
-/** Puts a configuration into force if its version is higher than that of the current one. */
+/** Puts a configuration into force if it replaces the current one. */
 const applyConfiguration = (
   state: GatewayState,
   configuration: GatewayConfiguration,
   at: number,
   from: string,
 ): GatewayEffect[] => {
-  const previous = state.inForce?.configuration.version;
-  if (previous !== undefined && configuration.version <= previous) {
+  if (!isNewConfiguration(configuration, state.inForce)) {
     return [];
   }
+  const previous = state.inForce?.configuration.version;
   const { confirmedAt } = state.collections.configuration;
   const change: StateChange = {
     event: 'configuration-in-force',
@@ -66,7 +54,7 @@
     from,
     ...(Number.isFinite(confirmedAt) && { unconfirmedMs: Math.round(at - confirmedAt) }),
   };
-  state.inForce = putInForce(configuration, at);
+  state.inForce = createInForce(configuration, at);
   removeUnusedRouteState(state, configuration);
   return [
     { type: 'apply-limits', limits: configuration.limits },
--- a/src/gateway/store/list-changes.ts
+++ b/src/gateway/store/list-changes.ts
@@ -6,6 +6,7 @@
 import { isSameReplicaRecord, type ReplicaRecord } from '../model/replica-record.js';
 import type { GatewayState } from '../state.js';
 import type { CollectionName } from './collection.js';
+import { isNewConfiguration } from './configuration-in-force.js';
 import type { Stored, StoreObjects } from './store-objects.js';
 
 const isReplicaChanged = (
@@ -44,10 +45,12 @@
 
 const differingNames = (state: GatewayState, read: StoreObjects): readonly string[] => {
   switch (read.collection) {
-    case 'configuration': {
-      const { version = Number.NEGATIVE_INFINITY } = state.inForce?.configuration ?? {};
-      return namesOf(read.objects.filter(({ value }) => (value?.version ?? version) > version));
-    }
+    case 'configuration':
+      return namesOf(
+        read.objects.filter(
+          ({ value }) => value !== undefined && isNewConfiguration(value, state.inForce),
+        ),
+      );
     case 'replicas':
       return read.objects
         .filter((object) => isReplicaChanged(state, object))
--- a/src/gateway/tenants/tenant-directory.ts
+++ b/src/gateway/tenants/tenant-directory.ts
@@ -3,12 +3,12 @@
 
 /** The tenants of one configuration version, indexed by the digests of their keys. */
 export class TenantDirectory {
-  private readonly byKey: ReadonlyMap<KeyDigest, Tenant>;
+  private readonly byKey = new Map<KeyDigest, Tenant>();
 
   constructor(tenants: readonly Tenant[]) {
-    this.byKey = new Map(
-      tenants.flatMap((tenant) => tenant.keyDigests.map((digest) => [digest, tenant] as const)),
-    );
+    for (const tenant of tenants) {
+      tenant.keyDigests.forEach((digest) => this.byKey.set(digest, tenant));
+    }
   }
 
   /** Returns the tenant that holds a key; undefined if none does. */
--- a/test/gateway/caller-identity.test.ts
+++ b/test/gateway/caller-identity.test.ts
@@ -92,6 +92,15 @@
     expect(refusalOf(gateway, requestWith(gateway, ['k5']))).toBeUndefined();
   });
 
+  it('needs a key once a version that came without its tenants comes with them', () => {
+    const gateway = gatewayWith(undefined);
+    expect(refusalOf(gateway, requestWith(gateway))).toBeUndefined();
+    configure(gateway, 1, [tenant('bulk', ['k1'])]);
+    expect(refusalOf(gateway, requestWith(gateway))).toBe('key-missing');
+    gateway.configure(1, [KEYED]);
+    expect(refusalOf(gateway, requestWith(gateway))).toBe('key-missing');
+  });
+
   it('is refused on every keyed route by an empty list of tenants', () => {
     const gateway = gatewayWith([]);
     expect(refusalOf(gateway, requestWith(gateway, ['k1']))).toBe('key-unknown');
