Pass Authorization on to services where tenants are configured

Cause: the header was removed together with the API key, although only the key must not reach replicas. Change: setCaller replaces the API key and the tenant header only. Result: caller-requests.test.ts passes with a case that failed before.

--- a/src/gateway/runtime/caller-requests.ts
+++ b/src/gateway/runtime/caller-requests.ts
@@ -45,11 +45,11 @@
   /** Headers that are not passed on once the caller is known. */
   private readonly replacedHeaders: ReadonlySet<string>;
 
-  constructor({ timeBudget, targetInstance, caller, tenant }: HeaderNames) {
+  constructor({ timeBudget, targetInstance, caller, apiKey, tenant }: HeaderNames) {
     this.ownHeaders = new Set([timeBudget, targetInstance, 'content-length', 'expect']);
     this.callerHeaders = caller;
     this.tenantHeader = tenant;
-    this.replacedHeaders = new Set([...caller, tenant]);
+    this.replacedHeaders = new Set([apiKey, tenant]);
   }
 
   /** Adds a request of a caller and assigns its identifiers. */
--- a/test/gateway/caller-requests.test.ts
+++ b/test/gateway/caller-requests.test.ts
@@ -28,6 +28,12 @@
     expect(passedOn(call)).toEqual([...kept, 'x-tenant', 'bulk']);
   });
 
+  it('leaves credentials other than the API key to the services', () => {
+    const call = add('Authorization', 'Bearer t', 'Api-Key', 'k');
+    requests.setCaller(call, 'bulk');
+    expect(passedOn(call)).toEqual(['Authorization', 'Bearer t', 'x-tenant', 'bulk']);
+  });
+
   it('is passed on if the caller lists the header as a hop-by-hop one', () => {
     const call = add('Connection', 'x-tenant, api-key', 'X-Tenant', 'other', 'Api-Key', 'k');
     requests.setCaller(call, 'bulk');
