The margin before the objective of a gather follows the delays of the process

Cause: a gather with missing parts is answered 13 ms before its objective (20 ms on a new connection), whatever the delays of the process, so that the answers of a busy process arrive late. Change: the lateness of the timers of all requests and subqueries is counted in a decaying histogram of 64 buckets, and the handover of a gather's answer to its connection by route (effect answer-caller with `handover`, event answer-sent). The margin is the path to the caller and back, the median lateness for reading the request, the 95th percentile for the timer, and the handover. The delays are bounded to 7 to 40 ms, the margin to 0.3 of the objective. The fixed margin stays until 50 timers were measured. Gauge answer_margin_seconds.

--- a/src/gateway/effect.ts
+++ b/src/gateway/effect.ts
@@ -1,6 +1,7 @@
 /** All effects that the gateway's reducer requests from its driver. Effects are plain data. */
 import type { CrashUpdate } from './crashes/crash-update.js';
 import type { StateChange, TracedDecision, TraceReason } from './log/log-event.js';
+import type { Handover } from './model/answer-timing.js';
 import type { CallerLimits, GatewayConfiguration } from './model/route.js';
 import type { PeerRecord } from './model/peer-record.js';
 import type { Subquery, SubqueryId, SubqueryPart } from './model/subquery.js';
@@ -122,6 +123,8 @@
   readonly response: CallerResponse;
   /** The caller's connection is closed after the answer. */
   readonly closeConnection: boolean;
+  /** Present if the handover is measured; results in `answer-sent`. */
+  readonly handover?: Handover;
 }
 
 /**
--- a/src/gateway/event.ts
+++ b/src/gateway/event.ts
@@ -3,6 +3,7 @@
  * process; the reducer reads no other clock.
  */
 import type { CrashUpdate } from './crashes/crash-update.js';
+import type { Handover } from './model/answer-timing.js';
 import type { GatewayConfiguration } from './model/route.js';
 import type {
   PeerAnswer,
@@ -81,6 +82,13 @@
   readonly call: CallId;
 }
 
+/** An answer was written to its caller's connection. */
+export interface AnswerSent {
+  readonly type: 'answer-sent';
+  readonly at: number;
+  readonly handover: Handover;
+}
+
 /** An attempt at a replica has ended. */
 export interface AttemptEnded {
   readonly type: 'attempt-ended';
@@ -316,6 +324,7 @@
   | RequestReceived
   | UnreadableRefused
   | CallerLeft
+  | AnswerSent
   | AttemptEnded
   | ReplicaChecked
   | CrashUpdatesDue
--- a/src/gateway/metrics/gateway-metrics.ts
+++ b/src/gateway/metrics/gateway-metrics.ts
@@ -1,4 +1,5 @@
 /** All metrics of a gateway: its counters and histograms, and gauges of its state. */
+import { processMarginMs } from '../requests/answer-delays.js';
 import type { GatewayState } from '../state.js';
 import { confirmedAt } from '../store/confirmation.js';
 import { GaugeMetric, type Metric } from './metric-series.js';
@@ -29,6 +30,11 @@
     () => state.crashes.histories.blockedCount,
   ),
   gauge('gateways_listed', 'Gateways that share budgets.', () => state.gateways),
+  gauge(
+    'answer_margin_seconds',
+    'Time reserved for delays of this process before the objective of a gather; 0 until enough delays were measured.',
+    () => (processMarginMs(state.answerDelays, '') ?? 0) / MS_PER_SECOND,
+  ),
   gauge('ready', '1 while new callers are wanted.', () => Number(state.ready)),
   gauge('store_reachable', '1 while the store answers.', () => Number(state.store.reachable)),
   gauge(
--- a/src/gateway/reducer.ts
+++ b/src/gateway/reducer.ts
@@ -41,6 +41,7 @@
   handleRequestDue,
   handleAttemptEnded,
 } from './requests/attempt-result.js';
+import { recordHandover } from './requests/answer-delays.js';
 import { finishPauseRecovery, handleProcessPaused } from './process-pause.js';
 import type { GatewayState } from './state.js';
 import {
@@ -113,6 +114,10 @@
     .with({ type: 'request-received' }, (received) => handleRequestReceived(state, received))
     .with({ type: 'unreadable-refused' }, (refused) => handleUnreadableRefused(state, refused))
     .with({ type: 'caller-left' }, (left) => handleCallerLeft(state, left))
+    .with({ type: 'answer-sent' }, ({ handover, at }) => {
+      recordHandover(state.answerDelays, handover.route, at - handover.decidedAt);
+      return [];
+    })
     .with({ type: 'attempt-ended' }, (ended) => handleAttemptEnded(state, ended))
     .with({ type: 'replica-checked' }, (checked) => handleReplicaChecked(state, checked))
     .with({ type: 'crash-updates-due' }, (due) => handleCrashUpdatesDue(state, due))
--- a/src/gateway/requests/accept-request.ts
+++ b/src/gateway/requests/accept-request.ts
@@ -14,6 +14,7 @@
 import { classRank } from '../scheduling/class-rank.js';
 import { type ConfigurationInForce, type GatewayState, canServe } from '../state.js';
 import { type CallerIdentity, identifyCaller } from '../tenants/caller-identity.js';
+import { answerMarginMs } from './answer-delays.js';
 import { refuseCall } from './finish.js';
 import { pausedUntil } from './guard.js';
 import { holdRequest } from './hold-request.js';
@@ -23,15 +24,6 @@
 import { createRouteLatency, hedgeDelay } from './route-latency.js';
 import { progressRequest } from './progress.js';
 
-/** Part of the objective reserved for the network path to the caller and for scheduling delays, in milliseconds. */
-const OBJECTIVE_MARGIN_MS = 13;
-
-/** Additional margin, in milliseconds: a caller that opened a connection for the request waited one more round trip. */
-const CONNECT_MARGIN_MS = 7;
-
-/** Largest share of an objective that the margin may take. */
-const MAX_MARGIN_SHARE = 0.3;
-
 /** Part of the caller's timeout reserved for the network path back, in milliseconds. */
 const DEADLINE_MARGIN_MS = 10;
 
@@ -66,9 +58,8 @@
   const tenant = tenantOf(identity);
   const legs = createLegs(state, route);
   const callerWaitMs = (request.budgetMs ?? route.timeoutMs) - DEADLINE_MARGIN_MS;
-  const connectMs = request.isFirstOnConnection === true ? CONNECT_MARGIN_MS : 0;
-  const fullMargin = OBJECTIVE_MARGIN_MS + connectMs;
-  const margin = Math.min(fullMargin, route.objectiveMs * MAX_MARGIN_SHARE);
+  const isFirst = request.isFirstOnConnection === true;
+  const margin = answerMarginMs(state.answerDelays, route, isFirst);
   const latency = state.latencies.get(route.name) ?? createRouteLatency(route);
   return createActiveRequest({
     call,
--- a/src/gateway/requests/attempt-result.ts
+++ b/src/gateway/requests/attempt-result.ts
@@ -5,6 +5,7 @@
 import { recordDecision, writeTrace } from '../log/trace.js';
 import type { AttemptProblem, AttemptResult } from '../model/request.js';
 import type { GatewayState } from '../state.js';
+import { recordTimer } from './answer-delays.js';
 import { recordRunEnd, progressHeldRequests } from './broken-attempts.js';
 import { abortLeg, giveUpAttempts, LINGER_MS } from './give-up-attempts.js';
 import { FIRST_FAILURE_STATUS, isUsable } from './usable-answer.js';
@@ -123,6 +124,7 @@
   { call, at }: RequestDue,
 ): GatewayEffect[] => {
   const request = state.requests.get(call);
+  recordTimer(state.answerDelays, request?.timerAt, at);
   return request === undefined
     ? refuseHeldRequest(state, call, at)
     : progressRequest(state, request, at);
--- a/src/gateway/requests/finish.ts
+++ b/src/gateway/requests/finish.ts
@@ -5,6 +5,7 @@
 import type { RequestReceived } from '../event.js';
 import type { Decision } from '../log/log-event.js';
 import { recordDecision, writeTrace } from '../log/trace.js';
+import type { Handover } from '../model/answer-timing.js';
 import type { CallerResponse, CallId, MergedAnswer, RefusalReason } from '../model/request.js';
 import type { GatewayState } from '../state.js';
 import { FIRST_FAILURE_STATUS } from './usable-answer.js';
@@ -28,11 +29,13 @@
   call: CallId,
   response: CallerResponse,
   isFullyRead = true,
+  handover?: Handover,
 ): GatewayEffect => ({
   type: 'answer-caller',
   call,
   response,
   closeConnection: state.phase === 'stopping' || !isFullyRead,
+  ...(handover !== undefined && { handover }),
 });
 
 const missingShards = ({ legs }: ActiveRequest): readonly string[] =>
@@ -73,6 +76,13 @@
   counters.requestDuration.observe(elapsedMs / MS_PER_SECOND, route.name);
 };
 
+/** Only the handover of gathers is measured, since only these are answered at a margin before their objective. */
+const handoverOf = (
+  { route }: ActiveRequest,
+  { type }: CallerResponse,
+  at: number,
+): Handover | undefined => (type === 'merged' ? { route: route.name, decidedAt: at } : undefined);
+
 /** Ends a request with `response`. */
 export const finishRequest = (
   state: GatewayState,
@@ -87,7 +97,7 @@
   const failed = !isSuccessful(decision) || at > request.objectiveAt + LATE_MS;
   return [
     ...recordInconclusive(state, request, at),
-    answerCall(state, request.call, response),
+    answerCall(state, request.call, response, true, handoverOf(request, response, at)),
     ...giveUpAttempts(state, request, LINGER_MS, at),
     ...writeTrace(request.request.requestId, request.decisions, failed),
   ];
--- a/src/gateway/runtime/start-gateway.ts
+++ b/src/gateway/runtime/start-gateway.ts
@@ -145,8 +145,7 @@
       case 'abort-attempt':
         return this.replicas.abort(effect.attempt, effect.withinMs);
       case 'answer-caller':
-        this.timers.cancel(effect.call);
-        return this.callers.answer(effect);
+        return this.answerCaller(effect);
       case 'set-request-timer':
         return this.timers.set(effect.call, effect.at);
       default:
@@ -210,6 +209,15 @@
       .exhaustive();
   }
 
+  private answerCaller(effect: AnswerCaller): void {
+    this.timers.cancel(effect.call);
+    this.callers.answer(effect);
+    const { handover } = effect;
+    if (handover !== undefined) {
+      this.loop.emit({ type: 'answer-sent', at: this.clock.now(), handover });
+    }
+  }
+
   private callStore(call: StoreCall): void {
     this.state.counters.storeCalls.add(call.type);
     this.store.call(call);
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -17,6 +17,7 @@
 import { createRestoreState, type RestoreState } from './returns/restore-state.js';
 import { ReplicaDirectory } from './replicas/directory.js';
 import type { ActiveAttempt, ActiveRequest } from './requests/request-state.js';
+import { type AnswerDelays, createAnswerDelays } from './requests/answer-delays.js';
 import { createLegPauseOutcomes, type LegPauseOutcomes } from './requests/leg-pause-outcomes.js';
 import type { RouteLatency } from './requests/route-latency.js';
 import type { UnreadableLog } from './requests/unreadable-log.js';
@@ -101,6 +102,8 @@
   connectedPlan: FeederPlan | undefined;
   /** Delay until the first message of a feeder about a subquery. */
   readonly feederDelay: DelayEstimate;
+  /** Delays of this process, for the margin before the objective of a gather. */
+  readonly answerDelays: AnswerDelays;
   readonly subqueries: Map<SubqueryId, CallId>;
   nextSubquery: SubqueryId;
   /** Identifier of the next request to another gateway. */
@@ -160,6 +163,7 @@
   feeders: undefined,
   connectedPlan: undefined,
   feederDelay: createDelayEstimate(),
+  answerDelays: createAnswerDelays(),
   subqueries: new Map(),
   nextSubquery: 1,
   nextPeerRequest: 1,
