Hedges of short objectives start while their answers are still useful

Cause: a feeder must send the parts of an alert (objective 57.6 ms) about 36 ms after it learns of it. Three rules sent second attempts too late for that: the latest hedge was a share of the objective (24 ms, 32 ms while most legs are open) whatever the usual latency; a hedge that was deferred because the other replica seemed slow was considered again only after a whole usual latency; one open leg of two counted as most legs. Change: the latest hedge is the time until the parts are due minus 1.3 usual latencies, not below 1.5 usual latencies, and never later than before. Deferred hedges are considered again after a quarter of the usual latency, at least 4 ms. A single open leg of several is not held back. Not measured under load. test/gateway/hedge-timing, parts-timing, feeders, requests, retry-budget and the tests of crashes pass.

--- a/src/gateway/requests/accept-request.ts
+++ b/src/gateway/requests/accept-request.ts
@@ -61,6 +61,7 @@
   const isFirst = request.isFirstOnConnection === true;
   const margin = answerMarginMs(state.answerDelays, route, isFirst);
   const latency = state.latencies.get(route.name) ?? createRouteLatency(route);
+  const objectiveAt = receivedAt + route.objectiveMs - margin;
   return createActiveRequest({
     call,
     origin: 'caller',
@@ -69,8 +70,8 @@
     legs,
     receivedAt,
     deadlineAt: receivedAt + Math.max(1, Math.min(route.timeoutMs, callerWaitMs)),
-    objectiveAt: receivedAt + route.objectiveMs - margin,
-    hedgeAt: at + hedgeDelay(latency, route),
+    objectiveAt,
+    hedgeAt: at + hedgeDelay(latency, route, objectiveAt - at),
     acknowledgeAt: undefined,
     rank: classRank(tenant?.priority, route.priority),
     tenant: tenant?.name,
--- a/src/gateway/requests/accept-subquery.ts
+++ b/src/gateway/requests/accept-subquery.ts
@@ -58,7 +58,7 @@
     receivedAt: at,
     deadlineAt: at + subquery.deadlineMs,
     objectiveAt: at + subquery.partsWithinMs,
-    hedgeAt: at + hedgeDelay(latency, route),
+    hedgeAt: at + hedgeDelay(latency, route, subquery.partsWithinMs),
     acknowledgeAt: at + ACKNOWLEDGE_AFTER_MS,
     rank: subquery.rank ?? classRank(undefined, priorityOf(state, subquery.route)),
     tenant: undefined,
--- a/src/gateway/requests/hedge-legs.ts
+++ b/src/gateway/requests/hedge-legs.ts
@@ -5,22 +5,33 @@
 import { latencyOf, sendAttempt } from './attempts.js';
 import { guardOf } from './guard.js';
 import type { ActiveAttempt, ActiveRequest, Leg } from './request-state.js';
+import { latestUsefulHedge } from './route-latency.js';
 
 /**
  * Hedging is postponed while more than this share of the legs is open. The condition is evaluated again after each step,
- * in milliseconds, until this share of the objective has passed.
+ * in milliseconds, until this share of the objective has passed, or until a hedge would be too late.
  */
 const MAX_OPEN_SHARE = 0.4;
 const HEDGE_RECHECK_MS = 4;
 const LATEST_HEDGE_SHARE = 0.55;
 
+/**
+ * Time after which a deferred hedge is considered again, in usual latencies. After a whole usual latency, the second attempt of
+ * an alert was sent too late to be answered in time.
+ */
+const DEFERRED_RECHECK_RATIO = 0.25;
+
 /**
  * Whether hedging should wait. While most legs are open, the delay is here or in the network, and doubling all of them
  * would add to it; hedging waits until individual legs are slow.
  */
-const shouldWaitToHedge = (request: ActiveRequest, at: number): boolean => {
-  const isMostlyOpen = request.openLegs > request.legs.length * MAX_OPEN_SHARE;
-  const latest = request.receivedAt + request.route.objectiveMs * LATEST_HEDGE_SHARE;
+const shouldWaitToHedge = (state: GatewayState, request: ActiveRequest, at: number): boolean => {
+  const { receivedAt, objectiveAt, route } = request;
+  // A single open leg of two or more is slow by itself.
+  const maxOpen = Math.max(1, request.legs.length * MAX_OPEN_SHARE);
+  const isMostlyOpen = request.openLegs > maxOpen;
+  const useful = latestUsefulHedge(latencyOf(state, request), objectiveAt - receivedAt);
+  const latest = receivedAt + Math.min(route.objectiveMs * LATEST_HEDGE_SHARE, useful);
   return request.legs.length > 1 && isMostlyOpen && at < latest;
 };
 
@@ -87,7 +98,7 @@
   request: ActiveRequest,
   at: number,
 ): GatewayEffect[] => {
-  if (shouldWaitToHedge(request, at)) {
+  if (shouldWaitToHedge(state, request, at)) {
     request.hedgeAt = at + HEDGE_RECHECK_MS;
     return [];
   }
@@ -97,6 +108,7 @@
   }
   const hedges = request.legs.map((leg) => hedgeLeg(state, request, leg, at));
   request.hedged = !hedges.some(({ isDeferred }) => isDeferred);
-  request.hedgeAt = at + latencyOf(state, request).median;
+  const { median } = latencyOf(state, request);
+  request.hedgeAt = at + Math.max(HEDGE_RECHECK_MS, median * DEFERRED_RECHECK_RATIO);
   return hedges.flatMap(({ effects }) => effects);
 };
--- a/src/gateway/requests/parts-timing.ts
+++ b/src/gateway/requests/parts-timing.ts
@@ -85,6 +85,6 @@
   if (legs.some((leg) => leg.isReported && isAnswered(leg))) {
     return false;
   }
-  const hedgeAfterMs = hedgeDelay(latencyOf(state, request), route);
+  const hedgeAfterMs = hedgeDelay(latencyOf(state, request), route, objectiveAt - receivedAt);
   return legs.every((leg) => leg.outcome !== undefined || isStalled(state, leg, hedgeAfterMs, at));
 };
--- a/src/gateway/requests/route-latency.ts
+++ b/src/gateway/requests/route-latency.ts
@@ -23,6 +23,9 @@
 const EARLIEST_HEDGE_RATIO = 1.5;
 const LATEST_HEDGE_SHARE = 0.42;
 
+/** Usual latencies that an attempt needs to be answered in time with some certainty. */
+const HEDGE_ALLOWANCE_RATIO = 1.3;
+
 /** Number of samples required before the distribution is used. */
 const MIN_SAMPLES = 60;
 
@@ -50,9 +53,25 @@
   addRatio(latency.histogram, elapsedMs / latency.median);
 };
 
-/** Time after which a leg without an answer is hedged, in milliseconds. */
-export const hedgeDelay = (latency: RouteLatency, route: Route): number => {
-  const latest = route.objectiveMs * LATEST_HEDGE_SHARE;
+/**
+ * Latest time at which a second attempt can usually still be answered in time, in milliseconds since the request arrived. Not
+ * before an attempt of usual latency is answered: with so little time, most second attempts would be wasted.
+ *
+ * @param withinMs - time until the answer of an attempt is needed, in milliseconds since the request arrived
+ */
+export const latestUsefulHedge = ({ median }: RouteLatency, withinMs: number): number =>
+  Math.max(median * EARLIEST_HEDGE_RATIO, withinMs - median * HEDGE_ALLOWANCE_RATIO);
+
+/**
+ * Time after which a leg without an answer is hedged, in milliseconds.
+ *
+ * @param withinMs - time until the answer of an attempt is needed, in milliseconds since the request arrived
+ */
+export const hedgeDelay = (latency: RouteLatency, route: Route, withinMs: number): number => {
+  const latest = Math.min(
+    route.objectiveMs * LATEST_HEDGE_SHARE,
+    latestUsefulHedge(latency, withinMs),
+  );
   if (latency.samples < MIN_SAMPLES) {
     return latest;
   }
