--- a/src/gateway/requests/accept-subquery.ts
+++ b/src/gateway/requests/accept-subquery.ts
@@ -18,7 +18,7 @@
  * consider this feeder lost. Subqueries answered sooner are not acknowledged: each message costs processor time on
  * both sides.
  */
-const ACKNOWLEDGE_AFTER_MS = 12;
+export const ACKNOWLEDGE_AFTER_MS = 12;
 
 /** The route of a subquery: those properties of the gather's route that govern its attempts. */
 const routeOf = (subquery: Subquery): Route => ({
@@ -58,7 +58,7 @@
     receivedAt: at,
     deadlineAt: at + subquery.deadlineMs,
     objectiveAt: at + subquery.partsWithinMs,
-    hedgeAt: at + hedgeDelay(latency, route),
+    hedgeAt: at + hedgeDelay(latency, route, subquery.partsWithinMs),
     acknowledgeAt: at + ACKNOWLEDGE_AFTER_MS,
     rank: subquery.rank ?? classRank(undefined, priorityOf(state, subquery.route)),
     tenant: undefined,
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -17,7 +17,10 @@
 import { createRestoreState, type RestoreState } from './returns/restore-state.js';
 import { ReplicaDirectory } from './replicas/directory.js';
 import type { ActiveAttempt, ActiveRequest } from './requests/request-state.js';
+import { type AnswerDelays, createAnswerDelays } from './requests/answer-delays.js';
 import { createLegPauseOutcomes, type LegPauseOutcomes } from './requests/leg-pause-outcomes.js';
+import { createDelayHistogram, type DelayHistogram } from './requests/delay-histogram.js';
+import type { PartArrivals } from './requests/part-arrivals.js';
 import type { RouteLatency } from './requests/route-latency.js';
 import type { UnreadableLog } from './requests/unreadable-log.js';
 import type { RouteTable } from './routing/route-table.js';
@@ -104,6 +107,12 @@
   connectedPlan: FeederPlan | undefined;
   /** Delay until the first message of a feeder about a subquery. */
   readonly feederDelay: DelayEstimate;
+  /** Delays of this process, for the margin before the objective of a gather. */
+  readonly answerDelays: AnswerDelays;
+  /** When the parts of callers' gathers arrive, by route. */
+  readonly partArrivals: Map<string, PartArrivals>;
+  /** Round trips to feeders, for the margin before their parts are due. */
+  readonly feederRoundTrips: DelayHistogram;
   readonly subqueries: Map<SubqueryId, CallId>;
   nextSubquery: SubqueryId;
   /** Identifier of the next request to another gateway. */
@@ -163,6 +172,9 @@
   feeders: undefined,
   connectedPlan: undefined,
   feederDelay: createDelayEstimate(),
+  answerDelays: createAnswerDelays(),
+  partArrivals: new Map(),
+  feederRoundTrips: createDelayHistogram(),
   subqueries: new Map(),
   nextSubquery: 1,
   nextPeerRequest: 1,
