Find a route by name in constant time, and share the deadline heap

A feeder searched all routes for the priority of each subquery. RouteTable keeps an index by name. The heap of attempts by deadline moves from src/core/replica to src/core and accepts any queued item, so that the gateway can use it.

leg-queue, feeders and requests tests pass.

--- a/src/core/replica/leg-queue.ts
+++ b/src/core/replica/leg-queue.ts
@@ -1,6 +1,6 @@
 /** Queues of legs at a feeder for one replica; they determine the order in which legs are sent. */
 import type { PartnerId } from '../identifiers.js';
-import { DeadlineHeap } from './deadline-heap.js';
+import { DeadlineHeap } from '../deadline-heap.js';
 import type { HeldAttempt } from './state.js';
 
 /** A queue of attempts; it maintains `isQueued` of its attempts. */
@@ -44,7 +44,7 @@
 };
 
 interface RowQueue {
-  readonly heap: DeadlineHeap;
+  readonly heap: DeadlineHeap<HeldAttempt>;
   weight: number;
   /** Service received, divided by the weight, as in stride scheduling. */
   pass: number;
@@ -67,7 +67,7 @@
     known.weight = weight;
     return known;
   }
-  const created = { heap: new DeadlineHeap(), weight, pass: 0 };
+  const created = { heap: new DeadlineHeap<HeldAttempt>(), weight, pass: 0 };
   partnerQueue.rows.set(row, created);
   return created;
 };
--- a/src/gateway/requests/accept-subquery.ts
+++ b/src/gateway/requests/accept-subquery.ts
@@ -41,7 +41,7 @@
 
 /** The priority of the gather's route by the configuration in force here; the highest one if it has no such route. */
 const priorityOf = ({ inForce }: GatewayState, name: string): number =>
-  inForce?.configuration.routes.find((route) => route.name === name)?.priority ?? 0;
+  inForce?.table.named(name)?.priority ?? 0;
 
 const createRequest = (
   state: GatewayState,
--- a/src/gateway/routing/route-table.ts
+++ b/src/gateway/routing/route-table.ts
@@ -1,12 +1,14 @@
-/** Finds the route of a request by host and longest path prefix. */
+/** Finds the route of a request by host and longest path prefix, and the route of a subquery by name. */
 import type { Route } from '../model/route.js';
 
-/** The routes of one configuration version, indexed by host and path prefix. */
+/** The routes of one configuration version, indexed by host and path prefix, and by name. */
 export class RouteTable {
   private readonly byHost = new Map<string, Map<string, Route>>();
+  private readonly byName = new Map<string, Route>();
 
   constructor(routes: readonly Route[]) {
     for (const route of routes) {
+      this.byName.set(route.name, route);
       const host = route.host.toLowerCase();
       const prefixes = this.byHost.get(host) ?? new Map<string, Route>();
       this.byHost.set(host, prefixes);
@@ -14,6 +16,11 @@
     }
   }
 
+  /** Returns the route of this name; undefined if there is none. */
+  named(name: string): Route | undefined {
+    return this.byName.get(name);
+  }
+
   /** Returns the route of `host` with the longest prefix of `path`; undefined if none matches. */
   find(host: string, path: string): Route | undefined {
     const prefixes = this.byHost.get(hostWithoutPort(host));
