Let attempts wait at the feeder for room, most urgent class first

With several classes of routes or tenants, attempts beyond what replicas can run were queued at the replicas in order of arrival, so alerts waited behind searches. A feeder now limits its attempts at each replica of a fed shard (slots + 1 for the first feeder, 1 for others) and keeps the rest in a queue per shard: by class, then by whether the objective can still be met, then by deadline. Attempts that can no longer be answered are dropped and reported, so that no other feeder is asked. Feeders report the expected waits in parts while attempts wait; coordinators refuse gathers that cannot reach their minimum coverage (no-room).

--- a/src/gateway/effect.ts
+++ b/src/gateway/effect.ts
@@ -67,6 +67,12 @@
   readonly at: number;
 }
 
+/** Sets the timer that checks the queues of waiting attempts. */
+export interface SetSchedulingTimer {
+  readonly type: 'set-scheduling-timer';
+  readonly at: number;
+}
+
 /** Opens a connection to a replica before its first attempt. */
 export interface OpenConnection {
   readonly type: 'open-connection';
@@ -334,6 +340,7 @@
   | AnswerPeer
   | SetKeyConfirmationTimer
   | SetQuotasTimer
+  | SetSchedulingTimer
   | SetReadiness
   | ApplyLimits
   | CloseCallerPort
--- a/src/gateway/event.ts
+++ b/src/gateway/event.ts
@@ -301,6 +301,12 @@
   readonly at: number;
 }
 
+/** The timer that checks the queues of waiting attempts has expired. */
+export interface SchedulingDue {
+  readonly type: 'scheduling-due';
+  readonly at: number;
+}
+
 /** The next step of a stop is due. */
 export interface StopDue {
   readonly type: 'stop-due';
@@ -343,4 +349,5 @@
   | PeerRequestAnswered
   | KeyConfirmationDue
   | QuotasDue
+  | SchedulingDue
   | StopDue;
--- a/src/gateway/log/log-descriptions.ts
+++ b/src/gateway/log/log-descriptions.ts
@@ -10,6 +10,14 @@
   'attempt-crashed': 'The replica of an interrupted attempt has crashed.',
   'legs-held':
     'The request may have crashed replicas: it runs at one replica at a time until one answers.',
+  'attempt-waiting':
+    'The replicas of a shard have no room: the attempt waits at this feeder, behind those of more urgent classes.',
+  'attempt-dropped':
+    'An attempt that waited for room can no longer be answered before its deadline and was not started.',
+  'legs-dropped':
+    'A feeder dropped the attempts of some shards, which waited for room until it was too late; they are requested nowhere else.',
+  'room-lacking':
+    'Feeders report that too many shards have no room for a request of this class before its deadline; it is refused at once unless `isSent` is true.',
   'budget-denied': 'A further attempt was not sent: the retry budget of the service is exhausted.',
   'leg-paused':
     'All replicas refused the leg or could not be reached; it is retried after a pause.',
--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -64,6 +64,43 @@
       readonly crashes: number;
       readonly uncheckedBreaks: number;
     }
+  | {
+      readonly event: 'attempt-waiting';
+      readonly service: string;
+      readonly reason: AttemptReason;
+      readonly rank: number;
+      /** Attempts of this class and more urgent ones that wait already, all that wait, and the expected wait. */
+      readonly ahead: number;
+      readonly waiting: number;
+      readonly expectedMs: number;
+    }
+  | {
+      readonly event: 'attempt-dropped';
+      readonly service: string;
+      readonly rank: number;
+      readonly waitedMs: number;
+      /** Time left until the deadline, and the usual duration of an attempt. */
+      readonly leftMs: number;
+      readonly usualMs: number;
+    }
+  | {
+      readonly event: 'legs-dropped';
+      readonly subquery: SubqueryId;
+      readonly peer: string;
+      readonly shards: number;
+    }
+  | {
+      readonly event: 'room-lacking';
+      readonly rank: number;
+      /** Shards with a wait beyond the deadline, and the largest number of shards that may be missing. */
+      readonly shards: number;
+      readonly maxMissing: number;
+      /** The wait at the shard that decides, and the time that a replica has until the deadline. */
+      readonly waitMs: number;
+      readonly leftMs: number;
+      /** The gather was sent all the same. */
+      readonly isSent: boolean;
+    }
   | { readonly event: 'budget-denied'; readonly service: string; readonly left: number }
   | { readonly event: 'leg-paused'; readonly service: string; readonly forMs: number }
   | {
--- a/src/gateway/metrics/gateway-counters.ts
+++ b/src/gateway/metrics/gateway-counters.ts
@@ -34,6 +34,11 @@
     },
     LATENCY_BOUNDS_SECONDS,
   ),
+  droppedAttempts: new CounterMetric({
+    name: 'crossroad_gateway_dropped_attempts_total',
+    help: 'Attempts that waited for room until it was too late, by class (0 is the most urgent).',
+    labelNames: ['class'],
+  }),
   budgetDenials: new CounterMetric({
     name: 'crossroad_gateway_budget_denials_total',
     help: 'Further attempts that the retry budget of a service did not allow.',
--- a/src/gateway/metrics/gateway-metrics.ts
+++ b/src/gateway/metrics/gateway-metrics.ts
@@ -1,13 +1,25 @@
 /** All metrics of a gateway: its counters and histograms, and gauges of its state. */
+import { classLabel } from '../scheduling/class-rank.js';
 import type { GatewayState } from '../state.js';
 import { confirmedAt } from '../store/confirmation.js';
-import { GaugeMetric, type Metric } from './metric-series.js';
+import { GaugeMetric, LabeledGaugeMetric, type Metric } from './metric-series.js';
 
 const MS_PER_SECOND = 1_000;
 
 const gauge = (name: string, help: string, read: () => number): GaugeMetric =>
   new GaugeMetric({ name: `crossroad_gateway_${name}`, help, labelNames: [] }, read);
 
+const waitingByClass = ({ scheduling }: GatewayState): ReadonlyMap<string, number> => {
+  const counts = new Map<string, number>();
+  for (const queue of scheduling.queues.values()) {
+    for (const { rank, size } of queue.sizes()) {
+      const label = classLabel(rank);
+      counts.set(label, (counts.get(label) ?? 0) + size);
+    }
+  }
+  return counts;
+};
+
 /**
  * Lists the metrics of a gateway.
  *
@@ -22,6 +34,14 @@
   ...Object.values(state.counters),
   gauge('requests_active', 'Requests and subqueries in progress.', () => state.requests.size),
   gauge('attempts_active', 'Attempts that run at replicas.', () => state.attempts.size),
+  new LabeledGaugeMetric(
+    {
+      name: 'crossroad_gateway_attempts_waiting',
+      help: 'Attempts that wait at this feeder for room at replicas, by class (0 is the most urgent).',
+      labelNames: ['class'],
+    },
+    () => waitingByClass(state),
+  ),
   gauge('replicas_listed', 'Replicas that are known.', () => state.replicas.size),
   gauge(
     'requests_blocked',
--- a/src/gateway/metrics/metric-series.ts
+++ b/src/gateway/metrics/metric-series.ts
@@ -154,5 +154,24 @@
   }
 }
 
+/** Values with one label that are read when metrics are requested; the number of label values must be bounded. */
+export class LabeledGaugeMetric {
+  readonly type = 'gauge';
+
+  constructor(
+    readonly description: MetricDescription,
+    private readonly read: () => ReadonlyMap<string, number>,
+  ) {}
+
+  values(): readonly MetricValue[] {
+    const { name, labelNames } = this.description;
+    return [...this.read()].map(([label, value]) => ({
+      metricName: name,
+      labels: labelsOf(labelNames, [label]),
+      value,
+    }));
+  }
+}
+
 /** Any metric. */
-export type Metric = CounterMetric | HistogramMetric | GaugeMetric;
+export type Metric = CounterMetric | HistogramMetric | GaugeMetric | LabeledGaugeMetric;
--- a/src/gateway/model/route.ts
+++ b/src/gateway/model/route.ts
@@ -101,3 +101,10 @@
       return target.shards;
   }
 };
+
+/** Tolerance for rounding errors in coverage products such as 0.89 x 100. */
+const COVERAGE_EPSILON = 1e-9;
+
+/** Minimum number of shards for a success, at least 1. */
+export const minShards = ({ minCoverage, shards }: GatherTarget): number =>
+  Math.max(1, Math.ceil(minCoverage * shards.length - COVERAGE_EPSILON));
--- a/src/gateway/model/subquery.ts
+++ b/src/gateway/model/subquery.ts
@@ -39,6 +39,13 @@
   readonly signature: string;
 }
 
+/** Expected wait for room at a feeder. */
+export interface ShardWait {
+  readonly service: string;
+  readonly rank: ClassRank;
+  readonly waitMs: number;
+}
+
 /** Parts of one or more shards that a feeder sends in one message. */
 export interface SubqueryPart {
   readonly shards: readonly ShardPart[];
@@ -51,6 +58,13 @@
   readonly unsent?: readonly string[];
   /** The request has crashed replicas at this feeder, or is blocked there for that; absent if neither applies. */
   readonly hasCrashed?: boolean;
+  /**
+   * Shards for which the request waited for room until it was too late and was sent to no replica; absent if there are none.
+   * No other feeder should try.
+   */
+  readonly dropped?: readonly string[];
+  /** Expected waits of the classes at the shards of the subquery; absent while no attempt waits there. */
+  readonly waits?: readonly ShardWait[];
   /** The last message: shards that were not in any part have no answer. */
   readonly isFinal: boolean;
 }
--- a/src/gateway/peers/service-share.ts
+++ b/src/gateway/peers/service-share.ts
@@ -36,7 +36,8 @@
   return connections < MIN_DIRECT_CONNECTIONS || state.gateways > MAX_DIRECT_GATEWAYS;
 };
 
-const regionOf = (state: GatewayState, zone: string): string =>
+/** Region of a zone. */
+export const regionOf = (state: GatewayState, zone: string): string =>
   state.settings.zoneRegions[zone] ?? '';
 
 /** Number of listed replicas of the shards in each zone of this gateway's region. */
--- a/src/gateway/reducer.ts
+++ b/src/gateway/reducer.ts
@@ -41,6 +41,7 @@
   handleRequestDue,
   handleAttemptEnded,
 } from './requests/attempt-result.js';
+import { handleSchedulingDue, startWaiting } from './requests/start-waiting.js';
 import { finishPauseRecovery, handleProcessPaused } from './process-pause.js';
 import type { GatewayState } from './state.js';
 import {
@@ -151,6 +152,7 @@
     .with({ type: 'peer-request-answered' }, (answered) => handlePeerAnswer(state, answered))
     .with({ type: 'key-confirmation-due' }, ({ at }) => handleConfirmationDue(state, at))
     .with({ type: 'quotas-due' }, ({ at }) => handleQuotasDue(state, at))
+    .with({ type: 'scheduling-due' }, () => handleSchedulingDue(state))
     .with({ type: 'reading-due' }, ({ at }) => handleReadingDue(state, at))
     .with({ type: 'follower-joined' }, (joined) => [
       ...handleFollowerJoined(state, joined),
@@ -182,7 +184,7 @@
     .exhaustive();
 
 /** Handles one event. `attempt-ended`, the most frequent one, bypasses the pattern match. */
-export const step = (state: GatewayState, event: GatewayEvent): GatewayEffect[] => {
+const handleEvent = (state: GatewayState, event: GatewayEvent): GatewayEffect[] => {
   if (event.type === 'attempt-ended') {
     return handleAttemptEnded(state, event);
   }
@@ -191,3 +193,11 @@
     ? effects
     : [...effects, ...finishPauseRecovery(state, event.at)];
 };
+
+/** Handles one event, then starts the waiting attempts for which it made room. */
+export const step = (state: GatewayState, event: GatewayEvent): GatewayEffect[] => {
+  const effects = handleEvent(state, event);
+  return state.scheduling.changed.size === 0
+    ? effects
+    : [...effects, ...startWaiting(state, event.at)];
+};
--- a/src/gateway/replicas/replica.ts
+++ b/src/gateway/replicas/replica.ts
@@ -15,6 +15,9 @@
 const FIRST_EJECTION_MS = 250;
 const MAX_EJECTION_MS = 4_000;
 
+/** How long a load report is used, in milliseconds. */
+const LOAD_REPORT_AGE_MS = 150;
+
 /** An attempt that is in progress at a replica. */
 export interface PendingAttempt {
   readonly sentAt: number;
@@ -125,6 +128,14 @@
   replica.ejectedUntil = at + pause;
 };
 
+/** The replica's last load report if it is recent enough to be used; undefined otherwise. */
+export const freshLoad = ({ load, loadAt }: Replica, at: number): LoadReport | undefined =>
+  at - loadAt < LOAD_REPORT_AGE_MS ? load : undefined;
+
+/** Number of requests that the replica runs at the same time, at least 1. */
+export const slotsOf = ({ load, record }: Replica): number =>
+  Math.max(1, load?.slots ?? record.slots);
+
 /** Records the load that the replica reports. */
 export const recordLoad = (replica: Replica, load: LoadReport | undefined, at: number): void => {
   if (load !== undefined) {
--- a/src/gateway/replicas/select-replica.ts
+++ b/src/gateway/replicas/select-replica.ts
@@ -1,6 +1,6 @@
 /** Selects the replica with the lowest expected cost of one more attempt. */
 import type { Random } from '../../core/random.js';
-import { type Replica, currentSlowdown } from './replica.js';
+import { type Replica, currentSlowdown, freshLoad, slotsOf } from './replica.js';
 
 /** Additional cost of a replica in another zone of the same region, in usual latencies. */
 const OTHER_ZONE_COST = 0.35;
@@ -14,9 +14,6 @@
 /** Weight of load below the number of slots: some replicas slow down when nearly full. */
 const PARTIAL_LOAD_COST = 0.25;
 
-/** How long a load report is used, in milliseconds. */
-const LOAD_REPORT_AGE_MS = 150;
-
 /** A replica is considered stalled if its oldest attempt has run for more than this many usual latencies. */
 const STALL_RATIO = 2.5;
 
@@ -61,10 +58,10 @@
 };
 
 const loadCost = (replica: Replica, maxConnections: number, at: number): number => {
-  const { load, pending, record } = replica;
-  const slots = Math.max(1, load?.slots ?? record.slots);
-  const isFresh = load !== undefined && at - replica.loadAt < LOAD_REPORT_AGE_MS;
-  const others = isFresh ? Math.max(0, load.running + load.waiting - 1) : 0;
+  const { pending } = replica;
+  const slots = slotsOf(replica);
+  const load = freshLoad(replica, at);
+  const others = load === undefined ? 0 : Math.max(0, load.running + load.waiting - 1);
   const busy = Math.max(pending.size, others);
   const waiting = Math.max(0, busy + 1 - slots);
   const waitingHere = Math.max(0, pending.size + 1 - maxConnections);
@@ -78,14 +75,22 @@
   return currentSlowdown(replica, at) * cold * (1 + loadCost(replica, maxConnections, at));
 };
 
+/** Additional cost of a replica that should only be used when no other is left. */
+const exclusionCost = (
+  { record, goneAt, ejectedUntil }: Replica,
+  { preferred }: SelectionContext,
+  at: number,
+): number => {
+  const ejected = ejectedUntil > at ? EJECTED_COST : 0;
+  const leaving = record.draining || goneAt !== undefined ? LEAVING_COST : 0;
+  const isPreferred = preferred?.has(record.id) ?? true;
+  return ejected + leaving + (isPreferred ? 0 : NOT_PREFERRED_COST);
+};
+
 /** Cost of one more attempt at a replica, in usual latencies. */
 const costOf = (replica: Replica, context: SelectionContext, at: number): number => {
   const base = expectedRatio(replica, context.maxConnections, at);
-  const ejected = replica.ejectedUntil > at ? EJECTED_COST : 0;
-  const isLeaving = replica.record.draining || replica.goneAt !== undefined;
-  const leaving = isLeaving ? LEAVING_COST : 0;
-  const isPreferred = context.preferred?.has(replica.record.id) ?? true;
-  const excluded = ejected + leaving + (isPreferred ? 0 : NOT_PREFERRED_COST);
+  const excluded = exclusionCost(replica, context, at);
   return base + stallCost(replica, at) + distanceCost(replica, context) + excluded;
 };
 
@@ -120,3 +125,29 @@
   const since = replica.record.draining ? replica.drainingSince : replica.goneAt;
   return since !== undefined && at - since > leavingMs;
 };
+
+/**
+ * Returns the replica to use in place of `best`, which has no room: the best one that has room, unless waiting for room is
+ * expected to take less time than it would take longer. A replica that should only be used when no other is left does not
+ * replace one that is merely full.
+ *
+ * @param waitRatio - expected wait for room, in usual latencies
+ */
+export const selectReplicaWithRoom = (
+  replicas: readonly Replica[],
+  attemptedReplicas: ReadonlySet<string>,
+  context: SelectionContext,
+  random: Random,
+  best: Replica,
+  waitRatio: number,
+  hasRoom: (replica: Replica) => boolean,
+  at: number,
+): Replica | undefined => {
+  const maxExclusion = exclusionCost(best, context, at);
+  const usable = replicas.filter(
+    (replica) => hasRoom(replica) && exclusionCost(replica, context, at) <= maxExclusion,
+  );
+  const replica = selectReplica(usable, attemptedReplicas, context, random, at);
+  const maxCost = costOf(best, context, at) + waitRatio;
+  return replica === undefined || costOf(replica, context, at) > maxCost ? undefined : replica;
+};
--- a/src/gateway/requests/accept-request.ts
+++ b/src/gateway/requests/accept-request.ts
@@ -12,9 +12,10 @@
 import { areKeysConfirmed } from '../authorization/key-confirmation.js';
 import { takeToken } from '../quotas/take-token.js';
 import { classRank } from '../scheduling/class-rank.js';
+import { describeLack, findLackOfRoom } from '../scheduling/lack-of-room.js';
 import { type ConfigurationInForce, type GatewayState, canServe } from '../state.js';
 import { type CallerIdentity, identifyCaller } from '../tenants/caller-identity.js';
-import { refuseCall } from './finish.js';
+import { giveUpRequest, refuseCall } from './finish.js';
 import { pausedUntil } from './guard.js';
 import { holdRequest } from './hold-request.js';
 import { retryAfterUnrouted } from './retry-after.js';
@@ -104,6 +105,13 @@
 const startRequest = (state: GatewayState, request: ActiveRequest, at: number): GatewayEffect[] => {
   state.requests.set(request.call, request);
   traceAdmission(state, request, at);
+  const lack = findLackOfRoom(state, request, at);
+  if (lack !== undefined) {
+    recordDecision(request.decisions, at, describeLack(request, lack));
+  }
+  if (lack?.isSent === false) {
+    return giveUpRequest(state, request, 'no-room', at);
+  }
   const sent = sendLegs(state, request, request.legs, false, at);
   return [...sent, ...progressRequest(state, request, at)];
 };
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -9,11 +9,18 @@
 import { eligibleReplicas } from '../replicas/eligible-replicas.js';
 import { drawReplicas, listedReplicas } from '../replicas/shared-replicas.js';
 import { connectionShare } from '../replicas/connection-share.js';
-import { expectedRatio, selectReplica, type SelectionContext } from '../replicas/select-replica.js';
+import {
+  expectedRatio,
+  selectReplica,
+  type SelectionContext,
+  selectReplicaWithRoom,
+} from '../replicas/select-replica.js';
+import { hasRoom, shardShare } from '../scheduling/replica-room.js';
+import { isScheduled, waitingUpTo } from '../scheduling/wait-for-room.js';
 import { budgetOf, type GatewayState } from '../state.js';
 import { guardOf } from './guard.js';
 import type { ActiveRequest, Leg } from './request-state.js';
-import { createRouteLatency, type RouteLatency } from './route-latency.js';
+import { latencyOf } from './route-latency.js';
 
 /** Share of the drain time during which a leaving replica may still be used, as a last resort. */
 const LEAVING_SHARE = 0.3;
@@ -24,18 +31,6 @@
 /** Attempts that a leg may make beyond its runs, for refusals and failed connections. */
 const EXTRA_ATTEMPTS = 2;
 
-/** Latency statistics of the request's route; created when the route has none. */
-export const latencyOf = (state: GatewayState, request: ActiveRequest): RouteLatency => {
-  const { route } = request;
-  const known = state.latencies.get(route.name);
-  if (known !== undefined) {
-    return known;
-  }
-  const latency = createRouteLatency(route);
-  state.latencies.set(route.name, latency);
-  return latency;
-};
-
 /**
  * The replicas that every feeder draws for a shard of a request, one fewer than the route's attempts; undefined when
  * any replica may be used.
@@ -137,9 +132,39 @@
 
 const acceptAnyRatio: RatioCheck = () => true;
 
+/** The replica for the next attempt of a leg; `no-room` if the attempt should wait. */
+const chooseReplica = (
+  state: GatewayState,
+  request: ActiveRequest,
+  { service, attemptedReplicas }: Leg,
+  place: SelectionContext,
+  at: number,
+): Replica | 'no-room' | undefined => {
+  const replicas = eligibleReplicas(state, service, request.route.allowedRegions).filter(
+    (replica) => hasColdRateLeft(state, replica, at),
+  );
+  const best = selectReplica(replicas, attemptedReplicas, place, state.random, at);
+  if (best === undefined || !isScheduled(state, request, service) || hasRoom(state, best, at)) {
+    return best;
+  }
+  const waitRatio = waitingUpTo(state, service, request.rank) / shardShare(state, service, at);
+  const other = selectReplicaWithRoom(
+    replicas,
+    attemptedReplicas,
+    place,
+    state.random,
+    best,
+    waitRatio,
+    (replica) => hasRoom(state, replica, at),
+    at,
+  );
+  return other ?? 'no-room';
+};
+
 /**
- * Sends one more attempt for a leg. Returns undefined when none may be sent: no replica is left or accepted, the
- * deadline has passed, or the route's attempts or the retry budget are exhausted.
+ * Sends one more attempt for a leg. Returns `no-room` when it should wait for room at the replicas, and undefined when none
+ * may be sent: no replica is left or accepted, the deadline has passed, or the route's attempts or the retry budget are
+ * exhausted.
  *
  * @param accepts - decides whether the selected replica is worth an attempt
  */
@@ -150,16 +175,16 @@
   reason: AttemptReason,
   at: number,
   accepts = acceptAnyRatio,
-): SendAttempt | undefined => {
+): SendAttempt | 'no-room' | undefined => {
   if (!hasAttemptsLeft(request, leg) || request.deadlineAt - at < 1) {
     return undefined;
   }
-  const replicas = eligibleReplicas(state, leg.service, request.route.allowedRegions).filter(
-    (replica) => hasColdRateLeft(state, replica, at),
-  );
   const shared = sharedReplicas(state, request, leg);
   const place = selectionPlaceOf(state, leg, shared, at);
-  const replica = selectReplica(replicas, leg.attemptedReplicas, place, state.random, at);
+  const replica = chooseReplica(state, request, leg, place, at);
+  if (replica === 'no-room') {
+    return 'no-room';
+  }
   if (replica === undefined || !accepts(expectedRatio(replica, place.maxConnections, at))) {
     return undefined;
   }
--- a/src/gateway/requests/give-up-attempts.ts
+++ b/src/gateway/requests/give-up-attempts.ts
@@ -1,5 +1,6 @@
 /** Gives up the attempts and subqueries that are still running for a request. */
 import type { GatewayEffect } from '../effect.js';
+import { stopWaiting } from '../scheduling/wait-for-room.js';
 import type { GatewayState } from '../state.js';
 import { guardOf } from './guard.js';
 import type { ActiveRequest, Leg } from './request-state.js';
@@ -34,7 +35,7 @@
 };
 
 /**
- * Gives up the attempts of a request's open legs and its subqueries. The remaining attempts of ended legs were given up
+ * Gives up the attempts of a request's open legs, also those that wait, and its subqueries. The remaining attempts of ended legs were given up
  * when those legs ended.
  *
  * @param minMs - time that they have to finish, in milliseconds; longer when the request may have crashed replicas
@@ -47,6 +48,9 @@
 ): GatewayEffect[] => {
   const isSuspected = guardOf(state, request, at) !== 'free';
   const withinMs = isSuspected ? Math.max(minMs, SUSPECTED_LINGER_MS) : minMs;
+  request.legs.forEach((leg) => {
+    stopWaiting(state, leg);
+  });
   return [
     ...request.legs
       .filter(({ outcome }) => outcome === undefined)
--- a/src/gateway/requests/hedge-legs.ts
+++ b/src/gateway/requests/hedge-legs.ts
@@ -2,9 +2,11 @@
 import type { GatewayEffect } from '../effect.js';
 import { currentSlowdown } from '../replicas/replica.js';
 import type { GatewayState } from '../state.js';
-import { latencyOf, sendAttempt } from './attempts.js';
+import { waitingUpTo } from '../scheduling/wait-for-room.js';
+import { sendAttempt } from './attempts.js';
 import { guardOf } from './guard.js';
 import type { ActiveAttempt, ActiveRequest, Leg } from './request-state.js';
+import { latencyOf } from './route-latency.js';
 
 /**
  * Hedging is postponed while more than this share of the legs is open. The condition is evaluated again after each step,
@@ -14,6 +16,13 @@
 const HEDGE_RECHECK_MS = 4;
 const LATEST_HEDGE_SHARE = 0.55;
 
+/**
+ * While legs wait for room, hedges are considered again after this time, in milliseconds, or after the usual duration of an
+ * attempt if that is longer. With the usual duration of short attempts alone, an overloaded feeder spent most of its time on
+ * such checks.
+ */
+const WAITING_RECHECK_MS = 25;
+
 /**
  * Whether hedging should wait. While most legs are open, the delay is here or in the network, and doubling all of them
  * would add to it; hedging waits until individual legs are slow.
@@ -56,7 +65,10 @@
 
 const NO_HEDGE: LegHedge = { effects: [], isDeferred: false };
 
-/** Result for a request that may have crashed replicas: no second replica gets it until one has answered. */
+/**
+ * Result for a leg at whose shard first attempts wait or no replica has room, and for a request that may have crashed
+ * replicas: no second replica gets it until one has answered.
+ */
 const DEFERRED_HEDGE: LegHedge = { effects: [], isDeferred: true };
 
 /**
@@ -69,7 +81,8 @@
   if (leg.outcome !== undefined || isWaiting || isHedged) {
     return NO_HEDGE;
   }
-  if (guardOf(state, request, at) !== 'free') {
+  const isBehind = leg.waiting !== undefined || waitingUpTo(state, leg.service, request.rank) > 0;
+  if (isBehind || guardOf(state, request, at) !== 'free') {
     return DEFERRED_HEDGE;
   }
   const runningRatio = expectedRatioOfLeg(state, leg, latencyOf(state, request).median, at);
@@ -78,6 +91,9 @@
     isDeferred = ratio >= runningRatio;
     return !isDeferred;
   });
+  if (attempt === 'no-room') {
+    return DEFERRED_HEDGE;
+  }
   return { effects: attempt === undefined ? [] : [attempt], isDeferred };
 };
 
@@ -97,6 +113,8 @@
   }
   const hedges = request.legs.map((leg) => hedgeLeg(state, request, leg, at));
   request.hedged = !hedges.some(({ isDeferred }) => isDeferred);
-  request.hedgeAt = at + latencyOf(state, request).median;
+  const usualMs = latencyOf(state, request).median;
+  const isWaiting = request.legs.some(({ waiting }) => waiting !== undefined);
+  request.hedgeAt = at + (isWaiting ? Math.max(WAITING_RECHECK_MS, usualMs) : usualMs);
   return hedges.flatMap(({ effects }) => effects);
 };
--- a/src/gateway/requests/progress.ts
+++ b/src/gateway/requests/progress.ts
@@ -1,24 +1,18 @@
 /** Decides the next step of a request: end, hedge or wait. */
 import type { GatewayEffect } from '../effect.js';
 import type { RefusalReason } from '../model/request.js';
-import type { GatherTarget } from '../model/route.js';
+import { type GatherTarget, minShards } from '../model/route.js';
 import type { GatewayState } from '../state.js';
 import { answerDueAt } from './answer-timing.js';
 import { checkSubqueries } from './check-subqueries.js';
 import { hedgeLegs } from './hedge-legs.js';
 import { retryLeg } from './retry-leg.js';
 import { finishGather, finishRequest, giveUpRequest } from './finish.js';
-import { finishSubquery, hasUnsent, reportParts } from './report-parts.js';
+import { finishSubquery, hasUrgentReport, reportParts } from './report-parts.js';
 import { heldUntil } from './guard.js';
 import { releaseLegs } from './release-legs.js';
 import type { ActiveRequest, Leg } from './request-state.js';
 
-/** Tolerance for rounding errors in coverage products such as 0.89 x 100. */
-const COVERAGE_EPSILON = 1e-9;
-
-const neededLegs = (target: GatherTarget): number =>
-  Math.max(1, Math.ceil(target.minCoverage * target.shards.length - COVERAGE_EPSILON));
-
 const canComplete = (request: ActiveRequest, needed: number): boolean =>
   request.answeredLegs + request.openLegs >= needed;
 
@@ -28,7 +22,7 @@
   target: GatherTarget,
   at: number,
 ): GatewayEffect[] => {
-  const needed = neededLegs(target);
+  const needed = minShards(target);
   if (!canComplete(request, needed)) {
     return giveUpRequest(state, request, refusalReasonOf(request), at);
   }
@@ -42,13 +36,16 @@
 
 type UnansweredReason = Extract<
   RefusalReason,
-  'too-few-shards' | 'no-replica' | 'replicas-full' | 'answer-lost' | 'replicas-crashed'
+  'too-few-shards' | 'no-room' | 'no-replica' | 'replicas-full' | 'answer-lost' | 'replicas-crashed'
 >;
 
 const refusalReasonOf = (request: ActiveRequest): UnansweredReason => {
   if (request.crashes > 0 || request.isStopped) {
     return 'replicas-crashed';
   }
+  if (request.legs.some((leg) => leg.isDropped)) {
+    return 'no-room';
+  }
   if (request.legs.some((leg) => leg.refusedAsFull)) {
     return 'replicas-full';
   }
@@ -149,7 +146,7 @@
 
 /**
  * Progresses a subquery of another gateway. From the objective on, parts are sent as they arrive. Shards that this feeder
- * sent to no replica are reported at once.
+ * sent to no replica or dropped are reported at once.
  */
 const progressSubquery = (
   state: GatewayState,
@@ -160,8 +157,8 @@
   if (request.openLegs === 0 || at >= request.deadlineAt) {
     return finishSubquery(state, request, target.maxRecords, at);
   }
-  const isDue = at >= request.objectiveAt || hasUnsent(request);
-  const parts = isDue ? reportParts(request, target.maxRecords) : [];
+  const isDue = at >= request.objectiveAt || hasUrgentReport(request);
+  const parts = isDue ? reportParts(state, request, target.maxRecords, at) : [];
   return [...acknowledgeIfDue(request, at), ...parts, ...waitOrHedge(state, request, at)];
 };
 
--- a/src/gateway/requests/request-state.ts
+++ b/src/gateway/requests/request-state.ts
@@ -9,6 +9,7 @@
   ReplicaAnswer,
 } from '../model/request.js';
 import type { ClassRank } from '../scheduling/class-rank.js';
+import type { WaitingAttempt } from '../scheduling/waiting-queue.js';
 import type { SubqueryId } from '../model/subquery.js';
 
 /** The part of a request that one service answers. */
@@ -42,6 +43,10 @@
   resumeAt: number | undefined;
   /** The open subquery that requests the part from a feeder; undefined while there is none. */
   subquery: SubqueryId | undefined;
+  /** The attempt that waits for room at the replicas; undefined while none does. */
+  waiting: WaitingAttempt | undefined;
+  /** It ended because it could not be answered before its deadline; no other feeder should try. */
+  isDropped: boolean;
   /** The outcome was reported to the coordinator. */
   isReported: boolean;
   /** The leg waits until the guard of its request allows it to be sent. */
@@ -159,6 +164,8 @@
   pauses: 0,
   resumeAt: undefined,
   subquery: undefined,
+  waiting: undefined,
+  isDropped: false,
   isReported: false,
   isHeld: false,
 });
--- a/src/gateway/requests/retry-leg.ts
+++ b/src/gateway/requests/retry-leg.ts
@@ -4,11 +4,13 @@
 import { recordDecision } from '../log/trace.js';
 import { eligibleReplicas } from '../replicas/eligible-replicas.js';
 import { type GatewayState, legPauseOutcomesOf } from '../state.js';
+import { hasWaiting, waitForRoom, waitingUpTo } from '../scheduling/wait-for-room.js';
 import { sendAttempt } from './attempts.js';
 import { isLegPauseWorthwhile, recordLegPauseOutcome } from './leg-pause-outcomes.js';
 import { claimProbe } from './claim-probe.js';
 import { guardOf, holdLeg, maySendNext } from './guard.js';
 import type { ActiveRequest, Leg, LegOutcome } from './request-state.js';
+import { latencyOf } from './route-latency.js';
 
 /** First pause before all replicas may be used again, in milliseconds, doubled each time, and the number of pauses. */
 const FIRST_PAUSE_MS = 30;
@@ -78,15 +80,16 @@
 
 /**
  * Sends another attempt for the leg. When none may be sent and none is running, the leg pauses or ends unanswered; if the
- * request may have crashed replicas, the leg is held or ends.
+ * request may have crashed replicas, the leg is held or ends. Returns `no-room` without any change when the replicas have no
+ * room for an attempt.
  */
-export const retryLeg = (
+export const attemptLeg = (
   state: GatewayState,
   request: ActiveRequest,
   leg: Leg,
   reason: AttemptReason,
   at: number,
-): GatewayEffect[] => {
+): GatewayEffect[] | 'no-room' => {
   const guard = guardOf(state, request, at);
   const isRunning = leg.running.size > 0;
   if (guard === 'one-at-a-time' && !maySendNext(state, request, at)) {
@@ -96,6 +99,9 @@
     return [];
   }
   const attempt = guard === 'stopped' ? undefined : sendAttempt(state, request, leg, reason, at);
+  if (attempt === 'no-room') {
+    return 'no-room';
+  }
   if (attempt !== undefined) {
     return [...claimProbe(state, request, at), attempt];
   }
@@ -107,3 +113,28 @@
   }
   return [];
 };
+
+/**
+ * Sends another attempt for the leg as `attemptLeg` does, or lets it wait while the replicas have no room or other attempts
+ * wait for them. A leg that has a running attempt does not wait.
+ */
+export const retryLeg = (
+  state: GatewayState,
+  request: ActiveRequest,
+  leg: Leg,
+  reason: AttemptReason,
+  at: number,
+): GatewayEffect[] => {
+  const isRunning = leg.running.size > 0;
+  const mustWait = isRunning
+    ? waitingUpTo(state, leg.service, request.rank) > 0
+    : hasWaiting(state, leg.service);
+  const attempt = mustWait ? 'no-room' : attemptLeg(state, request, leg, reason, at);
+  if (attempt !== 'no-room') {
+    return attempt;
+  }
+  if (!isRunning) {
+    waitForRoom(state, request, leg, reason, latencyOf(state, request).median, at);
+  }
+  return [];
+};
--- a/src/gateway/requests/route-latency.ts
+++ b/src/gateway/requests/route-latency.ts
@@ -6,6 +6,8 @@
   hedgeThreshold,
 } from '../../core/query/latency-histogram.js';
 import type { Route } from '../model/route.js';
+import type { GatewayState } from '../state.js';
+import type { ActiveRequest } from './request-state.js';
 
 /** Initial median as a share of the objective, used before the first sample. */
 const INITIAL_MEDIAN_SHARE = 0.15;
@@ -41,6 +43,18 @@
   histogram: createLatencyHistogram(),
 });
 
+/** Latency statistics of the request's route; created when the route has none. */
+export const latencyOf = (state: GatewayState, request: ActiveRequest): RouteLatency => {
+  const { route } = request;
+  const known = state.latencies.get(route.name);
+  if (known !== undefined) {
+    return known;
+  }
+  const latency = createRouteLatency(route);
+  state.latencies.set(route.name, latency);
+  return latency;
+};
+
 /** Records the latency of an answered attempt, in milliseconds. */
 export const addLatency = (latency: RouteLatency, elapsedMs: number): void => {
   latency.samples += 1;
--- a/src/gateway/requests/send-legs.ts
+++ b/src/gateway/requests/send-legs.ts
@@ -36,7 +36,7 @@
 }
 
 /** The feeder for a leg; undefined when this gateway sends the leg to a replica itself. */
-const feederOf = (
+export const feederOf = (
   state: GatewayState,
   request: ActiveRequest,
   leg: Leg,
--- a/src/gateway/requests/settle-attempt.ts
+++ b/src/gateway/requests/settle-attempt.ts
@@ -8,6 +8,7 @@
   recordReplicaFailure,
   recordUnfinished,
 } from '../replicas/replica.js';
+import { hasWaiting } from '../scheduling/wait-for-room.js';
 import type { GatewayState } from '../state.js';
 import { FIRST_FAILURE_STATUS } from './usable-answer.js';
 import type { ActiveAttempt } from './request-state.js';
@@ -89,6 +90,9 @@
   }
   state.attempts.delete(attempt.id);
   attempt.leg.running.delete(attempt.id);
+  if (hasWaiting(state, attempt.leg.service)) {
+    state.scheduling.changed.add(attempt.leg.service);
+  }
   applyToLeg(attempt, event);
   const replica = state.replicas.find(attempt.replica);
   if (replica !== undefined) {
--- /dev/null
+++ b/src/gateway/requests/start-waiting.ts
@@ -0,0 +1,147 @@
+/** Starts waiting attempts when there is room for them, and drops those that can no longer be answered. */
+import type { GatewayEffect } from '../effect.js';
+import { recordDecision } from '../log/trace.js';
+import { type ClassRank, classLabel } from '../scheduling/class-rank.js';
+import { hasRoom } from '../scheduling/replica-room.js';
+import type { WaitingAttempt, WaitingQueue } from '../scheduling/waiting-queue.js';
+import type { GatewayState } from '../state.js';
+import { progressRequest } from './progress.js';
+import { attemptLeg, endLeg, recordLegPauses } from './retry-leg.js';
+
+/**
+ * Interval of the checks of all queues while attempts wait, in milliseconds: load reports become old, ejections end and
+ * replicas are listed without an event for the queue.
+ */
+const CHECK_INTERVAL_MS = 10;
+
+/**
+ * Number of attempts passed over in one check, because they may not use the replicas that have room. It bounds the time of
+ * the check.
+ */
+const MAX_PASSED = 16;
+
+/** Ends the leg of an attempt that can no longer be answered in time; the leg is sent to no other feeder. */
+const dropWaiting = (state: GatewayState, waiting: WaitingAttempt, at: number): GatewayEffect[] => {
+  const { request, leg, since, usualMs, deadlineAt } = waiting;
+  if (leg.waiting !== waiting) {
+    return [];
+  }
+  leg.waiting = undefined;
+  leg.isDropped = true;
+  state.scheduling.waiting -= 1;
+  state.counters.droppedAttempts.add(classLabel(request.rank));
+  recordDecision(request.decisions, at, {
+    event: 'attempt-dropped',
+    service: leg.service,
+    rank: request.rank,
+    waitedMs: Math.round(at - since),
+    leftMs: Math.round(deadlineAt - at),
+    usualMs: Math.round(usualMs),
+  });
+  endLeg(request, leg, { type: 'unanswered' });
+  recordLegPauses(state, leg);
+  return progressRequest(state, request, at);
+};
+
+/** Starts an attempt that was taken from its queue; undefined if there is no room that it may use. */
+const startAttempt = (
+  state: GatewayState,
+  queue: WaitingQueue,
+  waiting: WaitingAttempt,
+  at: number,
+): GatewayEffect[] | undefined => {
+  const { request, leg, reason } = waiting;
+  const started = attemptLeg(state, request, leg, reason, at);
+  if (started === 'no-room') {
+    return undefined;
+  }
+  leg.waiting = undefined;
+  state.scheduling.waiting -= 1;
+  if (leg.running.size > 0) {
+    queue.recordStart(waiting, at);
+    return started;
+  }
+  return [...started, ...progressRequest(state, request, at)];
+};
+
+/** Whether an attempt may start at a replica of the shard, or the shard has no replica and its attempts cannot start. */
+const mayStart = (state: GatewayState, service: string, at: number): boolean => {
+  const replicas = state.replicas.of(service);
+  return replicas.length === 0 || replicas.some((replica) => hasRoom(state, replica, at));
+};
+
+/** Starts the waiting attempts of a shard in their order for as long as there is room. */
+const startInOrder = (
+  state: GatewayState,
+  service: string,
+  queue: WaitingQueue,
+  at: number,
+): GatewayEffect[] => {
+  const effects: GatewayEffect[] = [];
+  const passed: WaitingAttempt[] = [];
+  const passedClasses = new Set<ClassRank>();
+  while (passed.length < MAX_PASSED && mayStart(state, service, at)) {
+    const waiting = queue.take(passedClasses, at);
+    if (waiting === undefined) {
+      break;
+    }
+    const started = startAttempt(state, queue, waiting, at);
+    if (started === undefined) {
+      passed.push(waiting);
+      if (waiting.reason === 'first') {
+        passedClasses.add(waiting.request.rank);
+      }
+    } else {
+      effects.push(...started);
+    }
+  }
+  passed
+    .filter((waiting) => waiting.leg.waiting === waiting)
+    .forEach((waiting) => {
+      queue.putBack(waiting);
+    });
+  return effects;
+};
+
+const checkShard = (state: GatewayState, service: string, at: number): GatewayEffect[] => {
+  const queue = state.scheduling.queues.get(service);
+  if (queue === undefined || queue.size === 0) {
+    return [];
+  }
+  const dropped = queue.takeHopeless(at).flatMap((waiting) => dropWaiting(state, waiting, at));
+  // What is known of the replicas may be out of date after a process pause.
+  return state.pauseRecovery === undefined
+    ? [...dropped, ...startInOrder(state, service, queue, at)]
+    : dropped;
+};
+
+const setTimer = ({ scheduling }: GatewayState, at: number): GatewayEffect[] => {
+  if (scheduling.waiting === 0 || scheduling.isTimerSet) {
+    return [];
+  }
+  scheduling.isTimerSet = true;
+  return [{ type: 'set-scheduling-timer', at: at + CHECK_INTERVAL_MS }];
+};
+
+/** Checks the shards whose room may have changed in this step. */
+export const startWaiting = (state: GatewayState, at: number): GatewayEffect[] => {
+  const { changed } = state.scheduling;
+  if (changed.size === 0) {
+    return [];
+  }
+  const services = [...changed];
+  changed.clear();
+  const started = services.flatMap((service) => checkShard(state, service, at));
+  return [...started, ...setTimer(state, at)];
+};
+
+/** Handles `scheduling-due`: all shards with waiting attempts are checked at the end of the step. */
+export const handleSchedulingDue = ({ scheduling }: GatewayState): GatewayEffect[] => {
+  scheduling.isTimerSet = false;
+  for (const [service, { size }] of scheduling.queues) {
+    if (size > 0) {
+      scheduling.changed.add(service);
+    }
+  }
+  return [];
+};
--- a/src/gateway/requests/subquery-result.ts
+++ b/src/gateway/requests/subquery-result.ts
@@ -12,6 +12,7 @@
 import type { SubqueryId, SubqueryPart } from '../model/subquery.js';
 import { recordDelay } from '../delay-estimate.js';
 import { recordServedRequest } from '../crashes/update-history.js';
+import { recordFeederWaits } from '../scheduling/feeder-waits.js';
 import type { GatewayState } from '../state.js';
 import { progressHeldRequests } from './broken-attempts.js';
 import { moveLegs, suspectPeer } from './check-subqueries.js';
@@ -126,6 +127,27 @@
   return sendLegs(state, request, legs, isRepeat, at);
 };
 
+/** Ends the legs that a feeder dropped while they waited for room. Only replicas of an earlier feeder may have run them. */
+const endDropped = (
+  request: ActiveRequest,
+  subquery: ActiveSubquery,
+  dropped: readonly string[],
+  at: number,
+): void => {
+  const legs = openLegsOf(subquery).filter(({ service }) => dropped.includes(service));
+  if (legs.length === 0) {
+    return;
+  }
+  const { id, peer, isRepeat } = subquery;
+  const shards = legs.length;
+  recordDecision(request.decisions, at, { event: 'legs-dropped', subquery: id, peer, shards });
+  for (const leg of legs) {
+    leg.isDropped = true;
+    leg.runs += Number(isRepeat);
+    endLeg(request, leg, { type: 'unanswered' });
+  }
+};
+
 /** Records that a part proves that a replica can run the request, and progresses other calls that wait for this evidence. */
 const recordServed = (
   state: GatewayState,
@@ -153,7 +175,7 @@
   applyParts(request, subquery, part);
   recordFeederCrash(request, subquery, part);
   const elapsedMs = Math.round(at - subquery.sentAt);
-  const { isFinal, unsent = [] } = part;
+  const { isFinal, unsent = [], dropped = [], waits = [] } = part;
   const parts = part.shards.length;
   recordDecision(request.decisions, at, {
     event: 'subquery-answered',
@@ -162,6 +184,10 @@
     isFinal,
     elapsedMs,
   });
+  if (waits.length > 0) {
+    recordFeederWaits(state.scheduling.feederWaits, subquery.peer, waits, at);
+  }
+  endDropped(request, subquery, dropped, at);
   const moved = moveUnsent(state, request, subquery, unsent, at);
   const cleared = parts > 0 ? recordServed(state, request, at) : [];
   if (isFinal) {
--- a/src/gateway/runtime/gateway-timers.ts
+++ b/src/gateway/runtime/gateway-timers.ts
@@ -14,7 +14,8 @@
   | 'registration'
   | 'crash-updates'
   | 'key-confirmation'
-  | 'quotas';
+  | 'quotas'
+  | 'scheduling';
 
 /** Sets timers and emits their events. */
 export class GatewayTimers {
@@ -71,6 +72,8 @@
         return this.sink.emit({ type: 'key-confirmation-due', at });
       case 'quotas':
         return this.sink.emit({ type: 'quotas-due', at });
+      case 'scheduling':
+        return this.sink.emit({ type: 'scheduling-due', at });
       case 'configuration':
       case 'replicas':
       case 'gateways':
--- a/src/gateway/runtime/peers/pack-message.ts
+++ b/src/gateway/runtime/peers/pack-message.ts
@@ -4,7 +4,7 @@
  * than the gather itself: encoding and decoding six messages of parts for the first time took 8.3 ms with names and
  * 1.1 ms as lists, later 1.0 and 0.6 ms.
  */
-import type { Subquery, SubqueryPart } from '../../model/subquery.js';
+import type { ShardWait, Subquery, SubqueryPart } from '../../model/subquery.js';
 import { isCount, isFiniteNumber, isListOf, isText } from '../../../protocol/codec/shape.js';
 import { ANSWER_TAG, REQUEST_TAG, unpackAnswer, unpackRequest } from './pack-peer-request.js';
 import type {
@@ -58,6 +58,14 @@
   ];
 };
 
+/** Packs the optional fields of parts, up to the last one that is present. */
+const packOptionalParts = ({ hasCrashed = false, dropped, waits }: SubqueryPart) => {
+  const packedWaits = (waits ?? []).flatMap(({ service, rank, waitMs }) => [service, rank, waitMs]);
+  const values = [hasCrashed, dropped ?? [], packedWaits];
+  const isPresent = [hasCrashed, dropped !== undefined, waits !== undefined];
+  return values.slice(0, isPresent.lastIndexOf(true) + 1);
+};
+
 /** Packs parts. */
 export const packParts = ({ id, part }: PartsMessage): PackedMessage => [
   PARTS_TAG,
@@ -67,7 +75,7 @@
   part.records,
   part.unsent ?? [],
   part.isFinal,
-  ...(part.hasCrashed === true ? [true] : []),
+  ...packOptionalParts(part),
 ];
 
 const isBytes = (value: unknown): value is Uint8Array => value instanceof Uint8Array;
@@ -147,8 +155,43 @@
     : undefined;
 };
 
+const WAIT_FIELDS = 3;
+
+/** Unpacks waits; undefined if they are malformed. */
+const unpackWaits = (values: unknown): readonly ShardWait[] | undefined => {
+  if (!Array.isArray(values) || values.length % WAIT_FIELDS !== 0) {
+    return undefined;
+  }
+  const waits: ShardWait[] = [];
+  for (let index = 0; index < values.length; index += WAIT_FIELDS) {
+    const [service, rank, waitMs] = values.slice(index, index + WAIT_FIELDS) as unknown[];
+    if (!isText(service) || !isFiniteNumber(rank) || !isFiniteNumber(waitMs)) {
+      return undefined;
+    }
+    waits.push({ service, rank, waitMs });
+  }
+  return waits;
+};
+
+/** Unpacks the optional fields of parts; undefined if they are malformed. */
+const unpackOptionalParts = (
+  values: readonly unknown[],
+): Pick<SubqueryPart, 'hasCrashed' | 'dropped' | 'waits'> | undefined => {
+  const [hasCrashed = false, dropped = [], packedWaits = []] = values;
+  const waits = unpackWaits(packedWaits);
+  if (!isFlag(hasCrashed) || !isTexts(dropped) || waits === undefined) {
+    return undefined;
+  }
+  return {
+    ...(hasCrashed && { hasCrashed }),
+    ...(dropped.length > 0 && { dropped }),
+    ...(waits.length > 0 && { waits }),
+  };
+};
+
 const unpackParts = (values: PackedMessage): PartsMessage | undefined => {
-  const [, id, services, signatures, records, unsent, isFinal, hasCrashed = false] = values;
+  const [, id, services, signatures, records, unsent, isFinal, ...last] = values;
+  const optional = unpackOptionalParts(last);
   const isWhole =
     isCount(id) &&
     isTexts(services) &&
@@ -157,7 +200,7 @@
     isBytes(records) &&
     isTexts(unsent) &&
     isFlag(isFinal) &&
-    isFlag(hasCrashed);
+    optional !== undefined;
   if (!isWhole) {
     return undefined;
   }
@@ -170,7 +213,7 @@
     records,
     unsent,
     isFinal,
-    ...(hasCrashed && { hasCrashed }),
+    ...optional,
   };
   return { type: 'parts', id, part };
 };
--- a/src/gateway/runtime/start-gateway.ts
+++ b/src/gateway/runtime/start-gateway.ts
@@ -169,6 +169,7 @@
         this.timers.set('key-confirmation', at),
       )
       .with({ type: 'set-quotas-timer' }, ({ at }) => this.timers.set('quotas', at))
+      .with({ type: 'set-scheduling-timer' }, ({ at }) => this.timers.set('scheduling', at))
       .with({ type: 'send-subquery' }, (send) => this.peerClient.send(send))
       .with({ type: 'cancel-subquery' }, (cancel) => this.peerClient.cancel(cancel))
       .with({ type: 'answer-subquery' }, (answer) => this.answerSubquery(answer))
--- /dev/null
+++ b/src/gateway/scheduling/wait-for-room.ts
@@ -0,0 +1,100 @@
+/** Adds attempts to the queue of their shard, and removes them. */
+import { recordDecision } from '../log/trace.js';
+import type { AttemptReason } from '../log/log-event.js';
+import { isFedShard } from '../peers/service-share.js';
+import type { ActiveRequest, Leg } from '../requests/request-state.js';
+import type { GatewayState } from '../state.js';
+import type { ClassRank } from './class-rank.js';
+import { shardShare } from './replica-room.js';
+import { WaitingQueue } from './waiting-queue.js';
+
+const haveDifferentClasses = (state: GatewayState): boolean => {
+  const { inForce, scheduling } = state;
+  if (inForce === undefined) {
+    return false;
+  }
+  if (scheduling.classes?.inForce !== inForce) {
+    const { routes, tenants = [] } = inForce.configuration;
+    const areDifferent =
+      new Set(routes.map(({ priority }) => priority)).size > 1 ||
+      new Set(tenants.map(({ priority }) => priority)).size > 1;
+    scheduling.classes = { inForce, areDifferent };
+  }
+  return scheduling.classes.areDifferent;
+};
+
+/** Whether the attempts of a request at `service` start in the order of classes when there is no room for all of them. */
+export const isScheduled = (
+  state: GatewayState,
+  { route }: ActiveRequest,
+  service: string,
+): boolean =>
+  route.target.type === 'gather' && haveDifferentClasses(state) && isFedShard(state, service);
+
+/** Number of attempts of this class and of more urgent ones that wait at a shard. */
+export const waitingUpTo = (
+  { scheduling }: GatewayState,
+  service: string,
+  rank: ClassRank,
+): number => (scheduling.waiting === 0 ? 0 : (scheduling.queues.get(service)?.sizeUpTo(rank) ?? 0));
+
+/** Whether attempts wait at a shard, so that further ones have to wait behind them. */
+export const hasWaiting = ({ scheduling }: GatewayState, service: string): boolean =>
+  scheduling.waiting > 0 && (scheduling.queues.get(service)?.size ?? 0) > 0;
+
+const queueOf = (
+  state: GatewayState,
+  service: string,
+  usualMs: number,
+  at: number,
+): WaitingQueue => {
+  const { queues } = state.scheduling;
+  const known = queues.get(service);
+  if (known !== undefined) {
+    return known;
+  }
+  const queue = new WaitingQueue(usualMs / shardShare(state, service, at));
+  queues.set(service, queue);
+  return queue;
+};
+
+/**
+ * Lets a leg without a running attempt wait until one may start.
+ *
+ * @param usualMs - usual duration of an attempt, in milliseconds
+ */
+export const waitForRoom = (
+  state: GatewayState,
+  request: ActiveRequest,
+  leg: Leg,
+  reason: AttemptReason,
+  usualMs: number,
+  at: number,
+): void => {
+  const { service } = leg;
+  const { rank, deadlineAt } = request;
+  const queue = queueOf(state, service, usualMs, at);
+  recordDecision(request.decisions, at, {
+    event: 'attempt-waiting',
+    service,
+    reason,
+    rank,
+    ahead: queue.sizeUpTo(rank),
+    waiting: queue.size,
+    expectedMs: Math.round(queue.expectedWait(rank, at)),
+  });
+  const waiting = { request, leg, reason, since: at, usualMs, deadlineAt, isQueued: false };
+  leg.waiting = waiting;
+  queue.add(waiting);
+  state.scheduling.waiting += 1;
+  state.scheduling.changed.add(service);
+};
+
+/** Removes a leg from the queue of its shard; does nothing if it does not wait. */
+export const stopWaiting = (state: GatewayState, leg: Leg): void => {
+  if (leg.waiting !== undefined) {
+    state.scheduling.queues.get(leg.service)?.remove(leg.waiting);
+    state.scheduling.waiting -= 1;
+    leg.waiting = undefined;
+  }
+};
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -22,6 +22,7 @@
 import type { UnreadableLog } from './requests/unreadable-log.js';
 import type { RouteTable } from './routing/route-table.js';
 import type { SplitCursor } from './routing/split-cursor.js';
+import { createSchedulingState, type SchedulingState } from './scheduling/scheduling-state.js';
 import type { GatewaySettings } from './settings.js';
 import { type CollectionName, followedCollections } from './store/collection.js';
 import { type CollectionProgress, createCollectionProgress } from './store/follow-collection.js';
@@ -133,6 +134,7 @@
   readonly unawaitedRuns: UnawaitedRuns;
   /** Requests that have crashed replicas. */
   readonly crashes: CrashState;
+  readonly scheduling: SchedulingState;
   readonly budgets: Map<string, RetryBudget>;
   readonly latencies: Map<string, RouteLatency>;
   /** Recent log lines about unreadable requests, by problem. */
@@ -192,6 +194,7 @@
   brokenAttempts: new Map(),
   unawaitedRuns: new UnawaitedRuns(),
   crashes: createCrashState(),
+  scheduling: createSchedulingState(),
   budgets: new Map(),
   latencies: new Map(),
   unreadableLogs: new Map(),
--- a/test/gateway/virtual-gateway.ts
+++ b/test/gateway/virtual-gateway.ts
@@ -65,6 +65,8 @@
   readonly answeredAt = new Map<CallId, number>();
   /** Due time of each request's timer. */
   readonly timers = new Map<CallId, number>();
+  /** When the timer of the waiting attempts is due; undefined while it is not set. */
+  schedulingAt: number | undefined;
   readonly effects: GatewayEffect[] = [];
   now = 0;
   /** Replicas that refuse connections; all others accept them. */
@@ -224,9 +226,18 @@
     this.emit({ type: 'attempt-ended', at: this.now, attempt: attempt.attempt, result });
   }
 
-  /** Advances the clock, emitting `request-due` for timers as they become due. */
+  /** Advances the clock, emitting `request-due` and `scheduling-due` for timers as they become due. */
   advanceTo(at: number): void {
     for (;;) {
+      if (
+        this.schedulingAt !== undefined &&
+        this.schedulingAt <= Math.min(at, ...this.timers.values())
+      ) {
+        this.now = Math.max(this.now, this.schedulingAt);
+        this.schedulingAt = undefined;
+        this.emit({ type: 'scheduling-due', at: this.now });
+        continue;
+      }
       const due = [...this.timers].filter(([, time]) => time <= at);
       due.sort(([, left], [, right]) => left - right);
       const [first] = due;
@@ -260,6 +271,17 @@
           this.pendingChecks.push(effect.replica.id);
         }
         break;
+      case 'set-scheduling-timer':
+        this.schedulingAt = effect.at;
+        break;
+      case 'answer-subquery':
+        if (effect.part.isFinal) {
+          this.timers.delete(effect.call);
+        }
+        break;
+      case 'discard-call':
+        this.timers.delete(effect.call);
+        break;
       case 'set-request-timer':
         this.timers.set(effect.call, effect.at);
         break;
