Test and describe the waiting of attempts, and explain refusals for lack of room

A trial showed that a leg could wait for a stalled replica while a slower one had room: a stalled replica is no longer waited for. crossroad explain names the waits of a refusal and the dropped attempts.

--- a/src/gateway/explain/find-cause.ts
+++ b/src/gateway/explain/find-cause.ts
@@ -34,9 +34,15 @@
 
 const describeService = (lines: readonly RequestLine[], service: string): string => {
   const attempts = attemptsOfService(lines, service).map(describeAttempt);
+  const dropped = linesWithEvent(lines, 'attempt-dropped').find((line) => line.service === service);
+  const waited =
+    dropped === undefined
+      ? ''
+      : `; an attempt waited ${dropped.waitedMs} ms for room at the replicas and was dropped ${dropped.leftMs} ms before the deadline`;
   const denied = linesWithEvent(lines, 'budget-denied').some((line) => line.service === service);
+  const noAttempt = dropped === undefined ? 'no replica to send to' : 'no attempt started';
   const budget = denied ? '; a further attempt was denied by the retry budget' : '';
-  return `${service}: ${attempts.join(', ') || 'no replica to send to'}${budget}`;
+  return `${service}: ${attempts.join(', ') || noAttempt}${waited}${budget}`;
 };
 
 const describeMissing = (lines: readonly RequestLine[], missing: readonly string[]): string =>
@@ -69,6 +75,21 @@
 }: NonNullable<LineOf<'request-answered'>['blocked']>): string =>
   `refused: this request (fingerprint ${fingerprint}) crashed replicas in ${rounds} consecutive rounds and none answered it; it is blocked for ${forMs} ms more (block ${level}), then sent to one replica as a trial`;
 
+/** Names the waits for which a gather was refused or sent all the same. */
+const describeLack = (lines: readonly RequestLine[]): string => {
+  const [lack] = linesWithEvent(lines, 'room-lacking');
+  if (lack === undefined) {
+    return '';
+  }
+  const { rank, shards, maxMissing, waitMs, leftMs, isSent } = lack;
+  const outcome = isSent ? 'it was sent all the same' : 'it was not sent';
+  return `; at ${shards} shards, of which ${maxMissing} may be missing, requests of its class (rank ${rank}) were expected to wait longer than the ${leftMs} ms left (${waitMs} ms at the shard that decides), so ${outcome}`;
+};
+
+/** Whether the request was refused without being sent, because feeders had reported too long waits. */
+const isRefusedAtOnce = (lines: readonly RequestLine[]): boolean =>
+  linesWithEvent(lines, 'room-lacking').some(({ isSent }) => !isSent);
+
 const describeCrashes = (lines: readonly RequestLine[]): string => {
   const crashed = linesWithEvent(lines, 'attempt-crashed').map(({ replica }) => replica);
   return crashed.length === 0
@@ -90,10 +111,13 @@
       if (answer.blocked !== undefined) {
         return describeBlock(answer.blocked);
       }
+      if (isRefusedAtOnce(lines)) {
+        return `refused at once (${answer.reason ?? 'unknown'})${describeLack(lines)}`;
+      }
       if (missing.length === 0) {
         return `refused after ${elapsedMs} ms (${answer.reason ?? 'unknown'}) before an attempt was sent`;
       }
-      return `refused ${time} (${answer.reason ?? 'unknown'}); ${describeMissing(lines, missing)}${describeCrashes(lines)}`;
+      return `refused ${time} (${answer.reason ?? 'unknown'}); ${describeMissing(lines, missing)}${describeCrashes(lines)}${describeLack(lines)}`;
     case 'partial':
       return `answered ${time} without ${missing.length} shards; ${describeMissing(lines, missing)}`;
     case 'passed-on':
--- a/src/gateway/replicas/select-replica.ts
+++ b/src/gateway/replicas/select-replica.ts
@@ -128,7 +128,7 @@
 
 /**
  * Returns the replica to use in place of `best`, which has no room: the best one that has room, unless waiting for room is
- * expected to take less time than it would take longer. A replica that should only be used when no other is left does not
+ * expected to take less time than it would take longer. A stalled replica is not waited for. A replica that should only be used when no other is left does not
  * replace one that is merely full.
  *
  * @param waitRatio - expected wait for room, in usual latencies
@@ -148,6 +148,7 @@
     (replica) => hasRoom(replica) && exclusionCost(replica, context, at) <= maxExclusion,
   );
   const replica = selectReplica(usable, attemptedReplicas, context, random, at);
-  const maxCost = costOf(best, context, at) + waitRatio;
+  const isStalled = stallCost(best, at) > 0;
+  const maxCost = isStalled ? Number.POSITIVE_INFINITY : costOf(best, context, at) + waitRatio;
   return replica === undefined || costOf(replica, context, at) > maxCost ? undefined : replica;
 };
--- a/test/gateway/explain.test.ts
+++ b/test/gateway/explain.test.ts
@@ -53,6 +53,31 @@
     expect(explain([sent(1, 'a'), denied, refused])).toContain('denied by the retry budget');
   });
 
+  it('names the waits for which a request was refused at once, and an attempt that was dropped', () => {
+    const lacking = line(1, {
+      event: 'room-lacking',
+      rank: 1_001,
+      shards: 12,
+      maxMissing: 4,
+      waitMs: 1_900,
+      leftMs: 1_150,
+      isSent: false,
+    });
+    const refused = answered({ outcome: 'refused', reason: 'no-room', missing: ['shard-a'] });
+    expect(explain([lacking, refused])).toBe(
+      'refused at once (no-room); at 12 shards, of which 4 may be missing, requests of its class (rank 1001) were expected to wait longer than the 1150 ms left (1900 ms at the shard that decides), so it was not sent',
+    );
+    const dropped = line(80, {
+      event: 'attempt-dropped',
+      service: 'shard-a',
+      waitedMs: 580,
+      leftMs: 6,
+    });
+    expect(explain([dropped, refused])).toContain(
+      'shard-a: no attempt started; an attempt waited 580 ms for room at the replicas and was dropped 6 ms before the deadline',
+    );
+  });
+
   it('names the target that matches no route, and the age of the version in force', () => {
     const noRoute = { host: 'shop.example', path: '/none/x', version: 7, versionAgeMs: 2_400 };
     const refused = answered({ outcome: 'refused', reason: 'no-route', noRoute });
--- a/test/gateway/peer-message.test.ts
+++ b/test/gateway/peer-message.test.ts
@@ -8,6 +8,7 @@
   PartsMessage,
   SubqueryMessage,
 } from '../../src/gateway/runtime/peers/peer-message.js';
+import { packParts, unpackMessage } from '../../src/gateway/runtime/peers/pack-message.js';
 import { encodeCbor } from '../../src/protocol/codec/cbor.js';
 import { gatherOf, routeTo } from './virtual-gateway.js';
 import { configurationOf, replicaOf } from './virtual-store.js';
@@ -163,3 +164,34 @@
     expect(decodePeerMessage(encodeCbor({ ...message, news: [each] })).isLeft()).toBe(true);
   });
 });
+
+const PACKED_PARTS = 7;
+
+it('decodes parts with dropped shards and expected waits', () => {
+  const part = {
+    ...PARTS.part,
+    unsent: [],
+    dropped: ['s1'],
+    waits: [
+      { service: 's0', rank: 0, waitMs: 12 },
+      { service: 's0', rank: 1_001, waitMs: 340 },
+    ],
+  };
+  const decoded = decodePeerMessage(encodePeerMessage({ ...PARTS, part }));
+  expect(decoded.unsafeCoerce()).toEqual({ ...PARTS, part });
+});
+
+it('packs parts without waits as earlier builds do, and waits behind all fields that those read', () => {
+  expect(packParts(PARTS)).toHaveLength(PACKED_PARTS);
+  const waits = [{ service: 's0', rank: 0, waitMs: 12 }];
+  const packed = packParts({ ...PARTS, part: { ...PARTS.part, waits } });
+  expect(packed.slice(0, PACKED_PARTS)).toEqual(packParts(PARTS));
+  expect(packed.slice(PACKED_PARTS)).toEqual([false, [], ['s0', 0, 12]]);
+});
+
+it('rejects waits of the wrong shape', () => {
+  const packed = packParts(PARTS);
+  for (const waits of [['s0', 0], ['s0', 0, 'x'], [1, 0, 2], 'waits']) {
+    expect(unpackMessage([...packed, false, [], waits])).toBeUndefined();
+  }
+});
--- a/test/gateway/scheduling-load.test.ts
+++ b/test/gateway/scheduling-load.test.ts
@@ -70,8 +70,10 @@
     expect(rig.mostAtReplica).toBeLessThanOrEqual(3);
     expect([rig.refused, waitingAfter(rig)]).toEqual([0, 0]);
   });
+});
 
-  it('does not starve the searches when alerts exceed it', () => {
+describe('alerts at twice the room of a shard', () => {
+  it('do not starve the searches', () => {
     const rig = runRig(1_600, 40);
     expect(rig.servedShare('search')).toBeGreaterThanOrEqual(rig.totalShare * 0.25);
     expect(rig.servedShare('alert')).toBeGreaterThanOrEqual(rig.servedShare('search'));
--- a/test/gateway/shard-rig.ts
+++ b/test/gateway/shard-rig.ts
@@ -5,7 +5,7 @@
 import type { AttemptResult, CallId, LoadReport } from '../../src/gateway/model/request.js';
 import type { Route } from '../../src/gateway/model/route.js';
 import { feederPlan } from '../../src/gateway/peers/service-share.js';
-import { routeTo, VirtualGateway } from './virtual-gateway.js';
+import { GATEWAY_LIST, routeTo, VirtualGateway } from './virtual-gateway.js';
 
 /** Time between the gateway and a replica, in milliseconds. */
 const LINK_MS = 1.4;
@@ -50,15 +50,6 @@
   readonly run: () => void;
 }
 
-/** The gateways of the region; the first one has the most capacity. */
-const gatewayList = () =>
-  Array.from({ length: 20 }, (_, index) => ({
-    name: `front-${index + 1}`,
-    zone: 'bole',
-    address: { host: '127.0.0.1', port: 1 },
-    capacity: index === 0 ? 1 : 0.1,
-  }));
-
 const routeOf = (
   { name, route = name, priority, objectiveMs, deadlineMs }: LoadClass,
   shards: readonly string[],
@@ -74,7 +65,7 @@
   routes: (shards: readonly string[]) => readonly Route[],
 ): { readonly gateway: VirtualGateway; readonly shards: readonly string[] } => {
   const gateway = new VirtualGateway(2_000);
-  gateway.listGateways(gatewayList());
+  gateway.listGateways(GATEWAY_LIST);
   const candidates = Array.from({ length: 200 }, (_, index) => `s${index}`);
   const shards = candidates
     .filter((service) => feederPlan(gateway.state).rankOf(service, 'front-1') === 0)
--- a/test/gateway/virtual-gateway.ts
+++ b/test/gateway/virtual-gateway.ts
@@ -56,6 +56,14 @@
   closing: false,
 });
 
+/** 20 gateways of one region, so that shards are reached through feeders; the first one has the most capacity. */
+export const GATEWAY_LIST: readonly PeerRecord[] = Array.from({ length: 20 }, (_, index) => ({
+  name: `front-${index + 1}`,
+  zone: 'bole',
+  address: HOST,
+  capacity: index === 0 ? 1 : 0.1,
+}));
+
 /** Runs the reducer and records its effects. */
 export class VirtualGateway {
   readonly state: GatewayState;
