--- a/src/gateway/requests/parts-timing.ts
+++ b/src/gateway/requests/parts-timing.ts
@@ -3,10 +3,10 @@
  * sides. Parts of urgent requests must nevertheless reach their coordinator before it answers.
  */
 import type { GatewayState } from '../state.js';
-import { latencyOf } from './attempts.js';
+
 import { addDelay, type DelayHistogram, delayQuantile } from './delay-histogram.js';
 import { type ActiveRequest, isAnswered, type Leg } from './request-state.js';
-import { hedgeDelay } from './route-latency.js';
+import { hedgeDelay, latencyOf } from './route-latency.js';
 
 /** Time reserved for the transfer of parts until enough round trips were measured, in milliseconds. */
 const PARTS_MARGIN_MS = 8;
--- a/src/gateway/requests/request-state.ts
+++ b/src/gateway/requests/request-state.ts
@@ -1,5 +1,5 @@
 /** State of requests in progress. A request has a single leg, or one for each shard of a gather. */
-import type { TracedDecision } from '../log/log-event.js';
+import type { AttemptReason, TracedDecision } from '../log/log-event.js';
 import type { AnswerInputs } from '../model/answer-timing.js';
 import type { Route } from '../model/route.js';
 import type {
@@ -43,12 +43,28 @@
   resumeAt: number | undefined;
   /** The open subquery that requests the part from a feeder; undefined while there is none. */
   subquery: SubqueryId | undefined;
+  /** The attempt that waits for room at the replicas; undefined while none does. */
+  waiting: WaitingAttempt | undefined;
+  /** It ended because it could not be answered before its deadline; no other feeder should try. */
+  isDropped: boolean;
   /** The outcome was reported to the coordinator. */
   isReported: boolean;
   /** The leg waits until the guard of its request allows it to be sent. */
   isHeld: boolean;
 }
 
+/** An attempt that waits at this feeder for room at the replicas of its shard. Times are on the gateway's clock, in milliseconds. */
+export interface WaitingAttempt {
+  readonly request: ActiveRequest;
+  readonly leg: Leg;
+  readonly reason: AttemptReason;
+  readonly since: number;
+  /** Usual duration of such an attempt, in milliseconds. */
+  readonly usualMs: number;
+  readonly deadlineAt: number;
+  isQueued: boolean;
+}
+
 /** How a leg ended. `fed`: a feeder sent the part, and its records are in `fedRecords` of the request. */
 export type LegOutcome =
   | { readonly type: 'answered'; readonly answer: ReplicaAnswer }
@@ -164,6 +180,8 @@
   pauses: 0,
   resumeAt: undefined,
   subquery: undefined,
+  waiting: undefined,
+  isDropped: false,
   isReported: false,
   isHeld: false,
 });
--- a/src/gateway/requests/route-latency.ts
+++ b/src/gateway/requests/route-latency.ts
@@ -44,6 +44,20 @@
   histogram: createLatencyHistogram(),
 });
 
+/** Latency statistics of the request's route; created when the route has none. */
+export const latencyOf = (
+  { latencies }: { readonly latencies: Map<string, RouteLatency> },
+  { route }: { readonly route: Route },
+): RouteLatency => {
+  const known = latencies.get(route.name);
+  if (known !== undefined) {
+    return known;
+  }
+  const latency = createRouteLatency(route);
+  latencies.set(route.name, latency);
+  return latency;
+};
+
 /** Records the latency of an answered attempt, in milliseconds. */
 export const addLatency = (latency: RouteLatency, elapsedMs: number): void => {
   latency.samples += 1;
