Confirm API keys against the store before requests with keys are admitted

Cause: a gateway that is cut off, was paused or has lost the store went on admitting keys that had been revoked, for any length of time.

Change: where the settings give keyRevocationMs and the configuration in force has tenants, a gateway admits a request with a key only while its key confirmation is recent: the time at which a confirming read of the store was sent that showed the version in force, or the time at which another gateway was asked, minus the age that it answered. One reader makes the confirming reads in place of its probes, the readers of other zones ask it, followers ask their reader; all readers are asked, and the store is read, while nobody confirms. Requests with keys are held for up to 250 ms after the start or a process pause, and otherwise refused with keys-unconfirmed. A gateway with unconfirmed keys is not ready for callers but serves other gateways. Changes are logged, the refusal is explained, and the age is a metric.

--- a/src/gateway/effect.ts
+++ b/src/gateway/effect.ts
@@ -191,7 +191,7 @@
   readonly at: number;
 }
 
-/** Calls the store; results in `page-read`, `changes-read`, `store-call-failed` or, for a probe, `probe-ended`. */
+/** Calls the store; results in `page-read`, `changes-read`, `store-call-failed`, `probe-ended` or `confirmation-ended`. */
 export interface CallStore {
   readonly type: 'call-store';
   readonly call: StoreCall;
@@ -260,6 +260,8 @@
 export interface SetReadiness {
   readonly type: 'set-readiness';
   readonly ready: boolean;
+  /** Whether other gateways are told that this one serves them; absent if it is the same as `ready`. */
+  readonly servesPeers?: boolean;
 }
 
 /** Applies limits on what callers send. */
--- a/src/gateway/event.ts
+++ b/src/gateway/event.ts
@@ -22,7 +22,7 @@
 import type { FollowerId, KnownPositions, ReaderUpdate } from './readers/reader-update.js';
 import type { GatewaySettings } from './settings.js';
 import type { CollectionName } from './store/collection.js';
-import type { StoreChanges, StorePage } from './store/store-objects.js';
+import type { ShownConfiguration, StoreChanges, StorePage } from './store/store-objects.js';
 import type { StoreEra } from './store/store-position.js';
 
 /** The process has started and its ports are open. */
@@ -160,6 +160,19 @@
   readonly era?: StoreEra;
 }
 
+/** A confirming read of the store has ended. */
+export interface ConfirmationEnded {
+  readonly type: 'confirmation-ended';
+  readonly at: number;
+  /** When the read was sent, in milliseconds on the clock of the process. */
+  readonly sentAt: number;
+  readonly answered: boolean;
+  /** Era of the store that the answer names; absent where there was none. */
+  readonly era?: StoreEra;
+  /** What the answer shows; absent if there was none or it cannot be read. */
+  readonly shown?: ShownConfiguration;
+}
+
 /** Another gateway requests the parts of some shards from this one. */
 export interface SubqueryReceived {
   readonly type: 'subquery-received';
@@ -326,6 +339,7 @@
   | StoreCallFailed
   | CollectionDue
   | ProbeEnded
+  | ConfirmationEnded
   | ProbeDue
   | SubqueryReceived
   | SubqueryCancelled
--- a/src/gateway/explain/find-cause.ts
+++ b/src/gateway/explain/find-cause.ts
@@ -69,6 +69,19 @@
 }: NonNullable<LineOf<'request-answered'>['blocked']>): string =>
   `refused: this request (fingerprint ${fingerprint}) crashed replicas in ${rounds} consecutive rounds and none answered it; it is blocked for ${forMs} ms more (block ${level}), then sent to one replica as a trial`;
 
+const describeUnconfirmed = ({
+  ageMs,
+  source,
+  limitMs,
+  version,
+}: NonNullable<LineOf<'request-answered'>['unconfirmed']>): string => {
+  const last =
+    ageMs === undefined
+      ? 'had not confirmed them since it started'
+      : `last confirmed them ${ageMs} ms before (source: ${source ?? 'unknown'}), and ${Math.round(limitMs)} ms are allowed`;
+  return `refused: API keys may have been removed from version ${version} without this gateway knowing it; it ${last}: see keys-unconfirmed`;
+};
+
 const describeCrashes = (lines: readonly RequestLine[]): string => {
   const crashed = linesWithEvent(lines, 'attempt-crashed').map(({ replica }) => replica);
   return crashed.length === 0
@@ -90,6 +103,9 @@
       if (answer.blocked !== undefined) {
         return describeBlock(answer.blocked);
       }
+      if (answer.unconfirmed !== undefined) {
+        return describeUnconfirmed(answer.unconfirmed);
+      }
       if (missing.length === 0) {
         return `refused after ${elapsedMs} ms (${answer.reason ?? 'unknown'}) before an attempt was sent`;
       }
--- a/src/gateway/lifecycle.ts
+++ b/src/gateway/lifecycle.ts
@@ -1,4 +1,5 @@
 /** Start, readiness and stop of a gateway. */
+import { isReadyForKeys } from './authorization/confirmation-state.js';
 import type { GatewayEffect } from './effect.js';
 import type { StopDue, StopRequested } from './event.js';
 import type { StateChange } from './log/log-event.js';
@@ -16,21 +17,32 @@
 /** Interval of the checks whether all requests are finished during a stop, in milliseconds. */
 const STOP_CHECK_INTERVAL_MS = 100;
 
-/** Updates the readiness that the load balancer reads, and logs a change of it. */
+/**
+ * Updates the readiness that the load balancer reads, and logs a change of it. A gateway whose API keys are unconfirmed is
+ * not ready for callers, but serves other gateways, whose callers are admitted there.
+ */
 export const updateReadiness = (state: GatewayState): GatewayEffect[] => {
-  const ready = canServe(state) && (state.phase === 'starting' || state.phase === 'serving');
-  if (ready === state.ready) {
+  const servesPeers = canServe(state) && (state.phase === 'starting' || state.phase === 'serving');
+  const ready = servesPeers && isReadyForKeys(state);
+  if (ready === state.ready && servesPeers === state.servesPeers) {
     return [];
   }
+  const wasReady = state.ready;
   state.ready = ready;
-  if (ready) {
+  state.servesPeers = servesPeers;
+  if (servesPeers) {
     state.phase = 'serving';
   }
+  const effect: GatewayEffect = {
+    type: 'set-readiness',
+    ready,
+    ...(servesPeers !== ready && { servesPeers }),
+  };
+  if (ready === wasReady) {
+    return [effect];
+  }
   const change: StateChange = { event: 'ready', ready, phase: state.phase };
-  return [
-    { type: 'set-readiness', ready },
-    { type: 'write-log', level: 'info', part: 'lifecycle', change },
-  ];
+  return [effect, { type: 'write-log', level: 'info', part: 'lifecycle', change }];
 };
 
 /** Handles `stop-requested`. */
--- a/src/gateway/log/log-descriptions.ts
+++ b/src/gateway/log/log-descriptions.ts
@@ -42,6 +42,10 @@
   'settings-refused': 'Changed settings are invalid; the last valid ones stay in force.',
   'configuration-in-force':
     'A version of the configuration came into force, at most `unconfirmedMs` after it was published.',
+  'keys-confirmed':
+    'The known API keys are recent enough again to admit requests with keys: no removal that the store acknowledged more than `ageMs` ago is missing.',
+  'keys-unconfirmed':
+    'API keys may have been removed without this gateway knowing it: the last confirmation is too old, and requests with keys are refused.',
   'object-unreadable':
     'This gateway cannot read the content of an object in the store. A replica gets no requests until it has written its entry again; for other objects, the last readable content stays in force.',
   'request-unreadable':
--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -128,6 +128,14 @@
         readonly level: number;
         readonly forMs: number;
       };
+      /** Age and source of the key confirmation, and the age that is allowed; present if that is the reason. */
+      readonly unconfirmed?: {
+        /** Absent if there has been no confirmation. */
+        readonly ageMs?: number;
+        readonly source?: string;
+        readonly limitMs: number;
+        readonly version: number;
+      };
       readonly missing: readonly string[];
       readonly objectiveMs: number;
       readonly elapsedMs: number;
@@ -169,6 +177,14 @@
       /** Time since the previous configuration was last confirmed to be the latest; absent for the first one. */
       readonly unconfirmedMs?: number;
     }
+  | {
+      readonly event: 'keys-confirmed' | 'keys-unconfirmed';
+      readonly version: number;
+      /** Age of the confirmation. */
+      readonly ageMs: number;
+      /** Source of the confirmation: `store`, or the name of a gateway. */
+      readonly source: string;
+    }
   | {
       readonly event: 'object-unreadable';
       readonly collection: string;
--- a/src/gateway/metrics/gateway-metrics.ts
+++ b/src/gateway/metrics/gateway-metrics.ts
@@ -1,4 +1,5 @@
 /** All metrics of a gateway: its counters and histograms, and gauges of its state. */
+import { requiredTiming } from '../authorization/confirmation-state.js';
 import type { GatewayState } from '../state.js';
 import { confirmedAt } from '../store/confirmation.js';
 import { GaugeMetric, type Metric } from './metric-series.js';
@@ -8,6 +9,12 @@
 const gauge = (name: string, help: string, read: () => number): GaugeMetric =>
   new GaugeMetric({ name: `crossroad_gateway_${name}`, help, labelNames: [] }, read);
 
+/** Age of the key confirmation, in milliseconds; counted from the start of the process if there is none. */
+const keyConfirmationAge = (state: GatewayState, at: number): number =>
+  requiredTiming(state) === undefined
+    ? 0
+    : at - Math.max(state.startedAt, state.keyConfirmation.confirmedAt);
+
 /**
  * Lists the metrics of a gateway.
  *
@@ -55,5 +62,10 @@
     'How long ago it was last known that the store holds nothing newer, of the collection for which that is longest.',
     () => (now() - Math.max(state.startedAt, confirmedAt(state))) / MS_PER_SECOND,
   ),
+  gauge(
+    'key_confirmation_age_seconds',
+    'How long ago it was last known that no removed API key is in force here; 0 where that need not be confirmed.',
+    () => keyConfirmationAge(state, now()) / MS_PER_SECOND,
+  ),
   gauge('resident_memory_bytes', 'Resident memory of the process.', residentBytes),
 ];
--- a/src/gateway/protocol/protocol.ts
+++ b/src/gateway/protocol/protocol.ts
@@ -5,7 +5,7 @@
 import type { Either } from 'purify-ts/Either';
 import type { LoadReport } from '../model/request.js';
 import type { ListCall, StoreCall, WatchCall } from '../store/collection.js';
-import type { StoreChanges, StorePage } from '../store/store-objects.js';
+import type { ShownConfiguration, StoreChanges, StorePage } from '../store/store-objects.js';
 import type { Finding } from '../../table/finding.js';
 
 /** Names of headers, in lower case. */
@@ -50,6 +50,8 @@
   formatCall(call: StoreCall): StoreRequest;
   readPage(call: ListCall, body: string): Either<readonly Finding[], StorePage>;
   readChanges(call: WatchCall, body: string): Either<readonly Finding[], StoreChanges>;
+  /** Reads the answer of a confirming read without decoding the whole configuration. */
+  readConfirmation(body: string): Either<readonly Finding[], ShownConfiguration>;
 }
 
 /** The protocol between a gateway, its callers, the replicas and the store. */
--- a/src/gateway/readers/candidates.ts
+++ b/src/gateway/readers/candidates.ts
@@ -58,6 +58,29 @@
   ];
 };
 
+/** Gateways of each zone that are asked to confirm API keys: its reader, and the one that replaces it. */
+const CONFIRMING_PER_ZONE = 2;
+
+/** The gateway that makes the confirming reads for the readers of all zones; undefined before gateways are listed. */
+export const confirmingReader = (state: GatewayState, at: number): PeerRecord | undefined => {
+  const { ownZone, otherZones } = readerOrderOf(state);
+  const own = state.settings.node;
+  const isTrusted = ({ name }: PeerRecord): boolean =>
+    name === own || !state.peers.isSuspect(name, at);
+  const readers = [ownZone, ...otherZones].flatMap((zone) => zone.filter(isTrusted).slice(0, 1));
+  return rankByRendezvous('key-confirmation', readers)[0];
+};
+
+/** The readers of all zones, and the gateways that replace them, apart from this one. */
+export const readersOfAllZones = (state: GatewayState, at: number): readonly PeerRecord[] => {
+  const { ownZone, otherZones } = readerOrderOf(state);
+  return [ownZone, ...otherZones].flatMap((zone) =>
+    zone
+      .filter(({ name }) => name !== state.settings.node && !state.peers.isSuspect(name, at))
+      .slice(0, CONFIRMING_PER_ZONE),
+  );
+};
+
 /** The seed gateways of the settings, which serve as candidates while no list of gateways is available. */
 export const seedCandidates = (state: GatewayState, at: number): readonly PeerRecord[] => {
   const { seeds, peers, zone } = state.settings;
--- a/src/gateway/readers/update-reading.ts
+++ b/src/gateway/readers/update-reading.ts
@@ -167,13 +167,13 @@
   const isEnding = state.phase === 'stopping' || state.phase === 'ended';
   const choice = isEnding ? undefined : chooseReaders(state, at);
   if (choice === undefined) {
-    return [...probeIfNeeded(state), ...publishStatus(state, at)];
+    return [...probeIfNeeded(state, at), ...publishStatus(state, at)];
   }
   const shouldRead = choice.shouldRead || state.reading.followers.size > 0;
   return [
     ...updateSources(state, choice.follow, at),
     ...setReading(state, shouldRead),
-    ...probeIfNeeded(state),
+    ...probeIfNeeded(state, at),
     ...publishStatus(state, at),
   ];
 };
--- a/src/gateway/reducer.ts
+++ b/src/gateway/reducer.ts
@@ -4,9 +4,12 @@
  */
 import { match } from 'ts-pattern';
 import {
+  confirmAfterPause,
   handleConfirmationAnswer,
   handleConfirmationDue,
+  handleConfirmationEnded,
   handleConfirmationRequest,
+  updateKeyConfirmation,
 } from './authorization/key-confirmation.js';
 import { handleCrashUpdates, handleCrashUpdatesDue } from './crashes/publish-crashes.js';
 import type { GatewayEffect } from './effect.js';
@@ -72,11 +75,17 @@
     ...(collection !== undefined && { collection }),
   });
 
+/** Runs what depends on whether the API keys are confirmed. */
+const resumeAfterConfirmation = (state: GatewayState, at: number): GatewayEffect[] => [
+  ...routeHeldRequests(state, at),
+  ...updateReadiness(state),
+];
+
 const handlePeerRequest = (state: GatewayState, received: PeerRequestReceived): GatewayEffect[] => {
   const { request } = received;
   switch (request.type) {
     case 'key-confirmation':
-      return handleConfirmationRequest(state, received, request);
+      return handleConfirmationRequest(state, received);
     case 'tokens':
       return handleTokenRequest(state, received, request);
   }
@@ -86,7 +95,10 @@
   const { answer } = answered;
   switch (answer.type) {
     case 'key-confirmation':
-      return handleConfirmationAnswer(state, answered, answer);
+      return [
+        ...handleConfirmationAnswer(state, answered, answer),
+        ...resumeAfterConfirmation(state, answered.at),
+      ];
     case 'tokens':
       return handleTokenAnswer(state, answered, answer);
   }
@@ -94,6 +106,7 @@
 
 /** Runs what depends on the state of the store, after an update from the store or a reader. */
 const resumeAfterStoreUpdate = (state: GatewayState, at: number): GatewayEffect[] => [
+  ...updateKeyConfirmation(state, at),
   ...routeHeldRequests(state, at),
   ...preconnectReplicas(state),
   ...updateReadiness(state),
@@ -103,7 +116,10 @@
 const dispatch = (state: GatewayState, event: GatewayEvent): GatewayEffect[] =>
   match(event)
     .with({ type: 'started' }, (started) => handleStarted(state, started))
-    .with({ type: 'stood-still' }, (paused) => handleProcessPaused(state, paused))
+    .with({ type: 'stood-still' }, (paused) => [
+      ...handleProcessPaused(state, paused),
+      ...confirmAfterPause(state, paused.at),
+    ])
     .with({ type: 'stop-requested' }, (stop) => handleStopRequested(state, stop))
     .with({ type: 'stop-due' }, (due) => handleStopDue(state, due))
     .with({ type: 'settings-reloaded' }, ({ settings }) => {
@@ -139,17 +155,28 @@
       ...refuseAllHeldRequests(state, failed.at),
     ])
     .with({ type: 'collection-due' }, (due) => handleCollectionDue(state, due))
-    .with({ type: 'probe-due' }, () => handleProbeDue(state))
+    .with({ type: 'probe-due' }, ({ at }) => handleProbeDue(state, at))
     .with({ type: 'probe-ended' }, (ended) => [
       ...recordStoreEra(state, ended),
       ...handleProbeEnded(state, ended.answered, ended.at),
       ...refuseAllHeldRequests(state, ended.at),
       ...updateReading(state, ended.at),
     ])
+    .with({ type: 'confirmation-ended' }, (ended) => [
+      ...recordStoreEra(state, ended),
+      ...handleProbeEnded(state, ended.answered, ended.at),
+      ...handleConfirmationEnded(state, ended),
+      ...resumeAfterConfirmation(state, ended.at),
+      ...refuseAllHeldRequests(state, ended.at),
+      ...updateReading(state, ended.at),
+    ])
     .with({ type: 'registration-due' }, (due) => handleRegistrationDue(state, due))
     .with({ type: 'peer-request-received' }, (received) => handlePeerRequest(state, received))
     .with({ type: 'peer-request-answered' }, (answered) => handlePeerAnswer(state, answered))
-    .with({ type: 'key-confirmation-due' }, ({ at }) => handleConfirmationDue(state, at))
+    .with({ type: 'key-confirmation-due' }, ({ at }) => [
+      ...handleConfirmationDue(state, at),
+      ...resumeAfterConfirmation(state, at),
+    ])
     .with({ type: 'quotas-due' }, ({ at }) => handleQuotasDue(state, at))
     .with({ type: 'reading-due' }, ({ at }) => handleReadingDue(state, at))
     .with({ type: 'follower-joined' }, (joined) => [
--- a/src/gateway/requests/accept-request.ts
+++ b/src/gateway/requests/accept-request.ts
@@ -16,7 +16,7 @@
 import { type CallerIdentity, identifyCaller } from '../tenants/caller-identity.js';
 import { refuseCall } from './finish.js';
 import { pausedUntil } from './guard.js';
-import { holdRequest } from './hold-request.js';
+import { holdUntilConfirmed, holdRequest } from './hold-request.js';
 import { retryAfterUnrouted } from './retry-after.js';
 import { sendLegs } from './send-legs.js';
 import { type ActiveRequest, createActiveRequest, createLeg, type Leg } from './request-state.js';
@@ -191,7 +191,7 @@
     return refuseCall(state, event, identity.reason, undefined, at);
   }
   if (identity.type === 'tenant' && !areKeysConfirmed(state, at)) {
-    return refuseCall(state, event, 'keys-unconfirmed', retryAfterUnrouted(state), at);
+    return holdUntilConfirmed(state, event, at);
   }
   return admitRequest(state, route, event, identity, at);
 };
--- a/src/gateway/requests/finish.ts
+++ b/src/gateway/requests/finish.ts
@@ -1,6 +1,7 @@
 /** Ends requests with a replica's answer, a merged answer or a refusal by the gateway. */
 import { nextTrialAt } from '../crashes/crash-history.js';
 import { publishBeforeAnswer } from '../crashes/publish-crashes.js';
+import { requiredTiming } from '../authorization/confirmation-state.js';
 import type { GatewayEffect } from '../effect.js';
 import type { RequestReceived } from '../event.js';
 import type { Decision } from '../log/log-event.js';
@@ -114,6 +115,18 @@
   return { fingerprint, rounds: known.rounds, level: known.level, forMs };
 };
 
+const describeUnconfirmed = (
+  state: GatewayState,
+  at: number,
+): NonNullable<AnswerDecision['unconfirmed']> => {
+  const { confirmedAt, source } = state.keyConfirmation;
+  return {
+    ...(source !== undefined && { ageMs: Math.round(at - confirmedAt), source }),
+    limitMs: requiredTiming(state)?.limitMs ?? 0,
+    version: state.inForce?.configuration.version ?? 0,
+  };
+};
+
 /**
  * Refuses a call for which nothing was sent to a replica.
  *
@@ -136,6 +149,7 @@
     mayHaveRun: false,
     ...(reason === 'no-route' && { noRoute: describeNoRoute(state, request, at) }),
     ...(reason === 'crashes-replicas' && { blocked: describeBlock(state, request, at) }),
+    ...(reason === 'keys-unconfirmed' && { unconfirmed: describeUnconfirmed(state, at) }),
     missing: [],
     objectiveMs: 0,
     elapsedMs: Math.round(at - receivedAt),
--- a/src/gateway/requests/hold-request.ts
+++ b/src/gateway/requests/hold-request.ts
@@ -4,6 +4,7 @@
  * second. Most have one retry, and an immediate refusal would spend it at another gateway that has not read the store
  * either.
  */
+import { isConfirmationAwaited } from '../authorization/confirmation-state.js';
 import type { GatewayEffect } from '../effect.js';
 import type { RequestReceived } from '../event.js';
 import type { CallId } from '../model/request.js';
@@ -43,6 +44,10 @@
   if (isStoreFailing(state)) {
     return refuseCall(state, event, 'no-configuration', retryAfterUnrouted(state));
   }
+  return hold(state, event);
+};
+
+const hold = (state: GatewayState, event: RequestReceived): GatewayEffect[] => {
   const { call, request, at } = event;
   const callerWaitMs = request.budgetMs ?? Number.POSITIVE_INFINITY;
   const holdMs = Math.min(MAX_HOLD_MS, callerWaitMs * HOLD_SHARE);
@@ -50,6 +55,16 @@
   return [{ type: 'set-request-timer', call, at: at + holdMs }];
 };
 
+/** Holds a request whose key is unconfirmed if a confirmation is about to arrive, and refuses it otherwise. */
+export const holdUntilConfirmed = (
+  state: GatewayState,
+  event: RequestReceived,
+  at: number,
+): GatewayEffect[] =>
+  isConfirmationAwaited(state, at)
+    ? hold(state, event)
+    : refuseCall(state, event, 'keys-unconfirmed', retryAfterUnrouted(state), at);
+
 /** Refuses a held request; without effect if the call is not held. */
 export const refuseHeldRequest = (
   state: GatewayState,
@@ -61,7 +76,9 @@
     return [];
   }
   state.held.delete(call);
-  return refuseCall(state, event, 'no-configuration', retryAfterUnrouted(state), at);
+  // Once this gateway can serve, it holds only requests whose keys are unconfirmed.
+  const reason = canServe(state) ? 'keys-unconfirmed' : 'no-configuration';
+  return refuseCall(state, event, reason, retryAfterUnrouted(state), at);
 };
 
 /** Refuses all held requests once the store has failed. */
--- a/src/gateway/runtime/start-gateway.ts
+++ b/src/gateway/runtime/start-gateway.ts
@@ -198,9 +198,9 @@
       .with({ type: 'unfollow-reader' }, ({ reader }) => this.peerClient.unfollow(reader))
       .with({ type: 'send-reader-update' }, (update) => this.peerPort.sendUpdate(update))
       .with({ type: 'set-stop-timer' }, ({ at }) => this.timers.set('stop', at))
-      .with({ type: 'set-readiness' }, ({ ready }) => {
+      .with({ type: 'set-readiness' }, ({ ready, servesPeers = ready }) => {
         this.readiness.setReady(ready);
-        this.peerPort.setServing(ready);
+        this.peerPort.setServing(servesPeers);
       })
       .with({ type: 'apply-limits' }, ({ limits }) => this.callers.applyLimits(limits))
       .with({ type: 'close-caller-port' }, () => this.callers.closePort())
--- a/src/gateway/runtime/store-client.ts
+++ b/src/gateway/runtime/store-client.ts
@@ -8,6 +8,7 @@
 import type {
   CollectionCall,
   CollectionName,
+  ConfirmCall,
   ProbeCall,
   RegisterCall,
   StoreCall,
@@ -67,6 +68,8 @@
         return void this.follow(call);
       case 'probe':
         return void this.probe(call);
+      case 'confirm':
+        return void this.confirm(call);
       case 'register':
         return void this.register(call);
     }
@@ -118,6 +121,25 @@
     this.emit((at) => ({ type: 'probe-ended', at, answered, era }));
   }
 
+  /** Makes a confirming read. The time at which it is sent counts, so it is taken before the call. */
+  private async confirm(call: ConfirmCall): Promise<void> {
+    const sentAt = this.context.clock.now();
+    const answer = await this.trySendCall('probe', call);
+    const answered = answer?.status === OK_STATUS;
+    const era = answer && this.eraOf(answer);
+    const shown = answered
+      ? this.context.format.readConfirmation(answer.body).toMaybe().extract()
+      : undefined;
+    this.emit((at) => ({
+      type: 'confirmation-ended',
+      at,
+      sentAt,
+      answered,
+      era,
+      ...(shown !== undefined && { shown }),
+    }));
+  }
+
   /** Sends a registration. Its answer is ignored: the next list shows whether the entry is in the store. */
   private async register(call: RegisterCall): Promise<void> {
     await this.trySendCall('registration', call);
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -1,5 +1,6 @@
 /** The state of a gateway; the reducer owns it and updates it in place. */
 import { createRandom, type Random } from '../core/random.js';
+import { createKeyConfirmation, type KeyConfirmation } from './authorization/confirmation-state.js';
 import { RetryBudget } from './budget/retry-budget.js';
 import type { BrokenAttempt } from './crashes/broken-attempt.js';
 import { type CrashState, createCrashState } from './crashes/crash-state.js';
@@ -105,6 +106,8 @@
   nextSubquery: SubqueryId;
   /** Identifier of the next request to another gateway. */
   nextPeerRequest: PeerRequestId;
+  /** How recent the known API keys are. */
+  readonly keyConfirmation: KeyConfirmation;
   readonly store: StoreReachability;
   /** Unconfirmed objects and recent departures, for restores of the store from a backup. */
   readonly storeRestores: RestoreState;
@@ -113,6 +116,8 @@
   stoppingSince: number;
   /** Readiness that was last reported to the load balancer. */
   ready: boolean;
+  /** Whether other gateways were last told that this one serves them. */
+  servesPeers: boolean;
   /** Set from the end of a process pause until the state has been confirmed. */
   pauseRecovery: PauseRecovery | undefined;
   inForce: ConfigurationInForce | undefined;
@@ -163,6 +168,7 @@
   subqueries: new Map(),
   nextSubquery: 1,
   nextPeerRequest: 1,
+  keyConfirmation: createKeyConfirmation(),
   store: {
     reachable: true,
     isProbed: false,
@@ -174,6 +180,7 @@
   phase: 'starting',
   stoppingSince: Number.POSITIVE_INFINITY,
   ready: false,
+  servesPeers: false,
   pauseRecovery: undefined,
   inForce: undefined,
   collections: {
--- a/src/gateway/store/collection.ts
+++ b/src/gateway/store/collection.ts
@@ -43,6 +43,15 @@
   readonly timeoutMs: number;
 }
 
+/**
+ * Reads the current version of the configuration to confirm that the API keys known here are valid. It allows no stale
+ * copy, and it also serves as a probe.
+ */
+export interface ConfirmCall {
+  readonly type: 'confirm';
+  readonly timeoutMs: number;
+}
+
 /** Writes this gateway's entry in the collection `gateways`. */
 export interface RegisterCall {
   readonly type: 'register';
@@ -56,4 +65,4 @@
 export type CollectionCall = ListCall | WatchCall;
 
 /** A call to the store. */
-export type StoreCall = CollectionCall | ProbeCall | RegisterCall;
+export type StoreCall = CollectionCall | ProbeCall | ConfirmCall | RegisterCall;
--- a/src/gateway/store/probe-store.ts
+++ b/src/gateway/store/probe-store.ts
@@ -3,6 +3,7 @@
  * within a second, and the first successful probe after an outage restarts the watches. A gateway that follows a current
  * reader and can reach the store sends no probes.
  */
+import { isConfirmingProbe, startConfirmingRead } from '../authorization/confirming-read.js';
 import type { GatewayEffect } from '../effect.js';
 import type { StateChange } from '../log/log-event.js';
 import type { GatewayState } from '../state.js';
@@ -19,8 +20,11 @@
 /** Timeout of a probe, in milliseconds. */
 const PROBE_TIMEOUT_MS = 700;
 
-/** Sends a probe immediately. */
-const startProbe = (state: GatewayState): GatewayEffect => {
+/** Sends a probe immediately, as a confirming read where the API keys must be confirmed. */
+const startProbe = (state: GatewayState, at: number): GatewayEffect => {
+  if (isConfirmingProbe(state, at)) {
+    return startConfirmingRead(state, at);
+  }
   state.store.isProbed = true;
   return { type: 'call-store', call: { type: 'probe', timeoutMs: PROBE_TIMEOUT_MS } };
 };
@@ -32,13 +36,13 @@
   state.reading.isReading || !state.store.reachable || !hasCurrentSource(state);
 
 /** Starts probing if it is needed and no probe is pending or scheduled. */
-export const probeIfNeeded = (state: GatewayState): GatewayEffect[] =>
-  state.store.isProbed || !isProbeNeeded(state) ? [] : [startProbe(state)];
+export const probeIfNeeded = (state: GatewayState, at: number): GatewayEffect[] =>
+  state.store.isProbed || !isProbeNeeded(state) ? [] : [startProbe(state, at)];
 
 /** Handles `probe-due`. */
-export const handleProbeDue = (state: GatewayState): GatewayEffect[] => {
+export const handleProbeDue = (state: GatewayState, at: number): GatewayEffect[] => {
   state.store.isProbed = false;
-  return probeIfNeeded(state);
+  return probeIfNeeded(state, at);
 };
 
 const probeIntervalMs = ({ store, reading }: GatewayState): number => {
@@ -49,7 +53,7 @@
   return isReader ? UNREACHABLE_INTERVAL_MS : UNREACHABLE_FOLLOWER_INTERVAL_MS;
 };
 
-/** Handles `probe-ended`: updates the reachability of the store and schedules the next probe. */
+/** Handles the end of a probe or a confirming read: updates the reachability of the store and schedules the next probe. */
 export const handleProbeEnded = (
   state: GatewayState,
   answered: boolean,
--- a/src/gateway/store/store-objects.ts
+++ b/src/gateway/store/store-objects.ts
@@ -32,5 +32,13 @@
   readonly revision: number;
 };
 
+/** What a confirming read shows of the configuration. */
+export interface ShownConfiguration {
+  /** Version of the configuration; absent if the store has none or its version cannot be read. */
+  readonly version?: number;
+  /** Revision of the store at which it was read. */
+  readonly revision: number;
+}
+
 /** Objects that have changed since the watched revision. */
 export type StoreChanges = StoreObjects & { readonly revision: number };
--- a/test/gateway/explain.test.ts
+++ b/test/gateway/explain.test.ts
@@ -76,6 +76,18 @@
     );
   });
 
+  it('names the age of the key confirmation of a gateway that may not know of a removed key', () => {
+    const unconfirmed = { ageMs: 5_210, source: 'front-2', limitMs: 4_850, version: 12 };
+    const reason = 'keys-unconfirmed';
+    expect(explain([answered({ outcome: 'refused', reason, unconfirmed })])).toBe(
+      'refused: API keys may have been removed from version 12 without this gateway knowing it; it last confirmed them 5210 ms before (source: front-2), and 4850 ms are allowed: see keys-unconfirmed',
+    );
+    const never = { limitMs: 4_850, version: 12 };
+    expect(explain([answered({ outcome: 'refused', reason, unconfirmed: never })])).toContain(
+      'it had not confirmed them since it started',
+    );
+  });
+
   it('names the replicas that a request crashed', () => {
     const crashed = line(55, { event: 'attempt-crashed', attempt: 1, replica: 'a' });
     const refused = answered({
--- a/test/gateway/reader-network.ts
+++ b/test/gateway/reader-network.ts
@@ -2,9 +2,16 @@
  * Several gateways over one store in virtual time, with the updates that readers send to their followers. Processes can
  * be killed, paused and started, links can be cut, and the store can be made unreachable for some gateways.
  */
-import type { FollowReader, GatewayEffect, SendReaderUpdate } from '../../src/gateway/effect.js';
-import type { GatewayEvent, StoreCallFailed } from '../../src/gateway/event.js';
+import type {
+  AnswerPeer,
+  FollowReader,
+  GatewayEffect,
+  SendPeerRequest,
+  SendReaderUpdate,
+} from '../../src/gateway/effect.js';
+import type { ConfirmationEnded, GatewayEvent, StoreCallFailed } from '../../src/gateway/event.js';
 import type { StateChange } from '../../src/gateway/log/log-event.js';
+import type { PeerExchangeId, PeerRequestId } from '../../src/gateway/model/peer-request.js';
 import type { FollowerId, ReaderUpdate } from '../../src/gateway/readers/reader-update.js';
 import { step } from '../../src/gateway/reducer.js';
 import type { GatewaySettings } from '../../src/gateway/settings.js';
@@ -42,6 +49,14 @@
   readonly id: FollowerId;
 }
 
+/** A request between gateways that has not been answered. */
+interface Exchange {
+  readonly from: VirtualNode;
+  readonly to: VirtualNode;
+  readonly incarnation: number;
+  readonly id: PeerRequestId;
+}
+
 interface PendingWatch {
   readonly call: WatchCall;
   readonly token: object;
@@ -58,6 +73,8 @@
   isRefused = false;
   /** Delay of changes from the store to this gateway, in milliseconds. */
   storeMs = STORE_MS;
+  /** Additional delay of answers to its probes and confirming reads, in milliseconds. */
+  answerDelayMs = 0;
   /** Until when the process is paused; events are queued until then. */
   pausedUntil = 0;
   readonly timers = new Map<string, object>();
@@ -108,6 +125,13 @@
    */
   failsCall: (call: CollectionStoreCall, count: number) => StoreCallFailed['problem'] | undefined =
     () => undefined;
+  /** Additional delay of a message between two gateways, in milliseconds. */
+  peerDelayMs: (from: VirtualNode, to: VirtualNode) => number = () => 0;
+  /** Number of requests between gateways. */
+  peerRequests = 0;
+  private readonly exchanges = new Map<PeerExchangeId, Exchange>();
+  private nextExchange = 1;
+  private heldMessages: { readonly isOpen: () => boolean; readonly run: () => void }[] = [];
   private answeredCalls = 0;
   private isStoreDown = false;
   private heldUpdates: { readonly follow: Follow; readonly news: ReaderUpdate }[] = [];
@@ -117,7 +141,13 @@
   private steps = 0;
 
   /** Adds a gateway without starting it. */
-  add(node: string, zone: string, capacity = 1, boundMs = 3_000): VirtualNode {
+  add(
+    node: string,
+    zone: string,
+    capacity = 1,
+    boundMs = 3_000,
+    keyRevocationMs?: number,
+  ): VirtualNode {
     const host = `10.0.0.${this.nodes.length + 1}`;
     const address = { host, port: 1 };
     const added = new VirtualNode({
@@ -136,6 +166,7 @@
         graceMs: 6_000,
         configurationMs: boundMs,
         evacuationMs: boundMs,
+        ...(keyRevocationMs !== undefined && { keyRevocationMs }),
         retryRatio: 0.2,
         retryWindowMs: 10_000,
         retrySlack: 40,
@@ -218,6 +249,9 @@
   }
 
   private releaseHeldUpdates(): void {
+    const messages = this.heldMessages;
+    this.heldMessages = [];
+    messages.filter(({ isOpen }) => isOpen()).forEach(({ run }) => run());
     const held = this.heldUpdates;
     this.heldUpdates = [];
     const open = held.filter(({ follow }) => this.follows.includes(follow));
@@ -395,6 +429,22 @@
       case 'check-peer':
         return this.check(node, effect.peer.name);
       default:
+        return this.performKeyEffect(node, effect);
+    }
+  }
+
+  private performKeyEffect(node: VirtualNode, effect: GatewayEffect): void {
+    switch (effect.type) {
+      case 'set-key-confirmation-timer':
+        return this.setTimer(node, 'key-confirmation', effect.at, {
+          type: 'key-confirmation-due',
+          at: 0,
+        });
+      case 'send-peer-request':
+        return this.sendRequest(node, effect);
+      case 'answer-peer':
+        return this.answerRequest(effect);
+      default:
     }
   }
 
@@ -422,6 +472,8 @@
     switch (call.type) {
       case 'probe':
         return this.probe(node, call.timeoutMs);
+      case 'confirm':
+        return this.confirm(node, call.timeoutMs);
       case 'register':
         return this.schedule(STORE_MS, () => {
           if (this.reachesStore(node)) {
@@ -450,6 +502,80 @@
     });
   }
 
+  /** Makes a confirming read: the store reads halfway between the call and its answer. */
+  private confirm(node: VirtualNode, timeoutMs: number): void {
+    const sentAt = this.now;
+    const { incarnation } = node;
+    const finish = (event: Omit<ConfirmationEnded, 'type' | 'at' | 'sentAt'>): void => {
+      if (node.alive && node.incarnation === incarnation) {
+        this.emit(node, { type: 'confirmation-ended', at: this.now, sentAt, ...event });
+      }
+    };
+    this.schedule(STORE_MS / 2, () => {
+      const isInTime = STORE_MS + node.answerDelayMs < timeoutMs;
+      if (!this.reachesStore(node) || node.isRefused || !isInTime) {
+        this.schedule(timeoutMs - STORE_MS / 2, () => finish({ answered: false }));
+        return;
+      }
+      const { era, revision } = this.store;
+      const main = this.store.find('configuration', 'main');
+      const version = main !== undefined && 'version' in main ? main.version : undefined;
+      const shown = { revision, ...(version !== undefined && { version }) };
+      this.schedule(STORE_MS / 2 + node.answerDelayMs, () =>
+        finish({ answered: true, shown, ...(era !== undefined && { era }) }),
+      );
+    });
+  }
+
+  private sendRequest(from: VirtualNode, { id, peer, request }: SendPeerRequest): void {
+    this.peerRequests += 1;
+    const to = this.nodes.find(
+      ({ name, settings }) => name === peer.name || settings.peers.host === peer.address.host,
+    );
+    if (to === undefined || !to.alive) {
+      this.emitLater(LINK_MS, from, {
+        type: 'peer-lost',
+        at: 0,
+        peer: peer.name,
+        problem: 'unreachable',
+      });
+      return;
+    }
+    const exchange = this.nextExchange;
+    this.nextExchange += 1;
+    this.exchanges.set(exchange, { from, to, id, incarnation: from.incarnation });
+    this.sendMessage(from, to, {
+      type: 'peer-request-received',
+      at: 0,
+      exchange,
+      from: from.name,
+      request,
+    });
+  }
+
+  private answerRequest({ exchange, answer }: AnswerPeer): void {
+    const open = this.exchanges.get(exchange);
+    this.exchanges.delete(exchange);
+    if (open === undefined || open.from.incarnation !== open.incarnation) {
+      return;
+    }
+    const { from, to, id } = open;
+    this.sendMessage(to, from, { type: 'peer-request-answered', at: 0, id, peer: to.name, answer });
+  }
+
+  /** Sends a message, or holds it while the link is cut, like data on a TCP connection. */
+  private sendMessage(from: VirtualNode, to: VirtualNode, event: GatewayEvent): void {
+    if (this.isLinked(from, to)) {
+      this.emitLater(LINK_MS + this.peerDelayMs(from, to), to, event);
+    } else if (this.holdsUpdatesOfCutLinks) {
+      const incarnations = [from.incarnation, to.incarnation];
+      this.heldMessages.push({
+        isOpen: () => from.incarnation === incarnations[0] && to.incarnation === incarnations[1],
+        run: () => this.sendMessage(from, to, event),
+      });
+    }
+  }
+
   private callCollection(node: VirtualNode, call: CollectionStoreCall): void {
     const { collection } = call;
     const token = {};
