Model and describe the confirmation of API keys

Cause: which times a confirmation may count from is easy to get wrong and shows only under rare delays.

Change: spec/key-confirmation.pml checks a reader, a follower and a third gateway with late and lost messages. Each rule is a mutation, among them an age that counts from the arrival of an answer, a stale read, and a time of day in place of an age.

--- a/spec/models.mjs
+++ b/spec/models.mjs
@@ -76,4 +76,17 @@
       'DROP_STOP_ON_RETURN',
     ],
   },
+  {
+    name: 'key-confirmation',
+    mutations: [
+      'DROP_LIMIT',
+      'DROP_READ_TIME',
+      'DROP_CURRENT_READ',
+      'DROP_IN_FORCE',
+      'DROP_ASKED_TIME',
+      'DROP_OWN_REQUEST',
+      'DROP_AGE',
+      'DROP_VERSION',
+    ],
+  },
 ];
