Keep admitting keys while the store holds an unreadable configuration

Cause: a malformed configuration leaves the last readable one in force, but no confirming read shows that version any more, so that all gateways would refuse all requests with keys after 5 s.

Change: a gateway confirms the version in force if its own watch delivered the unreadable configuration from a position at which a confirming read had shown that version; otherwise a readable version without the key may have been missed. A newer version that a read shows is awaited from the watch first, and listed only then, so that the watch stays complete.

--- a/src/gateway/authorization/confirmation-state.ts
+++ b/src/gateway/authorization/confirmation-state.ts
@@ -1,6 +1,7 @@
 /** State and timing of the key confirmation. */
 import type { PeerRequestId } from '../model/peer-request.js';
 import type { GatewayState } from '../state.js';
+import type { StorePosition } from '../store/store-position.js';
 
 /** A confirmation: everything that the store acknowledged before `confirmedAt` is covered by `version`. */
 export interface VersionConfirmation {
@@ -27,8 +28,14 @@
   awaitedUntil: number;
   /** A confirmation of a version that is not in force here yet. */
   pending: VersionConfirmation | undefined;
-  /** The last version that a confirming read has shown and that was then read from the store. */
-  requestedVersion: number | undefined;
+  /** The last version above the one in force that confirming reads have shown, and how often; undefined before. */
+  newer: { readonly version: number; readonly count: number } | undefined;
+  /** Position at which a confirming read last showed what is in force here. */
+  verified: StorePosition | undefined;
+  /** Position at which the configuration was written that is unreadable, with no readable one missed before it. */
+  unreadable: StorePosition | undefined;
+  /** When a confirming read is repeated; infinity if it is not. */
+  repeatReadAt: number;
   /** When each unanswered request to another gateway was sent. */
   readonly asked: Map<PeerRequestId, number>;
   /** When the reader is asked next. */
@@ -56,7 +63,10 @@
   isConfirmed: false,
   awaitedUntil: Number.NEGATIVE_INFINITY,
   pending: undefined,
-  requestedVersion: undefined,
+  newer: undefined,
+  verified: undefined,
+  unreadable: undefined,
+  repeatReadAt: Number.POSITIVE_INFINITY,
   asked: new Map(),
   askDueAt: Number.POSITIVE_INFINITY,
   askAllNotBefore: Number.NEGATIVE_INFINITY,
--- a/src/gateway/authorization/confirming-read.ts
+++ b/src/gateway/authorization/confirming-read.ts
@@ -32,6 +32,7 @@
   const { keyConfirmation, store } = state;
   const intervalMs = requiredTiming(state)?.ownReadIntervalMs ?? 0;
   keyConfirmation.readNotBefore = at + Math.max(READ_TIMEOUT_MS, intervalMs);
+  keyConfirmation.repeatReadAt = Number.POSITIVE_INFINITY;
   keyConfirmation.readSpread = state.random.next();
   store.isProbed = true;
   return { type: 'call-store', call: { type: 'confirm', timeoutMs: READ_TIMEOUT_MS } };
--- a/src/gateway/authorization/key-confirmation.ts
+++ b/src/gateway/authorization/key-confirmation.ts
@@ -9,7 +9,6 @@
 import type { StateChange } from '../log/log-event.js';
 import type { KeyConfirmationAnswer } from '../model/peer-request.js';
 import type { GatewayState } from '../state.js';
-import { beginList, callNow } from '../store/follow-collection.js';
 import { askAllReaders, askReader, hasCurrentSource } from './ask-readers.js';
 import {
   areKeysConfirmed,
@@ -18,6 +17,8 @@
   type VersionConfirmation,
 } from './confirmation-state.js';
 import { startConfirmingRead } from './confirming-read.js';
+import { obtainNewer } from './obtain-newer.js';
+import { shownVersion } from './unreadable-configuration.js';
 
 export { areKeysConfirmed } from './confirmation-state.js';
 
@@ -101,14 +102,14 @@
   { keyConfirmation, store }: GatewayState,
   timing: ConfirmationTiming,
 ): { readonly askAllAt: number; readonly readAt: number; readonly expiresAt: number } => {
-  const { confirmedAt, askAllNotBefore, readNotBefore, readSpread, isConfirmed } = keyConfirmation;
+  const { confirmedAt, askAllNotBefore, isConfirmed } = keyConfirmation;
+  const { readNotBefore, readSpread, repeatReadAt } = keyConfirmation;
   const readAgeMs = timing.ownReadAgeMs + timing.ownReadSpreadMs * readSpread;
+  const ownReadAt = Math.max(confirmedAt + readAgeMs, readNotBefore);
   return {
     askAllAt: Math.max(confirmedAt + timing.askAllAgeMs, askAllNotBefore),
     // While the store is unreachable, its probes are confirming reads.
-    readAt: store.reachable
-      ? Math.max(confirmedAt + readAgeMs, readNotBefore)
-      : Number.POSITIVE_INFINITY,
+    readAt: store.reachable ? Math.min(ownReadAt, repeatReadAt) : Number.POSITIVE_INFINITY,
     expiresAt: isConfirmed ? confirmedAt + timing.limitMs : Number.POSITIVE_INFINITY,
   };
 };
@@ -224,40 +225,34 @@
   return updateKeyConfirmation(state, at);
 };
 
-/** Reads a configuration that a confirming read has shown, once for each version. */
-const readNewer = (state: GatewayState, version: number): GatewayEffect[] => {
-  const { configuration } = state.collections;
-  if (state.keyConfirmation.requestedVersion === version || configuration.mustList) {
-    return [];
-  }
-  state.keyConfirmation.requestedVersion = version;
-  beginList(configuration);
-  return [callNow(configuration)];
-};
-
 /**
  * Handles the end of a confirming read. An older version than the one in force confirms nothing: it may have been superseded
  * while the read was made, in which case it is repeated, or the store may have been restored from a backup.
  */
 export const handleConfirmationEnded = (
   state: GatewayState,
-  { shown, sentAt, at }: ConfirmationEnded,
+  ended: ConfirmationEnded,
 ): GatewayEffect[] => {
-  const { inForce, keyConfirmation } = state;
+  const { inForce, keyConfirmation, store } = state;
+  const { shown, sentAt, at, era = store.era } = ended;
   if (requiredTiming(state) === undefined || inForce === undefined) {
     return [];
   }
   const { version: known } = inForce.configuration;
-  const version = shown?.version;
-  if (version === undefined) {
+  const version = shownVersion(state, ended);
+  if (shown === undefined || version === undefined) {
     keyConfirmation.askAllNotBefore = Math.min(keyConfirmation.askAllNotBefore, at);
     return updateKeyConfirmation(state, at);
   }
   recordConfirmation(state, { version, confirmedAt: sentAt, source: 'store' });
-  const wasSuperseded = version < known && inForce.since >= sentAt;
+  if (version === known) {
+    keyConfirmation.verified = { era, revision: shown.revision };
+  }
+  if (version < known && inForce.since >= sentAt) {
+    keyConfirmation.repeatReadAt = at;
+  }
   return [
-    ...(version > known ? readNewer(state, version) : []),
-    ...(wasSuperseded ? [startConfirmingRead(state, at)] : []),
+    ...(version > known ? obtainNewer(state, version, at) : []),
     ...updateKeyConfirmation(state, at),
   ];
 };
--- a/src/gateway/requests/hold-request.ts
+++ b/src/gateway/requests/hold-request.ts
@@ -1,6 +1,6 @@
 /**
  * Holds requests that arrive before this process knows a configuration and the replicas, or before it has confirmed its
- * knowledge after a process pause. After a power failure of all gateways, their callers return within the same tenth of a
+ * knowledge after a process pause, and requests with keys that are about to be confirmed. After a power failure of all gateways, their callers return within the same tenth of a
  * second. Most have one retry, and an immediate refusal would spend it at another gateway that has not read the store
  * either.
  */
--- a/src/gateway/store/apply-collections.ts
+++ b/src/gateway/store/apply-collections.ts
@@ -1,4 +1,5 @@
 /** Handles the results of calls to the store and issues the next calls. */
+import { recordUnreadable } from '../authorization/unreadable-configuration.js';
 import type { GatewayEffect } from '../effect.js';
 import type { ChangesRead, CollectionDue, PageRead, StoreCallFailed } from '../event.js';
 import type { StateChange } from '../log/log-event.js';
@@ -150,6 +151,7 @@
   const isNewer = changes.revision > known;
   progress.failures = 0;
   if (isNewer) {
+    recordUnreadable(state, changes, { era, revision: known });
     progress.revision = changes.revision;
   }
   const effects = isNewer
--- a/src/gateway/store/store-objects.ts
+++ b/src/gateway/store/store-objects.ts
@@ -36,9 +36,15 @@
 export interface ShownConfiguration {
   /** Version of the configuration; absent if the store has none or its version cannot be read. */
   readonly version?: number;
+  /** Revision at which the object was last written; absent if the store does not give it. */
+  readonly writtenAt?: number;
   /** Revision of the store at which it was read. */
   readonly revision: number;
 }
 
 /** Objects that have changed since the watched revision. */
-export type StoreChanges = StoreObjects & { readonly revision: number };
+export type StoreChanges = StoreObjects & {
+  readonly revision: number;
+  /** Revision at which the configuration was last written, if the last of the changes left it unreadable. */
+  readonly unreadableSince?: number;
+};
--- a/test/gateway/key-confirmation-fuzz.test.ts
+++ b/test/gateway/key-confirmation-fuzz.test.ts
@@ -19,7 +19,7 @@
 const SEED = 20_261_203;
 
 type KeyFault =
-  | { readonly type: 'revoke' | 'allow' }
+  | { readonly type: 'revoke' | 'allow' | 'spoil' }
   | { readonly type: 'pause'; readonly node: number; readonly ms: number }
   | { readonly type: 'delay-answers'; readonly node: number; readonly ms: number }
   | { readonly type: 'delay-messages'; readonly seed: number; readonly ms: number }
@@ -30,7 +30,7 @@
 const node = fc.nat(29);
 
 const keyFault: fc.Arbitrary<KeyFault> = fc.oneof(
-  { weight: 3, arbitrary: fc.record({ type: fc.constantFrom('revoke', 'allow') }) },
+  { weight: 3, arbitrary: fc.record({ type: fc.constantFrom('revoke', 'allow', 'spoil') }) },
   fc.record({ type: fc.constant('pause'), node, ms: fc.nat(9_000) }),
   fc.record({ type: fc.constant('delay-answers'), node, ms: fc.constantFrom(0, 100, 600, 900) }),
   fc.record({
@@ -79,6 +79,10 @@
       case 'revoke':
       case 'allow':
         return this.write(step.type === 'revoke');
+      case 'spoil':
+        this.version += 1;
+        network.put('configuration', 'main', { version: this.version, isUnreadable: true });
+        return undefined;
       case 'pause':
         return network.pauseProcess(this.nodeAt(step.node), step.ms);
       case 'delay-answers':
@@ -120,6 +124,7 @@
   [
     'revoke',
     'allow',
+    'spoil',
     'pause',
     'delay-answers',
     'delay-messages',
--- a/test/gateway/key-confirmation.test.ts
+++ b/test/gateway/key-confirmation.test.ts
@@ -407,6 +407,42 @@
   });
 });
 
+describe('a configuration in the store that cannot be read', () => {
+  const UNREADABLE = { version: 2, isUnreadable: true } as const;
+
+  it('does not stop gateways from admitting keys of the last readable one', () => {
+    const network = settledNetwork();
+    network.put('configuration', 'main', UNREADABLE);
+    expect(greatestAge(network, 20_000)).toBeLessThan(REVOCATION_MS * 0.9);
+    expect(network.nodes.every((node) => admitsKey(node, network))).toBe(true);
+    network.put('configuration', 'main', { version: 3, isUnreadable: true });
+    expect(greatestAge(network, 20_000)).toBeLessThan(REVOCATION_MS * 0.9);
+  });
+
+  it('does not stop them if it is written shortly after another one', () => {
+    const network = settledNetwork();
+    network.put('configuration', 'main', keyedConfiguration(2));
+    network.advance(700);
+    network.put('configuration', 'main', { version: 3, isUnreadable: true });
+    greatestAge(network, 20_000);
+    expect(network.nodes.every((node) => admitsKey(node, network))).toBe(true);
+  });
+
+  it('confirms nothing at gateways that may have missed a readable one without the key', () => {
+    const network = settledNetwork();
+    network.nodes.forEach((node) => network.setStore(node, false));
+    network.put('configuration', 'main', keyedConfiguration(2, true));
+    network.put('configuration', 'main', { version: 3, isUnreadable: true });
+    network.discardHistory();
+    network.nodes.forEach((node) => network.setStore(node, true));
+    network.advance(REVOCATION_MS);
+    for (let step = 0; step < 1_000; step += 1) {
+      network.advance(STEP_MS);
+      expect(network.nodes.some((node) => admitsKey(node, network))).toBe(false);
+    }
+  });
+});
+
 describe('a configuration that a confirming read shows first', () => {
   it('is read and put into force, and confirmed as of that read', () => {
     const network = settledNetwork(1, ['bole']);
@@ -416,5 +452,6 @@
     network.advance(1_600);
     expect(node.version).toBe(2);
     expect(confirmationAge(node, network)).toBeLessThan(1_600);
+    expect(admitsKey(node, network)).toBe(false);
   });
 });
--- a/test/gateway/reader-network.ts
+++ b/test/gateway/reader-network.ts
@@ -520,7 +520,12 @@
       const { era, revision } = this.store;
       const main = this.store.find('configuration', 'main');
       const version = main !== undefined && 'version' in main ? main.version : undefined;
-      const shown = { revision, ...(version !== undefined && { version }) };
+      const writtenAt = this.store.writtenAt('configuration', 'main');
+      const shown = {
+        revision,
+        ...(version !== undefined && { version }),
+        ...(writtenAt !== undefined && { writtenAt }),
+      };
       this.schedule(STORE_MS / 2 + node.answerDelayMs, () =>
         finish({ answered: true, shown, ...(era !== undefined && { era }) }),
       );
--- a/test/gateway/virtual-store.ts
+++ b/test/gateway/virtual-store.ts
@@ -8,7 +8,21 @@
 
 const PAGE_SIZE = 50;
 
-type Value = GatewayConfiguration | ReplicaRecord | PeerRecord | Evacuation;
+/** A configuration that gateways cannot read, apart from its version. */
+interface UnreadableConfiguration {
+  readonly version: number;
+  readonly isUnreadable: true;
+}
+
+type Value =
+  GatewayConfiguration | UnreadableConfiguration | ReplicaRecord | PeerRecord | Evacuation;
+
+const isUnreadable = (value: Value | undefined): boolean =>
+  value !== undefined && 'isUnreadable' in value;
+
+/** The value as gateways read it: absent if it is unreadable. */
+const readableValue = (value: Value | undefined): { readonly value?: Value } =>
+  value === undefined || isUnreadable(value) ? {} : { value };
 
 interface StoredEvent {
   readonly collection: CollectionName;
@@ -22,6 +36,7 @@
   readonly revision: number;
   readonly objects: Readonly<Record<CollectionName, ReadonlyMap<string, Value>>>;
   readonly history: readonly StoredEvent[];
+  readonly written: ReadonlyMap<string, number>;
 }
 
 /** Returns a configuration with the given routes. */
@@ -61,9 +76,12 @@
     evacuations: new Map(),
   };
   private history: StoredEvent[] = [];
+  /** Revision at which each object was last written, by collection and name. */
+  private written = new Map<string, number>();
 
   put(collection: CollectionName, name: string, value: Value | undefined): void {
     this.revision += 1;
+    this.written.set(`${collection}/${name}`, this.revision);
     this.history.push({ collection, revision: this.revision, name, value });
     if (value === undefined) {
       this.objects[collection].delete(name);
@@ -84,9 +102,10 @@
   }
 
   backup(): StoreBackup {
-    const { revision, objects, history } = this;
+    const { revision, objects, history, written } = this;
     return {
       revision,
+      written: new Map(written),
       history: [...history],
       objects: {
         configuration: new Map(objects.configuration),
@@ -98,8 +117,9 @@
   }
 
   /** Restores a backup in a new era. Later changes are lost, and their revisions are assigned again. */
-  restore({ revision, objects, history }: StoreBackup): void {
+  restore({ revision, objects, history, written }: StoreBackup): void {
     this.revision = revision;
+    this.written = new Map(written);
     this.era = (this.era ?? 0) + 1;
     this.history = [...history];
     const collections = Object.keys(objects) as CollectionName[];
@@ -108,6 +128,11 @@
     }
   }
 
+  /** Revision at which an object was last written. */
+  writtenAt(collection: CollectionName, name: string): number | undefined {
+    return this.written.get(`${collection}/${name}`);
+  }
+
   has(collection: CollectionName, name: string): boolean {
     return this.objects[collection].has(name);
   }
@@ -126,7 +151,7 @@
     const objects = page.map((name) => ({
       name,
       gone: false,
-      value: this.objects[collection].get(name),
+      ...readableValue(this.objects[collection].get(name)),
     }));
     return {
       collection,
@@ -148,9 +173,12 @@
     const objects = events.map(({ name, value }) => ({
       name,
       gone: value === undefined,
-      ...(value !== undefined && { value }),
+      ...readableValue(value),
     }));
-    return { collection, objects, revision: this.revision } as StoreChanges;
+    const unreadableSince = isUnreadable(events.at(-1)?.value)
+      ? { unreadableSince: events.at(-1)?.revision }
+      : {};
+    return { collection, objects, revision: this.revision, ...unreadableSince } as StoreChanges;
   }
 
   /** Returns the answer to a watch whose wait is over. */
--- a/test/platform/confirming-read.test.ts
+++ b/test/platform/confirming-read.test.ts
@@ -48,10 +48,28 @@
       sentAt: 100,
       answered: true,
       era: 3,
-      shown: { version: 12, revision: 3 },
+      shown: { version: 12, writtenAt: 2, revision: 3 },
     });
   });
 
+  it('names the revision of an unreadable configuration in the same way as a watch does', () => {
+    const object = { meta: { name: 'main', revision: 8 }, spec: { version: 4, routes: 'none' } };
+    const watch = { type: 'watch', collection: 'configuration', revision: 7 } as const;
+    const changes = platformProtocol.store
+      .readChanges(
+        { ...watch, waitMs: 1, timeoutMs: 1 },
+        JSON.stringify({ events: [{ object }], at: 9 }),
+      )
+      .toMaybe()
+      .extract();
+    expect(changes?.unreadableSince).toBe(8);
+    const shown = platformProtocol.store
+      .readConfirmation(JSON.stringify({ items: [object], at: 9 }))
+      .toMaybe()
+      .extract();
+    expect(shown).toEqual({ version: 4, writtenAt: 8, revision: 9 });
+  });
+
   it('allows no stale copy', () => {
     const request = platformProtocol.store.formatCall({ type: 'confirm', timeoutMs: 700 });
     expect(request).toEqual({ method: 'GET', path: '/v1/objects/config' });
