--- a/src/gateway/explain/find-cause.ts
+++ b/src/gateway/explain/find-cause.ts
@@ -119,6 +119,19 @@
 const isRefusedAtOnce = (lines: readonly RequestLine[]): boolean =>
   linesWithEvent(lines, 'room-lacking').some(({ isSent }) => !isSent);
 
+const describeUnconfirmed = ({
+  ageMs,
+  source,
+  limitMs,
+  version,
+}: NonNullable<LineOf<'request-answered'>['unconfirmed']>): string => {
+  const last =
+    ageMs === undefined
+      ? 'had not confirmed them since it started'
+      : `last confirmed them ${ageMs} ms before (source: ${source ?? 'unknown'}), and ${Math.round(limitMs)} ms are allowed`;
+  return `refused: API keys may have been removed from version ${version} without this gateway knowing it; it ${last}: see keys-unconfirmed`;
+};
+
 const describeCrashes = (lines: readonly RequestLine[]): string => {
   const crashed = linesWithEvent(lines, 'attempt-crashed').map(({ replica }) => replica);
   return crashed.length === 0
@@ -143,6 +156,9 @@
       if (answer.blocked !== undefined) {
         return describeBlock(answer.blocked);
       }
+      if (answer.unconfirmed !== undefined) {
+        return describeUnconfirmed(answer.unconfirmed);
+      }
       if (isRefusedAtOnce(lines)) {
         return `refused at once (${answer.reason ?? 'unknown'})${describeLack(lines)}`;
       }
--- a/src/gateway/metrics/gateway-metrics.ts
+++ b/src/gateway/metrics/gateway-metrics.ts
@@ -2,6 +2,7 @@
 import { processMarginMs } from '../requests/answer-delays.js';
 import { partsMarginMs } from '../requests/parts-timing.js';
 import { classLabel } from '../scheduling/class-rank.js';
+import { requiredTiming } from '../authorization/confirmation-state.js';
 import type { GatewayState } from '../state.js';
 import { confirmedAt } from '../store/confirmation.js';
 import { GaugeMetric, LabeledGaugeMetric, type Metric } from './metric-series.js';
@@ -21,6 +22,11 @@
   }
   return counts;
 };
+/** Age of the key confirmation, in milliseconds; counted from the start of the process if there is none. */
+const keyConfirmationAge = (state: GatewayState, at: number): number =>
+  requiredTiming(state) === undefined
+    ? 0
+    : at - Math.max(state.startedAt, state.keyConfirmation.confirmedAt);
 
 /**
  * Lists the metrics of a gateway.
@@ -87,5 +93,10 @@
     'How long ago it was last known that the store holds nothing newer, of the collection for which that is longest.',
     () => (now() - Math.max(state.startedAt, confirmedAt(state))) / MS_PER_SECOND,
   ),
+  gauge(
+    'key_confirmation_age_seconds',
+    'How long ago it was last known that no removed API key is in force here; 0 where that need not be confirmed.',
+    () => keyConfirmationAge(state, now()) / MS_PER_SECOND,
+  ),
   gauge('resident_memory_bytes', 'Resident memory of the process.', residentBytes),
 ];
