Keep tenants' quotas by token buckets at an owner and leases at the other gateways

Cause: takeToken admitted every request, so that quotas were not enforced. Change: src/gateway/quotas. Requests that did not run return their tokens. TokenRequest and TokenAnswer have the fields that this needs.

--- a/src/gateway/lifecycle.ts
+++ b/src/gateway/lifecycle.ts
@@ -2,6 +2,7 @@
 import type { GatewayEffect } from './effect.js';
 import type { StopDue, StopRequested } from './event.js';
 import type { StateChange } from './log/log-event.js';
+import { waitingForTokens } from './quotas/take-token.js';
 import { type GatewayState, canServe } from './state.js';
 
 /**
@@ -33,6 +34,10 @@
   ];
 };
 
+/** Number of requests that have not been answered. */
+const requestsInProgress = (state: GatewayState): number =>
+  state.requests.size + state.held.size + waitingForTokens(state);
+
 /** Handles `stop-requested`. */
 export const handleStopRequested = (
   state: GatewayState,
@@ -45,7 +50,7 @@
   state.stoppingSince = at;
   const change: StateChange = {
     event: 'stopping',
-    requests: state.requests.size + state.held.size,
+    requests: requestsInProgress(state),
   };
   return [
     { type: 'write-log', level: 'info', part: 'lifecycle', change },
@@ -59,8 +64,7 @@
 export const handleStopDue = (state: GatewayState, { at }: StopDue): GatewayEffect[] => {
   const elapsed = at - state.stoppingSince;
   const isGraceOver = elapsed >= state.settings.bounds.graceMs - END_MARGIN_MS;
-  const isIdle =
-    elapsed >= ACCEPT_WHILE_STOPPING_MS && state.requests.size === 0 && state.held.size === 0;
+  const isIdle = elapsed >= ACCEPT_WHILE_STOPPING_MS && requestsInProgress(state) === 0;
   if (isGraceOver || isIdle) {
     state.phase = 'ended';
     const change: StateChange = {
--- a/src/gateway/log/log-descriptions.ts
+++ b/src/gateway/log/log-descriptions.ts
@@ -78,6 +78,9 @@
   'reading-changed':
     'This gateway starts to read the store itself, or leaves that to the readers that it follows.',
   'gateways-counted': 'The number of gateways that share replicas and budgets has changed.',
+  'tenant-over-limit':
+    'The owner of a tenant has no token left: the tenant exceeds its quota. Logged once until it is within it again.',
+  'tenant-within-limit': 'The owner has refused no request of the tenant for 10 s.',
   'lines-dropped':
     'Log lines were left out: the rate limit was exceeded, or standard output could not accept them.',
 };
--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -15,6 +15,19 @@
 /** Why an attempt was sent. */
 export type AttemptReason = 'first' | 'retry' | 'hedge';
 
+/** Inputs of a refusal because of a tenant's limit. Times are in milliseconds. */
+export interface LimitRefusal {
+  readonly tenant: string;
+  readonly ratePerSecond: number;
+  readonly burst: number;
+  /** The gateway that had no token; empty if none answered. */
+  readonly decidedBy: string;
+  /** How long ago this was learned; requests until the next token is due are refused without asking again. */
+  readonly decidedMsAgo: number;
+  /** Time until a token is expected. */
+  readonly tokenInMs: number;
+}
+
 /** A decision about one request. Times are in milliseconds. */
 export type Decision =
   | {
@@ -128,6 +141,8 @@
         readonly level: number;
         readonly forMs: number;
       };
+      /** The tenant's limit and the decision about it; present if that is the reason. */
+      readonly limit?: LimitRefusal;
       readonly missing: readonly string[];
       readonly objectiveMs: number;
       readonly elapsedMs: number;
@@ -300,4 +315,29 @@
   | { readonly event: 'reader-status'; readonly reader: string; readonly isCurrent: boolean }
   | { readonly event: 'reading-changed'; readonly isReading: boolean; readonly followers: number }
   | { readonly event: 'gateways-counted'; readonly gateways: number; readonly previous: number }
+  | {
+      readonly event: 'tenant-over-limit';
+      readonly tenant: string;
+      readonly ratePerSecond: number;
+      readonly burst: number;
+      /** Tokens in the owner's bucket, and those leased to other gateways. */
+      readonly available: number;
+      readonly leased: number;
+      /** Gateways that asked for tokens recently, and those with most leased tokens. */
+      readonly holders: number;
+      readonly largest: Readonly<Record<string, number>>;
+      /** The version of the configuration that sets the limit, and the age of its confirmation. */
+      readonly version: number;
+      readonly confirmedMs?: number;
+      /** How long this process has owned the tenant; absent if since the first start of the tier. */
+      readonly ownedMs?: number;
+    }
+  | {
+      readonly event: 'tenant-within-limit';
+      readonly tenant: string;
+      /** Time from the first refusal to the last one. */
+      readonly forMs: number;
+      /** Requests for tokens that the owner refused; other gateways refuse further requests without asking. */
+      readonly refused: number;
+    }
   | { readonly event: 'lines-dropped'; readonly lines: number };
--- a/src/gateway/metrics/gateway-counters.ts
+++ b/src/gateway/metrics/gateway-counters.ts
@@ -49,6 +49,11 @@
     help: 'Attempts that a replica may have run and that nobody waited for when they ended, by service and outcome.',
     labelNames: ['service', 'outcome'],
   }),
+  quotaTokens: new CounterMetric({
+    name: 'crossroad_gateway_quota_tokens_total',
+    help: 'Tokens that this gateway has granted: as the owner of a tenant, as a backup, and ahead of requests.',
+    labelNames: ['role'],
+  }),
   subqueries: new CounterMetric({
     name: 'crossroad_gateway_subqueries_total',
     help: 'Subqueries: sent to feeders, moved to others, and taken as a feeder.',
--- a/src/gateway/metrics/gateway-metrics.ts
+++ b/src/gateway/metrics/gateway-metrics.ts
@@ -1,5 +1,6 @@
 /** All metrics of a gateway: its counters and histograms, and gauges of its state. */
 import type { GatewayState } from '../state.js';
+import { waitingForTokens } from '../quotas/take-token.js';
 import { confirmedAt } from '../store/confirmation.js';
 import { GaugeMetric, type Metric } from './metric-series.js';
 
@@ -8,6 +9,9 @@
 const gauge = (name: string, help: string, read: () => number): GaugeMetric =>
   new GaugeMetric({ name: `crossroad_gateway_${name}`, help, labelNames: [] }, read);
 
+const leasedTokens = ({ quotas }: GatewayState): number =>
+  [...quotas.owned.values()].reduce((sum, { bucket }) => sum + bucket.leased, 0);
+
 /**
  * Lists the metrics of a gateway.
  *
@@ -39,6 +43,17 @@
   gauge('reading', '1 while this gateway reads the store itself.', () =>
     Number(state.reading.isReading),
   ),
+  gauge(
+    'quota_tokens_leased',
+    'Tokens that other gateways hold, of the tenants that this gateway owns.',
+    () => leasedTokens(state),
+  ),
+  gauge(
+    'quota_tenants_over_limit',
+    'Tenants owned by this gateway that exceed their quotas.',
+    () => [...state.quotas.owned.values()].filter((quota) => quota.overSince !== undefined).length,
+  ),
+  gauge('quota_requests_waiting', 'Requests that wait for a token.', () => waitingForTokens(state)),
   gauge('followers', 'Gateways that it tells what it reads.', () => state.reading.followers.size),
   gauge(
     'configuration_version',
--- a/src/gateway/metrics/metric-series.ts
+++ b/src/gateway/metrics/metric-series.ts
@@ -73,6 +73,13 @@
     this.counts.findOrCreate(values).count += 1;
   }
 
+  /** Adds `count`, if it is not 0; `values` are in the order of the label names. */
+  addCount(count: number, ...values: readonly string[]): void {
+    if (count !== 0) {
+      this.counts.findOrCreate(values).count += count;
+    }
+  }
+
   values(): readonly MetricValue[] {
     const { name, labelNames } = this.description;
     return this.counts.entries().map(([values, { count }]) => ({
--- a/src/gateway/model/peer-request.ts
+++ b/src/gateway/model/peer-request.ts
@@ -24,20 +24,26 @@
   readonly version: number | null;
 }
 
-/** Asks the owner of a tenant's limit for tokens. Counts refer to the sender's process and to the receiver. */
+/** Asks a gateway that keeps the limit of a tenant for tokens. Totals refer to the sender's process and to the tenant. */
 export interface TokenRequest {
   readonly type: 'tokens';
   readonly tenant: string;
-  /** Identifies the sender's process; another one starts with counts of 0. */
+  /** Identifies the sender's process. */
   readonly process: number;
-  /** Rises with each request; the sender accepts only the answer to the newest one. */
+  /** Rises with each request; only the answer to the newest one leases tokens. */
   readonly sequence: number;
-  /** Tokens used so far. */
+  /** Total of leased tokens used. */
   readonly used: number;
-  /** Tokens granted so far, as far as the sender has received the grants and they have not expired unused. */
-  readonly granted: number;
-  /** Tokens wanted in addition to the unused ones. */
-  readonly wanted: number;
+  /** Leased tokens that are neither used nor expired. */
+  readonly unused: number;
+  /** Tokens of requests that ended without having run, if their use was reported before. */
+  readonly returned: number;
+  /** Time on the receiver's clock, from an earlier answer, after which all returned tokens were granted; 0 if none are. */
+  readonly returnedSince: number;
+  /** Tokens needed at once, for waiting requests. */
+  readonly needed: number;
+  /** Tokens wanted ahead of further requests, in addition to the unused ones. */
+  readonly ahead: number;
   /** Class of the most urgent request that waits for a token. */
   readonly rank: ClassRank;
 }
@@ -47,11 +53,19 @@
   readonly type: 'tokens';
   readonly tenant: string;
   readonly sequence: number;
-  /** Tokens granted so far, including those of this answer. */
+  /** The role in which the sender answers; `none` if it does not keep the tenant's limit. */
+  readonly role: 'owner' | 'backup' | 'none';
+  /** Tokens for waiting requests; each is used within a fixed short time of the request or not at all. */
   readonly granted: number;
-  /** How long unused tokens are valid from when the request was sent, in milliseconds. */
+  /** Tokens leased ahead of further requests. */
+  readonly ahead: number;
+  /** Whether the unused tokens named in the request are still valid; if not, the receiver discards them. */
+  readonly isRenewed: boolean;
+  /** How long leased tokens are valid from when the request was sent, in milliseconds. */
   readonly validMs: number;
-  /** Time until further tokens are available, in milliseconds; 0 if all that was wanted was granted. */
+  /** When it was sent, in milliseconds on the sender's clock. */
+  readonly at: number;
+  /** Time until a further token is available, in milliseconds; 0 if all that was needed was granted. */
   readonly availableInMs: number;
 }
 
--- a/src/gateway/reducer.ts
+++ b/src/gateway/reducer.ts
@@ -13,7 +13,9 @@
 import type { GatewayEvent, PeerRequestAnswered, PeerRequestReceived, Started } from './event.js';
 import { handleStopRequested, handleStopDue, updateReadiness } from './lifecycle.js';
 import { handleRegistrationDue } from './peers/follow-gateways.js';
-import { handleQuotasDue, handleTokenAnswer, handleTokenRequest } from './quotas/take-token.js';
+import { handleTokenAnswer } from './quotas/admit-waiting.js';
+import { handleTokenRequest, updateOwners } from './quotas/keep-quota.js';
+import { handleQuotasDue } from './quotas/sweep-quotas.js';
 import { handleReaderUpdate } from './readers/handle-reader-update.js';
 import { handleFollowerJoined, handleFollowerLeft } from './readers/publish-to-followers.js';
 import {
@@ -93,12 +95,15 @@
 };
 
 /** Runs what depends on the state of the store, after an update from the store or a reader. */
-const resumeAfterStoreUpdate = (state: GatewayState, at: number): GatewayEffect[] => [
-  ...routeHeldRequests(state, at),
-  ...preconnectReplicas(state),
-  ...updateReadiness(state),
-  ...updateReading(state, at),
-];
+const resumeAfterStoreUpdate = (state: GatewayState, at: number): GatewayEffect[] => {
+  updateOwners(state, at);
+  return [
+    ...routeHeldRequests(state, at),
+    ...preconnectReplicas(state),
+    ...updateReadiness(state),
+    ...updateReading(state, at),
+  ];
+};
 
 const dispatch = (state: GatewayState, event: GatewayEvent): GatewayEffect[] =>
   match(event)
--- a/src/gateway/requests/accept-request.ts
+++ b/src/gateway/requests/accept-request.ts
@@ -10,7 +10,7 @@
 import { SplitCursor, isSameSplit } from '../routing/split-cursor.js';
 import { isRestoreRecent } from '../returns/restore-state.js';
 import { areKeysConfirmed } from '../authorization/key-confirmation.js';
-import { takeToken } from '../quotas/take-token.js';
+import { returnToken, takeToken } from '../quotas/take-token.js';
 import { classRank } from '../scheduling/class-rank.js';
 import { type ConfigurationInForce, type GatewayState, canServe } from '../state.js';
 import { type CallerIdentity, identifyCaller } from '../tenants/caller-identity.js';
@@ -164,14 +164,18 @@
       ...sendUnlessCrashing(state, route, event, identity, at),
     ];
   }
-  const token = takeToken(state, tenant, event, at);
+  const token = takeToken(state, tenant, route, event, at);
   switch (token.type) {
     case 'waiting':
       return [...token.effects];
     case 'refused':
-      return [...token.effects, ...refuseCall(state, event, token.reason, token.retryAfterMs, at)];
+      return [
+        ...token.effects,
+        ...refuseCall(state, event, token.reason, token.retryAfterMs, at, token.limit),
+      ];
     case 'granted':
       return [
+        ...token.effects,
         ...setCaller(event.call, identity),
         ...sendUnlessCrashing(state, withRegionsOf(route, tenant), event, identity, at),
       ];
@@ -219,12 +223,15 @@
 ): GatewayEffect[] => {
   const { fingerprint } = event.request;
   const verdict = state.crashes.histories.verdict(fingerprint, at);
+  const unrun = { tenant: tenantOf(identity)?.name, receivedAt: event.at };
   if (verdict === 'blocked') {
+    returnToken(state, unrun, at);
     return refuseBlocked(state, event, at);
   }
   const created = createRequest(state, route, event, identity, at);
   const untilAt = pausedUntil(state, created);
   if (verdict === 'suspected' && untilAt >= created.deadlineAt) {
+    returnToken(state, unrun, at);
     return refuseCall(state, event, 'replicas-crashed', Math.ceil(untilAt - at), at);
   }
   created.isTrial = verdict === 'trial-due';
--- a/src/gateway/requests/attempt-result.ts
+++ b/src/gateway/requests/attempt-result.ts
@@ -4,6 +4,8 @@
 import type { Decision } from '../log/log-event.js';
 import { recordDecision, writeTrace } from '../log/trace.js';
 import type { AttemptProblem, AttemptResult } from '../model/request.js';
+import { handleTokenDue } from '../quotas/admit-waiting.js';
+import { removeWaitingCall } from '../quotas/take-token.js';
 import type { GatewayState } from '../state.js';
 import { recordRunEnd, progressHeldRequests } from './broken-attempts.js';
 import { abortLeg, giveUpAttempts, LINGER_MS } from './give-up-attempts.js';
@@ -124,7 +126,7 @@
 ): GatewayEffect[] => {
   const request = state.requests.get(call);
   return request === undefined
-    ? refuseHeldRequest(state, call, at)
+    ? (handleTokenDue(state, call, at) ?? refuseHeldRequest(state, call, at))
     : progressRequest(state, request, at);
 };
 
@@ -138,7 +140,8 @@
 ): GatewayEffect[] => {
   const request = state.requests.get(call);
   if (request === undefined) {
-    return state.held.delete(call) ? [{ type: 'discard-call', call }] : [];
+    const wasWaiting = removeWaitingCall(state, call) || state.held.delete(call);
+    return wasWaiting ? [{ type: 'discard-call', call }] : [];
   }
   state.requests.delete(call);
   const elapsedMs = Math.round(at - request.receivedAt);
--- a/src/gateway/requests/finish.ts
+++ b/src/gateway/requests/finish.ts
@@ -3,9 +3,10 @@
 import { publishBeforeAnswer } from '../crashes/publish-crashes.js';
 import type { GatewayEffect } from '../effect.js';
 import type { RequestReceived } from '../event.js';
-import type { Decision } from '../log/log-event.js';
+import type { Decision, LimitRefusal } from '../log/log-event.js';
 import { recordDecision, writeTrace } from '../log/trace.js';
 import type { CallerResponse, CallId, MergedAnswer, RefusalReason } from '../model/request.js';
+import { returnToken } from '../quotas/take-token.js';
 import type { GatewayState } from '../state.js';
 import { FIRST_FAILURE_STATUS } from './usable-answer.js';
 import { giveUpAttempts, LINGER_MS } from './give-up-attempts.js';
@@ -119,6 +120,7 @@
  *
  * @param retryAfterMs - delay before a retry by the caller, in milliseconds; undefined when a retry would not help
  * @param at - the current time when the call was held; by default the time of its arrival
+ * @param limit - inputs of the decision, if the reason is a tenant's limit
  */
 export const refuseCall = (
   state: GatewayState,
@@ -126,6 +128,7 @@
   reason: RefusalReason,
   retryAfterMs: number | undefined,
   at = receivedAt,
+  limit?: LimitRefusal,
 ): GatewayEffect[] => {
   const retry = retryAfterMs === undefined ? {} : { retryAfterMs };
   const response = { type: 'refusal', reason, mayHaveRun: false, ...retry } as const;
@@ -136,6 +139,7 @@
     mayHaveRun: false,
     ...(reason === 'no-route' && { noRoute: describeNoRoute(state, request, at) }),
     ...(reason === 'crashes-replicas' && { blocked: describeBlock(state, request, at) }),
+    ...(limit !== undefined && { limit }),
     missing: [],
     objectiveMs: 0,
     elapsedMs: Math.round(at - receivedAt),
@@ -162,6 +166,9 @@
   at: number,
 ): GatewayEffect[] => {
   const ran = mayHaveRun(request);
+  if (!ran) {
+    returnToken(state, request, at);
+  }
   const retry = ran ? {} : { retryAfterMs: retryAfter(state, request, reason, at) };
   const response = { type: 'refusal', reason, mayHaveRun: ran, ...retry } as const;
   const updates = publishBeforeAnswer(state, request.request.fingerprint, at);
--- a/src/gateway/runtime/peers/pack-peer-request.ts
+++ b/src/gateway/runtime/peers/pack-peer-request.ts
@@ -1,6 +1,6 @@
 /** Packs requests between gateways and their answers as plain lists of values, for the reason given in `pack-message.ts`. */
 import { isCount, isFiniteNumber, isText } from '../../../protocol/codec/shape.js';
-import type { PeerAnswer, PeerRequest } from '../../model/peer-request.js';
+import type { PeerAnswer, PeerRequest, TokenAnswer } from '../../model/peer-request.js';
 import type { AnswerMessage, RequestMessage } from './peer-message.js';
 
 /** First value of a list: type of the message. */
@@ -9,6 +9,9 @@
 
 type Values = readonly unknown[];
 
+/** Roles of a sender of tokens; an answer holds the index. */
+const TOKEN_ROLES: readonly TokenAnswer['role'][] = ['none', 'owner', 'backup'];
+
 const isAmount = (value: unknown): value is number => isFiniteNumber(value) && value >= 0;
 
 const isAmountOrNull = (value: unknown): value is number | null =>
@@ -19,8 +22,20 @@
     case 'key-confirmation':
       return [];
     case 'tokens': {
-      const { tenant, process, sequence, used, granted, wanted, rank } = request;
-      return [tenant, process, sequence, used, granted, wanted, rank];
+      const { tenant, process, sequence, used, unused, returned, returnedSince } = request;
+      const { needed, ahead, rank } = request;
+      return [
+        tenant,
+        process,
+        sequence,
+        used,
+        unused,
+        returned,
+        returnedSince,
+        needed,
+        ahead,
+        rank,
+      ];
     }
   }
 };
@@ -30,8 +45,10 @@
     case 'key-confirmation':
       return [answer.ageMs, answer.version];
     case 'tokens': {
-      const { tenant, sequence, granted, validMs, availableInMs } = answer;
-      return [tenant, sequence, granted, validMs, availableInMs];
+      const { tenant, sequence, role, granted, ahead, isRenewed, validMs, at, availableInMs } =
+        answer;
+      const roleNumber = TOKEN_ROLES.indexOf(role);
+      return [tenant, sequence, roleNumber, granted, ahead, isRenewed, validMs, at, availableInMs];
     }
   }
 };
@@ -57,33 +74,73 @@
   if (type === 'key-confirmation') {
     return { type };
   }
-  const [tenant, process, sequence, used, granted, wanted, rank] = values;
+  const [tenant, process, sequence, ...amounts] = values;
+  const [used, unused, returned, returnedSince, needed, ahead, rank] = amounts;
   const isWhole =
     type === 'tokens' &&
     isText(tenant) &&
     isCount(process) &&
     isCount(sequence) &&
-    isAmount(used) &&
-    isAmount(granted) &&
-    isAmount(wanted) &&
+    isCount(used) &&
+    isCount(unused) &&
+    isCount(returned) &&
+    isAmount(returnedSince) &&
+    isCount(needed) &&
+    isCount(ahead) &&
     isAmount(rank);
-  return isWhole ? { type, tenant, process, sequence, used, granted, wanted, rank } : undefined;
+  return isWhole
+    ? {
+        type,
+        tenant,
+        process,
+        sequence,
+        used,
+        unused,
+        returned,
+        returnedSince,
+        needed,
+        ahead,
+        rank,
+      }
+    : undefined;
 };
 
-const readAnswer = (type: unknown, values: Values): PeerAnswer | undefined => {
-  if (type === 'key-confirmation') {
-    const [ageMs, version] = values;
-    return isAmountOrNull(ageMs) && isAmountOrNull(version) ? { type, ageMs, version } : undefined;
-  }
-  const [tenant, sequence, granted, validMs, availableInMs] = values;
+const readTokenAnswer = (values: Values): PeerAnswer | undefined => {
+  const [tenant, sequence, roleNumber, ...amounts] = values;
+  const [granted, ahead, isRenewed, validMs, at, availableInMs] = amounts;
+  const role = isCount(roleNumber) ? TOKEN_ROLES[roleNumber] : undefined;
   const isWhole =
-    type === 'tokens' &&
     isText(tenant) &&
     isCount(sequence) &&
-    isAmount(granted) &&
+    role !== undefined &&
+    isCount(granted) &&
+    isCount(ahead) &&
+    typeof isRenewed === 'boolean' &&
     isAmount(validMs) &&
+    isAmount(at) &&
     isAmount(availableInMs);
-  return isWhole ? { type, tenant, sequence, granted, validMs, availableInMs } : undefined;
+  return isWhole
+    ? {
+        type: 'tokens',
+        tenant,
+        sequence,
+        role,
+        granted,
+        ahead,
+        isRenewed,
+        validMs,
+        at,
+        availableInMs,
+      }
+    : undefined;
+};
+
+const readAnswer = (type: unknown, values: Values): PeerAnswer | undefined => {
+  if (type !== 'key-confirmation') {
+    return type === 'tokens' ? readTokenAnswer(values) : undefined;
+  }
+  const [ageMs, version] = values;
+  return isAmountOrNull(ageMs) && isAmountOrNull(version) ? { type, ageMs, version } : undefined;
 };
 
 /** Unpacks a request; undefined if the list is malformed. */
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -15,6 +15,7 @@
 import { PeerDirectory } from './peers/peer-directory.js';
 import { createReadingState, type ReadingState } from './readers/reading-state.js';
 import { createRestoreState, type RestoreState } from './returns/restore-state.js';
+import { createQuotaState, type QuotaState } from './quotas/quota-state.js';
 import { ReplicaDirectory } from './replicas/directory.js';
 import type { ActiveAttempt, ActiveRequest } from './requests/request-state.js';
 import { createLegPauseOutcomes, type LegPauseOutcomes } from './requests/leg-pause-outcomes.js';
@@ -140,6 +141,8 @@
   /** Outcomes of the pauses of legs, by service. */
   readonly legPauseOutcomes: Map<string, LegPauseOutcomes>;
   readonly splits: Map<string, SplitCursor>;
+  /** Limits of tenants. */
+  readonly quotas: QuotaState;
   readonly counters: GatewayCounters;
 }
 
@@ -197,6 +200,7 @@
   unreadableLogs: new Map(),
   legPauseOutcomes: new Map(),
   splits: new Map(),
+  quotas: createQuotaState(),
   counters: createGatewayCounters(),
 });
 
