--- a/src/gateway/quotas/owners.ts
+++ b/src/gateway/quotas/owners.ts
@@ -55,9 +55,6 @@
 const isAskable = ({ since, goneAt }: Member, at: number): boolean =>
   goneAt === undefined && since + YIELD_MS <= at;
 
-/** Uniform capacity: a gateway whose capacity changes keeps its tenants. */
-const withoutCapacity = (record: PeerRecord): PeerRecord => ({ ...record, capacity: 1 });
-
 /** Follows the list of gateways and ranks them for tenants. */
 export class OwnerChoice {
   private readonly members = new Map<string, Member>();
@@ -124,7 +121,7 @@
     );
     const places = rankByRendezvous(
       subject,
-      granting.map(({ record }) => withoutCapacity(record)),
+      granting.map(({ record }) => record),
     );
     const own = this.members.get(node);
     const isOld = own?.goneAt === undefined && (own?.since ?? at) + TAKEOVER_MS <= at;
@@ -136,7 +133,7 @@
       ? places
       : rankByRendezvous(
           subject,
-          askable.map(({ record }) => withoutCapacity(record)),
+          askable.map(({ record }) => record),
         );
     return {
       asked: ranked.slice(0, BACKUPS),
@@ -154,7 +151,8 @@
     const known = this.members.get(record.name);
     const isNew = known === undefined || known.goneAt !== undefined;
     this.members.set(record.name, {
-      record,
+      // Uniform capacity: a gateway whose capacity changes keeps its tenants.
+      record: { ...record, capacity: 1 },
       since: isNew ? since : known.since,
       goneAt: undefined,
     });
