--- a/src/gateway/explain/find-cause.ts
+++ b/src/gateway/explain/find-cause.ts
@@ -1,5 +1,6 @@
 /** Derives the most likely cause of a request's outcome from its log lines. */
 import type { Decision } from '../log/log-event.js';
+import { describeRefusal } from './describe-refusal.js';
 import type { RequestLine } from './read-lines.js';
 
 type LineOf<Event extends Decision['event']> = Extract<RequestLine, { readonly event: Event }>;
@@ -59,39 +60,6 @@
     : `the last part came from ${slowest.replica} after ${slowest.elapsedMs} ms`;
 };
 
-const describeNoRoute = ({
-  host,
-  path,
-  version,
-  versionAgeMs,
-}: NonNullable<LineOf<'request-answered'>['noRoute']>): string =>
-  `refused: no route of version ${version}, in force for ${versionAgeMs} ms, matches ${host}${path}`;
-
-const describeRefusedKey = ({
-  route,
-  keys,
-  version,
-  versionAgeMs,
-}: NonNullable<LineOf<'request-answered'>['refusedKey']>): string => {
-  const inForce = `version ${version}, in force for ${versionAgeMs} ms`;
-  switch (keys) {
-    case 0:
-      return `refused: the request has no API key, and ${inForce}, requires one on route ${route}`;
-    case 1:
-      return `refused: no tenant of ${inForce}, holds the API key of the request on route ${route}`;
-    default:
-      return `refused: the request on route ${route} has several different API keys; ${inForce}`;
-  }
-};
-
-const describeBlock = ({
-  fingerprint,
-  rounds,
-  level,
-  forMs,
-}: NonNullable<LineOf<'request-answered'>['blocked']>): string =>
-  `refused: this request (fingerprint ${fingerprint}) crashed replicas in ${rounds} consecutive rounds and none answered it; it is blocked for ${forMs} ms more (block ${level}), then sent to one replica as a trial`;
-
 /** Describes why a gather was answered before all parts had arrived. */
 const describeTiming = ({ timing }: LineOf<'request-answered'>): string => {
   if (timing === undefined) {
@@ -119,19 +87,6 @@
 const isRefusedAtOnce = (lines: readonly RequestLine[]): boolean =>
   linesWithEvent(lines, 'room-lacking').some(({ isSent }) => !isSent);
 
-const describeUnconfirmed = ({
-  ageMs,
-  source,
-  limitMs,
-  version,
-}: NonNullable<LineOf<'request-answered'>['unconfirmed']>): string => {
-  const last =
-    ageMs === undefined
-      ? 'had not confirmed them since it started'
-      : `last confirmed them ${ageMs} ms before (source: ${source ?? 'unknown'}), and ${Math.round(limitMs)} ms are allowed`;
-  return `refused: API keys may have been removed from version ${version} without this gateway knowing it; it ${last}: see keys-unconfirmed`;
-};
-
 const describeCrashes = (lines: readonly RequestLine[]): string => {
   const crashed = linesWithEvent(lines, 'attempt-crashed').map(({ replica }) => replica);
   return crashed.length === 0
@@ -139,6 +94,24 @@
     : `; replicas that crashed while running it: ${crashed.join(', ')}`;
 };
 
+const explainRefusal = (
+  lines: readonly RequestLine[],
+  answer: LineOf<'request-answered'>,
+  time: string,
+): string => {
+  const { reason = 'unknown', elapsedMs, missing } = answer;
+  const described = describeRefusal(answer);
+  if (described !== undefined) {
+    return described;
+  }
+  if (isRefusedAtOnce(lines)) {
+    return `refused at once (${reason})${describeLack(lines)}`;
+  }
+  return missing.length === 0
+    ? `refused after ${elapsedMs} ms (${reason}) before an attempt was sent`
+    : `refused ${time} (${reason}); ${describeMissing(lines, missing)}${describeCrashes(lines)}${describeLack(lines)}`;
+};
+
 const explainAnswer = (
   lines: readonly RequestLine[],
   answer: LineOf<'request-answered'>,
@@ -147,25 +120,7 @@
   const time = `after ${elapsedMs} of ${objectiveMs} ms`;
   switch (outcome) {
     case 'refused':
-      if (answer.noRoute !== undefined) {
-        return describeNoRoute(answer.noRoute);
-      }
-      if (answer.refusedKey !== undefined) {
-        return describeRefusedKey(answer.refusedKey);
-      }
-      if (answer.blocked !== undefined) {
-        return describeBlock(answer.blocked);
-      }
-      if (answer.unconfirmed !== undefined) {
-        return describeUnconfirmed(answer.unconfirmed);
-      }
-      if (isRefusedAtOnce(lines)) {
-        return `refused at once (${answer.reason ?? 'unknown'})${describeLack(lines)}`;
-      }
-      if (missing.length === 0) {
-        return `refused after ${elapsedMs} ms (${answer.reason ?? 'unknown'}) before an attempt was sent`;
-      }
-      return `refused ${time} (${answer.reason ?? 'unknown'}); ${describeMissing(lines, missing)}${describeCrashes(lines)}${describeLack(lines)}`;
+      return explainRefusal(lines, answer, time);
     case 'partial':
       return `answered ${time} without ${missing.length} shards${describeTiming(answer)}; ${describeMissing(lines, missing)}`;
     case 'passed-on':
--- a/src/gateway/metrics/gateway-metrics.ts
+++ b/src/gateway/metrics/gateway-metrics.ts
@@ -4,6 +4,7 @@
 import { classLabel } from '../scheduling/class-rank.js';
 import { requiredTiming } from '../authorization/confirmation-state.js';
 import type { GatewayState } from '../state.js';
+import { waitingForTokens } from '../quotas/take-token.js';
 import { confirmedAt } from '../store/confirmation.js';
 import { GaugeMetric, LabeledGaugeMetric, type Metric } from './metric-series.js';
 
@@ -28,6 +29,9 @@
     ? 0
     : at - Math.max(state.startedAt, state.keyConfirmation.confirmedAt);
 
+const leasedTokens = ({ quotas }: GatewayState): number =>
+  [...quotas.owned.values()].reduce((sum, { bucket }) => sum + bucket.leased, 0);
+
 /**
  * Lists the metrics of a gateway.
  *
@@ -77,6 +81,17 @@
   gauge('reading', '1 while this gateway reads the store itself.', () =>
     Number(state.reading.isReading),
   ),
+  gauge(
+    'quota_tokens_leased',
+    'Tokens that other gateways hold, of the tenants that this gateway owns.',
+    () => leasedTokens(state),
+  ),
+  gauge(
+    'quota_tenants_over_limit',
+    'Tenants owned by this gateway that exceed their quotas.',
+    () => [...state.quotas.owned.values()].filter((quota) => quota.overSince !== undefined).length,
+  ),
+  gauge('quota_requests_waiting', 'Requests that wait for a token.', () => waitingForTokens(state)),
   gauge('followers', 'Gateways that it tells what it reads.', () => state.reading.followers.size),
   gauge(
     'configuration_version',
