Separate the admission of keys from the state of their confirmation

Cause: the state's module imported the gateway state, which imports it. Change: the functions over the gateway state are in key-admission.ts.

--- a/src/gateway/authorization/confirmation-state.ts
+++ b/src/gateway/authorization/confirmation-state.ts
@@ -1,6 +1,5 @@
 /** State and timing of the key confirmation. */
 import type { PeerRequestId } from '../model/peer-request.js';
-import type { GatewayState } from '../state.js';
 import type { StorePosition } from '../store/store-position.js';
 
 /** A confirmation: everything that the store acknowledged before `confirmedAt` is covered by `version`. */
@@ -130,33 +129,3 @@
   ownReadSpreadMs: revocationMs * OWN_READ_SPREAD_SHARE,
   ownReadIntervalMs: revocationMs * OWN_READ_INTERVAL_SHARE,
 });
-
-/**
- * The timing of the confirmation; undefined where no confirmation is required: the settings give no time limit, or the
- * configuration in force has no tenants.
- */
-export const requiredTiming = ({
-  settings,
-  inForce,
-}: Pick<GatewayState, 'settings' | 'inForce'>): ConfirmationTiming | undefined => {
-  const { keyRevocationMs } = settings.bounds;
-  return keyRevocationMs === undefined || inForce?.configuration.tenants === undefined
-    ? undefined
-    : confirmationTiming(keyRevocationMs);
-};
-
-/** Whether requests with keys may be admitted at time `at`. */
-export const areKeysConfirmed = (state: GatewayState, at: number): boolean => {
-  const timing = requiredTiming(state);
-  return timing === undefined || at - state.keyConfirmation.confirmedAt < timing.limitMs;
-};
-
-/** Whether a request with a key is held at time `at`, since a confirmation is about to arrive. */
-export const isConfirmationAwaited = ({ keyConfirmation }: GatewayState, at: number): boolean =>
-  at < keyConfirmation.awaitedUntil;
-
-/** Whether this gateway is ready for requests with keys, as far as its routes require keys. */
-export const isReadyForKeys = (state: GatewayState): boolean =>
-  requiredTiming(state) === undefined ||
-  state.keyConfirmation.isConfirmed ||
-  (state.inForce?.configuration.routes ?? []).every(({ anonymous }) => anonymous === true);
--- a/src/gateway/authorization/confirming-read.ts
+++ b/src/gateway/authorization/confirming-read.ts
@@ -5,7 +5,7 @@
 import type { GatewayEffect } from '../effect.js';
 import { confirmingReader } from '../readers/candidates.js';
 import type { GatewayState } from '../state.js';
-import { requiredTiming } from './confirmation-state.js';
+import { requiredTiming } from './key-admission.js';
 
 /** Timeout of a confirming read, in milliseconds: that of a probe, since it is used in place of one. */
 const READ_TIMEOUT_MS = 700;
--- a/src/gateway/authorization/key-confirmation.ts
+++ b/src/gateway/authorization/key-confirmation.ts
@@ -10,18 +10,12 @@
 import type { KeyConfirmationAnswer } from '../model/peer-request.js';
 import type { GatewayState } from '../state.js';
 import { askAllReaders, askReader, hasCurrentSource } from './ask-readers.js';
-import {
-  areKeysConfirmed,
-  type ConfirmationTiming,
-  requiredTiming,
-  type VersionConfirmation,
-} from './confirmation-state.js';
+import type { ConfirmationTiming, VersionConfirmation } from './confirmation-state.js';
 import { startConfirmingRead } from './confirming-read.js';
+import { areKeysConfirmed, requiredTiming } from './key-admission.js';
 import { obtainNewer } from './obtain-newer.js';
 import { shownVersion } from './unreadable-configuration.js';
 
-export { areKeysConfirmed } from './confirmation-state.js';
-
 /**
  * Time for which requests with keys are held after confirmations become required or after a process pause, in milliseconds.
  * A confirming read takes some milliseconds; after that, the caller is better served by another gateway.
--- a/src/gateway/lifecycle.ts
+++ b/src/gateway/lifecycle.ts
@@ -1,5 +1,5 @@
 /** Start, readiness and stop of a gateway. */
-import { isReadyForKeys } from './authorization/confirmation-state.js';
+import { isReadyForKeys } from './authorization/key-admission.js';
 import type { GatewayEffect } from './effect.js';
 import type { StopDue, StopRequested } from './event.js';
 import type { StateChange } from './log/log-event.js';
--- a/src/gateway/metrics/gateway-metrics.ts
+++ b/src/gateway/metrics/gateway-metrics.ts
@@ -2,7 +2,7 @@
 import { processMarginMs } from '../requests/answer-delays.js';
 import { partsMarginMs } from '../requests/parts-timing.js';
 import { classLabel } from '../scheduling/class-rank.js';
-import { requiredTiming } from '../authorization/confirmation-state.js';
+import { requiredTiming } from '../authorization/key-admission.js';
 import type { GatewayState } from '../state.js';
 import { waitingForTokens } from '../quotas/take-token.js';
 import { confirmedAt } from '../store/confirmation.js';
--- a/src/gateway/requests/accept-request.ts
+++ b/src/gateway/requests/accept-request.ts
@@ -9,7 +9,7 @@
 import type { Tenant } from '../model/tenant.js';
 import { SplitCursor, isSameSplit } from '../routing/split-cursor.js';
 import { isRestoreRecent } from '../returns/restore-state.js';
-import { areKeysConfirmed } from '../authorization/key-confirmation.js';
+import { areKeysConfirmed } from '../authorization/key-admission.js';
 import { returnToken, takeToken } from '../quotas/take-token.js';
 import { classRank } from '../scheduling/class-rank.js';
 import { describeLack, findLackOfRoom } from '../scheduling/lack-of-room.js';
--- a/src/gateway/requests/finish.ts
+++ b/src/gateway/requests/finish.ts
@@ -1,7 +1,7 @@
 /** Ends requests with a replica's answer, a merged answer or a refusal by the gateway. */
 import { nextTrialAt } from '../crashes/crash-history.js';
 import { publishBeforeAnswer } from '../crashes/publish-crashes.js';
-import { requiredTiming } from '../authorization/confirmation-state.js';
+import { requiredTiming } from '../authorization/key-admission.js';
 import type { GatewayEffect } from '../effect.js';
 import type { RequestReceived } from '../event.js';
 import type { Decision, LimitRefusal } from '../log/log-event.js';
--- a/src/gateway/requests/hold-request.ts
+++ b/src/gateway/requests/hold-request.ts
@@ -4,7 +4,7 @@
  * second. Most have one retry, and an immediate refusal would spend it at another gateway that has not read the store
  * either.
  */
-import { isConfirmationAwaited } from '../authorization/confirmation-state.js';
+import { isConfirmationAwaited } from '../authorization/key-admission.js';
 import type { GatewayEffect } from '../effect.js';
 import type { RequestReceived } from '../event.js';
 import type { CallId } from '../model/request.js';
--- a/test/gateway/key-network.ts
+++ b/test/gateway/key-network.ts
@@ -1,5 +1,5 @@
 /** A network of gateways whose configuration has tenants, and what they know about a revoked key. */
-import { areKeysConfirmed } from '../../src/gateway/authorization/key-confirmation.js';
+import { areKeysConfirmed } from '../../src/gateway/authorization/key-admission.js';
 import type { GatewayConfiguration } from '../../src/gateway/model/route.js';
 import { ReaderNetwork, type VirtualNode } from './reader-network.js';
 import { routeTo } from './virtual-gateway.js';
