Await, count and end the legs that wait for room as their request requires

Cause: a gather that has its minimum coverage was answered at once while legs of its own gateway waited for room, since only running, paused and held legs counted as awaited. A waiting leg also counted as stalled from the start, which cost a message for each urgent subquery with one. A waiting leg that was taken from the queue while its request may have crashed replicas is held and released: it was then counted again for the retry budget, and a repeat had no attempt left. If the request was stopped, the leg was reported as unsent, and the coordinator requested it from the next feeder.

Change: a waiting leg is awaited, and expected to start after the expected wait of its class. It is stalled after the hedge delay. A leg is counted for the budget once. A leg of a stopped request counts as sent.

--- a/src/gateway/requests/answer-timing.ts
+++ b/src/gateway/requests/answer-timing.ts
@@ -58,8 +58,16 @@
   }
 };
 
-/** Times at which the leg's part was requested and can still arrive; a paused leg is requested when its pause ends. */
-const requestTimes = (state: GatewayState, request: ActiveRequest, leg: Leg): readonly number[] => {
+/**
+ * Times at which the leg's part was requested and can still arrive. A paused leg is requested when its pause ends, a waiting
+ * one when it is expected to start.
+ */
+const requestTimes = (
+  state: GatewayState,
+  request: ActiveRequest,
+  leg: Leg,
+  at: number,
+): readonly number[] => {
   if (leg.subquery !== undefined) {
     const sentAt = request.subqueries.get(leg.subquery)?.sentAt;
     return sentAt === undefined ? [] : [sentAt];
@@ -67,13 +75,17 @@
   if (leg.resumeAt !== undefined) {
     return [leg.resumeAt];
   }
+  if (leg.waiting !== undefined) {
+    const queue = state.scheduling.queues.get(leg.service);
+    return [at + (queue?.expectedWait(request.rank, at) ?? 0)];
+  }
   return [...leg.running].flatMap((id) => state.attempts.get(id)?.sentAt ?? []);
 };
 
 /** Records the parts that are missing when a gather is answered. */
 export const recordMissing = (state: GatewayState, request: ActiveRequest, at: number): void => {
   for (const leg of request.legs) {
-    const [sentAt] = leg.outcome === undefined ? requestTimes(state, request, leg) : [];
+    const [sentAt] = leg.outcome === undefined ? requestTimes(state, request, leg, at) : [];
     if (sentAt !== undefined && sentAt < at) {
       addMissing(arrivalsOf(state, request), at - sentAt);
     }
@@ -87,6 +99,7 @@
   leg.subquery !== undefined ||
   leg.running.size > 0 ||
   leg.isHeld ||
+  leg.waiting !== undefined ||
   (leg.resumeAt !== undefined && leg.resumeAt < dueAt);
 
 /** Probability that the part of a leg arrives until `until`. */
@@ -119,7 +132,7 @@
 const laterOptions = (state: GatewayState, request: ActiveRequest, at: number): Option[] => {
   const { answeredLegs, legs, deadlineAt } = request;
   const arrivals = arrivalsOf(state, request);
-  const requested = legs.filter(isOpen).map((leg) => requestTimes(state, request, leg));
+  const requested = legs.filter(isOpen).map((leg) => requestTimes(state, request, leg, at));
   return CONSIDERED_LEVELS.map((level) =>
     Math.min(deadlineAt, answerDueFor(state.answerDelays, request, level)),
   )
--- a/src/gateway/requests/parts-timing.ts
+++ b/src/gateway/requests/parts-timing.ts
@@ -57,16 +57,22 @@
         Math.max(MIN_PARTS_MARGIN_MS, delayQuantile(roundTrips, ROUND_TRIP_LEVEL)),
       );
 
-/** Whether a leg is paused, hedged, or has run for so long that it would be hedged. */
+/** Whether a leg is held, paused or hedged, or has run or waited for so long that it would be hedged. */
 const isStalled = (
   state: GatewayState,
-  { running, resumeAt }: Leg,
+  { running, resumeAt, waiting }: Leg,
   hedgeAfterMs: number,
   at: number,
-): boolean =>
-  resumeAt !== undefined ||
-  running.size > 1 ||
-  [...running].every((id) => at - (state.attempts.get(id)?.sentAt ?? at) >= hedgeAfterMs);
+): boolean => {
+  if (waiting !== undefined) {
+    return at - waiting.since >= hedgeAfterMs;
+  }
+  return (
+    resumeAt !== undefined ||
+    running.size > 1 ||
+    [...running].every((id) => at - (state.attempts.get(id)?.sentAt ?? at) >= hedgeAfterMs)
+  );
+};
 
 /**
  * Whether a feeder sends the parts that it has before they are due: the request is urgent and all others are stalled. This
--- a/src/gateway/requests/request-state.ts
+++ b/src/gateway/requests/request-state.ts
@@ -21,6 +21,8 @@
   wasSent: boolean;
   /** Replicas may have run it before, for another feeder that failed. */
   isRepeat: boolean;
+  /** This gateway has counted it as a request for the retry budget. */
+  isCounted: boolean;
   /** The replica chosen outside those shared by all feeders; undefined while there is none. */
   unsharedReplica: string | undefined;
   /** Running attempts. */
@@ -169,6 +171,7 @@
   attemptedReplicas: new Set(),
   wasSent: false,
   isRepeat: false,
+  isCounted: false,
   unsharedReplica: undefined,
   running: new Set(),
   arrivals: 0,
--- a/src/gateway/requests/retry-leg.ts
+++ b/src/gateway/requests/retry-leg.ts
@@ -107,6 +107,8 @@
   }
   if (guard === 'stopped') {
     request.isStopped = true;
+    // The leg counts as sent, so that the coordinator does not request it from another feeder.
+    leg.wasSent = true;
   }
   if (!isRunning && (guard === 'stopped' || !pauseLeg(state, request, leg, at))) {
     failLeg(state, request, leg, at);
--- a/src/gateway/requests/send-legs.ts
+++ b/src/gateway/requests/send-legs.ts
@@ -50,7 +50,23 @@
   return feeder?.name === state.settings.node ? undefined : feeder;
 };
 
-/** Sends a leg to a replica; a repeat counts as an extra arrival, since another feeder may have sent the leg before. */
+/**
+ * Counts a leg for the retry budget, once: a leg that waited for room may be held and sent again. A repeat counts as an extra
+ * arrival, since another feeder may have sent the leg before.
+ */
+const countLeg = (state: GatewayState, leg: Leg, isRepeat: boolean, at: number): void => {
+  if (isRepeat) {
+    if (leg.arrivals === 0) {
+      leg.arrivals += 1;
+      leg.runs += 1;
+    }
+  } else if (!leg.isCounted) {
+    leg.isCounted = true;
+    budgetOf(state, leg.service).countRequest(at);
+  }
+};
+
+/** Sends a leg to a replica. */
 const sendDirect = (
   state: GatewayState,
   request: ActiveRequest,
@@ -58,13 +74,8 @@
   isRepeat: boolean,
   at: number,
 ): GatewayEffect[] => {
-  if (isRepeat) {
-    leg.isRepeat = true;
-    leg.arrivals += 1;
-    leg.runs += 1;
-  } else {
-    budgetOf(state, leg.service).countRequest(at);
-  }
+  countLeg(state, leg, isRepeat, at);
+  leg.isRepeat ||= isRepeat;
   return retryLeg(state, request, leg, isRepeat ? 'retry' : 'first', at);
 };
 
