Measure the interval between starts only while attempts wait

Cause: the expected wait is the number of waiting attempts times the recent interval between starts. The interval also took in the time between two short waits, up to 250 ms. With one short wait every 200 ms, six waiting attempts gave an expected wait of 1,193 ms, so that gathers with a deadline of 605 ms could be refused for waits of a few milliseconds.

Change: when an attempt is added to an empty queue, the time since the last start is no sample.

Result: the test of this load gives at most 30 ms.

--- a/src/gateway/scheduling/waiting-queue.ts
+++ b/src/gateway/scheduling/waiting-queue.ts
@@ -13,7 +13,7 @@
 /** Weight of a new sample in the moving average of the interval between starts. */
 const INTERVAL_WEIGHT = 0.1;
 
-/** Longer intervals between starts are no samples: nothing waited in between, or all replicas were stalled. */
+/** Longer intervals between starts are no samples: all replicas were stalled. */
 const MAX_INTERVAL_MS = 250;
 
 /** The waiting attempts of one class. Retries wait behind first attempts. */
@@ -120,6 +120,10 @@
 
   /** Adds an attempt that has not waited before. */
   add(waiting: WaitingAttempt): void {
+    if (this.size === 0) {
+      // The time since the last start does not show how fast attempts start while others wait.
+      this.startedAt = Number.NEGATIVE_INFINITY;
+    }
     this.shares.addOffered(waiting.request.rank);
     this.putBack(waiting);
   }
--- a/test/gateway/waiting-queue.test.ts
+++ b/test/gateway/waiting-queue.test.ts
@@ -163,6 +163,21 @@
     expect(new WaitingQueue(5).expectedWait(0, 90)).toBe(0);
   });
 
+  it('does not take the time between bursts for the interval between starts', () => {
+    // Rare short waits gave an interval of 200 ms, and gathers were refused for a wait of a second.
+    const queue = new WaitingQueue(5);
+    for (let at = 0; at < 10_000; at += 200) {
+      const waiting = waitingAttempt({ since: at });
+      queue.add(waiting);
+      queue.take(NONE, at + 2);
+      queue.recordStart(waiting, at + 2);
+    }
+    for (let index = 0; index < 6; index += 1) {
+      queue.add(waitingAttempt({ since: 10_000 }));
+    }
+    expect(queue.expectedWait(0, 10_000)).toBeLessThanOrEqual(30);
+  });
+
   it('follows the interval between starts', () => {
     const queue = queueOf(...Array.from({ length: 60 }, () => waitingAttempt()));
     for (let at = 0; at < 50; at += 1) {
