Refuse gathers for lack of room only by current waits of their own

Cause: three cases in which a coordinator refused gathers while there was room. (1) A report of a feeder replaced the waits of the shards it named and renewed the time of all others, so that a wait of 5 s at a shard stayed in force for as long as any other shard of the feeder waited; a message without waits did not end the earlier ones. (2) With less time left than a usual attempt takes, shards without any wait counted as lacking room. (3) An alert that its caller left less time than its objective was refused for a short wait, and kept all less urgent gathers refused for 250 ms. Also, attempts were not ordered where tenants have one priority and anonymous routes another.

Change: a message replaces the waits of all shards of its subquery, each with its own time. Only shards with a wait lack room. A refusal counts for less urgent classes only if the gather had its objective left. Classes are compared by the ranks that requests may have.

--- a/src/gateway/requests/subquery-result.ts
+++ b/src/gateway/requests/subquery-result.ts
@@ -190,8 +190,10 @@
     isFinal,
     elapsedMs,
   });
-  if (waits.length > 0) {
-    recordFeederWaits(state.scheduling.feederWaits, subquery.peer, waits, at);
+  const { feederWaits } = state.scheduling;
+  if (waits.length > 0 || feederWaits.size > 0) {
+    const services = subquery.legs.map(({ service }) => service);
+    recordFeederWaits(feederWaits, subquery.peer, services, waits, at);
   }
   endDropped(request, subquery, dropped, at);
   const moved = moveUnsent(state, request, subquery, unsent, at);
--- a/src/gateway/scheduling/feeder-waits.ts
+++ b/src/gateway/scheduling/feeder-waits.ts
@@ -6,29 +6,42 @@
 /** How long a report is used, in milliseconds: longer ones would refuse gathers after the load has ended. */
 const RETENTION_MS = 1_000;
 
-/** The last report of one feeder. */
+/** The last report about one shard. */
+interface ShardWaits {
+  readonly at: number;
+  readonly waits: readonly ClassWait[];
+}
+
+/** The last reports of one feeder about the shards at which attempts waited. */
 export interface FeederWaits {
+  /** Time of the last report. */
   at: number;
-  readonly shards: Map<string, readonly ClassWait[]>;
+  readonly shards: Map<string, ShardWaits>;
 }
 
-/** Records the waits in a message of a feeder; they replace the earlier ones of the same shards. */
+/**
+ * Records the waits in a message of a feeder. They replace the earlier ones of all shards of the subquery: where attempts no
+ * longer wait, the message contains none.
+ */
 export const recordFeederWaits = (
   known: Map<string, FeederWaits>,
   feeder: string,
+  shards: readonly string[],
   waits: readonly ShardWait[],
   at: number,
 ): void => {
-  const report = known.get(feeder) ?? { at, shards: new Map<string, readonly ClassWait[]>() };
-  const byShard = new Map<string, ClassWait[]>();
+  const report = known.get(feeder) ?? { at, shards: new Map<string, ShardWaits>() };
+  shards.forEach((service) => report.shards.delete(service));
   for (const { service, rank, waitMs } of waits) {
-    const classWaits = byShard.get(service) ?? [];
-    classWaits.push({ rank, waitMs });
-    byShard.set(service, classWaits);
+    const earlier = report.shards.get(service)?.waits ?? [];
+    report.shards.set(service, { at, waits: [...earlier, { rank, waitMs }] });
   }
-  byShard.forEach((classWaits, service) => report.shards.set(service, classWaits));
   report.at = at;
-  known.set(feeder, report);
+  if (report.shards.size > 0) {
+    known.set(feeder, report);
+  } else {
+    known.delete(feeder);
+  }
 };
 
 /** Removes reports that are too old. */
@@ -50,10 +63,13 @@
   rank: ClassRank,
   at: number,
 ): number => {
-  const waits = report?.shards.get(service) ?? [];
-  const longest = waits.reduce(
+  const known = report?.shards.get(service);
+  if (known === undefined) {
+    return 0;
+  }
+  const longest = known.waits.reduce(
     (most, wait) => (wait.rank <= rank ? Math.max(most, wait.waitMs) : most),
     0,
   );
-  return Math.max(0, longest - (at - (report?.at ?? at)));
+  return Math.max(0, longest - (at - known.at));
 };
--- a/src/gateway/scheduling/lack-of-room.ts
+++ b/src/gateway/scheduling/lack-of-room.ts
@@ -16,7 +16,8 @@
 
 /**
  * A gather is also refused for this time after a more urgent one was refused that needs the same replicas, in milliseconds.
- * A class with a longer deadline would otherwise be served while a more urgent one is refused.
+ * A class with a longer deadline would otherwise be served while a more urgent one is refused. A gather that was left less time
+ * than its objective by its caller does not count: even a short wait is too long for it.
  */
 const URGENT_REFUSAL_MS = 250;
 
@@ -58,7 +59,7 @@
   waits.sort((left, right) => right - left);
   const leftMs = request.deadlineAt - at - latencyOf(state, request).median;
   const maxMissing = request.legs.length - minShards(target);
-  const shards = waits.filter((waitMs) => waitMs > leftMs).length;
+  const shards = waits.filter((waitMs) => waitMs > Math.max(0, leftMs)).length;
   return { shards, maxMissing, waitMs: waits[maxMissing] ?? 0, leftMs };
 };
 
@@ -120,7 +121,7 @@
     return undefined;
   }
   const isSent = countLack(state, request.rank);
-  if (isLacking && !isSent) {
+  if (isLacking && !isSent && room.leftMs >= request.route.objectiveMs) {
     state.scheduling.refusals.set(request.rank, { at, shards: target.shards });
   }
   return { ...room, isSent };
--- a/src/gateway/scheduling/wait-for-room.ts
+++ b/src/gateway/scheduling/wait-for-room.ts
@@ -1,23 +1,34 @@
 /** Adds attempts to the queue of their shard, and removes them. */
 import { recordDecision } from '../log/trace.js';
 import type { AttemptReason } from '../log/log-event.js';
+import type { GatewayConfiguration } from '../model/route.js';
 import { isFedShard } from '../peers/service-share.js';
 import type { ActiveRequest, Leg } from '../requests/request-state.js';
 import type { GatewayState } from '../state.js';
-import type { ClassRank } from './class-rank.js';
+import { type ClassRank, classRank } from './class-rank.js';
 import { shardShare } from './replica-room.js';
 import { WaitingQueue } from './waiting-queue.js';
 
+/** The ranks that requests may have by a configuration. */
+const ranksOf = ({ routes, tenants }: GatewayConfiguration): ReadonlySet<ClassRank> => {
+  const keyed = tenants === undefined ? [undefined] : tenants.map(({ priority }) => priority);
+  const tenantPriorities = [...new Set(keyed)];
+  return new Set(
+    routes.flatMap(({ anonymous, priority }) =>
+      anonymous === true
+        ? [classRank(undefined, priority)]
+        : tenantPriorities.map((tenantPriority) => classRank(tenantPriority, priority)),
+    ),
+  );
+};
+
 const haveDifferentClasses = (state: GatewayState): boolean => {
   const { inForce, scheduling } = state;
   if (inForce === undefined) {
     return false;
   }
   if (scheduling.classes?.configuration !== inForce.configuration) {
-    const { routes, tenants = [] } = inForce.configuration;
-    const areDifferent =
-      new Set(routes.map(({ priority }) => priority)).size > 1 ||
-      new Set(tenants.map(({ priority }) => priority)).size > 1;
+    const areDifferent = ranksOf(inForce.configuration).size > 1;
     scheduling.classes = { configuration: inForce.configuration, areDifferent };
   }
   return scheduling.classes.areDifferent;
--- a/test/gateway/scheduling.test.ts
+++ b/test/gateway/scheduling.test.ts
@@ -109,6 +109,18 @@
     expect([gateway.sent.length, waitingAt(gateway)]).toEqual([ROOM + 1, 0]);
   });
 
+  it('is limited where only anonymous routes differ from those of the tenants', () => {
+    const { gateway, receive, shards } = createFeeder([0, 0]);
+    const routes = routesOf([0, 0])(shards);
+    const anonymous = routes.map((route) => ({ ...route, anonymous: route.name === 'alert' }));
+    const tenant = { name: 'shop', priority: 2, keyDigests: ['digest'] };
+    gateway.configure(2, anonymous, 32, 54, [tenant]);
+    for (let index = 0; index < 20; index += 1) {
+      receive(SEARCH);
+    }
+    expect([gateway.sent.length, waitingAt(gateway)]).toEqual([ROOM, 11]);
+  });
+
   it('is not limited where all classes are the same', () => {
     const { gateway, receive } = createFeeder([1, 1]);
     for (let index = 0; index < 20; index += 1) {
@@ -283,19 +295,20 @@
   return gateway;
 };
 
-/** Answers all subqueries of the last request with parts and these waits at each shard. */
+/** Answers all subqueries with parts, and these waits at each shard or at the first ones of each subquery. */
 const answerAll = (
   gateway: VirtualGateway,
   waits: readonly (readonly [number, number])[],
+  waitingShards = Number.POSITIVE_INFINITY,
 ): void => {
   for (const { id, subquery } of gateway.subqueries.splice(0)) {
     const { shards } = subquery;
     const part: SubqueryPart = {
       shards: shards.map((service) => ({ service, signature: 'signed' })),
       records: Buffer.alloc(16 * shards.length),
-      waits: shards.flatMap((service) =>
-        waits.map(([rank, waitMs]) => ({ service, rank, waitMs })),
-      ),
+      waits: shards
+        .slice(0, waitingShards)
+        .flatMap((service) => waits.map(([rank, waitMs]) => ({ service, rank, waitMs }))),
       isFinal: true,
     };
     gateway.emit({ type: 'subquery-answered', at: gateway.now, subquery: id, part });
@@ -326,6 +339,54 @@
     expect(gateway.answers.get(gateway.request(1_200))).toBeUndefined();
   });
 
+  it('forgets the waits of shards that a feeder no longer reports, while it reports others', () => {
+    // A report about one shard renewed the earlier ones about all others, and gathers were refused for as long as any waited.
+    const gateway = createCoordinator();
+    gateway.request(1_200);
+    answerAll(gateway, [[1_001, 5_000]]);
+    const sendOneInFour = (): boolean[] =>
+      [1, 2, 3, 4].map(() => gateway.answers.has(gateway.request(1_200)));
+    expect(sendOneInFour()).toEqual([true, true, true, false]);
+    gateway.now = 100;
+    answerAll(gateway, [[1_001, 5]], 1);
+    gateway.now = 110;
+    expect(sendOneInFour()).toEqual([false, false, false, false]);
+  });
+
+  it('forgets the waits when a feeder reports none', () => {
+    const gateway = createCoordinator();
+    gateway.request(1_200);
+    gateway.request(1_200);
+    const [first, second] = [
+      gateway.subqueries.splice(0, gateway.subqueries.length / 2),
+      gateway.subqueries.splice(0),
+    ];
+    gateway.subqueries.push(...first);
+    answerAll(gateway, [[1_001, 5_000]]);
+    expect(gateway.answers.has(gateway.request(1_200))).toBe(true);
+    gateway.subqueries.push(...second);
+    answerAll(gateway, []);
+    expect(gateway.answers.has(gateway.request(1_200))).toBe(false);
+  });
+
+  it('does not refuse a gather whose caller leaves it little time for waits that do not exist', () => {
+    const gateway = createCoordinator();
+    gateway.request(1_200);
+    answerAll(gateway, [[2_002, 9_000]]);
+    const [first, second] = [1, 2].map(() => gateway.request(22));
+    const answers = [first, second].map((call) => call !== undefined && gateway.answers.get(call));
+    expect(answers).toEqual([undefined, undefined]);
+  });
+
+  it('does not refuse searches because an alert had less time left than its objective', () => {
+    const gateway = createCoordinator();
+    gateway.request(1_200);
+    answerAll(gateway, [[0, 15]]);
+    const alert = gateway.request(30, false, undefined, undefined, '/a/x');
+    expect(gateway.answers.get(alert)).toMatchObject({ reason: 'no-room' });
+    expect(gateway.answers.get(gateway.request(1_200))).toBeUndefined();
+  });
+
   it('sends a gather again when the report is a second old', () => {
     const gateway = createCoordinator();
     gateway.request(1_200);
--- a/test/gateway/virtual-gateway.ts
+++ b/test/gateway/virtual-gateway.ts
@@ -222,6 +222,7 @@
     isFirstOnConnection = false,
     fingerprint?: string,
     keyDigests?: readonly KeyDigest[],
+    path = '/x',
   ): CallId {
     const call = this.nextCall;
     this.nextCall += 1;
@@ -230,7 +231,7 @@
       requestId,
       fingerprint: fingerprint ?? requestId,
       host: 'shop.example',
-      path: '/x',
+      path,
       budgetMs,
       isFirstOnConnection,
       ...(keyDigests !== undefined && { keyDigests }),
