Start less urgent attempts at replicas that the more urgent ones may not use

Cause: a check of a queue ended after sixteen attempts that could not start. Sixteen urgent attempts that were limited to the regions of full or hung replicas, or had tried the free one, kept a replica idle that attempts of other classes could use.

Change: the limit of sixteen applies to each class, with 64 for all of them.

Result: the tests of the queue and of the shard failed before and pass. Within a class, sixteen such attempts still delay the ones behind them.

--- a/src/gateway/requests/start-waiting.ts
+++ b/src/gateway/requests/start-waiting.ts
@@ -16,11 +16,14 @@
 const CHECK_INTERVAL_MS = 10;
 
 /**
- * Number of attempts passed over in one check, because they may not use the replicas that have room. It bounds the time of
- * the check.
+ * Number of attempts of a class passed over in one check, because they may not use the replicas that have room. It bounds the
+ * time of the check. The limit applies to each class, so that one does not keep the others from replicas that it may not use.
  */
 const MAX_PASSED = 16;
 
+/** The same for all classes together. */
+const MAX_PASSED_IN_TOTAL = 64;
+
 /** Ends the leg of an attempt that can no longer be answered in time; the leg is sent to no other feeder. */
 const dropWaiting = (state: GatewayState, waiting: WaitingAttempt, at: number): GatewayEffect[] => {
   const { request, leg, since, usualMs, deadlineAt } = waiting;
@@ -71,6 +74,28 @@
   return replicas.length === 0 || replicas.some((replica) => hasRoom(state, replica, at));
 };
 
+/** The attempts that one check has passed over. */
+class PassedAttempts {
+  readonly attempts: WaitingAttempt[] = [];
+  /** Classes with a first attempt among them, and those of which no more are considered. */
+  readonly withFirst = new Set<ClassRank>();
+  readonly exhausted = new Set<ClassRank>();
+  private readonly counts = new Map<ClassRank, number>();
+
+  add(waiting: WaitingAttempt): void {
+    const { rank } = waiting.request;
+    const count = (this.counts.get(rank) ?? 0) + 1;
+    this.counts.set(rank, count);
+    this.attempts.push(waiting);
+    if (waiting.reason === 'first') {
+      this.withFirst.add(rank);
+    }
+    if (count >= MAX_PASSED) {
+      this.exhausted.add(rank);
+    }
+  }
+}
+
 /** Starts the waiting attempts of a shard in their order for as long as there is room. */
 const startInOrder = (
   state: GatewayState,
@@ -79,24 +104,20 @@
   at: number,
 ): GatewayEffect[] => {
   const effects: GatewayEffect[] = [];
-  const passed: WaitingAttempt[] = [];
-  const passedClasses = new Set<ClassRank>();
-  while (passed.length < MAX_PASSED && mayStart(state, service, at)) {
-    const waiting = queue.take(passedClasses, at);
+  const passed = new PassedAttempts();
+  while (passed.attempts.length < MAX_PASSED_IN_TOTAL && mayStart(state, service, at)) {
+    const waiting = queue.take(passed.withFirst, at, passed.exhausted);
     if (waiting === undefined) {
       break;
     }
     const started = startAttempt(state, queue, waiting, at);
     if (started === undefined) {
-      passed.push(waiting);
-      if (waiting.reason === 'first') {
-        passedClasses.add(waiting.request.rank);
-      }
+      passed.add(waiting);
     } else {
       effects.push(...started);
     }
   }
-  passed
+  passed.attempts
     .filter((waiting) => waiting.leg.waiting === waiting)
     .forEach((waiting) => {
       queue.putBack(waiting);
--- a/src/gateway/scheduling/waiting-queue.ts
+++ b/src/gateway/scheduling/waiting-queue.ts
@@ -16,6 +16,8 @@
 /** Longer intervals between starts are no samples: all replicas were stalled. */
 const MAX_INTERVAL_MS = 250;
 
+const NO_CLASSES: ReadonlySet<ClassRank> = new Set();
+
 /** The waiting attempts of one class. Retries wait behind first attempts. */
 class ClassQueue {
   private readonly first = { timely: newHeap(), late: newHeap() };
@@ -148,10 +150,16 @@
    * Removes and returns the next attempt.
    *
    * @param withoutRetries - classes whose retries may not start, because a first attempt of the class cannot start now
+   * @param leftOut - classes none of whose attempts are returned
    */
-  take(withoutRetries: ReadonlySet<ClassRank>, at: number): WaitingAttempt | undefined {
-    const due = this.classes.filter(({ rank }) => this.shares.isDue(rank));
-    for (const queue of [...due, ...this.classes]) {
+  take(
+    withoutRetries: ReadonlySet<ClassRank>,
+    at: number,
+    leftOut: ReadonlySet<ClassRank> = NO_CLASSES,
+  ): WaitingAttempt | undefined {
+    const allowed = this.classes.filter(({ rank }) => !leftOut.has(rank));
+    const due = allowed.filter(({ rank }) => this.shares.isDue(rank));
+    for (const queue of [...due, ...allowed]) {
       const next = queue.take(!withoutRetries.has(queue.rank), at);
       if (next !== undefined) {
         next.isQueued = false;
--- a/test/gateway/scheduling.test.ts
+++ b/test/gateway/scheduling.test.ts
@@ -177,6 +177,23 @@
     });
   });
 
+  it('is not held behind many of a more urgent class that may not use the replica with room', () => {
+    // Sixteen attempts that were limited to a region kept the replicas of the other regions idle.
+    const { gateway, receive, shards } = createFeeder();
+    gateway.listReplicas(shards, ['bole', 'arada', 'bole', 'elsewhere']);
+    const near = { allowedRegions: ['addis'] };
+    for (let index = 0; index < ROOM; index += 1) {
+      gateway.receiveSubquery({ ...SEARCH, ...near, shards });
+    }
+    for (let index = 0; index < 20; index += 1) {
+      gateway.receiveSubquery({ ...ALERT, ...near, shards });
+    }
+    expect([gateway.sent.length, waitingAt(gateway)]).toEqual([ROOM, 20]);
+    const search = receive(SEARCH);
+    expect(lastCall(gateway)).toBe(search);
+    expect(waitingAt(gateway)).toBe(20);
+  });
+
   it('is dropped when it can no longer be answered, and is reported as dropped, not as unsent', () => {
     const { gateway, fill, receive, shards } = createFeeder();
     fill();
--- a/test/gateway/waiting-queue.test.ts
+++ b/test/gateway/waiting-queue.test.ts
@@ -86,6 +86,14 @@
     expect(queue.take(NONE, 0)).toBe(retry);
   });
 
+  it('leaves out classes of which enough attempts were passed over', () => {
+    const [urgent, other] = [waitingAttempt(), waitingAttempt({ rank: 1_001 })];
+    const queue = queueOf(urgent, other);
+    expect(queue.take(NONE, 0, new Set([0]))).toBe(other);
+    expect(queue.take(NONE, 0, new Set([0]))).toBeUndefined();
+    expect(queue.take(NONE, 0)).toBe(urgent);
+  });
+
   it('returns attempts that can no longer be answered once, and does not start them', () => {
     const hopeless = waitingAttempt({ deadlineAt: 50 });
     const other = waitingAttempt({ deadlineAt: 500 });
