End or pause legs that cannot be sent rather than let them wait for room

Cause: while other attempts waited at a shard, a leg whose attempt failed was added to the queue even if its attempts or replicas were used up. It stayed open until the queue reached it, and counted in the expected waits, so that its feeder did not report it and a gather that could not be completed was refused late.

Change: such a leg takes the way that it takes without a queue: it pauses or ends. Two comments are wrapped.

Result: the test failed before and passes.

--- a/src/gateway/replicas/select-replica.ts
+++ b/src/gateway/replicas/select-replica.ts
@@ -128,8 +128,8 @@
 
 /**
  * Returns the replica to use in place of `best`, which has no room: the best one that has room, unless waiting for room is
- * expected to take less time than it would take longer. A stalled replica is not waited for. A replica that should only be used when no other is left does not
- * replace one that is merely full.
+ * expected to take less time than it would take longer. A stalled replica is not waited for. A replica that should only be
+ * used when no other is left does not replace one that is merely full.
  *
  * @param waitRatio - expected wait for room, in usual latencies
  */
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -127,6 +127,13 @@
   return leg.runs < maxRuns && leg.attemptedReplicas.size < maxAttempts + EXTRA_ATTEMPTS;
 };
 
+/** Whether the leg has attempts left and a replica that it has not tried. */
+export const canAttempt = (state: GatewayState, request: ActiveRequest, leg: Leg): boolean =>
+  hasAttemptsLeft(request, leg) &&
+  eligibleReplicas(state, leg.service, request.route.allowedRegions).some(
+    ({ record }) => !leg.attemptedReplicas.has(record.id),
+  );
+
 /** Whether an attempt is worth its cost; `ratio` is its expected latency as a multiple of the usual one. */
 export type RatioCheck = (ratio: number) => boolean;
 
--- a/src/gateway/requests/give-up-attempts.ts
+++ b/src/gateway/requests/give-up-attempts.ts
@@ -35,8 +35,8 @@
 };
 
 /**
- * Gives up the attempts of a request's open legs, also those that wait, and its subqueries. The remaining attempts of ended legs were given up
- * when those legs ended.
+ * Gives up the attempts of a request's open legs, also those that wait, and its subqueries. The remaining attempts of ended
+ * legs were given up when those legs ended.
  *
  * @param minMs - time that they have to finish, in milliseconds; longer when the request may have crashed replicas
  */
--- a/src/gateway/requests/parts-timing.ts
+++ b/src/gateway/requests/parts-timing.ts
@@ -3,7 +3,6 @@
  * sides. Parts of urgent requests must nevertheless reach their coordinator before it answers.
  */
 import type { GatewayState } from '../state.js';
-
 import { addDelay, type DelayHistogram, delayQuantile } from './delay-histogram.js';
 import { type ActiveRequest, isAnswered, type Leg } from './request-state.js';
 import { hedgeDelay, latencyOf } from './route-latency.js';
--- a/src/gateway/requests/retry-leg.ts
+++ b/src/gateway/requests/retry-leg.ts
@@ -5,7 +5,7 @@
 import { eligibleReplicas } from '../replicas/eligible-replicas.js';
 import { type GatewayState, legPauseOutcomesOf } from '../state.js';
 import { hasWaiting, waitForRoom, waitingUpTo } from '../scheduling/wait-for-room.js';
-import { sendAttempt } from './attempts.js';
+import { canAttempt, sendAttempt } from './attempts.js';
 import { isLegPauseWorthwhile, recordLegPauseOutcome } from './leg-pause-outcomes.js';
 import { claimProbe } from './claim-probe.js';
 import { guardOf, holdLeg, maySendNext } from './guard.js';
@@ -118,7 +118,7 @@
 
 /**
  * Sends another attempt for the leg as `attemptLeg` does, or lets it wait while the replicas have no room or other attempts
- * wait for them. A leg that has a running attempt does not wait.
+ * wait for them. A leg that has a running attempt, or for which no attempt can be sent, does not wait.
  */
 export const retryLeg = (
   state: GatewayState,
@@ -130,7 +130,7 @@
   const isRunning = leg.running.size > 0;
   const mustWait = isRunning
     ? waitingUpTo(state, leg.service, request.rank) > 0
-    : hasWaiting(state, leg.service);
+    : hasWaiting(state, leg.service) && canAttempt(state, request, leg);
   const attempt = mustWait ? 'no-room' : attemptLeg(state, request, leg, reason, at);
   if (attempt !== 'no-room') {
     return attempt;
--- a/test/gateway/scheduling.test.ts
+++ b/test/gateway/scheduling.test.ts
@@ -194,6 +194,25 @@
     expect(waitingAt(gateway)).toBe(20);
   });
 
+  it('is not added for a leg that has no attempt or no replica left', () => {
+    // The leg stayed in the queue, and its coordinator waited for it, although it could not be sent.
+    const { gateway, fill, receive, shards } = createFeeder();
+    const last = gateway.receiveSubquery({ ...SEARCH, maxAttempts: 1, shards });
+    const refused = gateway.receiveSubquery({ ...SEARCH, shards });
+    fill();
+    receive(SEARCH);
+    gateway.now = 5;
+    gateway.end(sentAt(gateway, 0), { type: 'failed', problem: 'reset', mayHaveRun: true });
+    expect(partsFor(gateway, last)).toMatchObject([{ isFinal: true }]);
+    const request = gateway.state.requests.get(refused);
+    const [leg] = request?.legs ?? [];
+    gateway.state.replicas.of(shards[0] ?? '').forEach(({ record }) => {
+      leg?.attemptedReplicas.add(record.id);
+    });
+    gateway.end(sentAt(gateway, 1), { type: 'failed', problem: 'reset', mayHaveRun: false });
+    expect([leg?.waiting, leg?.outcome]).toEqual([undefined, { type: 'unanswered' }]);
+  });
+
   it('is dropped when it can no longer be answered, and is reported as dropped, not as unsent', () => {
     const { gateway, fill, receive, shards } = createFeeder();
     fill();
