Check waiting attempts only for room at replicas that they may use

Cause: an ejected or leaving replica has no attempts in progress and so always has room, but attempts do not use it in place of a full one. Each check of a shard with such a replica selected replicas for up to 16 attempts of each class in vain, with every attempt that ended and every 10 ms.

Change: the room of ejected and leaving replicas counts only if a shard has no others.

The new test failed before. A retry that has tried all other replicas now waits for the end of the ejection, or for room at one of the others.

--- a/src/gateway/replicas/select-replica.ts
+++ b/src/gateway/replicas/select-replica.ts
@@ -75,15 +75,17 @@
   return currentSlowdown(replica, at) * cold * (1 + loadCost(replica, maxConnections, at));
 };
 
+const isLeaving = ({ record, goneAt }: Replica): boolean => record.draining || goneAt !== undefined;
+
+/** Whether a replica is ejected or leaving, so that it is only used when no other is left. */
+export const isExcluded = (replica: Replica, at: number): boolean =>
+  replica.ejectedUntil > at || isLeaving(replica);
+
 /** Additional cost of a replica that should only be used when no other is left. */
-const exclusionCost = (
-  { record, goneAt, ejectedUntil }: Replica,
-  { preferred }: SelectionContext,
-  at: number,
-): number => {
-  const ejected = ejectedUntil > at ? EJECTED_COST : 0;
-  const leaving = record.draining || goneAt !== undefined ? LEAVING_COST : 0;
-  const isPreferred = preferred?.has(record.id) ?? true;
+const exclusionCost = (replica: Replica, { preferred }: SelectionContext, at: number): number => {
+  const ejected = replica.ejectedUntil > at ? EJECTED_COST : 0;
+  const leaving = isLeaving(replica) ? LEAVING_COST : 0;
+  const isPreferred = preferred?.has(replica.record.id) ?? true;
   return ejected + leaving + (isPreferred ? 0 : NOT_PREFERRED_COST);
 };
 
--- a/src/gateway/requests/request-state.ts
+++ b/src/gateway/requests/request-state.ts
@@ -55,7 +55,10 @@
   isHeld: boolean;
 }
 
-/** An attempt that waits at this feeder for room at the replicas of its shard. Times are on the gateway's clock, in milliseconds. */
+/**
+ * An attempt that waits at this feeder for room at the replicas of its shard. Times are on the gateway's clock, in
+ * milliseconds.
+ */
 export interface WaitingAttempt {
   readonly request: ActiveRequest;
   readonly leg: Leg;
--- a/src/gateway/requests/start-waiting.ts
+++ b/src/gateway/requests/start-waiting.ts
@@ -2,6 +2,7 @@
 import type { GatewayEffect } from '../effect.js';
 import { recordDecision } from '../log/trace.js';
 import { type ClassRank, classLabel } from '../scheduling/class-rank.js';
+import { isExcluded } from '../replicas/select-replica.js';
 import { hasRoom } from '../scheduling/replica-room.js';
 import type { WaitingQueue } from '../scheduling/waiting-queue.js';
 import type { WaitingAttempt } from './request-state.js';
@@ -68,10 +69,15 @@
   return [...started, ...progressRequest(state, request, at)];
 };
 
-/** Whether an attempt may start at a replica of the shard, or the shard has no replica and its attempts cannot start. */
+/**
+ * Whether an attempt may start at a replica of the shard, or the shard has no replica and its attempts cannot start. The room
+ * of ejected and leaving replicas counts only if there are no others: attempts do not use it while they may wait for those.
+ */
 const mayStart = (state: GatewayState, service: string, at: number): boolean => {
   const replicas = state.replicas.of(service);
-  return replicas.length === 0 || replicas.some((replica) => hasRoom(state, replica, at));
+  const usable = replicas.filter((replica) => !isExcluded(replica, at));
+  const considered = usable.length > 0 ? usable : replicas;
+  return considered.length === 0 || considered.some((replica) => hasRoom(state, replica, at));
 };
 
 /** The attempts that one check has passed over. */
--- a/test/gateway/scheduling.test.ts
+++ b/test/gateway/scheduling.test.ts
@@ -1,5 +1,5 @@
 /** Waiting attempts at a feeder: limits, events that end a wait, and the messages between feeders and coordinators. */
-import { describe, expect, it } from 'vitest';
+import { describe, expect, it, vi } from 'vitest';
 import type { AnswerSubquery, SendAttempt } from '../../src/gateway/effect.js';
 import type { AttemptResult, CallId } from '../../src/gateway/model/request.js';
 import type { SubqueryPart } from '../../src/gateway/model/subquery.js';
@@ -194,6 +194,26 @@
     expect(waitingAt(gateway)).toBe(20);
   });
 
+  it('is not considered for an ejected replica while others may become free', () => {
+    // An ejected replica always has room: each check selected replicas for 32 attempts in vain.
+    const { gateway, receive, shards } = createFeeder();
+    const [ejected] = gateway.state.replicas.of(shards[0] ?? '');
+    if (ejected !== undefined) {
+      ejected.ejectedUntil = 100;
+    }
+    for (let index = 0; index < 10; index += 1) {
+      receive(SEARCH);
+    }
+    expect([gateway.sent.length, waitingAt(gateway)]).toEqual([6, 4]);
+    const draws = vi.spyOn(gateway.state.random, 'next');
+    gateway.now = 10;
+    gateway.emit({ type: 'scheduling-due', at: 10 });
+    expect(draws).not.toHaveBeenCalled();
+    gateway.now = 101;
+    gateway.emit({ type: 'scheduling-due', at: 101 });
+    expect(waitingAt(gateway)).toBe(1);
+  });
+
   it('is not added for a leg that has no attempt or no replica left', () => {
     // The leg stayed in the queue, and its coordinator waited for it, although it could not be sent.
     const { gateway, fill, receive, shards } = createFeeder();
