--- a/src/gateway/requests/request-state.ts
+++ b/src/gateway/requests/request-state.ts
@@ -21,6 +21,8 @@
   wasSent: boolean;
   /** Replicas may have run it before, for another feeder that failed. */
   isRepeat: boolean;
+  /** This gateway has counted it as a request for the retry budget. */
+  isCounted: boolean;
   /** The replica chosen outside those shared by all feeders; undefined while there is none. */
   unsharedReplica: string | undefined;
   /** Running attempts. */
@@ -53,7 +55,10 @@
   isHeld: boolean;
 }
 
-/** An attempt that waits at this feeder for room at the replicas of its shard. Times are on the gateway's clock, in milliseconds. */
+/**
+ * An attempt that waits at this feeder for room at the replicas of its shard. Times are on the gateway's clock, in
+ * milliseconds.
+ */
 export interface WaitingAttempt {
   readonly request: ActiveRequest;
   readonly leg: Leg;
@@ -169,6 +174,7 @@
   attemptedReplicas: new Set(),
   wasSent: false,
   isRepeat: false,
+  isCounted: false,
   unsharedReplica: undefined,
   running: new Set(),
   arrivals: 0,
--- a/test/gateway/scheduling.test.ts
+++ b/test/gateway/scheduling.test.ts
@@ -1,5 +1,5 @@
 /** Waiting attempts at a feeder: limits, events that end a wait, and the messages between feeders and coordinators. */
-import { describe, expect, it } from 'vitest';
+import { describe, expect, it, vi } from 'vitest';
 import type { AnswerSubquery, SendAttempt } from '../../src/gateway/effect.js';
 import type { AttemptResult, CallId } from '../../src/gateway/model/request.js';
 import type { SubqueryPart } from '../../src/gateway/model/subquery.js';
@@ -109,6 +109,18 @@
     expect([gateway.sent.length, waitingAt(gateway)]).toEqual([ROOM + 1, 0]);
   });
 
+  it('is limited where only anonymous routes differ from those of the tenants', () => {
+    const { gateway, receive, shards } = createFeeder([0, 0]);
+    const routes = routesOf([0, 0])(shards);
+    const anonymous = routes.map((route) => ({ ...route, anonymous: route.name === 'alert' }));
+    const tenant = { name: 'shop', priority: 2, keyDigests: ['digest'] };
+    gateway.configure(2, anonymous, 32, 54, [tenant]);
+    for (let index = 0; index < 20; index += 1) {
+      receive(SEARCH);
+    }
+    expect([gateway.sent.length, waitingAt(gateway)]).toEqual([ROOM, 11]);
+  });
+
   it('is not limited where all classes are the same', () => {
     const { gateway, receive } = createFeeder([1, 1]);
     for (let index = 0; index < 20; index += 1) {
@@ -165,6 +177,62 @@
     });
   });
 
+  it('is not held behind many of a more urgent class that may not use the replica with room', () => {
+    // Sixteen attempts that were limited to a region kept the replicas of the other regions idle.
+    const { gateway, receive, shards } = createFeeder();
+    gateway.listReplicas(shards, ['bole', 'arada', 'bole', 'elsewhere']);
+    const near = { allowedRegions: ['addis'] };
+    for (let index = 0; index < ROOM; index += 1) {
+      gateway.receiveSubquery({ ...SEARCH, ...near, shards });
+    }
+    for (let index = 0; index < 20; index += 1) {
+      gateway.receiveSubquery({ ...ALERT, ...near, shards });
+    }
+    expect([gateway.sent.length, waitingAt(gateway)]).toEqual([ROOM, 20]);
+    const search = receive(SEARCH);
+    expect(lastCall(gateway)).toBe(search);
+    expect(waitingAt(gateway)).toBe(20);
+  });
+
+  it('is not considered for an ejected replica while others may become free', () => {
+    // An ejected replica always has room: each check selected replicas for 32 attempts in vain.
+    const { gateway, receive, shards } = createFeeder();
+    const [ejected] = gateway.state.replicas.of(shards[0] ?? '');
+    if (ejected !== undefined) {
+      ejected.ejectedUntil = 100;
+    }
+    for (let index = 0; index < 10; index += 1) {
+      receive(SEARCH);
+    }
+    expect([gateway.sent.length, waitingAt(gateway)]).toEqual([6, 4]);
+    const draws = vi.spyOn(gateway.state.random, 'next');
+    gateway.now = 10;
+    gateway.emit({ type: 'scheduling-due', at: 10 });
+    expect(draws).not.toHaveBeenCalled();
+    gateway.now = 101;
+    gateway.emit({ type: 'scheduling-due', at: 101 });
+    expect(waitingAt(gateway)).toBe(1);
+  });
+
+  it('is not added for a leg that has no attempt or no replica left', () => {
+    // The leg stayed in the queue, and its coordinator waited for it, although it could not be sent.
+    const { gateway, fill, receive, shards } = createFeeder();
+    const last = gateway.receiveSubquery({ ...SEARCH, maxAttempts: 1, shards });
+    const refused = gateway.receiveSubquery({ ...SEARCH, shards });
+    fill();
+    receive(SEARCH);
+    gateway.now = 5;
+    gateway.end(sentAt(gateway, 0), { type: 'failed', problem: 'reset', mayHaveRun: true });
+    expect(partsFor(gateway, last)).toMatchObject([{ isFinal: true }]);
+    const request = gateway.state.requests.get(refused);
+    const [leg] = request?.legs ?? [];
+    gateway.state.replicas.of(shards[0] ?? '').forEach(({ record }) => {
+      leg?.attemptedReplicas.add(record.id);
+    });
+    gateway.end(sentAt(gateway, 1), { type: 'failed', problem: 'reset', mayHaveRun: false });
+    expect([leg?.waiting, leg?.outcome]).toEqual([undefined, { type: 'unanswered' }]);
+  });
+
   it('is dropped when it can no longer be answered, and is reported as dropped, not as unsent', () => {
     const { gateway, fill, receive, shards } = createFeeder();
     fill();
@@ -283,19 +351,20 @@
   return gateway;
 };
 
-/** Answers all subqueries of the last request with parts and these waits at each shard. */
+/** Answers all subqueries with parts, and these waits at each shard or at the first ones of each subquery. */
 const answerAll = (
   gateway: VirtualGateway,
   waits: readonly (readonly [number, number])[],
+  waitingShards = Number.POSITIVE_INFINITY,
 ): void => {
   for (const { id, subquery } of gateway.subqueries.splice(0)) {
     const { shards } = subquery;
     const part: SubqueryPart = {
       shards: shards.map((service) => ({ service, signature: 'signed' })),
       records: Buffer.alloc(16 * shards.length),
-      waits: shards.flatMap((service) =>
-        waits.map(([rank, waitMs]) => ({ service, rank, waitMs })),
-      ),
+      waits: shards
+        .slice(0, waitingShards)
+        .flatMap((service) => waits.map(([rank, waitMs]) => ({ service, rank, waitMs }))),
       isFinal: true,
     };
     gateway.emit({ type: 'subquery-answered', at: gateway.now, subquery: id, part });
@@ -326,6 +395,54 @@
     expect(gateway.answers.get(gateway.request(1_200))).toBeUndefined();
   });
 
+  it('forgets the waits of shards that a feeder no longer reports, while it reports others', () => {
+    // A report about one shard renewed the earlier ones about all others, and gathers were refused for as long as any waited.
+    const gateway = createCoordinator();
+    gateway.request(1_200);
+    answerAll(gateway, [[1_001, 5_000]]);
+    const sendOneInFour = (): boolean[] =>
+      [1, 2, 3, 4].map(() => gateway.answers.has(gateway.request(1_200)));
+    expect(sendOneInFour()).toEqual([true, true, true, false]);
+    gateway.now = 100;
+    answerAll(gateway, [[1_001, 5]], 1);
+    gateway.now = 110;
+    expect(sendOneInFour()).toEqual([false, false, false, false]);
+  });
+
+  it('forgets the waits when a feeder reports none', () => {
+    const gateway = createCoordinator();
+    gateway.request(1_200);
+    gateway.request(1_200);
+    const [first, second] = [
+      gateway.subqueries.splice(0, gateway.subqueries.length / 2),
+      gateway.subqueries.splice(0),
+    ];
+    gateway.subqueries.push(...first);
+    answerAll(gateway, [[1_001, 5_000]]);
+    expect(gateway.answers.has(gateway.request(1_200))).toBe(true);
+    gateway.subqueries.push(...second);
+    answerAll(gateway, []);
+    expect(gateway.answers.has(gateway.request(1_200))).toBe(false);
+  });
+
+  it('does not refuse a gather whose caller leaves it little time for waits that do not exist', () => {
+    const gateway = createCoordinator();
+    gateway.request(1_200);
+    answerAll(gateway, [[2_002, 9_000]]);
+    const [first, second] = [1, 2].map(() => gateway.request(22));
+    const answers = [first, second].map((call) => call !== undefined && gateway.answers.get(call));
+    expect(answers).toEqual([undefined, undefined]);
+  });
+
+  it('does not refuse searches because an alert had less time left than its objective', () => {
+    const gateway = createCoordinator();
+    gateway.request(1_200);
+    answerAll(gateway, [[0, 15]]);
+    const alert = gateway.request(30, false, undefined, undefined, '/a/x');
+    expect(gateway.answers.get(alert)).toMatchObject({ reason: 'no-room' });
+    expect(gateway.answers.get(gateway.request(1_200))).toBeUndefined();
+  });
+
   it('sends a gather again when the report is a second old', () => {
     const gateway = createCoordinator();
     gateway.request(1_200);
