Confirm API keys by their content, not by the version number alone

Cause: after a store was restored from a backup, the operator may write another configuration under a version number that the store has lost. Gateways with the lost version in force kept it and took reads of the new one for its confirmation, so a revoked key was admitted until a higher version was written.

Change: a confirming read and an answer to another gateway carry a hash of the keys, and confirm only the same keys. The store client decodes the shown configuration only when its era, version or written revision has changed.

Result: the new test of key-confirmation.test.ts fails without the change (the key was still admitted beyond the limit) and passes with it.

--- a/src/gateway/authorization/confirmation-state.ts
+++ b/src/gateway/authorization/confirmation-state.ts
@@ -1,10 +1,13 @@
 /** State and timing of the key confirmation. */
 import type { PeerRequestId } from '../model/peer-request.js';
 import type { StorePosition } from '../store/store-position.js';
+import type { KeysHash } from '../tenants/keys-hash.js';
 
 /** A confirmation: everything that the store acknowledged before `confirmedAt` is covered by `version`. */
 export interface VersionConfirmation {
   readonly version: number;
+  /** Identifies the keys of that version. */
+  readonly keysHash: KeysHash;
   /** When the read was sent, or a later bound of it, in milliseconds on this gateway's clock. */
   readonly confirmedAt: number;
   /** `store`, or the name of the gateway that answered. */
--- a/src/gateway/authorization/key-confirmation.ts
+++ b/src/gateway/authorization/key-confirmation.ts
@@ -14,7 +14,7 @@
 import { startConfirmingRead } from './confirming-read.js';
 import { areKeysConfirmed, requiredTiming } from './key-admission.js';
 import { obtainNewer } from './obtain-newer.js';
-import { shownVersion } from './unreadable-configuration.js';
+import { shownKeys } from './unreadable-configuration.js';
 
 /**
  * Time for which requests with keys are held after confirmations become required or after a process pause, in milliseconds.
@@ -52,12 +52,15 @@
   return [{ type: 'write-log', level, part: 'configuration', change }];
 };
 
-/** Records a confirmation of the version in force. One of a later version counts once that is in force. */
+/**
+ * Records a confirmation of the version in force, if that has the same keys. One of a later version counts once that is in
+ * force.
+ */
 const recordConfirmation = (
   { keyConfirmation, inForce }: GatewayState,
   confirmation: VersionConfirmation,
 ): void => {
-  const { version, confirmedAt, source } = confirmation;
+  const { version, keysHash, confirmedAt, source } = confirmation;
   const known = inForce?.configuration.version ?? Number.NEGATIVE_INFINITY;
   const { pending } = keyConfirmation;
   if (version > known) {
@@ -68,7 +71,7 @@
     keyConfirmation.pending = isNewer ? confirmation : pending;
     return;
   }
-  if (version < known) {
+  if (version < known || keysHash !== inForce?.keysHash) {
     return;
   }
   if (source !== 'store') {
@@ -186,6 +189,7 @@
     type: 'key-confirmation',
     ageMs: isKnown ? Math.max(0, Math.ceil(ageMs)) : null,
     version: isKnown ? version : null,
+    keysHash: isKnown ? (state.inForce?.keysHash ?? null) : null,
   };
   return [{ type: 'answer-peer', exchange, answer }];
 };
@@ -204,7 +208,7 @@
 export const handleConfirmationAnswer = (
   state: GatewayState,
   { id, peer, at }: PeerRequestAnswered,
-  { ageMs, version }: KeyConfirmationAnswer,
+  { ageMs, version, keysHash }: KeyConfirmationAnswer,
 ): GatewayEffect[] => {
   const timing = requiredTiming(state);
   const askedAt = state.keyConfirmation.asked.get(id);
@@ -212,8 +216,8 @@
   if (timing === undefined || askedAt === undefined) {
     return [];
   }
-  if (ageMs !== null && version !== null) {
-    recordConfirmation(state, { version, confirmedAt: askedAt - ageMs, source: peer });
+  if (ageMs !== null && version !== null && keysHash !== null) {
+    recordConfirmation(state, { version, keysHash, confirmedAt: askedAt - ageMs, source: peer });
   }
   repeatSoon(state, timing, at);
   return updateKeyConfirmation(state, at);
@@ -233,13 +237,15 @@
     return [];
   }
   const { version: known } = inForce.configuration;
-  const version = shownVersion(state, ended);
+  const { version, keysHash } = shownKeys(state, ended);
   if (shown === undefined || version === undefined) {
     keyConfirmation.askAllNotBefore = Math.min(keyConfirmation.askAllNotBefore, at);
     return updateKeyConfirmation(state, at);
   }
-  recordConfirmation(state, { version, confirmedAt: sentAt, source: 'store' });
-  if (version === known) {
+  if (keysHash !== undefined) {
+    recordConfirmation(state, { version, keysHash, confirmedAt: sentAt, source: 'store' });
+  }
+  if (version === known && keysHash === inForce.keysHash) {
     keyConfirmation.verified = { era, revision: shown.revision };
   }
   if (version < known && inForce.since >= sentAt) {
--- a/src/gateway/authorization/unreadable-configuration.ts
+++ b/src/gateway/authorization/unreadable-configuration.ts
@@ -5,7 +5,7 @@
  */
 import type { ConfirmationEnded } from '../event.js';
 import type { GatewayState } from '../state.js';
-import type { StoreChanges } from '../store/store-objects.js';
+import type { ShownConfiguration, StoreChanges } from '../store/store-objects.js';
 import { compareEras, comparePositions, type StorePosition } from '../store/store-position.js';
 
 /**
@@ -27,15 +27,18 @@
   }
 };
 
-/** The version that a confirming read confirms: the shown one, or the one in force where nothing newer is readable. */
-export const shownVersion = (
+/** What a confirming read confirms: what it shows, or the version in force where nothing newer is readable. */
+export const shownKeys = (
   { keyConfirmation, inForce, store }: GatewayState,
   { shown, era = store.era }: ConfirmationEnded,
-): number | undefined => {
+): Pick<ShownConfiguration, 'version' | 'keysHash'> => {
   const { unreadable } = keyConfirmation;
   const isKnownUnreadable =
     unreadable !== undefined &&
     shown?.writtenAt === unreadable.revision &&
     compareEras(unreadable.era, era) === 0;
-  return isKnownUnreadable ? inForce?.configuration.version : shown?.version;
+  if (!isKnownUnreadable || inForce?.keysHash === undefined) {
+    return shown ?? {};
+  }
+  return { version: inForce.configuration.version, keysHash: inForce.keysHash };
 };
--- a/src/gateway/model/peer-request.ts
+++ b/src/gateway/model/peer-request.ts
@@ -22,6 +22,8 @@
   readonly ageMs: number | null;
   /** Version of the configuration that was confirmed; null if there is none. */
   readonly version: number | null;
+  /** Identifies the keys of that version, since a restored store may assign its number again; null if there is none. */
+  readonly keysHash: number | null;
 }
 
 /** Asks a gateway that keeps the limit of a tenant for tokens. Totals refer to the sender's process and to the tenant. */
--- a/src/gateway/runtime/peers/pack-peer-request.ts
+++ b/src/gateway/runtime/peers/pack-peer-request.ts
@@ -32,7 +32,7 @@
 const valuesOfAnswer = (answer: PeerAnswer): Values => {
   switch (answer.type) {
     case 'key-confirmation':
-      return [answer.ageMs, answer.version];
+      return [answer.ageMs, answer.version, answer.keysHash];
     case 'tokens': {
       const { tenant, sequence, role, granted, ahead, isRenewed, validMs } = answer;
       const { returnLimit, availableInMs } = answer;
@@ -138,8 +138,9 @@
   if (type !== 'key-confirmation') {
     return type === 'tokens' ? readTokenAnswer(values) : undefined;
   }
-  const [ageMs, version] = values;
-  return isAmountOrNull(ageMs) && isAmountOrNull(version) ? { type, ageMs, version } : undefined;
+  const [ageMs, version, keysHash] = values;
+  const isWhole = isAmountOrNull(ageMs) && isAmountOrNull(version) && isAmountOrNull(keysHash);
+  return isWhole ? { type, ageMs, version, keysHash } : undefined;
 };
 
 /** Unpacks a request; undefined if the list is malformed. */
--- a/src/gateway/runtime/store-client.ts
+++ b/src/gateway/runtime/store-client.ts
@@ -13,8 +13,10 @@
   RegisterCall,
   StoreCall,
 } from '../store/collection.js';
+import { hashKeys, type KeysHash } from '../tenants/keys-hash.js';
 import type { GatewayEventSink } from './gateway-loop.js';
 import { readText, type TextAnswer } from './read-text.js';
+import type { ShownConfiguration } from '../store/store-objects.js';
 import type { StoreEra } from '../store/store-position.js';
 import { openConnection } from './sockets.js';
 import { Client } from './undici-client.js';
@@ -52,12 +54,33 @@
 /** Valid values of the era header: non-negative integers. */
 const ERA_PATTERN = /^\d{1,15}$/;
 
+/** The keys of a configuration as it was written at some time. */
+interface DecodedKeys {
+  readonly era: StoreEra;
+  readonly version: number | undefined;
+  readonly writtenAt: number | undefined;
+  readonly keysHash: KeysHash | undefined;
+}
+
+/** Identifies the keys in the answer to a confirming read; undefined if there are none or the configuration is unreadable. */
+const keysShownBy = (format: StoreFormat, body: string): KeysHash | undefined => {
+  const call = { type: 'list', collection: 'configuration', stale: false, timeoutMs: 0 } as const;
+  const page = format.readPage(call, body).toMaybe().extract();
+  if (page?.collection !== 'configuration') {
+    return undefined;
+  }
+  const tenants = page.objects.find(({ value }) => value !== undefined)?.value?.tenants;
+  return tenants === undefined ? undefined : hashKeys(tenants);
+};
+
 /** Executes `call-store` and `abort-store-call`. */
 export class StoreClient {
   private readonly clients = new Map<Purpose, Client>();
   /** The latest call of each collection; it replaces earlier ones, whose answers are ignored. */
   private readonly newest = new Map<CollectionName, CollectionCall>();
   private closed = false;
+  /** The configuration whose keys were decoded last for a confirming read. */
+  private decoded: DecodedKeys | undefined;
 
   constructor(private readonly context: StoreClientContext) {}
 
@@ -127,9 +150,7 @@
     const answer = await this.trySendCall('probe', call);
     const answered = answer?.status === OK_STATUS;
     const era = answer && this.eraOf(answer);
-    const shown = answered
-      ? this.context.format.readConfirmation(answer.body).toMaybe().extract()
-      : undefined;
+    const shown = answered ? this.readConfirmation(answer.body, era) : undefined;
     this.emit((at) => ({
       type: 'confirmation-ended',
       at,
@@ -140,6 +161,25 @@
     }));
   }
 
+  /** Reads what a confirming read shows. The configuration is decoded only if it was written since the last such read. */
+  private readConfirmation(body: string, era: StoreEra): ShownConfiguration | undefined {
+    const { format } = this.context;
+    const shown = format.readConfirmation(body).toMaybe().extract();
+    if (shown === undefined) {
+      return undefined;
+    }
+    const { version, writtenAt } = shown;
+    const { decoded } = this;
+    const isSame =
+      writtenAt !== undefined &&
+      decoded?.writtenAt === writtenAt &&
+      decoded.version === version &&
+      decoded.era === era;
+    const keysHash = isSame ? decoded.keysHash : keysShownBy(format, body);
+    this.decoded = { era, version, writtenAt, keysHash };
+    return { ...shown, ...(keysHash !== undefined && { keysHash }) };
+  }
+
   /** Sends a registration. Its answer is ignored: the next list shows whether the entry is in the store. */
   private async register(call: RegisterCall): Promise<void> {
     await this.trySendCall('registration', call);
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -30,6 +30,7 @@
 import { createSchedulingState, type SchedulingState } from './scheduling/scheduling-state.js';
 import type { GatewaySettings } from './settings.js';
 import { type CollectionName, followedCollections } from './store/collection.js';
+import type { KeysHash } from './tenants/keys-hash.js';
 import type { TenantDirectory } from './tenants/tenant-directory.js';
 import { type CollectionProgress, createCollectionProgress } from './store/follow-collection.js';
 import type { StoreEra } from './store/store-position.js';
@@ -48,6 +49,8 @@
   readonly shards: ReadonlySet<string>;
   /** Undefined if the configuration has no tenants. */
   readonly tenants: TenantDirectory | undefined;
+  /** Identifies the keys of the tenants; undefined if the configuration has no tenants. */
+  readonly keysHash: KeysHash | undefined;
   readonly since: number;
 }
 
--- a/src/gateway/store/configuration-in-force.ts
+++ b/src/gateway/store/configuration-in-force.ts
@@ -2,6 +2,7 @@
 import { type GatewayConfiguration, shardsOf } from '../model/route.js';
 import { RouteTable } from '../routing/route-table.js';
 import type { ConfigurationInForce } from '../state.js';
+import { hashKeys } from '../tenants/keys-hash.js';
 import { TenantDirectory } from '../tenants/tenant-directory.js';
 
 /**
@@ -31,6 +32,7 @@
     table: new RouteTable(routes),
     shards: shardsOf(routes),
     tenants: tenants === undefined ? undefined : new TenantDirectory(tenants),
+    keysHash: tenants === undefined ? undefined : hashKeys(tenants),
     since: at,
   };
 };
--- a/src/gateway/store/store-objects.ts
+++ b/src/gateway/store/store-objects.ts
@@ -1,4 +1,5 @@
 /** Objects of the store's collections, as read from the store or received from a reader. */
+import type { KeysHash } from '../tenants/keys-hash.js';
 import type { Evacuation } from '../model/evacuation.js';
 import type { PeerRecord } from '../model/peer-record.js';
 import type { ReplicaRecord } from '../model/replica-record.js';
@@ -36,6 +37,8 @@
 export interface ShownConfiguration {
   /** Version of the configuration; absent if the store has none or its version cannot be read. */
   readonly version?: number;
+  /** Identifies the keys of its tenants; absent if it has none or cannot be read. */
+  readonly keysHash?: KeysHash;
   /** Revision at which the object was last written; absent if the store does not give it. */
   readonly writtenAt?: number;
   /** Revision of the store at which it was read. */
--- a/test/gateway/key-admission.test.ts
+++ b/test/gateway/key-admission.test.ts
@@ -1,4 +1,5 @@
 /** Admission of requests with keys: what is held, admitted and refused while keys are unconfirmed. */
+import { hashKeys } from '../../src/gateway/tenants/keys-hash.js';
 import { describe, expect, it, vi } from 'vitest';
 import type { GatewayConfiguration } from '../../src/gateway/model/route.js';
 import type { CallId } from '../../src/gateway/model/request.js';
@@ -63,7 +64,11 @@
     at: gateway.now,
     sentAt,
     answered: true,
-    shown: { version, revision: version },
+    shown: {
+      version,
+      revision: version,
+      keysHash: hashKeys(keyedConfiguration(version).tenants ?? []),
+    },
   });
 
 const reasonOf = (gateway: VirtualGateway, call: CallId): string | undefined => {
@@ -205,10 +210,20 @@
 
   it('gives the age of the confirmation, rounded up, and the version in force', () => {
     const gateway = startedGateway();
-    expect(ask(gateway)).toEqual({ type: 'key-confirmation', ageMs: null, version: null });
+    expect(ask(gateway)).toEqual({
+      type: 'key-confirmation',
+      ageMs: null,
+      version: null,
+      keysHash: null,
+    });
     confirm(gateway, 0);
     gateway.now = 100.2;
-    expect(ask(gateway)).toEqual({ type: 'key-confirmation', ageMs: 101, version: 1 });
+    expect(ask(gateway)).toEqual({
+      type: 'key-confirmation',
+      ageMs: 101,
+      version: 1,
+      keysHash: gateway.state.inForce?.keysHash,
+    });
   });
 });
 
--- a/test/gateway/key-confirmation.test.ts
+++ b/test/gateway/key-confirmation.test.ts
@@ -407,6 +407,43 @@
   });
 });
 
+describe('a store that was restored and in which the operator writes a lost version again', () => {
+  const restoredNetwork = () => {
+    const network = settledNetwork();
+    network.store.era = 1;
+    network.advance(2_000);
+    const backup = network.store.backup();
+    network.put('configuration', 'main', keyedConfiguration(2));
+    network.advance(3_000);
+    network.restoreStore(backup);
+    network.advance(1_000);
+    return network;
+  };
+
+  it('revokes a key that the version has lost, also at gateways that a new gateway confirms', () => {
+    const network = restoredNetwork();
+    const [last] = network.nodes.slice(-1) as [VirtualNode];
+    network.kill(last);
+    network.put('configuration', 'main', keyedConfiguration(2, true));
+    network.start(last);
+    network.advance(REVOCATION_MS);
+    for (let step = 0; step < 1_000; step += 1) {
+      network.advance(STEP_MS);
+      expect(network.nodes.some((node) => admitsKey(node, network))).toBe(false);
+    }
+    network.put('configuration', 'main', keyedConfiguration(3));
+    network.advance(3_000);
+    expect(network.nodes.every((node) => admitsKey(node, network))).toBe(true);
+  });
+
+  it('is confirmed where the version has the same keys', () => {
+    const network = restoredNetwork();
+    network.put('configuration', 'main', keyedConfiguration(2));
+    network.advance(REVOCATION_MS);
+    expect(network.nodes.every((node) => admitsKey(node, network))).toBe(true);
+  });
+});
+
 describe('a configuration in the store that cannot be read', () => {
   const UNREADABLE = { version: 2, isUnreadable: true } as const;
 
--- a/test/gateway/reader-network.ts
+++ b/test/gateway/reader-network.ts
@@ -2,6 +2,7 @@
  * Several gateways over one store in virtual time, with the updates that readers send to their followers. Processes can
  * be killed, paused and started, links can be cut, and the store can be made unreachable for some gateways.
  */
+import { hashKeys } from '../../src/gateway/tenants/keys-hash.js';
 import type {
   AnswerPeer,
   FollowReader,
@@ -521,8 +522,10 @@
       const main = this.store.find('configuration', 'main');
       const version = main !== undefined && 'version' in main ? main.version : undefined;
       const writtenAt = this.store.writtenAt('configuration', 'main');
+      const tenants = main !== undefined && 'tenants' in main ? main.tenants : undefined;
       const shown = {
         revision,
+        ...(tenants !== undefined && { keysHash: hashKeys(tenants) }),
         ...(version !== undefined && { version }),
         ...(writtenAt !== undefined && { writtenAt }),
       };
--- a/test/platform/confirming-read.test.ts
+++ b/test/platform/confirming-read.test.ts
@@ -4,6 +4,7 @@
 import type { GatewayEvent } from '../../src/gateway/event.js';
 import { StoreClient } from '../../src/gateway/runtime/store-client.js';
 import { until } from './gateway-fixture.js';
+import { configurationSpec, routeSpec, tenantSpec } from './operator-spec.js';
 import { StandInStore } from './stand-in-store.js';
 
 let store: StandInStore;
@@ -52,6 +53,21 @@
     });
   });
 
+  it('identifies the keys, also when they change under the same version (failure: a restored store)', async () => {
+    const routes = [routeSpec({ path_prefix: '/', service: 'desk' })];
+    const shownFor = async (key: string): Promise<unknown> => {
+      events = [];
+      const tenants = [tenantSpec('acme', [key])];
+      store.put('config', 'main', configurationSpec(12, routes, ['desk'], 8, {}, tenants));
+      const event = await read();
+      return event?.type === 'confirmation-ended' ? event.shown?.keysHash : undefined;
+    };
+    const first = await shownFor('one');
+    expect(first).toEqual(expect.any(Number));
+    expect(await shownFor('two')).not.toBe(first);
+    expect(await shownFor('one')).toBe(first);
+  });
+
   it('names the revision of an unreadable configuration in the same way as a watch does', () => {
     const object = { meta: { name: 'main', revision: 8 }, spec: { version: 4, routes: 'none' } };
     const watch = { type: 'watch', collection: 'configuration', revision: 7 } as const;
