--- a/src/gateway/authorization/key-confirmation.ts
+++ b/src/gateway/authorization/key-confirmation.ts
@@ -9,12 +9,12 @@
 import type { StateChange } from '../log/log-event.js';
 import type { KeyConfirmationAnswer } from '../model/peer-request.js';
 import type { GatewayState } from '../state.js';
-import { askAllReaders, askReader, hasCurrentSource } from './ask-readers.js';
+import { askAllReaders, askReader, delayAsking, hasCurrentSource } from './ask-readers.js';
 import type { ConfirmationTiming, VersionConfirmation } from './confirmation-state.js';
 import { startConfirmingRead } from './confirming-read.js';
 import { areKeysConfirmed, requiredTiming } from './key-admission.js';
 import { obtainNewer } from './obtain-newer.js';
-import { shownVersion } from './unreadable-configuration.js';
+import { shownKeys } from './unreadable-configuration.js';
 
 /**
  * Time for which requests with keys are held after confirmations become required or after a process pause, in milliseconds.
@@ -52,12 +52,23 @@
   return [{ type: 'write-log', level, part: 'configuration', change }];
 };
 
-/** Records a confirmation of the version in force. One of a later version counts once that is in force. */
-const recordConfirmation = (
-  { keyConfirmation, inForce }: GatewayState,
-  confirmation: VersionConfirmation,
-): void => {
-  const { version, confirmedAt, source } = confirmation;
+/** Records a confirmation by another gateway. */
+const recordPeerConfirmation = (state: GatewayState, confirmedAt: number): void => {
+  const { keyConfirmation } = state;
+  const timing = requiredTiming(state);
+  if (timing !== undefined && confirmedAt > keyConfirmation.peerConfirmedAt) {
+    keyConfirmation.peerConfirmedAt = confirmedAt;
+    delayAsking(state, timing);
+  }
+};
+
+/**
+ * Records a confirmation of the version in force, if that has the same keys. One of a later version counts once that is in
+ * force.
+ */
+const recordConfirmation = (state: GatewayState, confirmation: VersionConfirmation): void => {
+  const { keyConfirmation, inForce } = state;
+  const { version, keysHash, confirmedAt, source } = confirmation;
   const known = inForce?.configuration.version ?? Number.NEGATIVE_INFINITY;
   const { pending } = keyConfirmation;
   if (version > known) {
@@ -68,11 +79,11 @@
     keyConfirmation.pending = isNewer ? confirmation : pending;
     return;
   }
-  if (version < known) {
+  if (version < known || keysHash !== inForce?.keysHash) {
     return;
   }
   if (source !== 'store') {
-    keyConfirmation.peerConfirmedAt = Math.max(keyConfirmation.peerConfirmedAt, confirmedAt);
+    recordPeerConfirmation(state, confirmedAt);
   }
   if (confirmedAt > keyConfirmation.confirmedAt) {
     keyConfirmation.confirmedAt = confirmedAt;
@@ -186,6 +197,7 @@
     type: 'key-confirmation',
     ageMs: isKnown ? Math.max(0, Math.ceil(ageMs)) : null,
     version: isKnown ? version : null,
+    keysHash: isKnown ? (state.inForce?.keysHash ?? null) : null,
   };
   return [{ type: 'answer-peer', exchange, answer }];
 };
@@ -204,7 +216,7 @@
 export const handleConfirmationAnswer = (
   state: GatewayState,
   { id, peer, at }: PeerRequestAnswered,
-  { ageMs, version }: KeyConfirmationAnswer,
+  { ageMs, version, keysHash }: KeyConfirmationAnswer,
 ): GatewayEffect[] => {
   const timing = requiredTiming(state);
   const askedAt = state.keyConfirmation.asked.get(id);
@@ -212,8 +224,8 @@
   if (timing === undefined || askedAt === undefined) {
     return [];
   }
-  if (ageMs !== null && version !== null) {
-    recordConfirmation(state, { version, confirmedAt: askedAt - ageMs, source: peer });
+  if (ageMs !== null && version !== null && keysHash !== null) {
+    recordConfirmation(state, { version, keysHash, confirmedAt: askedAt - ageMs, source: peer });
   }
   repeatSoon(state, timing, at);
   return updateKeyConfirmation(state, at);
@@ -233,13 +245,15 @@
     return [];
   }
   const { version: known } = inForce.configuration;
-  const version = shownVersion(state, ended);
+  const { version, keysHash } = shownKeys(state, ended);
   if (shown === undefined || version === undefined) {
     keyConfirmation.askAllNotBefore = Math.min(keyConfirmation.askAllNotBefore, at);
     return updateKeyConfirmation(state, at);
   }
-  recordConfirmation(state, { version, confirmedAt: sentAt, source: 'store' });
-  if (version === known) {
+  if (keysHash !== undefined) {
+    recordConfirmation(state, { version, keysHash, confirmedAt: sentAt, source: 'store' });
+  }
+  if (version === known && keysHash === inForce.keysHash) {
     keyConfirmation.verified = { era, revision: shown.revision };
   }
   if (version < known && inForce.since >= sentAt) {
