Extend the soak to tenants, revoked keys and quotas

Change: with seeds from 4,000 on the configuration has tenants and the settings have the bounds of the deployment with tenants. The operator revokes and moves keys and lowers a quota; callers send unknown keys, none, or a tenant header; one tenant sends several times its quota, and two classes need more than the slots of a service. Each fourth of these seeds has no faults.

--- a/soak/checker/check-run.ts
+++ b/soak/checker/check-run.ts
@@ -6,9 +6,18 @@
 import { type CheckedRun, Evidence } from './evidence.js';
 import { checkPoisonRequests } from './poison-requests.js';
 import { checkPlannedStops } from './planned-stops.js';
+import { checkClassOrder } from './class-order.js';
+import { checkQuotas } from './quotas.js';
 import { checkUnexpectedExits, checkRecovery } from './recovery.js';
 import { checkAtMostOnce, checkRefusedNeverRan, checkUnchangedRequests } from './request-checks.js';
 import { checkRetryBudget } from './retry-budget.js';
+import { checkRevokedKeys } from './revoked-keys.js';
+import {
+  checkHiddenKeys,
+  checkNeedlessRejections,
+  checkTenantNames,
+  checkUnknownKeys,
+} from './tenant-identity.js';
 import type { PromiseName, Violation } from './violation.js';
 import { checkWholeAnswers } from './whole-answers.js';
 
@@ -23,6 +32,13 @@
   checkRetryBudget,
   checkAbandonedRequests,
   checkPoisonRequests,
+  checkHiddenKeys,
+  checkTenantNames,
+  checkUnknownKeys,
+  checkRevokedKeys,
+  checkNeedlessRejections,
+  checkQuotas,
+  checkClassOrder,
   checkRecovery,
   checkUnexpectedExits,
 ];
--- a/soak/checker/violation.ts
+++ b/soak/checker/violation.ts
@@ -13,6 +13,13 @@
   'retry-budget',
   'callers-gone',
   'poison-requests',
+  'hidden-keys',
+  'tenant-names',
+  'unknown-keys',
+  'revoked-keys',
+  'needless-401',
+  'quotas',
+  'class-order',
   'recovery',
   'no-unexpected-exit',
 ] as const;
--- a/soak/faults/fault-runner.ts
+++ b/soak/faults/fault-runner.ts
@@ -66,6 +66,10 @@
       .with({ type: 'pause' }, ({ gateway, forMs }) => gateways[gateway]?.pauseFor(forMs))
       .with({ type: 'reload' }, (reload) => this.reload(reload.gateways))
       .with({ type: 'configure' }, ({ count, gapMs }) => this.configure(count, gapMs))
+      .with({ type: 'tenant-change' }, ({ change }) => this.world.operator.changeTenants(change))
+      .with({ type: 'tenant-load' }, ({ load, forMs }) =>
+        this.world.tenantCallers.load(gateways, load, forMs),
+      )
       .with({ type: 'store-link' }, (link) => this.disturbLinks(link, this.world.storeLinks))
       .with({ type: 'peer-link' }, (link) => this.disturbLinks(link, this.world.peerLinks))
       .with({ type: 'replica-leaves', how: 'drain' }, ({ service }) => replicas.drain(service))
--- a/soak/model/observations.ts
+++ b/soak/model/observations.ts
@@ -39,6 +39,8 @@
   readonly incarnation: number;
   readonly method: string;
   readonly path: string;
+  /** API key that the caller sent; absent if it sent none. */
+  readonly apiKey?: string;
   readonly bodyDigest: string;
   readonly sentAt: number;
   readonly endedAt: number;
@@ -57,6 +59,10 @@
   readonly path: string;
   /** Processing time of the request, in milliseconds. */
   readonly workMs: number;
+  /** Value of the tenant header; absent if there was none. */
+  readonly tenant?: string;
+  /** Whether an API key was found in the headers or the path. */
+  readonly showsKey?: boolean;
   /** Digest of the body; undefined until the body has been read. */
   bodyDigest: string | undefined;
   /** When the replica stopped processing it; undefined while it is running. */
@@ -80,11 +86,22 @@
   readonly gather?: { readonly maxRecords: number; readonly minCoverage: number };
 }
 
+/** A tenant in one version of the configuration. */
+export interface VersionTenant {
+  readonly name: string;
+  readonly keys: readonly string[];
+  readonly priority?: number;
+  /** Quota; absent if the tenant has none. */
+  readonly limit?: { readonly ratePerSecond: number; readonly burst: number };
+}
+
 /** A version of the configuration, with the time at which the store acknowledged its write. */
 export interface Version {
   readonly version: number;
   readonly acknowledgedAt: number;
   readonly routes: readonly VersionRoute[];
+  /** Absent if the configuration has no tenants, so that no key is needed. */
+  readonly tenants?: readonly VersionTenant[];
 }
 
 /** A replica whose entry in the store says that it drains, was removed, or was overwritten with an invalid one. */
--- a/soak/model/plan.ts
+++ b/soak/model/plan.ts
@@ -13,6 +13,7 @@
   drawVersions,
   type ScheduledFault,
 } from './schedule.js';
+import { addTenants, FIRST_TENANT_SEED } from './tenant-plan.js';
 
 /** Bounds checked by the soak; times are in milliseconds. */
 export interface SoakBounds extends GatewayBounds {
@@ -88,6 +89,8 @@
   readonly poisonCrashDelayMs: number;
   /** Whether replicas publish their start time in their entries. */
   readonly publishesStartTimes: boolean;
+  /** Whether the configuration has tenants. */
+  readonly hasTenants: boolean;
   /** Planned work after the faults; times are relative to their end. */
   readonly plannedWork: readonly ScheduledFault[];
 }
@@ -104,7 +107,9 @@
   | 'last-version'
   | 'lethal'
   | 'store-returns'
-  | 'entries';
+  | 'entries'
+  | 'tenants'
+  | 'tenant-callers';
 
 /** New streams are appended, so that the regression seeds keep theirs. */
 const STREAMS: readonly RandomStream[] = [
@@ -119,6 +124,8 @@
   'lethal',
   'store-returns',
   'entries',
+  'tenants',
+  'tenant-callers',
 ];
 
 /** Distance between the stream seeds of two runs, so that their streams differ. */
@@ -210,13 +217,15 @@
     fault: { type: 'entry-spoilt', service: drawService(random), forMs: FINAL_SPOILT_MS },
   }));
 
-/** Draws the plan of a run. */
-export const drawPlan = (options: SoakOptions): SoakPlan => {
+const faultsMsOf = ({ durationMs }: SoakOptions): number =>
+  durationMs - WARM_UP_MS - BOUNDS.recoveryMs - FINAL_MS;
+
+const drawPlanWithoutTenants = (options: SoakOptions): SoakPlan => {
   const random = streamOf(options.seed, 'plan');
   const retrySlack = RETRY_SLACKS[random.nextBelow(RETRY_SLACKS.length)] ?? RETRY_SLACKS[0];
   const maxConnections =
     MAX_CONNECTIONS[random.nextBelow(MAX_CONNECTIONS.length)] ?? MAX_CONNECTIONS[0];
-  const faultsMs = options.durationMs - WARM_UP_MS - BOUNDS.recoveryMs - FINAL_MS;
+  const faultsMs = faultsMsOf(options);
   const usesPeerLinks = random.nextBelow(2) === 0;
   const { seed, gateways } = options;
   const lastVersion = streamOf(seed, 'last-version');
@@ -248,9 +257,19 @@
     poisonRequests: hasEntryFaults ? drawAbandonment(entries, poisonRequests) : poisonRequests,
     poisonCrashDelayMs: hasEntryFaults ? entries.nextBelow(MAX_POISON_RUN_MS) : 0,
     publishesStartTimes: hasEntryFaults,
+    hasTenants: false,
     plannedWork: [
       ...drawPlannedWork(seed, gateways, endsWithoutVersions),
       ...(hasEntryFaults ? drawSpoiltEntries(entries) : []),
     ],
   };
 };
+
+/** Draws the plan of a run. */
+export const drawPlan = (options: SoakOptions): SoakPlan => {
+  const plan = drawPlanWithoutTenants(options);
+  const { seed } = options;
+  return seed >= FIRST_TENANT_SEED
+    ? addTenants(plan, streamOf(seed, 'tenants'), faultsMsOf(options))
+    : plan;
+};
--- a/soak/model/schedule.ts
+++ b/soak/model/schedule.ts
@@ -1,6 +1,7 @@
 /** Faults and their start times. All are drawn before the run, so that a seed reproduces the same schedule. */
 import type { Random } from '../../src/core/random.js';
 import { SERVICES } from '../world/topology.js';
+import type { TenantFault } from './tenant-schedule.js';
 
 /** How the store handles requests while it is down. */
 export type StoreOutage = 'resetting' | 'silent' | 'busy' | 'throttling';
@@ -48,7 +49,8 @@
   /** A replica stops and starts again with the same identifier. */
   | { readonly type: 'replica-restarts'; readonly service: string; readonly downMs: number }
   /** Another writer overwrites the entry of a replica, which later restores its own. */
-  | { readonly type: 'entry-spoilt'; readonly service: string; readonly forMs: number };
+  | { readonly type: 'entry-spoilt'; readonly service: string; readonly forMs: number }
+  | TenantFault;
 
 /** A fault and its start time, in milliseconds since the start of the schedule. */
 export interface ScheduledFault {
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -76,7 +76,7 @@
   const recoveryTime = pause(plan.bounds.recoveryMs + plan.finalMs);
   await faults.runSchedule(plan.plannedWork);
   await recoveryTime;
-  await world.callers.stop();
+  await world.stopCallers();
   return faults.executed;
 };
 
--- a/soak/world/caller-connection.ts
+++ b/soak/world/caller-connection.ts
@@ -18,6 +18,9 @@
   readonly path: string;
   readonly body: string;
   readonly budgetMs: number;
+  /** API key and tenant header; absent ones are not sent. */
+  readonly apiKey?: string;
+  readonly tenantHeader?: string;
   /** Time after which the caller closes the connection, in milliseconds; absent if it waits for the answer. */
   readonly leavesAfterMs?: number;
   /** Agent that keeps connections open; absent for a new connection. */
@@ -77,6 +80,8 @@
         host,
         [HEADERS.requestId]: query.id,
         [HEADERS.timeBudget]: String(query.budgetMs),
+        ...(query.apiKey !== undefined && { [HEADERS.apiKey]: query.apiKey }),
+        ...(query.tenantHeader !== undefined && { [HEADERS.tenant]: query.tenantHeader }),
         ...(query.body !== '' && { 'content-length': String(Buffer.byteLength(query.body)) }),
       },
     });
--- a/soak/world/callers.ts
+++ b/soak/world/callers.ts
@@ -56,11 +56,20 @@
 const drawBody = (random: Random): string =>
   'b'.repeat(1 + random.nextBelow(MAX_BODY_LETTERS)) + String(random.nextBelow(1_000));
 
+/** How a caller identifies itself. */
+export interface CallerIdentity {
+  readonly apiKey?: string;
+  /** Value of a tenant header that the caller sets itself. */
+  readonly tenantHeader?: string;
+}
+
 interface PathDraft {
   readonly method: string;
   readonly path: string;
   readonly body: string;
   readonly leavesAfterMs?: number | undefined;
+  /** Absent for the usual identity. */
+  readonly identity?: CallerIdentity;
 }
 
 /** Number of attempts of one caller for a poison request. */
@@ -90,6 +99,8 @@
   readonly seed: number;
   readonly observations: Observations;
   readonly operator: Operator;
+  /** Usual identity of the callers. */
+  readonly identity: CallerIdentity;
 }
 
 /** All callers, along with the readiness checks. */
@@ -136,6 +147,18 @@
     this.ended.push(runPoisonCaller());
   }
 
+  /** Sends one request on a new connection with the identity given. */
+  async sendAs(
+    gateway: GatewayProcess,
+    identity: CallerIdentity,
+    prefix: string,
+    workMs: number,
+  ): Promise<void> {
+    const path = pathOf(prefix, workMs, this.nextId);
+    const method = prefix === PREFIXES.once ? 'POST' : 'GET';
+    await this.sendPath(gateway, { method, path, body: '', identity });
+  }
+
   /** Stops all callers; resolves when the requests in progress have ended. */
   async stop(): Promise<void> {
     this.running = false;
@@ -190,7 +213,7 @@
 
   private async sendPath(
     gateway: GatewayProcess,
-    { method, path, body, leavesAfterMs }: PathDraft,
+    { method, path, body, leavesAfterMs, identity = this.context.identity }: PathDraft,
     agent?: Agent,
   ): Promise<string> {
     const id = this.nextId;
@@ -203,6 +226,7 @@
       path,
       body,
       budgetMs: TIME_BUDGET_MS,
+      ...identity,
       ...(leavesAfterMs !== undefined && { leavesAfterMs }),
       ...(agent !== undefined && { agent }),
     };
@@ -217,6 +241,7 @@
       incarnation: knownIncarnation,
       method,
       path,
+      ...(identity.apiKey !== undefined && { apiKey: identity.apiKey }),
       bodyDigest,
     };
     this.context.observations.requests.push({ ...request, ...result });
--- a/soak/world/operator.ts
+++ b/soak/world/operator.ts
@@ -8,6 +8,8 @@
 import type { StandInStore } from '../../test/platform/stand-in-store.js';
 import type { Observations } from '../model/observations.js';
 import { routesOf } from './routes.js';
+import type { TenantChange } from '../model/tenant-schedule.js';
+import type { TenantRoster } from './tenants.js';
 import { SERVICES } from './topology.js';
 
 /** Maximum difference between the numbers of successive versions. */
@@ -23,6 +25,8 @@
     private readonly observations: Observations,
     private readonly random: Random,
     private readonly maxConnections: number,
+    /** Absent if the configuration has no tenants. */
+    private readonly roster?: TenantRoster,
   ) {}
 
   /** Index of the newest version, counted from 0. */
@@ -36,10 +40,28 @@
     const routes = routesOf(versions.length);
     this.version += 1 + this.random.nextBelow(MAX_VERSION_STEP);
     const specs = routes.map(operatorRouteSpec);
-    const spec = configurationSpec(this.version, specs, SERVICES, this.maxConnections);
+    const spec = configurationSpec(
+      this.version,
+      specs,
+      SERVICES,
+      this.maxConnections,
+      {},
+      this.roster?.specs(),
+    );
     this.newestSpec = spec;
     this.rewriteNewest();
-    versions.push({ version: this.version, acknowledgedAt: performance.now(), routes });
+    versions.push({
+      version: this.version,
+      acknowledgedAt: performance.now(),
+      routes,
+      ...(this.roster !== undefined && { tenants: this.roster.tenants }),
+    });
+  }
+
+  /** Changes the tenants in a new version. */
+  changeTenants(change: TenantChange): void {
+    this.roster?.apply(change);
+    this.configure();
   }
 
   /** Writes the newest version again, in case a restore of the store has lost it. */
--- a/soak/world/replica-fleet.ts
+++ b/soak/world/replica-fleet.ts
@@ -1,5 +1,6 @@
 /** Replicas of all services: stand-ins of the tests whose requests and answers are recorded. */
 import { setTimeout as pause } from 'node:timers/promises';
+import { platformProtocol } from '../../platform/protocol.js';
 import type { Random } from '../../src/core/random.js';
 import { REPLICA_KIND } from '../../test/platform/operator-spec.js';
 import {
@@ -12,7 +13,10 @@
 import { bodyOf, digestOf } from './answer-body.js';
 import { isPoison, workOf } from './paths.js';
 import { beginDisturbance } from './recorder.js';
-import { REPLICA_SLOTS, SERVICES, replicasOf, zoneOf } from './topology.js';
+import { KEY_MARK } from './tenants.js';
+import { SERVICES, replicasOf, zoneOf } from './topology.js';
+
+const HEADERS = platformProtocol.headers;
 
 /** Time for which a departing replica serves beyond the drain bound, in milliseconds. */
 const EXTRA_SERVING_MS = 3_000;
@@ -37,6 +41,8 @@
   readonly poisonCrashDelayMs: number;
   /** Whether replicas publish their start time in their entries. */
   readonly publishesStartTimes: boolean;
+  /** Number of requests that a replica runs concurrently. */
+  readonly slots: number;
 }
 
 /** Time after which the store removes the entry of a crashed replica, in milliseconds. */
@@ -226,7 +232,7 @@
   private async startReplica(id: string, service: string, zone: string): Promise<void> {
     const bornAt = Date.now();
     const replica = await StandInReplica.start(id, {
-      slots: REPLICA_SLOTS,
+      slots: this.options.slots,
       bodyOf,
       workOf: (path) => this.workOf(path),
       start: bornAt,
@@ -315,7 +321,7 @@
 }
 
 const describeArrival = (
-  { id, method, path }: ArrivedRequest,
+  { id, method, path, headers }: ArrivedRequest,
   replica: string,
   service: string,
   ran: boolean,
@@ -328,6 +334,8 @@
   method,
   path,
   workMs: ran ? workOf(path) : 0,
+  ...(headers[HEADERS.tenant] !== undefined && { tenant: String(headers[HEADERS.tenant]) }),
+  showsKey: HEADERS.apiKey in headers || `${path}${JSON.stringify(headers)}`.includes(KEY_MARK),
   bodyDigest: undefined,
   endedAt: undefined,
 });
--- a/test/platform/settings-file.ts
+++ b/test/platform/settings-file.ts
@@ -18,5 +18,8 @@
       ...bounds,
       graceSeconds: bounds.graceMs / 1_000,
       retryWindowSeconds: bounds.retryWindowMs / 1_000,
+      ...(bounds.quotaWindowMs !== undefined && {
+        quotaWindowSeconds: bounds.quotaWindowMs / 1_000,
+      }),
     },
   });
--- a/test/soak/schedule.test.ts
+++ b/test/soak/schedule.test.ts
@@ -36,7 +36,7 @@
     expect(waits.some(({ leavesAfterMs }) => leavesAfterMs === undefined)).toBe(true);
   });
 
-  it('has none of these for smaller seeds', () => {
+  it('has no restarts of replicas or overwritten entries for smaller seeds', () => {
     const { schedule, poisonCrashDelayMs, publishesStartTimes } = drawPlan(optionsOf(2_999));
     const types = new Set(schedule.map(({ fault }) => fault.type));
     expect([types.has('replica-restarts'), types.has('entry-spoilt')]).toEqual([false, false]);
@@ -46,6 +46,38 @@
     });
   });
 
+  it('has tenants, their changes and loads for seeds from 4,000 on, and no restores of the store', () => {
+    const plans = Array.from({ length: 20 }, (_, index) => drawPlan(optionsOf(4_000 + index)));
+    expect(plans.every(({ hasTenants }) => hasTenants)).toBe(true);
+    expect(plans.every(({ bounds }) => bounds.keyRevocationMs === 5_000)).toBe(true);
+    const faults = plans.flatMap(({ schedule }) => schedule.map(({ fault }) => fault));
+    expect(new Set(faults.flatMap((each) => ('change' in each ? each.change : [])))).toEqual(
+      new Set(['revoke-key', 'move-key', 'lower-quota']),
+    );
+    expect(new Set(faults.flatMap((each) => ('load' in each ? each.load : [])))).toEqual(
+      new Set(['over-quota', 'over-capacity']),
+    );
+    expect(faults.map(({ type }) => type)).not.toContain('store-returns');
+  });
+
+  it('has only versions, changes and loads of tenants with each fourth of these seeds', () => {
+    const { schedule, poisonRequests } = drawPlan(optionsOf(4_003));
+    const types = new Set(schedule.map(({ fault }) => fault.type));
+    expect(types).toEqual(new Set(['configure', 'tenant-change', 'tenant-load']));
+    expect(poisonRequests).toEqual([]);
+  });
+
+  it('has none of these for smaller seeds', () => {
+    const { schedule, hasTenants, bounds } = drawPlan(optionsOf(3_999));
+    const types = schedule.map(({ fault }) => fault.type);
+    expect(types.filter((type) => type.startsWith('tenant-'))).toEqual([]);
+    expect([hasTenants, bounds.keyRevocationMs, bounds.quotaWindowMs]).toEqual([
+      false,
+      undefined,
+      undefined,
+    ]);
+  });
+
   it('has every kind of fault across some seeds, all in time and on existing gateways', () => {
     const faults = Array.from(
       { length: 50 },
