--- a/soak/checker/tenant-identity.ts
+++ b/soak/checker/tenant-identity.ts
@@ -23,15 +23,22 @@
   text,
 });
 
-/** Finds arrivals that show an API key to a replica. */
+/** Finds arrivals that show an API key to a replica, and gateways that write one to their output. */
 export const checkHiddenKeys = (evidence: Evidence): readonly Violation[] => {
   const arrivals = keyedArrivals(evidence).filter(({ request }) => request.apiKey !== undefined);
   evidence.recordCases('hidden-keys', arrivals.length);
-  return arrivals
+  const shown = arrivals
     .filter(({ arrival }) => arrival.showsKey === true)
     .map((each) =>
       createViolation('hidden-keys', each, `${each.arrival.replica} received an API key`),
     );
+  const logged = evidence.observations.loggedKeys.map(({ gateway, at }): Violation => ({
+    promise: 'hidden-keys',
+    at,
+    gateway,
+    text: 'the gateway wrote an API key to its output',
+  }));
+  return [...shown, ...logged];
 };
 
 /** Whether any version up to the arrival had the key. */
--- a/soak/model/observations.ts
+++ b/soak/model/observations.ts
@@ -164,6 +164,12 @@
   readonly at: number;
 }
 
+/** An API key in the output of a gateway. */
+export interface LoggedKey {
+  readonly gateway: number;
+  readonly at: number;
+}
+
 /** All observations of a run. */
 export interface Observations {
   readonly requests: CallerRequest[];
@@ -176,6 +182,8 @@
   readonly readiness: ReadinessSample[];
   readonly unexpectedExits: UnexpectedExit[];
   readonly poisonCrashes: PoisonCrash[];
+  /** Outputs of gateways that contain an API key. */
+  readonly loggedKeys: LoggedKey[];
   /** When the last fault ended; undefined while there are faults. */
   faultsEndedAt: number | undefined;
 }
@@ -192,5 +200,6 @@
   readiness: [],
   unexpectedExits: [],
   poisonCrashes: [],
+  loggedKeys: [],
   faultsEndedAt: undefined,
 });
--- a/soak/world/gateway-process.ts
+++ b/soak/world/gateway-process.ts
@@ -11,6 +11,7 @@
 import { isReady } from './readiness.js';
 import { isOpen } from './ports.js';
 import { beginDisturbance, type EndDisturbance } from './recorder.js';
+import { KEY_MARK } from './tenants.js';
 
 /** Time between the exit of a process and the start of the next one, in milliseconds. */
 const RESTART_MS = 300;
@@ -225,7 +226,7 @@
     );
     const process = new RigProcess(this.name, program, [], this.environment(), {
       runtimeFlags,
-      onOutput: (text) => this.log.write(text),
+      onOutput: (text) => this.recordOutput(text),
     });
     this.current = process;
     if (this.peersAddress !== undefined) {
@@ -239,6 +240,14 @@
     });
   }
 
+  private recordOutput(text: string): void {
+    this.log.write(text);
+    if (text.includes(KEY_MARK)) {
+      const { loggedKeys } = this.context.observations;
+      loggedKeys.push({ gateway: this.number, at: performance.now() });
+    }
+  }
+
   private environment(): Readonly<Record<string, string>> {
     return { [SETTINGS_VARIABLE]: this.settingsFile };
   }
--- a/soak/world/replica-fleet.ts
+++ b/soak/world/replica-fleet.ts
@@ -14,7 +14,7 @@
 import { isPoison, workOf } from './paths.js';
 import { beginDisturbance } from './recorder.js';
 import { KEY_MARK } from './tenants.js';
-import { SERVICES, replicasOf, zoneOf } from './topology.js';
+import { REPLICA_SLOTS, SERVICES, replicasOf, zoneOf } from './topology.js';
 
 const HEADERS = platformProtocol.headers;
 
@@ -41,8 +41,6 @@
   readonly poisonCrashDelayMs: number;
   /** Whether replicas publish their start time in their entries. */
   readonly publishesStartTimes: boolean;
-  /** Number of requests that a replica runs concurrently. */
-  readonly slots: number;
 }
 
 /** Time after which the store removes the entry of a crashed replica, in milliseconds. */
@@ -232,7 +230,7 @@
   private async startReplica(id: string, service: string, zone: string): Promise<void> {
     const bornAt = Date.now();
     const replica = await StandInReplica.start(id, {
-      slots: this.options.slots,
+      slots: REPLICA_SLOTS,
       bodyOf,
       workOf: (path) => this.workOf(path),
       start: bornAt,
--- a/soak/world/soak-world.ts
+++ b/soak/world/soak-world.ts
@@ -12,7 +12,7 @@
 import { StoreBackups } from './store-backups.js';
 import { TenantCallers } from './tenant-callers.js';
 import { KEYS, TenantRoster } from './tenants.js';
-import { REGION, REPLICA_SLOTS, SCARCE_REPLICA_SLOTS, ZONES, zoneOf } from './topology.js';
+import { REGION, ZONES, zoneOf } from './topology.js';
 
 const HOST = '127.0.0.1';
 
@@ -51,7 +51,6 @@
       drainMs: bounds.drainMs,
       poisonCrashDelayMs: plan.poisonCrashDelayMs,
       publishesStartTimes: plan.publishesStartTimes,
-      slots: plan.hasTenants ? SCARCE_REPLICA_SLOTS : REPLICA_SLOTS,
     });
     const random = streamOf(seed, 'operator');
     this.operator = new Operator(
--- a/soak/world/tenant-callers.ts
+++ b/soak/world/tenant-callers.ts
@@ -14,9 +14,12 @@
 /** Interval between requests of one tenant at a gateway during a load, in milliseconds. */
 const LOAD_INTERVAL_MS = 80;
 
-/** Processing time of ordinary requests, and of those of a load over the capacity, in milliseconds. */
+/**
+ * Processing time of ordinary requests, and of those of a load over the capacity, in milliseconds. The three replicas of a
+ * service, of 24 slots each, run 80 of the long ones per second; 4 gateways get 100, and 6 get 150.
+ */
 const WORK_MS = 4;
-const LONG_WORK_MS = 200;
+const LONG_WORK_MS = 900;
 
 /** Callers to draw from; those with several entries are drawn more often. */
 const IDENTITIES: readonly CallerIdentity[] = [
--- a/soak/world/topology.ts
+++ b/soak/world/topology.ts
@@ -29,6 +29,3 @@
 
 /** Number of requests that a replica runs concurrently. */
 export const REPLICA_SLOTS = 24;
-
-/** The same in runs with tenants, where some loads need more than the slots of a service; entries state this number. */
-export const SCARCE_REPLICA_SLOTS = 4;
--- a/test/soak/tenant-checker.test.ts
+++ b/test/soak/tenant-checker.test.ts
@@ -51,6 +51,11 @@
     expect(run.broken()).toEqual(['hidden-keys']);
   });
 
+  it('rejects a key in the output of a gateway', () => {
+    run.observations.loggedKeys.push({ gateway: 0, at: 20_000 });
+    expect(run.broken()).toEqual(['hidden-keys']);
+  });
+
   it.each(['other', undefined])('rejects the tenant name %s in place of the right one', (name) => {
     const request = run.addServed('/move/x', 'desk', { apiKey: MAIN_KEY });
     run.addArrival(request, 'desk', { tenant: name } as object);
