--- a/soak/world/replica-fleet.ts
+++ b/soak/world/replica-fleet.ts
@@ -1,5 +1,6 @@
 /** Replicas of all services: stand-ins of the tests whose requests and answers are recorded. */
 import { setTimeout as pause } from 'node:timers/promises';
+import { platformProtocol } from '../../platform/protocol.js';
 import type { Random } from '../../src/core/random.js';
 import { REPLICA_KIND } from '../../test/platform/operator-spec.js';
 import {
@@ -12,8 +13,11 @@
 import { bodyOf, digestOf } from './answer-body.js';
 import { isPoison, workOf } from './paths.js';
 import { beginDisturbance } from './recorder.js';
+import { KEY_MARK } from './tenants.js';
 import { REPLICA_SLOTS, SERVICES, replicasOf, zoneOf } from './topology.js';
 
+const HEADERS = platformProtocol.headers;
+
 /** Time for which a departing replica serves beyond the drain bound, in milliseconds. */
 const EXTRA_SERVING_MS = 3_000;
 
@@ -315,7 +319,7 @@
 }
 
 const describeArrival = (
-  { id, method, path }: ArrivedRequest,
+  { id, method, path, headers }: ArrivedRequest,
   replica: string,
   service: string,
   ran: boolean,
@@ -328,6 +332,8 @@
   method,
   path,
   workMs: ran ? workOf(path) : 0,
+  ...(headers[HEADERS.tenant] !== undefined && { tenant: String(headers[HEADERS.tenant]) }),
+  showsKey: HEADERS.apiKey in headers || `${path}${JSON.stringify(headers)}`.includes(KEY_MARK),
   bodyDigest: undefined,
   endedAt: undefined,
 });
