Forget the bucket of a tenant once another gateway owns it, also if nobody asks

Cause: lost buckets were forgotten only when a token was asked for. A gateway whose ownership went away and came back in between could grant from its old bucket, which knows nothing of what the other owner granted. Result: the new test of quotas.test.ts failed before and passes; quotas and quota-fuzz pass (26 tests).

--- a/src/gateway/quotas/keep-quota.ts
+++ b/src/gateway/quotas/keep-quota.ts
@@ -65,7 +65,8 @@
 };
 
 /** Forgets the buckets of tenants that this gateway no longer owns. */
-const dropLostQuotas = ({ quotas, settings }: GatewayState, at: number): void => {
+export const dropLostQuotas = ({ quotas, settings }: GatewayState, at: number): void => {
+  quotas.owners.advance(at);
   if (quotas.ownedVersion === quotas.owners.version) {
     return;
   }
--- a/src/gateway/quotas/owners.ts
+++ b/src/gateway/quotas/owners.ts
@@ -89,11 +89,16 @@
     this.changePlaces(isChanged && !countsAtOnce ? at : this.changedAt, at);
   }
 
-  /** The ranking for a tenant at time `at`. */
-  rank(tenant: string, node: string, at: number): TenantRanking {
+  /** Applies the changes of places that are due at time `at`. */
+  advance(at: number): void {
     if (at >= this.nextChangeAt) {
       this.changePlaces(this.nextChangeAt, at);
     }
+  }
+
+  /** The ranking for a tenant at time `at`. */
+  rank(tenant: string, node: string, at: number): TenantRanking {
+    this.advance(at);
     const known = this.rankings.get(tenant);
     if (known !== undefined) {
       return known;
--- a/src/gateway/quotas/sweep-quotas.ts
+++ b/src/gateway/quotas/sweep-quotas.ts
@@ -3,7 +3,7 @@
 import type { GatewayState } from '../state.js';
 import { dropOldExchanges, renewLease } from './ask-tokens.js';
 import { divideQuota, LEASE_MS } from './divide-quota.js';
-import { findLimit } from './keep-quota.js';
+import { dropLostQuotas, findLimit } from './keep-quota.js';
 import { fillOwned } from './owned-quota.js';
 import { logWithinLimit } from './quota-log.js';
 import { setQuotasTimer, SWEEP_MS } from './quotas-timer.js';
@@ -77,6 +77,8 @@
 export const handleQuotasDue = (state: GatewayState, at: number): GatewayEffect[] => {
   state.quotas.timerAt = undefined;
   dropOldExchanges(state, at);
+  // Nobody may ask while another gateway owns a tenant: its bucket must not serve again when this one owns it later.
+  dropLostQuotas(state, at);
   const effects = [...sweepLeases(state, at), ...sweepOwned(state, at)];
   sweepBackups(state, at);
   sweepRankings(state);
--- a/test/gateway/quotas.test.ts
+++ b/test/gateway/quotas.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest';
+import { rankByRendezvous } from '../../src/gateway/peers/rendezvous.js';
 import { allowedInWindow, divideQuota } from '../../src/gateway/quotas/divide-quota.js';
 import { waitingForTokens } from '../../src/gateway/quotas/take-token.js';
 import { step } from '../../src/gateway/reducer.js';
@@ -198,6 +199,24 @@
   expect(last.length).toBeGreaterThan(180);
 });
 
+it('forgets the bucket of a tenant that another gateway owns, also if nobody asks (failure: ownership that comes back)', () => {
+  const network = new QuotaNetwork(3, [HOT]);
+  network.load('hot', 10, 16_000, 20_000);
+  network.runUntil(20_000);
+  const [owner] = network.keepersOf('hot');
+  expect(owner?.state.quotas.owned.has('hot')).toBe(true);
+  const newer = Array.from({ length: 50 }, (_, index) => `newer-${index}`).find(
+    (name) =>
+      rankByRendezvous('tenant/hot', [
+        { name, zone: '', address: { host: '', port: 0 }, capacity: 1 },
+        ...network.gateways.map(({ record }) => ({ ...record, capacity: 1 })),
+      ])[0]?.name === name,
+  );
+  network.add(newer ?? '');
+  network.runUntil(26_000);
+  expect(owner?.state.quotas.owned.has('hot')).toBe(false);
+});
+
 it('binds a lowered quota one window after the gateways have learned of it', () => {
   const network = new QuotaNetwork(20, [HOT]);
   network.load('hot', 60, 16_000, 40_000);
