Cut a gateway from the store for longer than the bound on revocations in the soak

Change: runs with tenants and faults cut one gateway from the store, and from its peers where these use proxies, for 7.5 to 10 s, and remove a key 0.3 s after the start of the cut.

--- a/soak/model/tenant-plan.ts
+++ b/soak/model/tenant-plan.ts
@@ -2,7 +2,7 @@
 import type { Random } from '../../src/core/random.js';
 import type { SoakPlan } from './plan.js';
 import type { ScheduledFault } from './schedule.js';
-import { drawTenantSchedule } from './tenant-schedule.js';
+import { drawLongCut, drawTenantSchedule } from './tenant-schedule.js';
 
 /** Runs with smaller seeds have no tenants, so that earlier regression seeds are unchanged. */
 export const FIRST_TENANT_SEED = 4_000;
@@ -37,7 +37,11 @@
     ...plan,
     bounds: { ...plan.bounds, ...TENANT_BOUNDS },
     hasTenants: true,
-    schedule: [...schedule, ...tenantSchedule],
+    schedule: [
+      ...schedule,
+      ...tenantSchedule,
+      ...(hasFaults ? drawLongCut(random, faultsMs, plan) : []),
+    ],
     poisonRequests: hasFaults ? plan.poisonRequests : [],
     plannedWork: hasFaults ? plan.plannedWork : plan.plannedWork.filter(isVersion),
   };
--- a/soak/model/tenant-schedule.ts
+++ b/soak/model/tenant-schedule.ts
@@ -1,5 +1,6 @@
 /** Changes of tenants and moments of high load, drawn in addition to the faults. */
 import type { Random } from '../../src/core/random.js';
+import type { ScheduledFault } from './schedule.js';
 
 /** A change that the operator makes to the tenants in a new version of the configuration. */
 export type TenantChange = 'revoke-key' | 'move-key' | 'lower-quota';
@@ -45,6 +46,33 @@
   return schedule;
 };
 
+/** Minimum and maximum duration of a cut from the store: longer than the bound on revocations of 5 s. */
+const MIN_CUT_MS = 7_500;
+const MAX_CUT_MS = 10_000;
+
+/** Time from the start of the cut to the removal of a key, in milliseconds. */
+const REMOVAL_AFTER_MS = 300;
+
+/** Draws a cut of one gateway from the store and from its peers, during which a key is removed. */
+export const drawLongCut = (
+  random: Random,
+  durationMs: number,
+  { gateways, usesPeerLinks }: { readonly gateways: number; readonly usesPeerLinks: boolean },
+): readonly ScheduledFault[] => {
+  const forMs = drawBetween(random, MIN_CUT_MS, MAX_CUT_MS);
+  const atMs = random.nextBelow(Math.max(1, Math.round(durationMs - forMs)));
+  const cut = {
+    gateways: [random.nextBelow(gateways)],
+    trouble: random.nextBelow(2) === 0 ? 'refuse' : 'silence',
+    forMs,
+  } as const;
+  return [
+    { atMs, fault: { type: 'store-link', ...cut } },
+    ...(usesPeerLinks ? [{ atMs, fault: { type: 'peer-link', ...cut } as const }] : []),
+    { atMs: atMs + REMOVAL_AFTER_MS, fault: { type: 'tenant-change', change: 'revoke-key' } },
+  ];
+};
+
 /** Draws the changes of tenants and the loads of a run whose faults last `durationMs` milliseconds. */
 export const drawTenantSchedule = (
   random: Random,
