--- a/soak/model/tenant-schedule.ts
+++ b/soak/model/tenant-schedule.ts
@@ -53,7 +53,10 @@
 /** Time from the start of the cut to the removal of a key, in milliseconds. */
 const REMOVAL_AFTER_MS = 300;
 
-/** Draws a cut of one gateway from the store and from its peers, during which a key is removed. */
+/**
+ * Draws a cut of one gateway from the store and of all links between gateways, during which a key is removed. The links of
+ * one gateway alone would leave the connections that it opens itself.
+ */
 export const drawLongCut = (
   random: Random,
   durationMs: number,
@@ -66,9 +69,12 @@
     trouble: random.nextBelow(2) === 0 ? 'refuse' : 'silence',
     forMs,
   } as const;
+  const all = Array.from({ length: gateways }, (_, index) => index);
   return [
     { atMs, fault: { type: 'store-link', ...cut } },
-    ...(usesPeerLinks ? [{ atMs, fault: { type: 'peer-link', ...cut } as const }] : []),
+    ...(usesPeerLinks
+      ? [{ atMs, fault: { type: 'peer-link', ...cut, gateways: all } as const }]
+      : []),
     { atMs: atMs + REMOVAL_AFTER_MS, fault: { type: 'tenant-change', change: 'revoke-key' } },
   ];
 };
