--- a/src/gateway/requests/answer-delays.ts
+++ b/src/gateway/requests/answer-delays.ts
@@ -36,8 +36,8 @@
 const MIN_SAMPLES = 50;
 
 /**
- * Bounds of the part of the margin that covers this process, in milliseconds. With a total of 9 ms in place of 13, gathers lost
- * 1.2% of their credit (docs/policy.md): timers do not show the delays before a request or a part is read.
+ * Bounds of the part of the margin that covers this process, in milliseconds. The lower one covers the delays before a request
+ * or a part is read, which timers do not show.
  */
 const MIN_PROCESS_MS = 7;
 const MAX_PROCESS_MS = 40;
--- a/src/gateway/requests/answer-timing.ts
+++ b/src/gateway/requests/answer-timing.ts
@@ -1,6 +1,6 @@
 /**
  * Decides when a gather is answered with the parts that it has. Before the objective each further part adds value and
- * waiting costs nothing; close to it, waiting may make the answer late, and a late answer is worth little.
+ * waiting costs nothing; close to it, waiting may make the answer late, when it is of little use.
  */
 import type { AnswerInputs } from '../model/answer-timing.js';
 import type { GatewayState } from '../state.js';
--- a/test/gateway/quota-network.ts
+++ b/test/gateway/quota-network.ts
@@ -23,7 +23,7 @@
 /** Interval at which gateways in contact with the store confirm that, in milliseconds. */
 const CONFIRM_MS = 500;
 
-/** Quota bounds of deployment A. */
+/** Quota bounds of a tier whose tenants have quotas. */
 export const QUOTA_BOUNDS: GatewayBounds = {
   ...GATEWAY_BOUNDS,
   quotaWindowMs: 5_000,
@@ -31,7 +31,7 @@
   quotaSlack: 20,
 };
 
-/** The route of the alerts of deployment A. */
+/** A route with a short objective. */
 export const ALERTS = routeTo({ type: 'service', service: 'alerts' }, { objectiveMs: 57.6 });
 
 /** A tenant with a limit. */
