Wording of comments in quotas and scheduling

Cause: some comments used figurative words, and one told how a value was found. Change: comments only. Result: type check and prettier pass.

--- a/src/gateway/quotas/admit-waiting.ts
+++ b/src/gateway/quotas/admit-waiting.ts
@@ -1,4 +1,4 @@
-/** Routes requests again that waited for a token, or refuses them, and looks after the state of tenants' limits. */
+/** Admits or refuses requests that waited for a token, when an answer arrives or is overdue. */
 import type { GatewayEffect } from '../effect.js';
 import type { PeerRequestAnswered } from '../event.js';
 import type { TokenAnswer } from '../model/peer-request.js';
--- a/src/gateway/quotas/ask-tokens.ts
+++ b/src/gateway/quotas/ask-tokens.ts
@@ -112,7 +112,7 @@
 
 /**
  * Gateways to ask for a token, without backups that are suspected of having failed. An owner that did not answer in time is
- * only asked in passing.
+ * sent reports, but not waited for.
  */
 export const chooseCandidates = (
   state: GatewayState,
--- a/src/gateway/quotas/keep-quota.ts
+++ b/src/gateway/quotas/keep-quota.ts
@@ -26,7 +26,7 @@
   untilToken,
 } from './token-bucket.js';
 
-/** Longest time until a token that a backup tells, in milliseconds; the owner may be back earlier. */
+/** Longest time until a token that a backup reports, in milliseconds; the owner may be back earlier. */
 const MAX_BACKUP_WAIT_MS = 500;
 
 /** Tokens granted here, or the time until there are some. */
--- a/src/gateway/quotas/owned-quota.ts
+++ b/src/gateway/quotas/owned-quota.ts
@@ -41,7 +41,7 @@
 /** Longest time for which holders are given turns, in milliseconds, so that free tokens do not stay unused. */
 const MAX_TURNS_MS = 1_000;
 
-/** Longest time until a token that is told to holders, in milliseconds. */
+/** Longest time until a token that is reported to holders, in milliseconds. */
 const MAX_AVAILABLE_IN_MS = 60_000;
 
 /** State of a tenant at its owner. */
@@ -56,7 +56,7 @@
   urgentAt: number;
   /** Tokens for that class since another class got one. */
   urgentTokens: number;
-  /** When the turn of the next holder begins that is told to wait. */
+  /** When the turn of the next holder that has to wait begins. */
   nextTurnAt: number;
   /** Since when requests are refused for lack of tokens; undefined while none are. */
   overSince: number | undefined;
--- a/src/gateway/quotas/quotas-timer.ts
+++ b/src/gateway/quotas/quotas-timer.ts
@@ -1,4 +1,4 @@
-/** The timer of the tenants' limits; it is set only while there is state to look after. */
+/** The timer of the tenants' limits; it is set only while there are leases, buckets or unanswered requests. */
 import type { GatewayEffect } from '../effect.js';
 import type { GatewayState } from '../state.js';
 
--- a/src/gateway/scheduling/class-shares.ts
+++ b/src/gateway/scheduling/class-shares.ts
@@ -7,7 +7,7 @@
 /**
  * A class is due when its started share is below this fraction of the share of all classes. Rule 4 of docs/hard-load.md
  * requires a quarter; the excess covers attempts that start and are not answered in time, and that a class is due only when it is
- * owed a whole start. With 0.3 a class with few starts got 0.244 of the share of the others.
+ * owed a whole start.
  */
 const LEAST_SHARE = 0.35;
 
