--- a/soak/checker/violation.ts
+++ b/soak/checker/violation.ts
@@ -27,6 +27,16 @@
 /** Name of a promise. */
 export type PromiseName = (typeof PROMISES)[number];
 
+/** Promises that only runs with tenants check. */
+export const TENANT_PROMISES: readonly PromiseName[] = [
+  'hidden-keys',
+  'tenant-names',
+  'unknown-keys',
+  'revoked-keys',
+  'needless-401',
+  'quotas',
+];
+
 /** One violation of a promise. */
 export interface Violation {
   readonly promise: PromiseName;
--- a/test/soak/tenant-soak.test.ts
+++ b/test/soak/tenant-soak.test.ts
@@ -1,5 +1,6 @@
 /** A run of the soak with tenants whose keys are revoked and moved and whose quotas are exceeded and lowered. */
 import { it } from 'vitest';
+import { TENANT_PROMISES } from '../../soak/checker/violation.js';
 import { runWithoutViolations, RUN_TIMEOUT_MS } from './run-without-violations.js';
 
 const SEED = 4_001;
@@ -9,13 +10,6 @@
   'keeps every promise to tenants when keys are revoked and quotas exceeded during faults',
   { timeout: RUN_TIMEOUT_MS },
   async () => {
-    await runWithoutViolations(SEED, DURATION_MS, [
-      'hidden-keys',
-      'tenant-names',
-      'unknown-keys',
-      'revoked-keys',
-      'needless-401',
-      'quotas',
-    ]);
+    await runWithoutViolations(SEED, DURATION_MS, TENANT_PROMISES);
   },
 );
