Wording of four comments on readiness and callers

Cause: they used a figurative verb for reports between gateways and to the driver. Change: comments only, four lines.

--- a/src/gateway/effect.ts
+++ b/src/gateway/effect.ts
@@ -269,7 +269,7 @@
 export interface SetReadiness {
   readonly type: 'set-readiness';
   readonly ready: boolean;
-  /** Whether other gateways are told that this one serves them; absent if it is the same as `ready`. */
+  /** Whether this one reports to other gateways that it serves them; absent if it is the same as `ready`. */
   readonly servesPeers?: boolean;
 }
 
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -133,7 +133,7 @@
   stoppingSince: number;
   /** Readiness that was last reported to the load balancer. */
   ready: boolean;
-  /** Whether other gateways were last told that this one serves them. */
+  /** Whether this one last reported to other gateways that it serves them. */
   servesPeers: boolean;
   /** Set from the end of a process pause until the state has been confirmed. */
   pauseRecovery: PauseRecovery | undefined;
--- a/test/gateway/caller-identity.test.ts
+++ b/test/gateway/caller-identity.test.ts
@@ -31,7 +31,7 @@
 const requestWith = (gateway: VirtualGateway, keyDigests?: readonly string[]): CallId =>
   gateway.request(900, false, undefined, keyDigests);
 
-/** Callers as the driver was told of them, in order; `undefined` for anonymous ones. */
+/** Callers in the order in which the driver received them; `undefined` for anonymous ones. */
 const callersOf = ({ effects }: VirtualGateway): readonly (string | undefined)[] =>
   effects.flatMap((effect) => (effect.type === 'set-caller' ? [effect.tenant] : []));
 
--- a/test/platform/tenants.test.ts
+++ b/test/platform/tenants.test.ts
@@ -53,7 +53,7 @@
   maxConnections = 26,
 ): number => fixture.configure(routes, services, maxConnections, {}, tenants);
 
-/** The callers that the replicas were told of; the requests must carry no key. */
+/** The callers named in the requests at the replicas; the requests must carry no key. */
 const callers = (): readonly unknown[] => {
   arrived.forEach(({ headers }) => expect(JSON.stringify(headers)).not.toContain('secret'));
   return arrived.map(({ headers }) => headers['x-tenant']);
