Log queries that end without required shards

Callers saw answers without any shard although all replicas were running; nothing that a node logged told whether the replica, the feeder or the node itself had been silent. A query keeps when its check is due, so that the line can say how late the timer was.

--- a/src/core/query/accept-query.ts
+++ b/src/core/query/accept-query.ts
@@ -11,7 +11,7 @@
 import type { ActiveQuery } from './active-query.js';
 import { buildQueryPlan } from './build-query-plan.js';
 import { createAnswerMerge } from './merge-answers.js';
-import { nextCheckAt } from './hopeless-legs.js';
+import { setCheckTimer } from './hopeless-legs.js';
 import { getRowObservation } from './observations.js';
 import { isBelowLimit, recordQueryStarted, chooseRetryDelay } from './overload-limit.js';
 import type { QueryPlan } from './query-plan.js';
@@ -112,6 +112,7 @@
     query,
     startedAt: event.at,
     deadlineAt: event.at + Math.min(row.deadlineMs, query.deadlineMs ?? row.deadlineMs),
+    checkAt: event.at,
     requiredShards: countRequiredShards(row, query, plan.shards.length),
     phase: row.safeToRepeat ? 'running' : 'claiming',
     context,
@@ -137,8 +138,7 @@
   recordQueryStarted(active.observed.overload);
   state.query.queries.set(active.request, active);
   state.query.requestOfCall.set(active.call, active.request);
-  const key = { purpose: 'query-deadline', subject: active.request } as const;
-  effects.push({ type: 'set-timer', key, at: nextCheckAt(active, at) });
+  effects.push(setCheckTimer(active, at));
   if (active.phase === 'running') {
     scatterQuery(state, active, at, effects);
     return;
--- a/src/core/query/active-query.ts
+++ b/src/core/query/active-query.ts
@@ -51,6 +51,8 @@
   readonly query: QueryRequest;
   readonly startedAt: number;
   readonly deadlineAt: number;
+  /** When its timer is due, which checks whether it can still be answered and ends it at its deadline. */
+  checkAt: number;
   /** Number of shards that suffice for an early answer. */
   requiredShards: number;
   phase: 'claiming' | 'running';
--- a/src/core/query/finish-query.ts
+++ b/src/core/query/finish-query.ts
@@ -8,6 +8,7 @@
 import { cancelLegs } from '../replica/cancel-legs.js';
 import type { CoreState } from '../state.js';
 import type { ActiveQuery, AttemptRecord, LegState } from './active-query.js';
+import { logIncompleteAnswer } from './incomplete-answer-log.js';
 import { recordQueryEnded } from './overload-limit.js';
 import { recordAttemptAtPeerEnded } from './peer-observation.js';
 import { recordCancelled } from './record-outcome.js';
@@ -221,6 +222,9 @@
   at: number,
   effects: Effect[],
 ): void => {
+  if (query.contributed < query.requiredShards && fallback !== 'cancelled') {
+    effects.push(...logIncompleteAnswer(state, query, fallback, at));
+  }
   closeQuery(state, query, describeOutcome(query, fallback), at, effects);
 };
 
--- a/src/core/query/hopeless-legs.ts
+++ b/src/core/query/hopeless-legs.ts
@@ -3,6 +3,7 @@
  * answered before its deadline with the answers it has received. Attempts to these replicas are
  * still sent, and an answer in time makes the replica available again.
  */
+import type { SetTimer } from '../effect.js';
 import type { CoreState } from '../state.js';
 import type { ActiveQuery, LegState } from './active-query.js';
 import { hasAvailableReplica } from './select-replica.js';
@@ -12,9 +13,13 @@
 /** Minimum time a leg is given, in mean latencies of its service. */
 const MIN_LATENCIES = 4;
 
-/** Returns when the query is checked next, at its deadline at the latest. */
-export const nextCheckAt = (query: ActiveQuery, at: number): number =>
-  Math.min(query.deadlineAt, at + CHECK_INTERVAL_SHARE * (query.deadlineAt - query.startedAt));
+/** Sets the timer of the query's next check, at its deadline at the latest. */
+export const setCheckTimer = (query: ActiveQuery, at: number): SetTimer => {
+  const interval = CHECK_INTERVAL_SHARE * (query.deadlineAt - query.startedAt);
+  query.checkAt = Math.min(query.deadlineAt, at + interval);
+  const key = { purpose: 'query-deadline', subject: query.request } as const;
+  return { type: 'set-timer', key, at: query.checkAt };
+};
 
 const isUnanswerable = (
   state: CoreState,
--- a/src/core/query/reducer.ts
+++ b/src/core/query/reducer.ts
@@ -9,7 +9,7 @@
 import { gatherAnswers } from './gather-answers.js';
 import type { ActiveQuery } from './active-query.js';
 import { hedgeLegs } from './hedge-legs.js';
-import { areOpenLegsUnanswerable, nextCheckAt } from './hopeless-legs.js';
+import { areOpenLegsUnanswerable, setCheckTimer } from './hopeless-legs.js';
 import { recordPeerReport, recordLinkLost } from './peer-observation.js';
 import { retryPausedLegs } from './retry-legs.js';
 
@@ -20,7 +20,7 @@
     return effects;
   }
   if (event.at < query.deadlineAt && !areOpenLegsUnanswerable(state, query, event.at)) {
-    effects.push({ type: 'set-timer', key: event.key, at: nextCheckAt(query, event.at) });
+    effects.push(setCheckTimer(query, event.at));
   } else if (query.phase === 'claiming') {
     refuseActiveQuery(state, query, 'not-ready', event.at, effects);
   } else {
--- a/src/core/query/state.ts
+++ b/src/core/query/state.ts
@@ -3,6 +3,7 @@
 import type { ConfigurationInForce } from '../configuration/state.js';
 import type { AttemptId, CallId, RequestId } from '../identifiers.js';
 import type { ActiveQuery, AttemptRecord } from './active-query.js';
+import { createIncompleteAnswerLog, type IncompleteAnswerLog } from './incomplete-answer-log.js';
 import { createObservations, type Observations } from './observations.js';
 import { PeerObservations } from './peer-observation.js';
 import type { QueryPolicy } from './query-policy.js';
@@ -39,6 +40,7 @@
   readonly feederCache: FeederCache;
   /** Observations of peers as feeders of this node's legs. */
   readonly peers: PeerObservations;
+  readonly incompleteAnswers: IncompleteAnswerLog;
 }
 
 const IDENTIFIER_RADIX = 36;
@@ -56,4 +58,5 @@
   planCache: { inForce: undefined, validUntil: 0, targets: new Map() },
   feederCache: { viewVersion: 0, ranked: new Map() },
   peers: new PeerObservations(),
+  incompleteAnswers: createIncompleteAnswerLog(),
 });
--- /dev/null
+++ b/test/query/silent-feeder.test.ts
@@ -0,0 +1,35 @@
+import { describe, expect, it } from 'vitest';
+import type { NodeId } from '../../src/core/identifiers.js';
+import { makeRow, VirtualTier } from './virtual-tier.js';
+
+const COORDINATOR = 'bole-0' as NodeId;
+/** Feeds the only replica of the tier, by rendezvous hashing. */
+const FEEDER = 'bole-2' as NodeId;
+const DEADLINE_MS = 2_000;
+
+/** A tier whose queries may not be hedged, as far as a caller can tell; its feeder is paused. */
+const createTierWithSilentFeeder = (): VirtualTier => {
+  const rows = [makeRow({ hedging: false, deadlineMs: DEADLINE_MS })];
+  const tier = new VirtualTier({ nodesPerZone: 3, services: 1, replicasPerService: 1, rows });
+  tier.askAndWait(COORDINATOR);
+  tier.pause(FEEDER);
+  return tier;
+};
+
+const askTogether = (tier: VirtualTier, queries: number): string[] =>
+  Array.from({ length: queries }, () => tier.ask(COORDINATOR));
+
+describe('a feeder that falls silent', () => {
+  // Once all queries in progress had ended at their deadlines, the next ones were sent to the same silent feeder again,
+  // and answered without any shard although all replicas were running.
+  it('gets no further queries after those in progress have ended without its report', () => {
+    const tier = createTierWithSilentFeeder();
+    askTogether(tier, 3);
+    tier.runFor(DEADLINE_MS);
+    const calls = askTogether(tier, 3);
+    tier.runFor(DEADLINE_MS);
+    for (const call of calls) {
+      expect(tier.answers.get(call)?.outcome).toMatchObject({ type: 'answered', missing: [] });
+    }
+  });
+});
--- a/test/query/virtual-tier.ts
+++ b/test/query/virtual-tier.ts
@@ -155,6 +155,8 @@
   readonly replicas: VirtualReplica[] = [];
   private readonly byPort = new Map<number, VirtualReplica>();
   readonly answers = new Map<string, Answer>();
+  /** Sentences that nodes have logged about queries. */
+  readonly queryLog: string[] = [];
   readonly options: Required<Omit<TierOptions, 'policy' | 'shares'>> & TierOptions;
   /** Returns how many copies of a message between nodes arrive: 0 loses it, 2 duplicates it. */
   onMessage: (effect: Extract<Effect, { type: 'send-link' }>) => number = () => 1;
@@ -454,6 +456,11 @@
       case 'cancel-attempt':
         this.cancelAttempt(id, effect.attempt);
         break;
+      case 'write-log':
+        if (effect.part === 'query') {
+          this.queryLog.push(effect.sentence);
+        }
+        break;
       default:
         break;
     }
