Avoid a feeder that was silent until its attempts ended

Callers saw every query in progress at a node answered without any shard, again and again until a paused peer was declared dead, although all replicas were running. Cause: a coordinator looked at the silence of a peer only when it was about to send it another leg. When the queries in progress ended together at their deadlines, no attempt was left at the peer, and the next queries went to it again. Attempts that a node feeds itself are not counted as a peer's any more: nothing reports on them. Why it works: the silence is noted by whichever comes first, the next leg or the end of the last attempt. Result: test/query/silent-feeder.test.ts failed before and passes.

--- a/src/core/query/finish-query.ts
+++ b/src/core/query/finish-query.ts
@@ -57,7 +57,7 @@
 ): void => {
   const batches = new Map<NodeId, CancelBatch>();
   for (const record of records) {
-    markAttemptEnded(state, record);
+    markAttemptEnded(state, record, at);
     recordCancelled(state, record, at);
     state.counters.attempts_cancelled += 1;
     const batch = batches.get(record.feeder.node);
@@ -78,11 +78,14 @@
 };
 
 /** Marks an attempt as ended. Its record stays until the query ends, to detect duplicate answers. */
-export const markAttemptEnded = (state: CoreState, record: AttemptRecord): void => {
+export const markAttemptEnded = (state: CoreState, record: AttemptRecord, at: number): void => {
   record.ended = true;
-  if (record.purpose !== 'probe') {
-    record.leg.outstanding -= 1;
-    recordAttemptAtPeerEnded(state.query.peers, record.feeder.node);
+  if (record.purpose === 'probe') {
+    return;
+  }
+  record.leg.outstanding -= 1;
+  if (record.feeder.node !== state.self.node) {
+    recordAttemptAtPeerEnded(state.query.peers, record.feeder.node, at);
   }
 };
 
--- a/src/core/query/gather-answers.ts
+++ b/src/core/query/gather-answers.ts
@@ -152,7 +152,7 @@
     if (record === undefined) {
       continue;
     }
-    markAttemptEnded(state, record);
+    markAttemptEnded(state, record, at);
     const { outcome } = result;
     if (record.purpose === 'probe' && !state.query.queries.has(record.query.request)) {
       handleLateProbeResult(state, record, result, at, effects);
--- a/src/core/query/peer-observation.ts
+++ b/src/core/query/peer-observation.ts
@@ -54,14 +54,6 @@
   peer.inFlight += 1;
 };
 
-/** Records that an attempt at `node` has ended for its coordinator, with or without a report. */
-export const recordAttemptAtPeerEnded = (peers: PeerObservations, node: NodeId): void => {
-  const peer = peers.get(node);
-  if (peer !== undefined) {
-    peer.inFlight -= 1;
-  }
-};
-
 /** Records a report from `node`, which is then no longer avoided as unreachable. */
 export const recordPeerReport = (peers: PeerObservations, node: NodeId, at: number): void => {
   const peer = getPeerObservation(peers, node);
@@ -76,6 +68,29 @@
   peers.noneAvoidedAfter = Math.max(peers.noneAvoidedAfter, peer.avoidUntil + PEER_SILENCE_MS);
 };
 
+/** Starts to avoid a peer that holds attempts and has not reported for too long. */
+const avoidIfSilent = (peers: PeerObservations, peer: PeerObservation, at: number): void => {
+  if (peer.inFlight > 0 && at - peer.lastReportAt > PEER_SILENCE_MS) {
+    markAvoided(peers, peer, at);
+  }
+};
+
+/**
+ * Records that an attempt at `node` has ended for its coordinator, with or without a report. A peer that was silent until
+ * then is avoided, also if it holds no other attempt: the ends of its attempts would otherwise hide its silence.
+ */
+export const recordAttemptAtPeerEnded = (
+  peers: PeerObservations,
+  node: NodeId,
+  at: number,
+): void => {
+  const peer = peers.get(node);
+  if (peer !== undefined) {
+    avoidIfSilent(peers, peer, at);
+    peer.inFlight -= 1;
+  }
+};
+
 /** Records that the link to `node` was lost. */
 export const recordLinkLost = (peers: PeerObservations, node: NodeId, at: number): void => {
   markAvoided(peers, getPeerObservation(peers, node), at);
@@ -98,9 +113,7 @@
   if (peer.replicaUnknownUntil > at) {
     return true;
   }
-  if (peer.inFlight > 0 && at - peer.lastReportAt > PEER_SILENCE_MS) {
-    markAvoided(peers, peer, at);
-  }
+  avoidIfSilent(peers, peer, at);
   return peer.avoidUntil > at || (peer.onProbation && peer.inFlight > 0);
 };
 
--- a/src/core/query/send-legs.ts
+++ b/src/core/query/send-legs.ts
@@ -70,7 +70,7 @@
   leg.outstanding += purpose === 'probe' ? 0 : 1;
   state.query.attempts.set(attempt, record);
   recordSent(target.observed, at);
-  if (purpose !== 'probe') {
+  if (purpose !== 'probe' && feeder.node !== state.self.node) {
     recordAttemptAtPeer(state.query.peers, feeder.node, at);
   }
   countAttempt(state, query, purpose);
--- a/test/query/silent-feeder.test.ts
+++ b/test/query/silent-feeder.test.ts
@@ -7,7 +7,7 @@
 const FEEDER = 'bole-2' as NodeId;
 const DEADLINE_MS = 2_000;
 
-/** A tier whose queries may not be hedged, as far as a caller can tell; its feeder is paused. */
+/** A tier of a row without hedging, whose feeder is paused after a first query. */
 const createTierWithSilentFeeder = (): VirtualTier => {
   const rows = [makeRow({ hedging: false, deadlineMs: DEADLINE_MS })];
   const tier = new VirtualTier({ nodesPerZone: 3, services: 1, replicasPerService: 1, rows });
