Send legs of a silent feeder through another one

Callers saw queries in progress at a silent feeder wait for their deadline and answered without the shards it was to feed, all of them if it fed all their replicas; later queries lost a shard with each trial leg it got once a second. Cause: an attempt at a peer ends by its report, by the loss of its link (3.5 s) or at the deadline of its query. The silence of the peer, known after 100 ms, was only used for new legs. Change: at each check of a query, a quarter of its deadline after the last one, legs whose running attempts are all at avoided peers get a retry through another feeder, where the row is safe to repeat and retries are on, on credit of the extra-load budget, after four latencies of the service at the earliest. The first attempt goes on; the first answer counts. Why it works: the other feeder reaches the same replicas. A zone that is cut off has no other feeder and is not retried. Result: two cases of test/query/silent-feeder.test.ts failed before and pass.

--- a/src/core/query/hopeless-legs.ts
+++ b/src/core/query/hopeless-legs.ts
@@ -21,16 +21,19 @@
   return { type: 'set-timer', key, at: query.checkAt };
 };
 
+/** Whether a leg has had long enough, by the latency of its service, that its attempts may be judged. */
+export const hasLastedLong = ({ startedAt }: ActiveQuery, leg: LegState, at: number): boolean =>
+  at - startedAt >= MIN_LATENCIES * leg.shard.observed.latencyMs;
+
 const isUnanswerable = (
   state: CoreState,
   query: ActiveQuery,
   leg: LegState,
   at: number,
 ): boolean => {
-  const minimum = MIN_LATENCIES * leg.shard.observed.latencyMs;
   if (
     leg.outstanding === 0 ||
-    at - query.startedAt < minimum ||
+    !hasLastedLong(query, leg, at) ||
     hasAvailableReplica(state, leg, at)
   ) {
     return false;
--- a/src/core/query/reducer.ts
+++ b/src/core/query/reducer.ts
@@ -5,6 +5,7 @@
 import { identifier, type CallId, type RequestId } from '../identifiers.js';
 import type { CoreState } from '../state.js';
 import { acceptQuery } from './accept-query.js';
+import { failOverLegs } from './fail-over.js';
 import { finishQuery, refuseActiveQuery } from './finish-query.js';
 import { gatherAnswers } from './gather-answers.js';
 import type { ActiveQuery } from './active-query.js';
@@ -19,6 +20,9 @@
   if (query === undefined) {
     return effects;
   }
+  if (event.at < query.deadlineAt) {
+    failOverLegs(state, query, event.at, effects);
+  }
   if (event.at < query.deadlineAt && !areOpenLegsUnanswerable(state, query, event.at)) {
     effects.push(setCheckTimer(query, event.at));
   } else if (query.phase === 'claiming') {
--- a/test/query/silent-feeder.test.ts
+++ b/test/query/silent-feeder.test.ts
@@ -32,4 +32,20 @@
       expect(tier.answers.get(call)?.outcome).toMatchObject({ type: 'answered', missing: [] });
     }
   });
+
+  // Queries in progress waited for it until their deadline, and were answered without any shard.
+  it('delays queries in progress, which another feeder then answers whole', () => {
+    const tier = createTierWithSilentFeeder();
+    const answer = tier.askAndWait(COORDINATOR);
+    expect(answer?.outcome).toMatchObject({ type: 'answered', missing: [], cost: { retries: 2 } });
+    expect(answer?.latencyMs).toBeLessThan(0.3 * DEADLINE_MS);
+  });
+
+  // The replicas behind it were ejected, and queries that another node fed were given up before their deadline.
+  it('does not make its replicas look unable to answer', () => {
+    const tier = createTierWithSilentFeeder();
+    tier.askAndWait(COORDINATOR);
+    tier.replicas.forEach((replica) => (replica.serviceMs = () => 0.4 * DEADLINE_MS));
+    expect(tier.askAndWait(COORDINATOR)?.outcome).toMatchObject({ type: 'answered', missing: [] });
+  });
 });
