Read waiting input after a stall before expired timers fire

Callers of a node that had not run for a while were answered without shards, or timed out, although the replicas' answers had arrived in time and were waiting in the node's sockets. Cause: the timer of the deadline queue fires before sockets are read, and all expired deadlines become due at once: attempts are given up and queries ended. Change: a timer that fires 150 ms late or more lets the event loop turn eight times before deadlines become due. Nodes and gateways share the queue. Timers that are on time are not delayed. Result: the new case of test/runtime/replica-client.test.ts failed before and passes; test/runtime, process-pause and elapsed-clock of test/gateway and test/platform/process pass.

--- a/src/runtime/deadline-queue.ts
+++ b/src/runtime/deadline-queue.ts
@@ -8,6 +8,15 @@
 /** Maximum delay of a timer of the process, in milliseconds. */
 const MAX_DELAY_MS = 2_147_483_647;
 
+/** A timer of the process that fires this much late shows that the process did not run meanwhile, in milliseconds. */
+const STALL_MS = 150;
+
+/**
+ * Turns of the event loop after a stall before deadlines become due. Answers that arrived meanwhile wait in sockets, and
+ * expired timers would be handled before them. One turn reads a part of what waits in each socket.
+ */
+const TURNS_AFTER_STALL = 8;
+
 /** Size up to which a heap is never compacted. */
 const COMPACTION_MINIMUM = 1_024;
 
@@ -22,11 +31,12 @@
 const isDueBefore = <Subject>(left: Deadline<Subject>, right: Deadline<Subject>): boolean =>
   left.at < right.at;
 
-/** Calls back once for each deadline when it is due. */
+/** Calls back once for each deadline when it is due; after a stall of the process, once waiting input has been read. */
 export class DeadlineQueue<Subject> {
   private readonly heap = new BinaryHeap<Deadline<Subject>>(isDueBefore);
   private live = 0;
   private timer: NodeJS.Timeout | undefined;
+  private turn: NodeJS.Immediate | undefined;
   private timerAt = Number.POSITIVE_INFINITY;
 
   constructor(
@@ -67,6 +77,7 @@
     this.live = 0;
     this.heap.clear();
     clearTimeout(this.timer);
+    clearImmediate(this.turn);
     this.timerAt = Number.POSITIVE_INFINITY;
   }
 
@@ -76,10 +87,30 @@
     this.timerAt = first?.at ?? Number.POSITIVE_INFINITY;
     if (first !== undefined) {
       const delay = Math.ceil(Math.max(0, first.at - this.clock.now()));
-      this.timer = setTimeout(() => this.handleDue(), Math.min(delay, MAX_DELAY_MS));
+      this.timer = setTimeout(() => this.handleTimer(), Math.min(delay, MAX_DELAY_MS));
+    }
+  }
+
+  private handleTimer(): void {
+    if (this.clock.now() - this.timerAt > STALL_MS) {
+      this.timerAt = Number.NEGATIVE_INFINITY;
+      this.waitTurns(TURNS_AFTER_STALL);
+    } else {
+      this.handleDue();
     }
   }
 
+  private waitTurns(turns: number): void {
+    clearImmediate(this.turn);
+    this.turn = setImmediate(() => {
+      if (turns > 1) {
+        this.waitTurns(turns - 1);
+      } else {
+        this.handleDue();
+      }
+    });
+  }
+
   private handleDue(): void {
     const now = this.clock.now();
     this.timerAt = Number.POSITIVE_INFINITY;
--- a/test/runtime/replica-client.test.ts
+++ b/test/runtime/replica-client.test.ts
@@ -1,6 +1,8 @@
+import { once } from 'node:events';
 import { createServer, type Server, type Socket } from 'node:net';
 import type { AddressInfo } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
+import { Worker } from 'node:worker_threads';
 import { afterEach, describe, expect, it } from 'vitest';
 import type { SendAttempt } from '../../src/core/effect.js';
 import type { Event } from '../../src/core/event.js';
@@ -48,6 +50,26 @@
   return replica;
 };
 
+/** A replica on a thread of its own, which answers every leg after 20 ms also while this thread stands still. */
+const startReplicaThread = async (): Promise<number> => {
+  const code = `
+    const { parentPort, workerData } = require('node:worker_threads');
+    const server = require('node:http').createServer((request, response) => {
+      setTimeout(() => response.end(workerData), 20);
+    });
+    server.listen(0, '127.0.0.1', () => parentPort.postMessage(server.address().port));
+  `;
+  const thread = new Worker(code, { eval: true, workerData: goodAnswer(LEG) });
+  closers.push(() => void thread.terminate());
+  const [port] = (await once(thread, 'message')) as [number];
+  return port;
+};
+
+/** Keeps this thread from running anything else. */
+const blockThread = (ms: number): void => {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms);
+};
+
 const attemptTo = (port: number, changes: { attempt?: string } & Partial<SendAttempt> = {}) => {
   const { attempt = 'a-1', ...rest } = changes;
   return {
@@ -134,6 +156,19 @@
     });
   });
 
+  // A node that had not run for a while gave attempts up whose answers were waiting in its sockets.
+  it('is answered if the answer arrived in time while the process did not run', async () => {
+    const fixture = createFixture();
+    const port = await startReplicaThread();
+    fixture.client.send(attemptTo(port, { attempt: 'a-1' }));
+    expect(await endOf(fixture)).toMatchObject({ type: 'answered' });
+    fixture.results.length = 0;
+    fixture.client.send(attemptTo(port, { attempt: 'a-1', remainingMs: 100 }));
+    await delay(10);
+    blockThread(400);
+    expect(await endOf(fixture)).toMatchObject({ type: 'answered' });
+  });
+
   it.each([
     ['shedding', '503 X', { outcome: 'not-run', reason: 'shedding', retryAfterMs: 7 }],
     ['snapshot-gone', '410 Gone', { outcome: 'not-run', reason: 'snapshot-gone' }],
