Do not count crashes for a call that a replica has answered in part

Callers of a harmless gather were refused for a minute (crashes-replicas) after replicas that ran it had crashed under other requests three times, although replicas had answered a part of it in between. Cause: an answer that arrives after a crash clears the request, but one that arrived before it, in the same call, did not keep the crash from being counted. By the design, an answered part proves that a request does not crash replicas. Change: a call is marked as proven harmless by an answer that clears; later crashes under it count for the call only. Why it works: a poison request crashes each replica that runs it and is never answered, so nothing is lost for it.

--- a/src/gateway/requests/broken-attempts.ts
+++ b/src/gateway/requests/broken-attempts.ts
@@ -115,6 +115,7 @@
       ...recordReplacedReplica(state, attempt, event),
     ];
   }
+  attempt.owner.isProvenHarmless = true;
   if (histories.verdict(fingerprint, at) === 'unsuspected') {
     return [];
   }
@@ -172,13 +173,20 @@
   return updateHistory(state, fingerprint, after, { from, isUrgent }, at);
 };
 
+/**
+ * Counts the crash for the call and, unless another replica has answered that call, for the fingerprint: such an answer
+ * clears the request whether it arrives before the crash or after it.
+ */
 const applyBrokenRunCrash = (
   state: GatewayState,
   run: BrokenAttempt,
   at: number,
 ): GatewayEffect[] => {
   const hasCrashedMany = countCrash(state, run, at);
-  const { fingerprint, knownRounds, sentAt } = run.attempt;
+  const { fingerprint, knownRounds, sentAt, owner } = run.attempt;
+  if (owner.isProvenHarmless) {
+    return [];
+  }
   const crash = { knownRounds, sentAt, crashedAt: run.brokenAt };
   return recordAndPublishCrash(state, fingerprint, crash, hasCrashedMany, at);
 };
--- a/src/gateway/requests/request-state.ts
+++ b/src/gateway/requests/request-state.ts
@@ -134,6 +134,8 @@
   answerInputs: AnswerInputs | undefined;
   /** Decisions about the request so far, for its trace. */
   readonly decisions: TracedDecision[];
+  /** A replica has answered it or a part of it, which proves that the request does not crash replicas. */
+  isProvenHarmless: boolean;
   /** Number of broken attempts whose replicas are still being checked. */
   uncheckedBreaks: number;
   /** Number of replicas that crashed while running it. */
@@ -231,6 +233,7 @@
   fedRecords: [],
   answerInputs: undefined,
   decisions: [],
+  isProvenHarmless: false,
   uncheckedBreaks: 0,
   crashes: 0,
   crashedProbes: 0,
--- a/test/gateway/crash-fuzz.test.ts
+++ b/test/gateway/crash-fuzz.test.ts
@@ -252,9 +252,10 @@
 
 /**
  * Seeds that have failed. 175: a single gateway that restarts twice lost its crash histories each time, and a lethal
- * request that arrived every few seconds reached replicas in four late requests.
+ * request that arrived every few seconds reached replicas in four late requests. 1159: a harmless request was blocked by
+ * crashes of replicas that ran it, also of one in a gather that other replicas had already answered in part.
  */
-const REGRESSION_SEEDS = [175];
+const REGRESSION_SEEDS = [175, 1159];
 
 /**
  * Seeds that have failed where callers leave. Several requests of a fingerprint ran at replicas at the same time before
--- a/test/gateway/replica-crashes.test.ts
+++ b/test/gateway/replica-crashes.test.ts
@@ -63,6 +63,23 @@
     gateway.emit({ type: 'replica-checked', at: 1, replica, isDown: false });
     expect(crashLogs(gateway)).toEqual([]);
   });
+
+  // Three such crashes in a row blocked a harmless request that replicas had answered in part each time.
+  it('does not make its request suspected after another replica has answered a part of it', () => {
+    const gateway = gatheringGateway(2);
+    gateway.request(900, false, 'print');
+    const [answering, crashing] = gateway.sent;
+    if (answering === undefined || crashing === undefined) {
+      throw new Error('two attempts were expected');
+    }
+    const answer = { status: 200, headers: [], body: Buffer.alloc(16), signature: 'signature' };
+    gateway.end(answering, { type: 'answered', answer, closing: false });
+    gateway.end(crashing, { type: 'failed', problem: 'reset', mayHaveRun: true });
+    const replica = crashing.replica.id;
+    gateway.emit({ type: 'replica-checked', at: 1, replica, isDown: true });
+    expect(crashLogs(gateway)).toHaveLength(1);
+    expect(gateway.state.crashes.histories.verdict('print', 1)).toBe('unsuspected');
+  });
 });
 
 describe('request that is refused after two rounds of crashes', () => {
