Write a gateway's entry again once the list shows the last write

Callers' poison requests reached replicas in up to six further requests, three allowed: a gateway that had seen two rounds of crashes of a request ended before its entry in the store named it, and began anew after its restart. Cause: an entry was not written again within 1.5 s, the time in which it is expected in the list, also when the list had long shown it. What the gateway learnt in between waited for the end of that time. Change: once the list shows the entry as it was written, the next write follows 0.25 s after it at the earliest; the registration timer is set for it. The virtual network of the fuzz did not run that timer and does now. Why it works: the wait is for a write whose outcome is unknown; the shorter interval bounds the rate of the others.

--- a/src/gateway/peers/follow-gateways.ts
+++ b/src/gateway/peers/follow-gateways.ts
@@ -21,6 +21,9 @@
 /** Maximum number of suspected requests in an entry; the newest are kept. */
 const MAX_SUSPECTS = 32;
 
+/** Least time between two writes once the list shows the first one, in milliseconds. */
+const MIN_WRITE_INTERVAL_MS = 250;
+
 /** This gateway's entry in its current content. */
 export const ownRecord = ({ settings, crashes }: GatewayState): PeerRecord => {
   const { node, zone, peers, capacity } = settings;
@@ -71,19 +74,39 @@
   }
 };
 
+/** Whether the list shows the entry as it was last written. */
+const isWriteListed = ({ registration, peers, storeRestores }: GatewayState): boolean => {
+  const { written } = registration;
+  const listed = written === undefined ? undefined : peers.find(written.name);
+  return (
+    written !== undefined &&
+    listed !== undefined &&
+    !storeRestores.unconfirmed.gateways.has(written.name) &&
+    isSamePeerRecord(listed, written)
+  );
+};
+
+/** Earliest time of the next write. */
+const nextWriteAt = (state: GatewayState): number => {
+  const { writtenAt, notBefore } = state.registration;
+  const interval = isWriteListed(state) ? MIN_WRITE_INTERVAL_MS : UNSETTLED_INTERVAL_MS;
+  return Math.max(notBefore, writtenAt + interval);
+};
+
 /** Writes this gateway's entry if the list lacks it or has other content. */
 export const registerIfMissing = (state: GatewayState, at: number): GatewayEffect[] => {
   const { registration } = state;
-  const isAwaitingList = at - registration.writtenAt < UNSETTLED_INTERVAL_MS;
   const isStopping = state.phase === 'stopping' || state.phase === 'ended';
-  if (isOwnEntryCurrent(state) || isAwaitingList || isStopping) {
+  if (isOwnEntryCurrent(state) || isStopping) {
     return [];
   }
-  if (at < registration.notBefore) {
-    return [{ type: 'set-registration-timer', at: registration.notBefore }];
+  const writeAt = nextWriteAt(state);
+  if (at < writeAt) {
+    return [{ type: 'set-registration-timer', at: writeAt }];
   }
-  registration.writtenAt = at;
   const record = ownRecord(state);
+  registration.writtenAt = at;
+  registration.written = record;
   const replace = hasOwnEntry(state);
   return [
     {
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -8,6 +8,7 @@
 import type { RequestReceived } from './event.js';
 import { createGatewayCounters, type GatewayCounters } from './metrics/gateway-counters.js';
 import type { GatewayConfiguration } from './model/route.js';
+import type { PeerRecord } from './model/peer-record.js';
 import type { PeerRequestId } from './model/peer-request.js';
 import type { AttemptId, CallId, UnreadableProblem } from './model/request.js';
 import type { SubqueryId } from './model/subquery.js';
@@ -88,6 +89,8 @@
 export interface Registration {
   /** When the entry was last written. */
   writtenAt: number;
+  /** The entry that was last written; undefined before. */
+  written: PeerRecord | undefined;
   /** Earliest time at which the entry is written. */
   notBefore: number;
   /** Generation of the peers at the last complete list; undefined before the first one. */
@@ -178,6 +181,7 @@
   gatewaysSettled: false,
   registration: {
     writtenAt: Number.NEGATIVE_INFINITY,
+    written: undefined,
     notBefore: Number.NEGATIVE_INFINITY,
     listedGeneration: undefined,
   },
--- a/test/gateway/crash-network.ts
+++ b/test/gateway/crash-network.ts
@@ -630,14 +630,8 @@
         return this.register(node, effect.call);
       case 'send-crash-updates':
         return this.sendCrashUpdates(node, effect);
-      case 'set-crash-update-timer':
-        return this.setTimer(node, 'news', effect.at, { type: 'crash-updates-due', at: 0 });
       case 'answer-caller':
         return this.handleAnswer(effect.call, effect.response);
-      case 'set-request-timer': {
-        const { call } = effect;
-        return this.setTimer(node, `call ${call}`, effect.at, { type: 'request-due', at: 0, call });
-      }
       case 'send-subquery':
         return this.sendSubquery(node, effect);
       case 'cancel-subquery':
@@ -656,6 +650,21 @@
           subquery,
         }));
       default:
+        this.performTimerEffect(node, effect);
+    }
+  }
+
+  private performTimerEffect(node: CrashNode, effect: GatewayEffect): void {
+    switch (effect.type) {
+      case 'set-crash-update-timer':
+        return this.setTimer(node, 'news', effect.at, { type: 'crash-updates-due', at: 0 });
+      case 'set-registration-timer':
+        return this.setTimer(node, 'registration', effect.at, { type: 'registration-due', at: 0 });
+      case 'set-request-timer': {
+        const { call } = effect;
+        return this.setTimer(node, `call ${call}`, effect.at, { type: 'request-due', at: 0, call });
+      }
+      default:
     }
   }
 
--- a/test/gateway/suspected-requests.test.ts
+++ b/test/gateway/suspected-requests.test.ts
@@ -244,6 +244,39 @@
     expect(verdictAt(isolated, network)).toBe('blocked');
   });
 
+  const sendLethal = (
+    network: CrashNetwork,
+    gateway: string,
+    path: string,
+    fingerprint = 'lethal',
+  ): void => {
+    network.lethal.add(fingerprint);
+    network.sendRequest({ fingerprint, path, gateway, retries: 0 });
+  };
+
+  /** Restarts a gateway. */
+  const restart = (network: CrashNetwork, node: CrashNode | undefined): void => {
+    if (node !== undefined) {
+      network.kill(node);
+      network.advance(1_000);
+      network.start(node);
+    }
+  };
+
+  // The entry was written at most every 1.5 s, and a gateway that ended before forgot what it had seen since.
+  it('is kept in the store soon after another one', () => {
+    const network = networkOf(15, 1);
+    const [node] = network.nodes;
+    for (const fingerprint of ['earlier', 'lethal']) {
+      for (let call = 0; call < 2; call += 1) {
+        sendLethal(network, 'front-0', '/all/x', fingerprint);
+        network.advance(200);
+      }
+    }
+    restart(network, node);
+    expect(verdictAt(node, network)).toBe('suspected');
+  });
+
   it('is served by a restarted gateway once it is harmless, despite entries of other gateways', () => {
     const network = networkOf(12);
     scheduleLethalRequests(network, '/all/x', 500, 5_000);
