Run gateways of tests at an address of their own

Nobody but tests was affected: those of the gateway process failed with ECONNREFUSED at a port of the fixture, not ready, or with exit code 1, beside other tests. Cause: the fixture closed the ports that it had found free on 127.0.0.1, and the kernel gave them to its own replicas or to another test file before the process opened them. A replica's 200 passed for the readiness of the process. No request failed after one had been answered: standard output that is not read does not stop the process. Change: gateways of the fixture listen at a loopback address of the test process with ports that are returned once; the wait for readiness fails at once if the process has ended. The checks are as before; the early port's test takes the address of its store for the one in use, since the fixture's host is another one. Why it works: no other server listens at that address, and outgoing connections leave from 127.0.0.1.

--- a/soak/world/ports.ts
+++ b/soak/world/ports.ts
@@ -27,10 +27,10 @@
   return free;
 };
 
-/** Whether a port on loopback accepts connections. */
-export const isOpen = (port: number): Promise<boolean> =>
+/** Whether a port accepts connections. */
+export const isOpen = (port: number, host = HOST): Promise<boolean> =>
   new Promise((resolve) => {
-    const socket = connect(port, HOST);
+    const socket = connect(port, host);
     socket.once('connect', () => {
       socket.destroy();
       resolve(true);
--- a/test/platform/early-port.test.ts
+++ b/test/platform/early-port.test.ts
@@ -9,7 +9,7 @@
 import { platformProtocol } from '../../platform/protocol.js';
 import { openEarlyPort } from '../../src/gateway/runtime/early-port.js';
 import { startGateway } from '../../src/gateway/runtime/start-gateway.js';
-import { freeAddress, GatewayFixture } from './gateway-fixture.js';
+import { GatewayFixture } from './gateway-fixture.js';
 import { routeSpec } from './operator-spec.js';
 import { RawCaller, requestHead } from './raw-caller.js';
 import { settingsFileOf } from './settings-file.js';
@@ -98,8 +98,7 @@
   it('is not opened if the settings are invalid or the address is in use', async () => {
     expect(await openEarlyPort(join(folder, 'nothing.json'))).toBeUndefined();
     expect(await openEarlyPort(await settingsFile('{"callers": 7}'))).toBeUndefined();
-    const { host } = await freeAddress();
-    const { port } = fixture.store;
+    const { host, port } = fixture.settings.store;
     const taken = await settingsFile(JSON.stringify({ callers: `${host}:${port}` }));
     expect(await openEarlyPort(taken)).toBeUndefined();
   });
--- a/test/platform/gateway-fixture.ts
+++ b/test/platform/gateway-fixture.ts
@@ -1,5 +1,4 @@
 /** Runs a gateway with stand-ins of the platform, and sends requests to it as a caller. */
-import { type AddressInfo, createServer } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 import { request as sendRequest, type IncomingHttpHeaders } from 'node:http';
 import { platformProtocol } from '../../platform/protocol.js';
@@ -11,6 +10,7 @@
 import type { WriteTrace } from '../../src/gateway/effect.js';
 import type { HostPort } from '../../src/settings/node-settings.js';
 import type { GatewaySettings } from '../../src/gateway/settings.js';
+import { findOwnPorts, OWN_ADDRESS } from '../support/own-address.js';
 import { GATEWAY_BOUNDS } from '../gateway/virtual-gateway.js';
 import { configurationSpec, type LIMITS } from './operator-spec.js';
 import { StandInReplica, type ReplicaBehaviour } from './stand-in-replica.js';
@@ -52,27 +52,20 @@
   readonly to?: HostPort;
 }
 
-const findFreePort = async (): Promise<number> => {
-  const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => server.close(resolve));
-  return port;
+/** Returns an address that only this test process uses, with a port that was free a moment ago. */
+export const freeAddress = async (): Promise<HostPort> => {
+  const [port = 0] = await findOwnPorts(1);
+  return { host: OWN_ADDRESS, port };
 };
 
-/** Returns a loopback address whose port was free a moment ago. */
-export const freeAddress = async (): Promise<HostPort> => ({
-  host: '127.0.0.1',
-  port: await findFreePort(),
-});
-
 /** Returns addresses for all ports of a gateway. */
-const freeAddresses = async () => ({
-  callers: await freeAddress(),
-  readiness: await freeAddress(),
-  metrics: await freeAddress(),
-  peers: await freeAddress(),
-});
+const freeAddresses = async () => {
+  const [callers, readiness, metrics, peers] = (await findOwnPorts(4)).map((port) => ({
+    host: OWN_ADDRESS,
+    port,
+  })) as [HostPort, HostPort, HostPort, HostPort];
+  return { callers, readiness, metrics, peers };
+};
 
 const PORT_ATTEMPTS = 5;
 
--- a/test/platform/gateway-start.test.ts
+++ b/test/platform/gateway-start.test.ts
@@ -2,6 +2,7 @@
 import { afterEach, beforeEach, expect, it } from 'vitest';
 import { platformProtocol } from '../../platform/protocol.js';
 import { startGateway } from '../../src/gateway/runtime/start-gateway.js';
+import { OWN_ADDRESS } from '../support/own-address.js';
 import { GatewayFixture } from './gateway-fixture.js';
 
 const SILENT_LOG = { write: () => undefined, writeTrace: () => undefined };
@@ -13,7 +14,7 @@
   new Promise((resolve, reject) => {
     const server = createServer();
     server.once('error', reject);
-    server.listen(port, '127.0.0.1', () => resolve(server));
+    server.listen(port, OWN_ADDRESS, () => resolve(server));
   });
 
 beforeEach(async () => {
--- a/test/platform/process.test.ts
+++ b/test/platform/process.test.ts
@@ -37,13 +37,18 @@
   await fixture.stop();
 });
 
+/** Standard error of the started process so far. */
+let errors = '';
+
 const start = async (settings: string): Promise<ChildProcess> => {
   const file = join(folder, `settings-${fixture.store.port}.json`);
   await writeFile(file, settings);
+  errors = '';
   child = spawn(process.execPath, [source.main], {
     stdio: ['ignore', 'pipe', 'pipe'],
     env: { ...process.env, [SETTINGS_VARIABLE]: file },
   });
+  child.stderr?.on('data', (chunk: Buffer) => (errors += chunk.toString()));
   return child;
 };
 
@@ -70,6 +75,9 @@
   const { host, port } = fixture.settings.readiness;
   for (let polls = 0; polls < 400; polls += 1) {
     const answer = await fetch(`http://${host}:${port}/v1/ready`).catch(() => undefined);
+    if (child?.exitCode !== null || child.signalCode !== null) {
+      throw new Error(`the process ended (${child?.exitCode ?? child?.signalCode}): ${errors}`);
+    }
     if (answer?.status === 200) {
       return;
     }
@@ -97,8 +105,6 @@
   it('reports all findings of invalid settings and exits with code 78', async () => {
     const text = JSON.stringify({ node: 7, zone: 'bole', seeds: ['here'], callers: '127.0.0.1' });
     const process = await start(text);
-    let errors = '';
-    process.stderr?.on('data', (chunk: Buffer) => (errors += chunk.toString()));
     const [code] = (await once(process, 'close')) as [number];
     expect(code).toBe(78);
     for (const field of ['node', 'zoneRegions', 'callers', 'seeds[0]', 'bounds.drainMs']) {
@@ -108,8 +114,6 @@
 
   it('reports a truncated settings file', async () => {
     const process = await start('{"node": "front-1", "zo');
-    let errors = '';
-    process.stderr?.on('data', (chunk: Buffer) => (errors += chunk.toString()));
     const [code] = (await once(process, 'close')) as [number];
     expect([code, errors]).toEqual([78, expect.stringContaining('is not JSON')]);
   });
@@ -133,7 +137,8 @@
 
   it('handles signals as soon as it accepts callers', async () => {
     const process = await start(settingsFileOf(fixture.settings));
-    for (let polls = 0; !(await isOpen(fixture.settings.callers.port)); polls += 1) {
+    const { host, port } = fixture.settings.callers;
+    for (let polls = 0; !(await isOpen(port, host)); polls += 1) {
       expect(polls).toBeLessThan(1_000);
       await delay(5);
     }
--- a/test/runtime/node-process.ts
+++ b/test/runtime/node-process.ts
@@ -1,6 +1,7 @@
 /** A node in a separate process, started through the command line. */
 import { type ChildProcess, spawn } from 'node:child_process';
 import { once } from 'node:events';
+import { OWN_ADDRESS } from '../support/own-address.js';
 import { PEER_SECRET } from './node-fixture.js';
 
 /** Exit status and standard error of a process. */
@@ -28,21 +29,15 @@
   return { code, signal, errors };
 };
 
-/**
- * Address for peers of the nodes that this test process starts. A restarted node reuses the port of its
- * predecessor, which must not be assigned otherwise in between. The address is therefore unique to this
- * test process, and no outgoing connection uses it.
- */
-const PEER_ADDRESS = `127.1.${(process.pid >> 8) & 0xff}.${process.pid & 0xff}`;
-
 const argumentsOf = (name: string, options: NodeProcessOptions): string[] => [
   options.main,
   'node',
   ...['--node', name, '--zone', 'bole', '--region', 'addis'],
   ...['--caller', '127.0.0.1:0', '--operator', '127.0.0.1:0'],
-  ...['--peer', `${PEER_ADDRESS}:${options.peerPort ?? 0}`],
+  // A restarted node reuses the port of its predecessor.
+  ...['--peer', `${OWN_ADDRESS}:${options.peerPort ?? 0}`],
   ...['--platform', options.platform],
-  ...(options.seeds ?? []).flatMap((port) => ['--seeds', `${PEER_ADDRESS}:${port}`]),
+  ...(options.seeds ?? []).flatMap((port) => ['--seeds', `${OWN_ADDRESS}:${port}`]),
 ];
 
 const PORTS_PATTERN = /listens on ports (\d+), (\d+), (\d+)/;
