Watch a run that is given up after another replica's refusal

A poison request whose hedge was refused (408, 421 or 429) could crash the replica of its first attempt unseen, and reach further replicas as a request of which nothing is known. Cause: a run that is given up was not watched once any leg of its call had been answered, and outside gathers a refusal answers a leg. Change: what decides is whether a replica has proven that it can run the call, also through a feeder's parts. Why it works: a refusal proves nothing, so the run is watched and the crash counted; most gathers are not watched, as before.

--- a/src/gateway/requests/subquery-result.ts
+++ b/src/gateway/requests/subquery-result.ts
@@ -73,6 +73,7 @@
     }
   }
   if (shards.length > 0) {
+    request.isProvenHarmless = true;
     request.fedRecords.push(records);
   }
 };
--- a/src/gateway/requests/unawaited-attempts.ts
+++ b/src/gateway/requests/unawaited-attempts.ts
@@ -11,8 +11,8 @@
 import type { ActiveAttempt } from './request-state.js';
 
 /**
- * Records a run that may still be in progress and watches its replica. A request that any replica has answered in part is
- * no poison request, so the leftover attempts of most gathers are not watched.
+ * Records a run that may still be in progress and watches its replica. A call that a replica has answered, whole or in part,
+ * is no poison request, so the leftover attempts of most gathers are not watched. A refusal is no such answer.
  */
 export const watchRun = (
   state: GatewayState,
@@ -20,7 +20,7 @@
   at: number,
 ): GatewayEffect[] => {
   const replica = state.replicas.find(id);
-  if (replica === undefined || owner.answeredLegs > 0) {
+  if (replica === undefined || owner.isProvenHarmless) {
     return [];
   }
   const watchedUntil = at + UNAWAITED_RUN_WATCH_MS;
--- a/test/gateway/unawaited-attempts.test.ts
+++ b/test/gateway/unawaited-attempts.test.ts
@@ -73,6 +73,23 @@
     expect(watches(gateway)).toEqual([]);
   });
 
+  // A hedge that was refused ended the request, and the crash of the replica that ran it went unseen.
+  it('causes its replica to be watched when another replica has only refused the request', () => {
+    const gateway = new VirtualGateway();
+    gateway.configure(1, [routeTo({ type: 'service', service: 's0' }, { objectiveMs: 100 })]);
+    gateway.listReplicas(['s0']);
+    gateway.request(BUDGET_MS);
+    gateway.advanceTo(90);
+    const [running, hedge] = gateway.sent;
+    if (running === undefined || hedge === undefined) {
+      throw new Error('an attempt and its hedge were expected');
+    }
+    const answer = { status: 429, headers: [], body: Buffer.alloc(0) };
+    gateway.end(hedge, { type: 'answered', answer, closing: false });
+    gateway.end(running, failed('aborted'));
+    expect(watches(gateway)).toMatchObject([{ replica: running.replica }]);
+  });
+
   it('counts as a crash of its request when the replica is found down, and is logged', () => {
     const gateway = abandonAttempt();
     reportReplicaDown(gateway, 100);
