Wait after a stall in nodes only, and once a second at most

Callers of an overloaded gateway were refused and poison requests stopped late: a process whose timers are always late waited eight turns of a busy loop before each of them. Change: the queue takes the number of turns, zero for gateways, three for nodes, and waits once a second at most. Why it works: one turn reads what waits in a socket, a second one hands the results on; lasting overload waits once.

--- a/src/runtime/core-timers.ts
+++ b/src/runtime/core-timers.ts
@@ -2,7 +2,7 @@
 import type { SetTimer } from '../core/effect.js';
 import type { TimerKey } from '../core/timer-key.js';
 import type { EventSink } from './core-loop.js';
-import { type Deadline, DeadlineQueue } from './deadline-queue.js';
+import { type Deadline, DeadlineQueue, TURNS_AFTER_STALL } from './deadline-queue.js';
 import type { MonotonicClock } from './monotonic-clock.js';
 
 const timerName = (key: TimerKey): string => `${key.purpose}|${key.subject}`;
@@ -16,7 +16,7 @@
     private readonly clock: MonotonicClock,
     private readonly sink: EventSink,
   ) {
-    this.deadlines = new DeadlineQueue(clock, (key) => this.handleDue(key));
+    this.deadlines = new DeadlineQueue(clock, (key) => this.handleDue(key), TURNS_AFTER_STALL);
   }
 
   set(effect: SetTimer): void {
--- a/src/runtime/deadline-queue.ts
+++ b/src/runtime/deadline-queue.ts
@@ -15,7 +15,10 @@
  * Turns of the event loop after a stall before deadlines become due. Answers that arrived meanwhile wait in sockets, and
  * expired timers would be handled before them. One turn reads a part of what waits in each socket.
  */
-const TURNS_AFTER_STALL = 8;
+export const TURNS_AFTER_STALL = 3;
+
+/** Least time between two such waits, in milliseconds: a process that is overloaded all the time must not wait each time. */
+const MIN_WAIT_INTERVAL_MS = 1_000;
 
 /** Size up to which a heap is never compacted. */
 const COMPACTION_MINIMUM = 1_024;
@@ -31,17 +34,20 @@
 const isDueBefore = <Subject>(left: Deadline<Subject>, right: Deadline<Subject>): boolean =>
   left.at < right.at;
 
-/** Calls back once for each deadline when it is due; after a stall of the process, once waiting input has been read. */
+/** Calls back once for each deadline when it is due. */
 export class DeadlineQueue<Subject> {
   private readonly heap = new BinaryHeap<Deadline<Subject>>(isDueBefore);
   private live = 0;
   private timer: NodeJS.Timeout | undefined;
   private turn: NodeJS.Immediate | undefined;
+  private waitedAt = Number.NEGATIVE_INFINITY;
   private timerAt = Number.POSITIVE_INFINITY;
 
   constructor(
     private readonly clock: MonotonicClock,
     private readonly onDue: (subject: Subject) => void,
+    /** Turns of the event loop that deadlines wait after a stall. */
+    private readonly turnsAfterStall = 0,
   ) {}
 
   /** Sets a deadline for `subject`, due at `at` by the queue's clock. */
@@ -92,9 +98,12 @@
   }
 
   private handleTimer(): void {
-    if (this.clock.now() - this.timerAt > STALL_MS) {
+    const now = this.clock.now();
+    const isStall = now - this.timerAt > STALL_MS && now - this.waitedAt > MIN_WAIT_INTERVAL_MS;
+    if (isStall && this.turnsAfterStall > 0) {
+      this.waitedAt = now;
       this.timerAt = Number.NEGATIVE_INFINITY;
-      this.waitTurns(TURNS_AFTER_STALL);
+      this.waitTurns(this.turnsAfterStall);
     } else {
       this.handleDue();
     }
--- a/src/runtime/replica/replica-client.ts
+++ b/src/runtime/replica/replica-client.ts
@@ -3,7 +3,7 @@
 import type { AttemptId } from '../../core/identifiers.js';
 import type { AttemptOutcome, LegResult } from '../../protocol/leg-messages.js';
 import type { EventSink } from '../core-loop.js';
-import { DeadlineQueue } from '../deadline-queue.js';
+import { DeadlineQueue, TURNS_AFTER_STALL } from '../deadline-queue.js';
 import type { MonotonicClock } from '../monotonic-clock.js';
 import { AttemptHandler } from './attempt-handler.js';
 import { CancelClient } from './cancel-client.js';
@@ -26,7 +26,8 @@
     private readonly clock: MonotonicClock,
     private readonly sink: EventSink,
   ) {
-    this.deadlines = new DeadlineQueue(clock, (handler) => this.handleDeadline(handler));
+    const onDue = (handler: AttemptHandler): void => this.handleDeadline(handler);
+    this.deadlines = new DeadlineQueue(clock, onDue, TURNS_AFTER_STALL);
   }
 
   /** Number of attempts that have not ended. */
