Read what callers sent before a planned stop ends the process

Callers' requests were cut off by a planned stop 0.2 s after they were sent on open connections, also such that may run only once. Cause: a stopping gateway ended at the first check after 3.2 s that found no request in progress, without closing the port first and without reading what had arrived while it was not scheduled. That the process was not scheduled then is suspected; the order of the checks is shown by the test. Change: the first check closes the callers' port, and the process ends at a later one at which nothing is in progress. Why it works: the sockets are read between two checks, and a request that was read is in progress.

--- a/soak/regression-seeds.ts
+++ b/soak/regression-seeds.ts
@@ -65,4 +65,12 @@
       'a starting gateway received a blocked request from its neighbours only after up to 3 s if a restore of the store ' +
       'had removed the entry of the gateway that kept it: three replicas of a service crashed meanwhile',
   },
+  {
+    seed: 5_201,
+    gateways: 4,
+    minutes: 0.75,
+    cause:
+      'a stopping gateway ended at the check that found nothing in progress, without reading what callers had sent ' +
+      'on open connections while it was not scheduled',
+  },
 ];
--- a/src/gateway/lifecycle.ts
+++ b/src/gateway/lifecycle.ts
@@ -72,11 +72,14 @@
   ];
 };
 
-/** Handles `stop-due`: ends the process when nothing is in progress any more, or when the grace period is over. */
+/**
+ * Handles `stop-due`: closes the callers' port, and ends the process at a later check at which nothing is in progress, or when
+ * the grace period is over. A process that was not scheduled for a while has not read yet what callers sent meanwhile.
+ */
 export const handleStopDue = (state: GatewayState, { at }: StopDue): GatewayEffect[] => {
   const elapsed = at - state.stoppingSince;
   const isGraceOver = elapsed >= state.settings.bounds.graceMs - END_MARGIN_MS;
-  const isIdle = elapsed >= ACCEPT_WHILE_STOPPING_MS && requestsInProgress(state) === 0;
+  const isIdle = state.isCallerPortClosed && requestsInProgress(state) === 0;
   if (isGraceOver || isIdle) {
     state.phase = 'ended';
     const change: StateChange = {
@@ -87,7 +90,7 @@
     const log: GatewayEffect = { type: 'write-log', level: 'info', part: 'lifecycle', change };
     return [log, { type: 'end-process' }];
   }
-  const close: GatewayEffect[] =
-    elapsed >= ACCEPT_WHILE_STOPPING_MS ? [{ type: 'close-caller-port' }] : [];
+  state.isCallerPortClosed ||= elapsed >= ACCEPT_WHILE_STOPPING_MS;
+  const close: GatewayEffect[] = state.isCallerPortClosed ? [{ type: 'close-caller-port' }] : [];
   return [...close, { type: 'set-stop-timer', at: at + STOP_CHECK_INTERVAL_MS }];
 };
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -134,6 +134,8 @@
   phase: LifecyclePhase;
   /** When the request to stop arrived. */
   stoppingSince: number;
+  /** No further connections of callers are accepted, since the process is about to end. */
+  isCallerPortClosed: boolean;
   /** Readiness that was last reported to the load balancer. */
   ready: boolean;
   /** Whether this one last reported to other gateways that it serves them. */
@@ -206,6 +208,7 @@
   storeRestores: createRestoreState(),
   phase: 'starting',
   stoppingSince: Number.POSITIVE_INFINITY,
+  isCallerPortClosed: false,
   ready: false,
   servesPeers: false,
   pauseRecovery: undefined,
