--- a/src/core/query/incomplete-answer-log.ts
+++ b/src/core/query/incomplete-answer-log.ts
@@ -14,20 +14,6 @@
 /** Maximum number of missing shards described in one line. */
 const MAX_LOGGED_SHARDS = 4;
 
-/** Limits the rate of the lines. */
-export interface IncompleteAnswerLog {
-  /** Time of the last line. */
-  loggedAt: number;
-  /** Number of incomplete answers since then. */
-  unlogged: number;
-}
-
-/** Creates the state before the first line. */
-export const createIncompleteAnswerLog = (): IncompleteAnswerLog => ({
-  loggedAt: Number.NEGATIVE_INFINITY,
-  unlogged: 0,
-});
-
 const describeReplica = ({ target, ended }: AttemptRecord, at: number): string => {
   const { observed } = target;
   const states = [
--- a/src/core/query/state.ts
+++ b/src/core/query/state.ts
@@ -3,7 +3,6 @@
 import type { ConfigurationInForce } from '../configuration/state.js';
 import type { AttemptId, CallId, RequestId } from '../identifiers.js';
 import type { ActiveQuery, AttemptRecord } from './active-query.js';
-import { createIncompleteAnswerLog, type IncompleteAnswerLog } from './incomplete-answer-log.js';
 import { createObservations, type Observations } from './observations.js';
 import { PeerObservations } from './peer-observation.js';
 import type { QueryPolicy } from './query-policy.js';
@@ -23,6 +22,14 @@
   readonly ranked: Map<string, readonly NodeIdentity[]>;
 }
 
+/** Limits the rate of log lines about queries that end without required shards. */
+export interface IncompleteAnswerLog {
+  /** Time of the last line. */
+  loggedAt: number;
+  /** Number of incomplete answers since then. */
+  unlogged: number;
+}
+
 /** Queries of this coordinator, with its observations and caches. */
 export interface QueryState {
   readonly policy: QueryPolicy;
@@ -58,5 +65,5 @@
   planCache: { inForce: undefined, validUntil: 0, targets: new Map() },
   feederCache: { viewVersion: 0, ranked: new Map() },
   peers: new PeerObservations(),
-  incompleteAnswers: createIncompleteAnswerLog(),
+  incompleteAnswers: { loggedAt: Number.NEGATIVE_INFINITY, unlogged: 0 },
 });
