--- a/src/gateway/crashes/kept-suspects.ts
+++ b/src/gateway/crashes/kept-suspects.ts
@@ -1,7 +1,7 @@
 /**
- * Chooses the suspected requests that this gateway names in its entry in the store, where they survive its restart and are
- * read by gateways that start or were cut off. Without its first round, a poison request would begin anew at each of
- * them, at the cost of a replica.
+ * Chooses the suspected requests that this gateway names in its entry in the store. They survive its restart there, and
+ * gateways that start or were cut off read them. A gateway that does not know of the first round counts the next crash as
+ * the first one again, and the request crashes another replica before it is blocked.
  */
 import type { Fingerprint } from '../model/request.js';
 import type { SuspectedRequest } from '../model/peer-record.js';
