Log and count what slots stand idle while attempts wait

A feeder logged that an attempt waits, but not what the replicas were doing, so that a wait for full replicas and a wait beside idle ones looked the same. attempt-waiting now names the usable replicas, the attempts in progress and allowed there, and the idle slots; attempt-sent says how long it has waited. Counted by class: crossroad_gateway_waiting_attempts_total (idle-slots or all-used) and crossroad_gateway_attempt_wait_seconds.

--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -56,6 +56,8 @@
       /** Factor by which the replica is expected to be slower than usual. */
       readonly slowdown: number;
       readonly pending: number;
+      /** How long the attempt waited for room; absent if it did not. */
+      readonly waitedMs?: number;
       /** Age of the replica's last load report; absent if there is none. */
       readonly loadAgeMs?: number;
     }
@@ -89,6 +91,12 @@
       readonly ahead: number;
       readonly waiting: number;
       readonly expectedMs: number;
+      /** Usable replicas of the shard, and the attempts of this feeder that are in progress at them. */
+      readonly replicas: number;
+      readonly inProgress: number;
+      /** Attempts that this feeder may have in progress at them, and their slots that are idle as far as it knows. */
+      readonly share: number;
+      readonly idleSlots: number;
     }
   | {
       readonly event: 'attempt-dropped';
--- a/src/gateway/metrics/gateway-counters.ts
+++ b/src/gateway/metrics/gateway-counters.ts
@@ -39,6 +39,19 @@
     help: 'Attempts that waited for room until it was too late, by class (0 is the most urgent).',
     labelNames: ['class'],
   }),
+  waitingAttempts: new CounterMetric({
+    name: 'crossroad_gateway_waiting_attempts_total',
+    help: 'Attempts that began to wait for room, by class, and by whether slots of the usable replicas were idle as far as this feeder knows (idle-slots, all-used).',
+    labelNames: ['class', 'slots'],
+  }),
+  attemptWait: new HistogramMetric(
+    {
+      name: 'crossroad_gateway_attempt_wait_seconds',
+      help: 'Time that attempts waited for room until they started or were dropped, by class (0 is the most urgent).',
+      labelNames: ['class'],
+    },
+    LATENCY_BOUNDS_SECONDS,
+  ),
   budgetDenials: new CounterMetric({
     name: 'crossroad_gateway_budget_denials_total',
     help: 'Further attempts that the retry budget of a service did not allow.',
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -102,6 +102,7 @@
 const traceAttempt = (
   state: GatewayState,
   request: ActiveRequest,
+  { waiting }: Leg,
   replica: Replica,
   reason: AttemptReason,
   at: number,
@@ -117,6 +118,7 @@
     zone,
     slowdown: Math.round(currentSlowdown(replica, at) * 10) / 10,
     pending: replica.pending.size,
+    ...(waiting !== undefined && { waitedMs: Math.round(at - waiting.since) }),
     ...loadAge,
   });
 };
@@ -202,7 +204,7 @@
     leg.unsharedReplica = replica.record.id;
   }
   state.counters.attempts.add(leg.service, reason);
-  traceAttempt(state, request, replica, reason, at);
+  traceAttempt(state, request, leg, replica, reason, at);
   return startAttempt(state, request, leg, replica, place.maxConnections, at);
 };
 
--- a/src/gateway/requests/start-waiting.ts
+++ b/src/gateway/requests/start-waiting.ts
@@ -2,8 +2,8 @@
 import type { GatewayEffect } from '../effect.js';
 import { recordDecision } from '../log/trace.js';
 import { type ClassRank, classLabel } from '../scheduling/class-rank.js';
-import { isExcluded } from '../replicas/select-replica.js';
 import { hasRoom } from '../scheduling/replica-room.js';
+import { replicasInUse } from '../scheduling/shard-room.js';
 import type { WaitingQueue } from '../scheduling/waiting-queue.js';
 import type { WaitingAttempt } from './request-state.js';
 import type { GatewayState } from '../state.js';
@@ -25,6 +25,16 @@
 /** The same for all classes together. */
 const MAX_PASSED_IN_TOTAL = 64;
 
+const MS_PER_SECOND = 1_000;
+
+const observeWait = (
+  { counters }: GatewayState,
+  { request, since }: WaitingAttempt,
+  at: number,
+): void => {
+  counters.attemptWait.observe((at - since) / MS_PER_SECOND, classLabel(request.rank));
+};
+
 /** Ends the leg of an attempt that can no longer be answered in time; the leg is sent to no other feeder. */
 const dropWaiting = (state: GatewayState, waiting: WaitingAttempt, at: number): GatewayEffect[] => {
   const { request, leg, since, usualMs, deadlineAt } = waiting;
@@ -35,6 +45,7 @@
   leg.isDropped = true;
   state.scheduling.waiting -= 1;
   state.counters.droppedAttempts.add(classLabel(request.rank));
+  observeWait(state, waiting, at);
   recordDecision(request.decisions, at, {
     event: 'attempt-dropped',
     service: leg.service,
@@ -64,20 +75,16 @@
   state.scheduling.waiting -= 1;
   if (leg.running.size > 0) {
     queue.recordStart(waiting, at);
+    observeWait(state, waiting, at);
     return started;
   }
   return [...started, ...progressRequest(state, request, at)];
 };
 
-/**
- * Whether an attempt may start at a replica of the shard, or the shard has no replica and its attempts cannot start. The room
- * of ejected and leaving replicas counts only if there are no others: attempts do not use it while they may wait for those.
- */
+/** Whether an attempt may start at a replica of the shard, or the shard has no replica and its attempts cannot start. */
 const mayStart = (state: GatewayState, service: string, at: number): boolean => {
-  const replicas = state.replicas.of(service);
-  const usable = replicas.filter((replica) => !isExcluded(replica, at));
-  const considered = usable.length > 0 ? usable : replicas;
-  return considered.length === 0 || considered.some((replica) => hasRoom(state, replica, at));
+  const replicas = replicasInUse(state, service, at);
+  return replicas.length === 0 || replicas.some((replica) => hasRoom(state, replica, at));
 };
 
 /** The attempts that one check has passed over. */
--- a/src/gateway/scheduling/wait-for-room.ts
+++ b/src/gateway/scheduling/wait-for-room.ts
@@ -5,8 +5,9 @@
 import { isFedShard } from '../peers/service-share.js';
 import type { ActiveRequest, Leg } from '../requests/request-state.js';
 import type { GatewayState } from '../state.js';
-import { type ClassRank, classRank } from './class-rank.js';
+import { classLabel, type ClassRank, classRank } from './class-rank.js';
 import { shardShare } from './replica-room.js';
+import { measureShardRoom } from './shard-room.js';
 import { WaitingQueue } from './waiting-queue.js';
 
 /** The ranks that requests may have by a configuration. */
@@ -85,6 +86,7 @@
   const { service } = leg;
   const { rank, deadlineAt } = request;
   const queue = queueOf(state, service, usualMs, at);
+  const room = measureShardRoom(state, service, at);
   recordDecision(request.decisions, at, {
     event: 'attempt-waiting',
     service,
@@ -93,7 +95,12 @@
     ahead: queue.sizeUpTo(rank),
     waiting: queue.size,
     expectedMs: Math.round(queue.expectedWait(rank, at)),
+    ...room,
   });
+  state.counters.waitingAttempts.add(
+    classLabel(rank),
+    room.idleSlots > 0 ? 'idle-slots' : 'all-used',
+  );
   const waiting = { request, leg, reason, since: at, usualMs, deadlineAt, isQueued: false };
   leg.waiting = waiting;
   queue.add(waiting);
