Failing test: classes late while replicas of other regions have idle slots

The incident in virtual time: one replica of four slots in each of three regions, no load reports, a quarter of the slots needed.

--- a/test/gateway/scheduling-load.test.ts
+++ b/test/gateway/scheduling-load.test.ts
@@ -1,6 +1,6 @@
 /** The order in which attempts start at one feeder under load, with the replicas of its shards in virtual time. */
 import { describe, expect, it } from 'vitest';
-import { type LoadClass, ShardRig } from './shard-rig.js';
+import { type LoadClass, ShardRig, THREE_REGIONS } from './shard-rig.js';
 
 const RUN_MS = 2_500;
 
@@ -119,3 +119,31 @@
     expect(rig.servedShare('small')).toBeGreaterThan(rig.servedShare('large') - 0.1);
   });
 });
+
+describe('one replica in each of three regions', () => {
+  const lookups: LoadClass = {
+    name: 'lookup',
+    priority: 1,
+    perSecond: 28,
+    workMs: 28.6,
+    objectiveMs: 229,
+    deadlineMs: 3_011,
+  };
+  const checks: LoadClass = {
+    name: 'check',
+    priority: 2,
+    perSecond: 9.3,
+    workMs: 9.57,
+    objectiveMs: 130,
+    deadlineMs: 2_013,
+  };
+
+  it('serves all classes in time while the one of the feeder is slow and the others have idle slots', () => {
+    // A feeder used one slot of each replica of another region, and the less urgent class earned less than its floor.
+    const rig = new ShardRig([lookups, checks], 12, THREE_REGIONS);
+    rig.slowdownOf = (replica, at) => (replica.includes('bole') && at > 300 ? 6.8 : 1);
+    rig.run(RUN_MS);
+    expect(rig.timelyShare('lookup')).toBeGreaterThan(0.98);
+    expect(rig.timelyShare('check')).toBeGreaterThan(0.98);
+  });
+});
--- a/test/gateway/shard-rig.ts
+++ b/test/gateway/shard-rig.ts
@@ -7,13 +7,35 @@
 import { feederPlan } from '../../src/gateway/peers/service-share.js';
 import { GATEWAY_LIST, routeTo, VirtualGateway } from './virtual-gateway.js';
 
-/** Time between the gateway and a replica, in milliseconds. */
-const LINK_MS = 1.4;
+/** The replicas of each shard, and how far away they are. */
+export interface ReplicaSetup {
+  /** Zone of each replica. */
+  readonly zones: readonly string[];
+  readonly slots: number;
+  /** Requests that a replica queues before it refuses. */
+  readonly maxQueue: number;
+  /** Whether answers report the load of the replica. */
+  readonly reportsLoad: boolean;
+  /** Time between the gateway and a replica of a zone, in milliseconds. */
+  readonly linkMs: (zone: string) => number;
+}
 
-/** Requests that a replica queues before it refuses. */
-const MAX_QUEUE = 12;
+const ONE_REGION: ReplicaSetup = {
+  zones: ['bole', 'arada', 'bole'],
+  slots: 2,
+  maxQueue: 12,
+  reportsLoad: true,
+  linkMs: () => 1.4,
+};
 
-const ZONES = ['bole', 'arada', 'bole'];
+/** One replica in the region of the feeder and one in each of two others; no load reports. */
+export const THREE_REGIONS: ReplicaSetup = {
+  zones: ['bole', 'mekele', 'gondar'],
+  slots: 4,
+  maxQueue: 24,
+  reportsLoad: false,
+  linkMs: (zone) => (zone === 'bole' ? 1.4 : 12),
+};
 
 /** A class of requests, with its rate at one shard. */
 export interface LoadClass {
@@ -63,6 +85,7 @@
 export const feedingGateway = (
   shardCount: number,
   routes: (shards: readonly string[]) => readonly Route[],
+  { zones, slots }: ReplicaSetup = ONE_REGION,
 ): { readonly gateway: VirtualGateway; readonly shards: readonly string[] } => {
   const gateway = new VirtualGateway(2_000);
   gateway.listGateways(GATEWAY_LIST);
@@ -71,7 +94,7 @@
     .filter((service) => feederPlan(gateway.state).rankOf(service, 'front-1') === 0)
     .slice(0, shardCount);
   gateway.configure(1, routes(shards), 54);
-  gateway.listReplicas(shards, ZONES);
+  gateway.listReplicas(shards, zones, 0, slots);
   return { gateway, shards };
 };
 
@@ -96,9 +119,12 @@
   constructor(
     private readonly classes: readonly LoadClass[],
     shardCount = 4,
+    private readonly setup: ReplicaSetup = ONE_REGION,
   ) {
-    const built = feedingGateway(shardCount, (shards) =>
-      classes.map((load) => routeOf(load, shards)),
+    const built = feedingGateway(
+      shardCount,
+      (shards) => classes.map((load) => routeOf(load, shards)),
+      setup,
     );
     this.gateway = built.gateway;
     this.shards = built.shards;
@@ -193,7 +219,7 @@
   private handleEffect(effect: GatewayEffect): void {
     switch (effect.type) {
       case 'send-attempt':
-        this.after(LINK_MS, () => this.receive(effect));
+        this.after(this.linkOf(effect), () => this.receive(effect));
         break;
       case 'set-scheduling-timer':
         this.events.push({
@@ -235,16 +261,26 @@
     return replica;
   }
 
-  private loadOf({ running, queue }: SimulatedReplica): LoadReport {
-    return { running: running.size, waiting: queue.length, slots: 2 };
+  private linkOf({ replica }: SendAttempt): number {
+    return this.setup.linkMs(replica.zone);
+  }
+
+  private loadOf({ running, queue }: SimulatedReplica): LoadReport | undefined {
+    const { reportsLoad, slots } = this.setup;
+    return reportsLoad ? { running: running.size, waiting: queue.length, slots } : undefined;
   }
 
   private receive(send: SendAttempt): void {
     const replica = this.replicaOf(send.replica.id);
-    if (replica.queue.length >= MAX_QUEUE) {
+    if (replica.queue.length >= this.setup.maxQueue) {
       this.refused += 1;
       const load = this.loadOf(replica);
-      this.after(LINK_MS, () => this.gateway.end(send, { type: 'refused', reason: 'full', load }));
+      const refusal = {
+        type: 'refused',
+        reason: 'full',
+        ...(load !== undefined && { load }),
+      } as const;
+      this.after(this.linkOf(send), () => this.gateway.end(send, refusal));
       return;
     }
     const name = this.calls.get(send.call)?.load.name;
@@ -257,7 +293,7 @@
   }
 
   private startNext(replica: SimulatedReplica): void {
-    while (replica.running.size < 2) {
+    while (replica.running.size < this.setup.slots) {
       const job = replica.queue.shift();
       if (job === undefined) {
         return;
@@ -275,8 +311,9 @@
     this.startNext(replica);
     if (!job.isAborted) {
       const answer = { status: 200, headers: [], body: Buffer.alloc(16), signature: 'signed' };
-      const result: AttemptResult = { type: 'answered', answer, load, closing: false };
-      this.after(LINK_MS, () => this.gateway.end(job.send, result));
+      const report = load === undefined ? {} : { load };
+      const result: AttemptResult = { type: 'answered', answer, ...report, closing: false };
+      this.after(this.linkOf(job.send), () => this.gateway.end(job.send, result));
     }
   }
 
--- a/test/gateway/virtual-gateway.ts
+++ b/test/gateway/virtual-gateway.ts
@@ -159,11 +159,12 @@
     services: readonly string[],
     zones: readonly string[] = ['bole', 'arada'],
     coldMs = 0,
+    slots = 2,
   ): void {
     const objects = services.flatMap((service) =>
       zones.map((zone, index) => {
         const id = `${service}-${zone}-${index}`;
-        const value = { id, service, ...HOST, zone, slots: 2, draining: false, coldMs };
+        const value = { id, service, ...HOST, zone, slots, draining: false, coldMs };
         return { name: id, gone: false, value };
       }),
     );
