Do not divide the slots of a replica among feeders and regions

Cause: a feeder allowed itself the slots and one attempt at the replica of its own region and one attempt at each other replica, whoever used those. The division was fixed by rank and region: when the replica of a region was slow or paused, the slots of the other regions stayed idle while attempts waited. A static division of a shared resource that conserves no work.

Change: an attempt waits only where the feeder's own attempts fill the slots, or a fresh load report shows that all feeders together do. To a replica of another region as many attempts again may be on their way. Connections still bound what a feeder has in progress.

--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -95,7 +95,7 @@
       readonly replicas: number;
       readonly inProgress: number;
       /** Attempts that this feeder may have in progress at them, and their slots that are idle as far as it knows. */
-      readonly share: number;
+      readonly limit: number;
       readonly idleSlots: number;
     }
   | {
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -15,7 +15,8 @@
   type SelectionContext,
   selectReplicaWithRoom,
 } from '../replicas/select-replica.js';
-import { hasRoom, shardShare } from '../scheduling/replica-room.js';
+import { hasRoom } from '../scheduling/replica-room.js';
+import { measureShardRoom } from '../scheduling/shard-room.js';
 import { isScheduled, waitingUpTo } from '../scheduling/wait-for-room.js';
 import { budgetOf, type GatewayState } from '../state.js';
 import { guardOf } from './guard.js';
@@ -156,7 +157,8 @@
   if (best === undefined || !isScheduled(state, request, service) || hasRoom(state, best, at)) {
     return best;
   }
-  const waitRatio = waitingUpTo(state, service, request.rank) / shardShare(state, service, at);
+  const { limit } = measureShardRoom(state, service, at);
+  const waitRatio = waitingUpTo(state, service, request.rank) / limit;
   const other = selectReplicaWithRoom(
     replicas,
     attemptedReplicas,
--- a/src/gateway/scheduling/replica-room.ts
+++ b/src/gateway/scheduling/replica-room.ts
@@ -1,38 +1,38 @@
 /**
  * Whether a replica of a fed shard has room for one more attempt of this feeder.
  *
- * The feeders of a shard divide the slots of each replica without messages: the first one that is not suspected may have
- * one attempt more in progress than there are slots, so that a slot is not idle for the time that the next attempt takes to
- * arrive; every other gateway may have one. Four feeders together have at most the slots and an allowance of four in
- * progress. The rest of the replica's own queue, 12 requests, is left to views that differ: a feeder that is suspected by
- * only some gateways and the one that replaces it both count as the first.
+ * Several feeders send to the same replicas, and none knows how many attempts of the others are in progress unless the
+ * replicas report it. No slots are reserved for a feeder: which of them needs the slots of a replica changes whenever another
+ * replica is slow, paused or lost, or a feeder is suspected. An attempt waits only where the attempts of this feeder alone
+ * fill the slots, or a fresh load report shows that all feeders together do.
  */
-import { feederPlan, regionOf } from '../peers/service-share.js';
+import { connectionShare } from '../replicas/connection-share.js';
 import { freshLoad, type Replica, slotsOf } from '../replicas/replica.js';
+import { regionOf } from '../peers/service-share.js';
 import type { GatewayState } from '../state.js';
 
-/** Attempts in progress beyond the slots, of the first feeder and of all feeders of a shard together. */
-const FIRST_ALLOWANCE = 1;
-const TOTAL_ALLOWANCE = 4;
+/** Attempts beyond the slots, so that a slot is not idle for the time that the next attempt takes to arrive. */
+const NEAR_ALLOWANCE = 1;
 
-/** Attempts in progress at a replica of gateways other than the first feeder. */
-const OTHER_SHARE = 1;
+/** Attempts of all feeders beyond the slots of a replica, according to its load report. */
+const TOTAL_ALLOWANCE = 4;
 
-/** Whether this gateway is the first feeder of the shard that it does not suspect. */
-const isFirstFeeder = (state: GatewayState, service: string, at: number): boolean => {
-  const first = feederPlan(state)
-    .feedersOf(service)
-    .find(({ name }) => !state.peers.isSuspect(name, at));
-  return first?.name === state.settings.node;
-};
+/**
+ * Attempts on their way to a replica and back, beyond those in its slots. To a replica in another region, the way takes about
+ * as long as the work.
+ */
+const allowanceOf = (state: GatewayState, replica: Replica): number =>
+  regionOf(state, replica.record.zone) === regionOf(state, state.settings.zone)
+    ? NEAR_ALLOWANCE
+    : slotsOf(replica);
 
-/** Number of attempts that this gateway may have in progress at a replica of a fed shard. */
-export const attemptShare = (state: GatewayState, replica: Replica, at: number): number => {
-  const { service, zone } = replica.record;
-  const isNear = regionOf(state, zone) === regionOf(state, state.settings.zone);
-  return isNear && isFirstFeeder(state, service, at)
-    ? slotsOf(replica) + FIRST_ALLOWANCE
-    : OTHER_SHARE;
+/**
+ * Number of attempts that this gateway may have in progress at a replica of a fed shard: those that keep its slots busy, as far
+ * as the connections suffice. Further ones would wait for a connection, in order of arrival.
+ */
+export const attemptLimit = (state: GatewayState, replica: Replica, at: number): number => {
+  const connections = connectionShare(state, replica.record.service, at);
+  return Math.min(connections, slotsOf(replica) + allowanceOf(state, replica));
 };
 
 /** Whether the attempts of all feeders leave room, according to a fresh load report. */
@@ -43,14 +43,4 @@
 
 /** Whether one more attempt of this gateway may start at a replica of a fed shard. */
 export const hasRoom = (state: GatewayState, replica: Replica, at: number): boolean =>
-  (replica.pending.size === 0 || replica.pending.size < attemptShare(state, replica, at)) &&
-  isReportedFree(replica, at);
-
-/** Number of attempts that this gateway may have in progress at all replicas of a fed shard, at least 1. */
-export const shardShare = (state: GatewayState, service: string, at: number): number => {
-  const shares = state.replicas.of(service).map((replica) => attemptShare(state, replica, at));
-  return Math.max(
-    1,
-    shares.reduce((sum, share) => sum + share, 0),
-  );
-};
+  replica.pending.size < attemptLimit(state, replica, at) && isReportedFree(replica, at);
--- a/src/gateway/scheduling/shard-room.ts
+++ b/src/gateway/scheduling/shard-room.ts
@@ -2,7 +2,7 @@
 import { freshLoad, type Replica, slotsOf } from '../replicas/replica.js';
 import { isExcluded } from '../replicas/select-replica.js';
 import type { GatewayState } from '../state.js';
-import { attemptShare } from './replica-room.js';
+import { attemptLimit } from './replica-room.js';
 
 /** Sums over the usable replicas of a shard. */
 export interface ShardRoom {
@@ -10,7 +10,7 @@
   /** Attempts of this feeder in progress. */
   readonly inProgress: number;
   /** Attempts that this feeder may have in progress. */
-  readonly share: number;
+  readonly limit: number;
   /** Slots without an attempt of this feeder that a fresh load report does not show as used either. */
   readonly idleSlots: number;
 }
@@ -39,7 +39,14 @@
   return {
     replicas: replicas.length,
     inProgress: sum(({ pending }) => pending.size),
-    share: sum((replica) => attemptShare(state, replica, at)),
+    limit: sum((replica) => attemptLimit(state, replica, at)),
     idleSlots: sum((replica) => idleSlotsOf(replica, at)),
   };
 };
+
+/** Number of slots of all replicas of a shard, at least 1. */
+export const shardSlots = (state: GatewayState, service: string): number =>
+  Math.max(
+    1,
+    state.replicas.of(service).reduce((sum, replica) => sum + slotsOf(replica), 0),
+  );
--- a/src/gateway/scheduling/wait-for-room.ts
+++ b/src/gateway/scheduling/wait-for-room.ts
@@ -6,8 +6,7 @@
 import type { ActiveRequest, Leg } from '../requests/request-state.js';
 import type { GatewayState } from '../state.js';
 import { classLabel, type ClassRank, classRank } from './class-rank.js';
-import { shardShare } from './replica-room.js';
-import { measureShardRoom } from './shard-room.js';
+import { measureShardRoom, shardSlots } from './shard-room.js';
 import { WaitingQueue } from './waiting-queue.js';
 
 /** The ranks that requests may have by a configuration. */
@@ -54,18 +53,13 @@
 export const hasWaiting = ({ scheduling }: GatewayState, service: string): boolean =>
   scheduling.waiting > 0 && (scheduling.queues.get(service)?.size ?? 0) > 0;
 
-const queueOf = (
-  state: GatewayState,
-  service: string,
-  usualMs: number,
-  at: number,
-): WaitingQueue => {
+const queueOf = (state: GatewayState, service: string, usualMs: number): WaitingQueue => {
   const { queues } = state.scheduling;
   const known = queues.get(service);
   if (known !== undefined) {
     return known;
   }
-  const queue = new WaitingQueue(usualMs / shardShare(state, service, at));
+  const queue = new WaitingQueue(usualMs / shardSlots(state, service));
   queues.set(service, queue);
   return queue;
 };
@@ -85,7 +79,7 @@
 ): void => {
   const { service } = leg;
   const { rank, deadlineAt } = request;
-  const queue = queueOf(state, service, usualMs, at);
+  const queue = queueOf(state, service, usualMs);
   const room = measureShardRoom(state, service, at);
   recordDecision(request.decisions, at, {
     event: 'attempt-waiting',
