Estimate the wait for a full replica by what the attempts wait for

Cause: the wait for the preferred replica was the number of waiting attempts divided by the room of the feeder at all replicas, as if idle slots elsewhere worked off a queue in which all wait for the same replica.

Change: only the full replicas that cost less than the one with room are expected to work off the queue, at the speed that their slowdowns show; a stalled one does not.

The test sent no attempt to the slow replicas before (0 of 4 expected) and passes now.

--- a/src/gateway/replicas/select-replica.ts
+++ b/src/gateway/replicas/select-replica.ts
@@ -128,12 +128,17 @@
   return since !== undefined && at - since > leavingMs;
 };
 
+/** Attempts that end at a replica during one usual latency if its slots are in use; none at a stalled one. */
+const throughput = (replica: Replica, at: number): number =>
+  stallCost(replica, at) > 0 ? 0 : slotsOf(replica) / currentSlowdown(replica, at);
+
 /**
  * Returns the replica to use in place of `best`, which has no room: the best one that has room, unless waiting for room is
- * expected to take less time than it would take longer. A stalled replica is not waited for. A replica that should only be
- * used when no other is left does not replace one that is merely full.
+ * expected to take less time than it would take longer. Those before the attempt wait for the same replicas: the full ones
+ * that cost less than the one with room. A replica that should only be used when no other is left does not replace one that is
+ * merely full.
  *
- * @param waitRatio - expected wait for room, in usual latencies
+ * @param ahead - number of attempts that wait before this one
  */
 export const selectReplicaWithRoom = (
   replicas: readonly Replica[],
@@ -141,7 +146,7 @@
   context: SelectionContext,
   random: Random,
   best: Replica,
-  waitRatio: number,
+  ahead: number,
   hasRoom: (replica: Replica) => boolean,
   at: number,
 ): Replica | undefined => {
@@ -150,7 +155,15 @@
     (replica) => hasRoom(replica) && exclusionCost(replica, context, at) <= maxExclusion,
   );
   const replica = selectReplica(usable, attemptedReplicas, context, random, at);
-  const isStalled = stallCost(best, at) > 0;
-  const maxCost = isStalled ? Number.POSITIVE_INFINITY : costOf(best, context, at) + waitRatio;
-  return replica === undefined || costOf(replica, context, at) > maxCost ? undefined : replica;
+  if (replica === undefined) {
+    return undefined;
+  }
+  const cost = costOf(replica, context, at);
+  const awaited = replicas.filter(
+    (other) => !usable.includes(other) && costOf(other, context, at) < cost,
+  );
+  const endsPerLatency = awaited.reduce((sum, other) => sum + throughput(other, at), 0);
+  const isWaitShorter =
+    endsPerLatency > 0 && costOf(best, context, at) + ahead / endsPerLatency < cost;
+  return isWaitShorter ? undefined : replica;
 };
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -16,7 +16,6 @@
   selectReplicaWithRoom,
 } from '../replicas/select-replica.js';
 import { hasRoom } from '../scheduling/replica-room.js';
-import { measureShardRoom } from '../scheduling/shard-room.js';
 import { isScheduled, waitingUpTo } from '../scheduling/wait-for-room.js';
 import { budgetOf, type GatewayState } from '../state.js';
 import { guardOf } from './guard.js';
@@ -157,15 +156,13 @@
   if (best === undefined || !isScheduled(state, request, service) || hasRoom(state, best, at)) {
     return best;
   }
-  const { limit } = measureShardRoom(state, service, at);
-  const waitRatio = waitingUpTo(state, service, request.rank) / limit;
   const other = selectReplicaWithRoom(
     replicas,
     attemptedReplicas,
     place,
     state.random,
     best,
-    waitRatio,
+    waitingUpTo(state, service, request.rank),
     (replica) => hasRoom(state, replica, at),
     at,
   );
--- a/test/gateway/scheduling.test.ts
+++ b/test/gateway/scheduling.test.ts
@@ -192,6 +192,22 @@
     });
   });
 
+  it('starts at a slower replica when the wait for the fast one would be longer', () => {
+    // The wait was estimated by the room at all replicas, also at idle ones, for attempts that all wait for the same one.
+    const { gateway, receive, shards } = createFeeder();
+    const [fast, ...slow] = gateway.state.replicas.of(shards[0] ?? '');
+    slow.forEach((replica) => {
+      replica.slowdown = 5;
+    });
+    for (let index = 0; index < 20; index += 1) {
+      receive(SEARCH);
+    }
+    const sentToSlow = gateway.sent.filter(({ replica }) => replica.id !== fast?.record.id);
+    // The two slots of the fast one end ten attempts in the time that a slow one takes for one.
+    expect(waitingAt(gateway)).toBeGreaterThan(10);
+    expect(sentToSlow.length).toBeGreaterThanOrEqual(4);
+  });
+
   it('is not held behind many of a more urgent class that may not use the replica with room', () => {
     // Sixteen attempts that were limited to a region kept the replicas of the other regions idle.
     const { gateway, receive, shards } = createFeeder();
