Leave a less urgent class its floor in a lasting lack of room

Cause: a class was due only below 0.35 of the share of all. That kept the rule against starvation (a quarter), not the floors, and starts are not yet answers in time.

Evidence, virtual time: at 1.1 times the room of three regions 0.22 of the checks and 0.81 of the lookups are in time; alerts and searches at 2.4 times the room 0.82 and 0.24.

Change: 0.75. Now 0.53 and 0.74, and 0.65 and 0.44; the more urgent class stays ahead in both.

Two new tests failed before (0.22 and 0.24, floor 0.4) and pass now. Replaced: the band of the queue's share (0.25 to 0.4 of the urgent class's is now 0.65 to 0.8) and the length of the run in 'do not starve the searches', whose check is the same: in 2.5 s nearly half of the searches waited until the alerts had ended, so that it compared the ends of the run (0.56 and 0.59 there, 0.50 and 0.37 in 7.5 s).

--- a/src/gateway/scheduling/class-shares.ts
+++ b/src/gateway/scheduling/class-shares.ts
@@ -5,11 +5,10 @@
 import type { ClassRank } from './class-rank.js';
 
 /**
- * A class is due when its started share is below this fraction of the share of all classes. Rule 4 of docs/hard-load.md
- * requires a quarter; the excess covers attempts that start and are not answered in time, and that a class is due only when it is
- * owed a whole start.
+ * A class is due when its started share is below this fraction of the share of all classes. Customers set
+ * a floor for the worth of each class that is nearly as high as the one for all classes together.
  */
-const LEAST_SHARE = 0.35;
+const LEAST_SHARE = 0.75;
 
 /** Counts are halved when this many attempts were offered, so that the shares follow the recent load. */
 const MAX_OFFERED = 512;
--- a/test/gateway/scheduling-load.test.ts
+++ b/test/gateway/scheduling-load.test.ts
@@ -74,7 +74,9 @@
 
 describe('alerts at twice the room of a shard', () => {
   it('do not starve the searches', () => {
-    const rig = runRig(1_600, 40);
+    const rig = new ShardRig([alertsAt(1_600), searchesAt(40)]);
+    // Long enough that the searches still waiting at the end, which are served without alerts, do not count much.
+    rig.run(3 * RUN_MS);
     expect(rig.servedShare('search')).toBeGreaterThanOrEqual(rig.totalShare * 0.25);
     expect(rig.servedShare('alert')).toBeGreaterThanOrEqual(rig.servedShare('search'));
     expect(waitingAfter(rig)).toBe(0);
@@ -120,30 +122,50 @@
   });
 });
 
-describe('one replica in each of three regions', () => {
-  const lookups: LoadClass = {
-    name: 'lookup',
-    priority: 1,
-    perSecond: 28,
-    workMs: 28.6,
-    objectiveMs: 229,
-    deadlineMs: 3_011,
-  };
-  const checks: LoadClass = {
-    name: 'check',
-    priority: 2,
-    perSecond: 9.3,
-    workMs: 9.57,
-    objectiveMs: 130,
-    deadlineMs: 2_013,
-  };
+const LOOKUPS: LoadClass = {
+  name: 'lookup',
+  priority: 1,
+  perSecond: 28,
+  workMs: 28.6,
+  objectiveMs: 229,
+  deadlineMs: 3_011,
+};
+
+const CHECKS: LoadClass = {
+  name: 'check',
+  priority: 2,
+  perSecond: 9.3,
+  workMs: 9.57,
+  objectiveMs: 130,
+  deadlineMs: 2_013,
+};
 
+describe('one replica in each of three regions', () => {
   it('serves all classes in time while the one of the feeder is slow and the others have idle slots', () => {
     // A feeder used one slot of each replica of another region, and the less urgent class earned less than its floor.
-    const rig = new ShardRig([lookups, checks], 12, THREE_REGIONS);
+    const rig = new ShardRig([LOOKUPS, CHECKS], 12, THREE_REGIONS);
     rig.slowdownOf = (replica, at) => (replica.includes('bole') && at > 300 ? 6.8 : 1);
     rig.run(RUN_MS);
     expect(rig.timelyShare('lookup')).toBeGreaterThan(0.98);
     expect(rig.timelyShare('check')).toBeGreaterThan(0.98);
   });
 });
+
+/** What customers ask of a class in their worst days, where all classes together earn more. */
+const CLASS_FLOOR = 0.4;
+
+describe('a lasting lack of room that leaves most requests in time', () => {
+  // The less urgent class got a third of the share of all, too little for its floor.
+  it('leaves its floor to a less urgent class with a shorter objective', () => {
+    const rig = new ShardRig([LOOKUPS, CHECKS], 4, THREE_REGIONS);
+    rig.run(2 * RUN_MS, () => 16);
+    expect(rig.timelyShare('check')).toBeGreaterThan(CLASS_FLOOR);
+    expect(rig.timelyShare('lookup')).toBeGreaterThan(rig.timelyShare('check'));
+  }, 30_000);
+
+  it('leaves its floor to a less urgent class with longer work', () => {
+    const rig = runRig(800, 200);
+    expect(rig.timelyShare('search')).toBeGreaterThan(CLASS_FLOOR);
+    expect(rig.timelyShare('alert')).toBeGreaterThan(rig.timelyShare('search'));
+  });
+});
--- a/test/gateway/waiting-queue.test.ts
+++ b/test/gateway/waiting-queue.test.ts
@@ -135,12 +135,13 @@
     return started;
   };
 
-  it('starts a less urgent class at least a quarter as often while a more urgent one fills the queue', () => {
+  it('starts a less urgent class at least six tenths as often while a more urgent one fills the queue', () => {
+    // A third as often did not leave the class its floor.
     const started = startsByClass(400);
     const urgentShare = (started.get(0) ?? 0) / 1_600;
     const otherShare = (started.get(1_001) ?? 0) / 400;
-    expect(otherShare).toBeGreaterThanOrEqual(urgentShare * 0.25);
-    expect(otherShare).toBeLessThan(urgentShare * 0.4);
+    expect(otherShare).toBeGreaterThanOrEqual(urgentShare * 0.65);
+    expect(otherShare).toBeLessThan(urgentShare * 0.8);
   });
 
   it('does not start a less urgent class first when the queue begins to fill', () => {
