Soak with a region for each zone and few slots at shards

All runs had one region and replicas with 24 slots, so that no attempt waited for room, and no feeder depended on the replicas of another region. Seeds from 5,000 on have a region for each zone, one of them without replicas of the shards, and 4 slots; smaller seeds are unchanged.

--- a/soak/model/plan.ts
+++ b/soak/model/plan.ts
@@ -2,6 +2,7 @@
 import { createRandom, type Random } from '../../src/core/random.js';
 import type { GatewayBounds } from '../../src/gateway/settings.js';
 import { PREFIXES } from '../world/routes.js';
+import { FEW_SLOTS, REPLICA_SLOTS } from '../world/topology.js';
 import {
   drawEntryFaults,
   drawLastVersion,
@@ -91,6 +92,10 @@
   readonly publishesStartTimes: boolean;
   /** Whether the configuration has tenants. */
   readonly hasTenants: boolean;
+  /** Whether each zone is a region of its own. */
+  readonly hasRegionPerZone: boolean;
+  /** Number of requests that a replica of a shard runs concurrently. */
+  readonly shardSlots: number;
   /** Planned work after the faults; times are relative to their end. */
   readonly plannedWork: readonly ScheduledFault[];
 }
@@ -188,6 +193,9 @@
  */
 const FIRST_ENTRY_SEED = 3_000;
 
+/** Runs with smaller seeds have one region and replicas with room, so that earlier regression seeds are unchanged. */
+const FIRST_REGIONS_SEED = 5_000;
+
 /** Half of the runs with entry faults have no restores: few entries can be checked while the store is disturbed. */
 const hasStoreRestores = (seed: number): boolean =>
   seed >= FIRST_RESTORE_SEED && (seed < FIRST_ENTRY_SEED || seed % 2 === 0);
@@ -258,6 +266,8 @@
     poisonCrashDelayMs: hasEntryFaults ? entries.nextBelow(MAX_POISON_RUN_MS) : 0,
     publishesStartTimes: hasEntryFaults,
     hasTenants: false,
+    hasRegionPerZone: seed >= FIRST_REGIONS_SEED,
+    shardSlots: seed >= FIRST_REGIONS_SEED ? FEW_SLOTS : REPLICA_SLOTS,
     plannedWork: [
       ...drawPlannedWork(seed, gateways, endsWithoutVersions),
       ...(hasEntryFaults ? drawSpoiltEntries(entries) : []),
--- a/soak/world/replica-fleet.ts
+++ b/soak/world/replica-fleet.ts
@@ -14,7 +14,7 @@
 import { isPoison, workOf } from './paths.js';
 import { beginDisturbance } from './recorder.js';
 import { KEY_MARK } from './tenants.js';
-import { REPLICA_SLOTS, SERVICES, replicasOf, zoneOf } from './topology.js';
+import { isShard, REPLICA_SLOTS, SERVICES, replicasOf, zoneOf } from './topology.js';
 
 const HEADERS = platformProtocol.headers;
 
@@ -41,6 +41,8 @@
   readonly poisonCrashDelayMs: number;
   /** Whether replicas publish their start time in their entries. */
   readonly publishesStartTimes: boolean;
+  /** Number of requests that a replica of a shard runs concurrently. */
+  readonly shardSlots: number;
 }
 
 /** Time after which the store removes the entry of a crashed replica, in milliseconds. */
@@ -230,7 +232,7 @@
   private async startReplica(id: string, service: string, zone: string): Promise<void> {
     const bornAt = Date.now();
     const replica = await StandInReplica.start(id, {
-      slots: REPLICA_SLOTS,
+      slots: isShard(service) ? this.options.shardSlots : REPLICA_SLOTS,
       bodyOf,
       workOf: (path) => this.workOf(path),
       start: bornAt,
--- a/soak/world/soak-world.ts
+++ b/soak/world/soak-world.ts
@@ -12,7 +12,7 @@
 import { StoreBackups } from './store-backups.js';
 import { TenantCallers } from './tenant-callers.js';
 import { KEYS, TenantRoster } from './tenants.js';
-import { REGION, ZONES, zoneOf } from './topology.js';
+import { zoneOf, zoneRegionsOf } from './topology.js';
 
 const HOST = '127.0.0.1';
 
@@ -51,6 +51,7 @@
       drainMs: bounds.drainMs,
       poisonCrashDelayMs: plan.poisonCrashDelayMs,
       publishesStartTimes: plan.publishesStartTimes,
+      shardSlots: plan.shardSlots,
     });
     const random = streamOf(seed, 'operator');
     this.operator = new Operator(
@@ -144,7 +145,7 @@
       zone: zoneOf(number),
       capacity: PROCESSOR_SHARE,
       firstStart: true,
-      zoneRegions: Object.fromEntries(ZONES.map((zone) => [zone, REGION])),
+      zoneRegions: zoneRegionsOf(this.plan.hasRegionPerZone),
       callers: address(0),
       readiness: address(1),
       peers: address(2),
--- a/soak/world/topology.ts
+++ b/soak/world/topology.ts
@@ -1,10 +1,14 @@
 /** Zones, services and replicas of the soak's deployment. */
 
-/** Zones, all of one region. */
+/** Zones. */
 export const ZONES = ['north', 'middle', 'south'] as const;
 
-/** Region of all zones. */
-export const REGION = 'home';
+/** Region of all zones, unless each is a region of its own. */
+const REGION = 'home';
+
+/** Returns the region of each zone. */
+export const zoneRegionsOf = (hasRegionPerZone: boolean): Readonly<Record<string, string>> =>
+  Object.fromEntries(ZONES.map((zone) => [zone, hasRegionPerZone ? zone : REGION]));
 
 /** Returns the zone of the gateway or replica with this number. */
 export const zoneOf = (number: number): string => ZONES[number % ZONES.length] ?? ZONES[0];
@@ -23,9 +27,13 @@
 /** All services. */
 export const SERVICES: readonly string[] = [...SINGLE_SERVICES, ...INDEXES.flat()];
 
+/** Whether a service is a shard of an index. */
+export const isShard = (service: string): boolean =>
+  !SINGLE_SERVICES.some((each) => each === service);
+
 /** Returns the initial number of replicas of a service. */
-export const replicasOf = (service: string): number =>
-  SINGLE_SERVICES.some((each) => each === service) ? 3 : 2;
+export const replicasOf = (service: string): number => (isShard(service) ? 2 : 3);
 
-/** Number of requests that a replica runs concurrently. */
+/** Number of requests that a replica runs concurrently, and that of the shards in runs in which they lack room. */
 export const REPLICA_SLOTS = 24;
+export const FEW_SLOTS = 4;
