Count connections in the expected wait for a full replica

Cause: the throughput of a full replica was taken from its slots, also where the gateway's connections fill only some of them.

The test sent nothing to the other replicas before (0 of 2) and passes now.

--- a/src/gateway/replicas/select-replica.ts
+++ b/src/gateway/replicas/select-replica.ts
@@ -128,9 +128,11 @@
   return since !== undefined && at - since > leavingMs;
 };
 
-/** Attempts that end at a replica during one usual latency if its slots are in use; none at a stalled one. */
-const throughput = (replica: Replica, at: number): number =>
-  stallCost(replica, at) > 0 ? 0 : slotsOf(replica) / currentSlowdown(replica, at);
+/** Attempts of this gateway that end at a full replica during one usual latency; none at a stalled one. */
+const throughput = (replica: Replica, { maxConnections }: SelectionContext, at: number): number =>
+  stallCost(replica, at) > 0
+    ? 0
+    : Math.min(slotsOf(replica), maxConnections) / currentSlowdown(replica, at);
 
 /**
  * Returns the replica to use in place of `best`, which has no room: the best one that has room, unless waiting for room is
@@ -162,7 +164,7 @@
   const awaited = replicas.filter(
     (other) => !usable.includes(other) && costOf(other, context, at) < cost,
   );
-  const endsPerLatency = awaited.reduce((sum, other) => sum + throughput(other, at), 0);
+  const endsPerLatency = awaited.reduce((sum, other) => sum + throughput(other, context, at), 0);
   const isWaitShorter =
     endsPerLatency > 0 && costOf(best, context, at) + ahead / endsPerLatency < cost;
   return isWaitShorter ? undefined : replica;
--- a/test/gateway/scheduling.test.ts
+++ b/test/gateway/scheduling.test.ts
@@ -208,6 +208,21 @@
     expect(sentToSlow.length).toBeGreaterThanOrEqual(4);
   });
 
+  it('does not wait for slots that the connections of this gateway cannot fill', () => {
+    const { gateway, receive, shards } = createFeeder();
+    gateway.configure(2, routesOf([0, 1])(shards), 2);
+    const [fast, ...slow] = gateway.state.replicas.of(shards[0] ?? '');
+    slow.forEach((replica) => {
+      replica.slowdown = 5;
+    });
+    for (let index = 0; index < 7; index += 1) {
+      receive(SEARCH);
+    }
+    // With one connection, the fast one ends four of them before a slow one ends its first.
+    expect(gateway.sent.filter(({ replica }) => replica.id !== fast?.record.id)).toHaveLength(2);
+    expect(waitingAt(gateway)).toBe(4);
+  });
+
   it('is not held behind many of a more urgent class that may not use the replica with room', () => {
     // Sixteen attempts that were limited to a region kept the replicas of the other regions idle.
     const { gateway, receive, shards } = createFeeder();
