Decide by numbers, not by received times, which crash history is newer

Cause: updates carry ages, so a received time is later than the true one with each hop. Gateways compared such times to decide whether a crash or an answer was the last. Where the answer came soon after the crash, the update about the crash overtook it: cleared, suspected again, told again, without end.

Change: a history counts its published answers, the rounds that the last one cleared, and the changes of its pause. These numbers never decrease, and a merge takes the larger; times only decide, once, between a crash and an answer of which gateways learned independently. Fields are added to the message, none changed.

Why it works: a history changes only to a larger one, and only a crash, an answer or a trial at some gateway makes one that is larger than all.

--- a/src/gateway/crashes/crash-history.ts
+++ b/src/gateway/crashes/crash-history.ts
@@ -57,6 +57,10 @@
   readonly crashedAt: number;
   /** When a replica last answered it; minus infinity where none has. */
   readonly servedAt: number;
+  /** Number of answers that were published, one after the other. Of two histories, the one with more is newer. */
+  readonly answers: number;
+  /** Rounds that the last of these answers cleared. */
+  readonly clearedRounds: number;
   /** Number of consecutive blocks; 0 while it is not blocked. */
   readonly level: number;
   /** When the level last rose. */
@@ -65,6 +69,8 @@
   readonly trialDueAt: number;
   /** Until when gateways wait for the outcome of a running trial, or hold a suspected request back. */
   readonly trialUntil: number;
+  /** Number of changes of `trialUntil`, one after the other. */
+  readonly trials: number;
 }
 
 /** What a gateway may do with a request. */
@@ -75,10 +81,13 @@
   rounds: 0,
   crashedAt: Number.NEGATIVE_INFINITY,
   servedAt: Number.NEGATIVE_INFINITY,
+  answers: 0,
+  clearedRounds: 0,
   level: 0,
   blockedAt: Number.NEGATIVE_INFINITY,
   trialDueAt: Number.NEGATIVE_INFINITY,
   trialUntil: Number.NEGATIVE_INFINITY,
+  trials: 0,
 };
 
 const blockDurationMs = (level: number): number =>
@@ -116,12 +125,29 @@
   return recordRounds(history, knownRounds + 1, crashedAt);
 };
 
-/** Records an answer of a replica. Crashes before it no longer count. */
+/** Time within which a further answer is not published, in milliseconds: it tells other gateways nothing that matters. */
+const ANSWER_INTERVAL_MS = 250;
+
+/** The history after a published answer. */
+const clear = ({ answers, rounds, trials }: CrashHistory, servedAt: number): CrashHistory => ({
+  ...EMPTY_HISTORY,
+  servedAt,
+  answers: answers + 1,
+  clearedRounds: rounds,
+  trials,
+});
+
+/** Records an answer of a replica to this gateway. Crashes before it no longer count. */
 export const recordAnswer = (history: CrashHistory, at: number): CrashHistory => {
-  if (at <= history.servedAt) {
+  const { servedAt, rounds, level } = history;
+  if (at <= servedAt) {
     return history;
   }
-  return history.crashedAt > at ? { ...history, servedAt: at } : { ...EMPTY_HISTORY, servedAt: at };
+  const isRepeated = rounds === 0 && level === 0 && at <= servedAt + ANSWER_INTERVAL_MS;
+  if (history.crashedAt > at || isRepeated) {
+    return { ...history, servedAt: at };
+  }
+  return clear(history, at);
 };
 
 /**
@@ -148,6 +174,7 @@
 export const markTrialStarted = (history: CrashHistory, at: number): CrashHistory => ({
   ...history,
   trialUntil: at + (history.level > 0 ? BLOCKED_TRIAL_MS : SUSPECTED_TRIAL_MS),
+  trials: history.trials + 1,
 });
 
 /**
@@ -193,37 +220,55 @@
   const sinceCrashMs =
     (at - history.crashedAt) * (hasSeveralRounds ? REPEATED_CRASH_PAUSE_FACTOR : 1);
   const pauseMs = Math.max(minMs, Math.min(maxMs, sinceCrashMs));
-  return { ...history, trialUntil: Math.max(history.trialUntil, at + pauseMs) };
+  const trialUntil = Math.max(history.trialUntil, at + pauseMs);
+  return { ...history, trialUntil, trials: history.trials + 1 };
+};
+
+/** Whether the last answer of a newer history clears the crashes of an older one. */
+const isClearedBy = (older: CrashHistory, newer: CrashHistory): boolean => {
+  const wasKnown = older.answers + 1 === newer.answers && older.rounds <= newer.clearedRounds;
+  return wasKnown || older.crashedAt <= newer.servedAt;
+};
+
+/** Adds the crashes, the block and the trial of another history that count beside those of `history`. */
+const addHistory = (history: CrashHistory, other: CrashHistory): CrashHistory => {
+  const { level, blockedAt, trialDueAt } = other.level > history.level ? other : history;
+  const { trialUntil, trials } = other.trials > history.trials ? other : history;
+  const merged = {
+    ...history,
+    servedAt: Math.max(history.servedAt, other.servedAt),
+    clearedRounds: Math.max(history.clearedRounds, other.clearedRounds),
+    level,
+    blockedAt,
+    trialDueAt,
+    trialUntil,
+    trials,
+  };
+  return recordRounds(merged, other.rounds, other.crashedAt);
 };
 
 /**
- * Merges this gateway's history of a request with one received from another gateway. Of two blocks of the same level,
- * the own one is kept: a received block ends later by the time that the update was in transit, and would grow with each
- * hop.
+ * Merges this gateway's history of a request with one received from another gateway. Received times are later by the time
+ * that the update was in transit, with each hop. So they only decide between a crash and an answer that the gateways learned
+ * of independently. All else is decided by numbers, which never decrease: an update that comes back changes nothing. Of two
+ * trials or blocks of the same number, the own one is kept.
  */
 export const mergeHistories = (own: CrashHistory, received: CrashHistory): CrashHistory => {
-  const served = recordAnswer(own, received.servedAt);
-  if (received.crashedAt <= served.servedAt) {
-    return served;
+  const [older, newer] = received.answers > own.answers ? [own, received] : [received, own];
+  if (older.answers === newer.answers) {
+    return addHistory(own, received);
   }
-  const { level, blockedAt, trialDueAt } = received.level > served.level ? received : served;
-  const trialUntil = Math.max(served.trialUntil, received.trialUntil);
-  const merged = { ...served, level, blockedAt, trialDueAt, trialUntil };
-  return recordRounds(merged, received.rounds, received.crashedAt);
+  return isClearedBy(older, newer)
+    ? { ...newer, trials: Math.max(older.trials, newer.trials) }
+    : addHistory(newer, older);
 };
 
-/** Times from two gateways that differ by no more than this count as equal, in milliseconds. */
-const CLOCK_TOLERANCE_MS = 250;
-
-const isClearlyLater = (after: number, before: number): boolean =>
-  after > before + CLOCK_TOLERANCE_MS;
-
 /** Whether a change must be published to other gateways. */
 export const isWorthPublishing = (before: CrashHistory, after: CrashHistory): boolean =>
-  after.level !== before.level ||
+  after.answers !== before.answers ||
   after.rounds !== before.rounds ||
-  isClearlyLater(after.servedAt, before.servedAt) ||
-  isClearlyLater(after.trialUntil, before.trialUntil);
+  after.level !== before.level ||
+  after.trials !== before.trials;
 
 /** What the gateway may do with a request now. */
 export const verdictOf = (history: CrashHistory, at: number): CrashVerdict => {
--- a/src/gateway/crashes/crash-update.ts
+++ b/src/gateway/crashes/crash-update.ts
@@ -10,8 +10,13 @@
   readonly crashedMsAgo?: number;
   /** Age of the last answer; absent where no replica has answered the request. */
   readonly servedMsAgo?: number;
+  /** Number of published answers, and the rounds that the last one cleared; absent where there are none. */
+  readonly answers?: number;
+  readonly clearedRounds?: number;
   /** How much longer other gateways hold a suspected request back; absent where they may send it. */
   readonly pauseLeftMs?: number;
+  /** Number of changes of the time until which trials are waited for; absent where there are none. */
+  readonly trials?: number;
   /** The block; absent where the request is not blocked. */
   readonly block?: {
     readonly level: number;
@@ -25,31 +30,40 @@
 /** Converts a history to an update, with ages as of `at`. */
 export const toCrashUpdate = (
   fingerprint: Fingerprint,
-  { rounds, crashedAt, servedAt, level, blockedAt, trialDueAt, trialUntil }: CrashHistory,
+  history: CrashHistory,
   at: number,
-): CrashUpdate => ({
-  fingerprint,
-  rounds,
-  ...(Number.isFinite(crashedAt) && { crashedMsAgo: at - crashedAt }),
-  ...(Number.isFinite(servedAt) && { servedMsAgo: at - servedAt }),
-  ...(level === 0 && trialUntil > at && { pauseLeftMs: trialUntil - at }),
-  ...(level > 0 && {
-    block: {
-      level,
-      blockedMsAgo: at - blockedAt,
-      trialInMs: trialDueAt - at,
-      ...(trialUntil > at && { trialLeftMs: trialUntil - at }),
-    },
-  }),
-});
+): CrashUpdate => {
+  const { rounds, crashedAt, servedAt, answers, clearedRounds, trials } = history;
+  const { level, blockedAt, trialDueAt, trialUntil } = history;
+  return {
+    fingerprint,
+    rounds,
+    ...(answers > 0 && { answers, clearedRounds }),
+    ...(trials > 0 && { trials }),
+    ...(Number.isFinite(crashedAt) && { crashedMsAgo: at - crashedAt }),
+    ...(Number.isFinite(servedAt) && { servedMsAgo: at - servedAt }),
+    ...(level === 0 && trialUntil > at && { pauseLeftMs: trialUntil - at }),
+    ...(level > 0 && {
+      block: {
+        level,
+        blockedMsAgo: at - blockedAt,
+        trialInMs: trialDueAt - at,
+        ...(trialUntil > at && { trialLeftMs: trialUntil - at }),
+      },
+    }),
+  };
+};
 
 /** Converts an update received at `at` to a history with times on this gateway's clock. */
 export const fromCrashUpdate = (
-  { rounds, crashedMsAgo, servedMsAgo, pauseLeftMs, block }: CrashUpdate,
+  { rounds, crashedMsAgo, servedMsAgo, pauseLeftMs, block, ...numbers }: CrashUpdate,
   at: number,
 ): CrashHistory => ({
   ...EMPTY_HISTORY,
   rounds,
+  answers: numbers.answers ?? 0,
+  clearedRounds: numbers.clearedRounds ?? 0,
+  trials: numbers.trials ?? 0,
   ...(crashedMsAgo !== undefined && { crashedAt: at - crashedMsAgo }),
   ...(servedMsAgo !== undefined && { servedAt: at - servedMsAgo }),
   ...(pauseLeftMs !== undefined && { trialUntil: at + pauseLeftMs }),
--- a/src/gateway/crashes/publish-crashes.ts
+++ b/src/gateway/crashes/publish-crashes.ts
@@ -38,10 +38,17 @@
     toCrashUpdate(fingerprint, crashes.histories.find(fingerprint, at), at),
   );
 
-const publish = (peers: readonly PeerRecord[], updates: readonly CrashUpdate[]): GatewayEffect[] =>
-  peers.length === 0 || updates.length === 0
-    ? []
-    : [{ type: 'send-crash-updates', peers, news: updates }];
+const publish = (
+  { counters }: GatewayState,
+  peers: readonly PeerRecord[],
+  updates: readonly CrashUpdate[],
+): GatewayEffect[] => {
+  if (peers.length === 0 || updates.length === 0) {
+    return [];
+  }
+  counters.crashMessages.addCount(peers.length, 'sent');
+  return [{ type: 'send-crash-updates', peers, news: updates }];
+};
 
 /** Publishes pending requests to all neighbours. Those beyond the size limit go with the next message. */
 const publishPending = (state: GatewayState, at: number): GatewayEffect[] => {
@@ -51,7 +58,7 @@
     pending.delete(fingerprint);
     knownToPeers.add(fingerprint);
   });
-  return publish(neighboursOf(state, at), updatesOf(state, fingerprints, at));
+  return publish(state, neighboursOf(state, at), updatesOf(state, fingerprints, at));
 };
 
 /**
@@ -72,7 +79,7 @@
   }
   pending.delete(fingerprint);
   knownToPeers.add(fingerprint);
-  return publish(neighboursOf(state, at), updatesOf(state, [fingerprint], at));
+  return publish(state, neighboursOf(state, at), updatesOf(state, [fingerprint], at));
 };
 
 /** Publishes serious requests again to the group of neighbours whose turn it is. */
@@ -87,6 +94,7 @@
     (_, index) => index % REPUBLISH_GROUPS === crashes.republishGroup,
   );
   return publish(
+    state,
     peers,
     updatesOf(state, seriousRequests(state).slice(0, MAX_UPDATES_PER_MESSAGE), at),
   );
@@ -136,8 +144,9 @@
 export const handleCrashUpdates = (
   state: GatewayState,
   { news: updates, from, at }: CrashUpdatesReceived,
-): GatewayEffect[] =>
-  updates.flatMap((update) => {
+): GatewayEffect[] => {
+  state.counters.crashMessages.add('received');
+  return updates.flatMap((update) => {
     const { fingerprint } = update;
     const merged = mergeHistories(
       state.crashes.histories.find(fingerprint, at),
@@ -146,3 +155,4 @@
     state.crashes.knownToPeers.add(fingerprint);
     return updateHistory(state, fingerprint, merged, { from, isUrgent: true }, at);
   });
+};
--- a/src/gateway/metrics/gateway-counters.ts
+++ b/src/gateway/metrics/gateway-counters.ts
@@ -62,6 +62,11 @@
     help: 'Replicas that ended while they ran requests of this gateway, by service.',
     labelNames: ['service'],
   }),
+  crashMessages: new CounterMetric({
+    name: 'crossroad_gateway_crash_messages_total',
+    help: 'Messages between gateways about requests that were running when replicas crashed, by direction (sent, received).',
+    labelNames: ['direction'],
+  }),
   unawaitedRuns: new CounterMetric({
     name: 'crossroad_gateway_unawaited_runs_total',
     help: 'Attempts that a replica may have run and that nobody waited for when they ended, by service and outcome.',
--- a/src/gateway/runtime/peers/crash-update-shape.ts
+++ b/src/gateway/runtime/peers/crash-update-shape.ts
@@ -23,5 +23,8 @@
   isCount(value['rounds']) &&
   isOptional(value['crashedMsAgo'], isFiniteNumber) &&
   isOptional(value['servedMsAgo'], isFiniteNumber) &&
+  isOptional(value['answers'], isCount) &&
+  isOptional(value['clearedRounds'], isCount) &&
   isOptional(value['pauseLeftMs'], isFiniteNumber) &&
+  isOptional(value['trials'], isCount) &&
   isOptional(value['block'], isBlock);
--- a/test/gateway/peer-message.test.ts
+++ b/test/gateway/peer-message.test.ts
@@ -239,7 +239,15 @@
 
 it('decodes updates about requests that crash replicas, and rejects those of the wrong shape', () => {
   const block = { level: 1, blockedMsAgo: 20.5, trialInMs: 59_000, trialLeftMs: 100 };
-  const known = { fingerprint: '00ff', rounds: 3, crashedMsAgo: 21, servedMsAgo: 9_000, block };
+  const numbers = { answers: 2, clearedRounds: 1, trials: 4 };
+  const known = {
+    fingerprint: '00ff',
+    rounds: 3,
+    crashedMsAgo: 21,
+    servedMsAgo: 9_000,
+    ...numbers,
+    block,
+  };
   const message = {
     type: 'crashes',
     from: 'front-1',
