End all overwrites of an entry in the soak once the replica has written its own

The trace: gateways log the second entry as unreadable, and list the replica again 0.3 to 0.8 s after it has written its own entry at 23.7 s, at the end of the first overwrite. The soak counted it as overwritten until 30.7 s.

--- a/soak/regression-seeds.ts
+++ b/soak/regression-seeds.ts
@@ -73,4 +73,12 @@
       'a stopping gateway ended at the check that found nothing in progress, without reading what callers had sent ' +
       'on open connections while it was not scheduled',
   },
+  {
+    seed: 4_305,
+    gateways: 9,
+    minutes: 1,
+    cause:
+      'a fault of the soak: the entry of one replica was overwritten twice at the same time, the replica wrote its own ' +
+      'when the first of these ended, and gateways that used it again broke spoilt-entries until the second ended',
+  },
 ];
--- a/soak/world/replica-fleet.ts
+++ b/soak/world/replica-fleet.ts
@@ -151,12 +151,23 @@
     this.store.put(REPLICA_KIND, id, { ...(this.entryOf(member) as object), ...fields });
     const departure = this.recordDeparture(member, 'entry-spoilt');
     await pause(forMs);
-    departure.returnedAt = performance.now();
+    departure.returnedAt ??= performance.now();
     if (this.members.has(member) && !member.leaving) {
       this.writeEntry(id, this.entryOf(member));
+      this.endOverwrites(id);
     }
   }
 
+  /** Records that the entry of a replica is its own again, also where it was overwritten several times. */
+  private endOverwrites(id: string): void {
+    const at = performance.now();
+    this.observations.departures
+      .filter(({ replica, why }) => replica === id && why === 'entry-spoilt')
+      .forEach((departure) => {
+        departure.returnedAt ??= at;
+      });
+  }
+
   /** Crashes a replica that runs a poison request, along with its other requests. */
   private async crashUnderRequest(replica: StandInReplica, path: string): Promise<void> {
     const { poisonCrashDelayMs } = this.options;
