Treat the end of a planned stop as a deadline of every request

Cause: the end of the process was known from the signal on, and nothing that decides about requests knew it. Deadlines, hedges, retries and admission looked at the caller's time only, and the end itself did not answer what was in progress.

Change: - The stop has a schedule, fixed when it is requested. When answers are due, half a second before the kill, every request is answered: gathers with the parts that have arrived, requests that replicas may run with 504, all others, held ones too, with 503 and a retry delay. - The deadline of a request is at most that time, so that replicas, feeders, hedges and retries get no more. - A request or attempt that nearly all answers of its route show to be too long for the time left is refused at once (mean and mean deviation of the durations, as for a retransmission timeout; the objective before the first sample, and for gathers). Requests whose own deadline comes sooner are served as before. - Attempts that still wait for a connection are taken back, so that their callers get the truth: 503 in place of 504. - The log says why: reason `stopping` with the time left and the time that is needed.

Why it works: whatever is taken has an answer that is due before the process ends, and the process ends at a later check than the one that answers.

--- a/src/gateway/delay-estimate.ts
+++ b/src/gateway/delay-estimate.ts
@@ -20,6 +20,12 @@
 /** Creates an estimate without samples. */
 export const createDelayEstimate = (): DelayEstimate => ({ mean: 0, deviation: 0 });
 
+/** Creates an estimate from its first sample, in milliseconds (RFC 6298, section 2.2). */
+export const createDelayEstimateFrom = (elapsedMs: number): DelayEstimate => ({
+  mean: elapsedMs,
+  deviation: elapsedMs / 2,
+});
+
 /** Adds one observed delay to the estimate, in milliseconds. */
 export const recordDelay = (delay: DelayEstimate, elapsedMs: number): void => {
   const error = Math.abs(elapsedMs - delay.mean);
--- a/src/gateway/effect.ts
+++ b/src/gateway/effect.ts
@@ -116,6 +116,12 @@
   readonly withinMs: number;
 }
 
+/** Ends an attempt if it still waits for a connection; otherwise it goes on. */
+export interface RecallAttempt {
+  readonly type: 'recall-attempt';
+  readonly attempt: AttemptId;
+}
+
 /** Closes the connections to a replica that is gone, as soon as they are idle. */
 export interface CloseReplica {
   readonly type: 'close-replica';
@@ -313,6 +319,7 @@
 export type GatewayEffect =
   | SendAttempt
   | AbortAttempt
+  | RecallAttempt
   | OpenConnection
   | CheckReplica
   | WatchReplica
--- a/src/gateway/explain/describe-refusal.ts
+++ b/src/gateway/explain/describe-refusal.ts
@@ -1,5 +1,5 @@
 /** Explains refusals by what the final log line of the request names as their reason. */
-import type { Decision, LimitRefusal } from '../log/log-event.js';
+import type { Decision, LimitRefusal, StopInputs } from '../log/log-event.js';
 
 type AnswerLine = Extract<Decision, { readonly event: 'request-answered' }>;
 
@@ -63,9 +63,12 @@
     : `refused: the owner of the quota of tenant ${quota} did not grant tokens, and the last backup had none: ${inputs}`;
 };
 
+const describeStop = ({ sinceMs, leftMs, neededMs }: StopInputs): string =>
+  `refused: the gateway had been stopping for ${sinceMs} ms and had ${Math.max(0, leftMs)} ms left, too little for a route whose requests may take ${neededMs} ms`;
+
 /** Describes a refusal whose line names its reason; undefined for other refusals. */
 export const describeRefusal = (answer: AnswerLine): string | undefined => {
-  const { reason, noRoute, refusedKey, blocked, unconfirmed, limit } = answer;
+  const { reason, noRoute, refusedKey, blocked, unconfirmed, stop, limit, missing } = answer;
   if (noRoute !== undefined) {
     return describeNoRoute(noRoute);
   }
@@ -78,5 +81,8 @@
   if (unconfirmed !== undefined) {
     return describeUnconfirmed(unconfirmed);
   }
+  if (stop !== undefined && missing.length === 0) {
+    return describeStop(stop);
+  }
   return limit === undefined ? undefined : describeLimit(reason, limit);
 };
--- a/src/gateway/log/log-descriptions.ts
+++ b/src/gateway/log/log-descriptions.ts
@@ -44,7 +44,8 @@
     'The process was paused for `forMs`; its machine was suspended for `suspendedMs` of that time. What the gateway knows may be out of date.',
   'went-on':
     'After a process pause, the state of the gateway was confirmed, or nothing could confirm it in time.',
-  stopping: 'The process was requested to stop; requests in progress are finished.',
+  stopping:
+    'The process was requested to stop. Requests that it can answer in time are finished, others are refused.',
   ended: 'The process ends.',
   'settings-reloaded': 'Changed settings were applied.',
   'settings-refused': 'Changed settings are invalid; the last valid ones stay in force.',
--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -29,6 +29,16 @@
   readonly tokenInMs: number;
 }
 
+/** Inputs of a refusal because the process stops. Times are in milliseconds. */
+export interface StopInputs {
+  /** Time since the stop was requested. */
+  readonly sinceMs: number;
+  /** Time until all requests are answered. */
+  readonly leftMs: number;
+  /** Time in which nearly all requests of the route are answered. */
+  readonly neededMs: number;
+}
+
 /** A decision about one request. Times are in milliseconds. */
 export type Decision =
   | {
@@ -209,6 +219,8 @@
         readonly limitMs: number;
         readonly version: number;
       };
+      /** The stop that leaves too little time for the request; present if that is the reason. */
+      readonly stop?: StopInputs;
       /** The tenant's limit and the decision about it; present if that is the reason. */
       readonly limit?: LimitRefusal;
       readonly missing: readonly string[];
@@ -238,8 +250,18 @@
   | { readonly event: 'ready'; readonly ready: boolean; readonly phase: string }
   | { readonly event: 'stood-still'; readonly forMs: number; readonly suspendedMs: number }
   | { readonly event: 'went-on'; readonly afterMs: number; readonly isConfirmed: boolean }
-  | { readonly event: 'stopping'; readonly requests: number }
-  | { readonly event: 'ended'; readonly requests: number; readonly stopMs: number }
+  | {
+      readonly event: 'stopping';
+      readonly requests: number;
+      /** Time until all requests are answered, and until the process ends at the latest. */
+      readonly answersDueInMs: number;
+      readonly endInMs: number;
+    }
+  | {
+      readonly event: 'ended';
+      readonly requests: number;
+      readonly stopMs: number;
+    }
   | { readonly event: 'settings-reloaded' }
   | { readonly event: 'settings-refused'; readonly findings: readonly string[] }
   | {
--- a/src/gateway/model/request.ts
+++ b/src/gateway/model/request.ts
@@ -36,7 +36,8 @@
  * Why a request ends without the answer of a replica. `replicas-crashed`: replicas crashed while they ran it, now or
  * earlier, and it is too soon for another attempt. `crashes-replicas`: the request is blocked and was sent to no replica.
  * `keys-unconfirmed`: API keys may have been revoked since this gateway last read them. `limit-unavailable`: no gateway that
- * keeps the tenant's limit answers. `no-room`: replicas have more urgent requests than they can run in time.
+ * keeps the tenant's limit answers. `no-room`: replicas have more urgent requests than they can run in time. `stopping`: this
+ * process ends before the request can be answered.
  */
 export type RefusalReason =
   | 'no-configuration'
@@ -59,7 +60,8 @@
   | 'keys-unconfirmed'
   | 'over-limit'
   | 'limit-unavailable'
-  | 'no-room';
+  | 'no-room'
+  | 'stopping';
 
 /** A replica's answer, forwarded unchanged. */
 export interface PassThrough {
--- a/src/gateway/reducer.ts
+++ b/src/gateway/reducer.ts
@@ -14,7 +14,7 @@
 import { handleCrashUpdates, handleCrashUpdatesDue } from './crashes/publish-crashes.js';
 import type { GatewayEffect } from './effect.js';
 import type { GatewayEvent, PeerRequestAnswered, PeerRequestReceived, Started } from './event.js';
-import { handleStopRequested, handleStopDue, updateReadiness } from './lifecycle.js';
+import { updateReadiness } from './lifecycle.js';
 import { handleRegistrationDue } from './peers/follow-gateways.js';
 import { handleTokenAnswer } from './quotas/admit-waiting.js';
 import { handleTokenRequest, updateOwners } from './quotas/keep-quota.js';
@@ -50,6 +50,7 @@
 import { handleSchedulingDue, startWaiting } from './requests/start-waiting.js';
 import { finishPauseRecovery, handleProcessPaused } from './process-pause.js';
 import type { GatewayState } from './state.js';
+import { handleStopDue, handleStopRequested } from './stop/handle-stop.js';
 import {
   listCollections,
   handleChangesRead,
--- a/src/gateway/requests/accept-request.ts
+++ b/src/gateway/requests/accept-request.ts
@@ -14,12 +14,13 @@
 import { classRank } from '../scheduling/class-rank.js';
 import { describeLack, findLackOfRoom } from '../scheduling/lack-of-room.js';
 import { type ConfigurationInForce, type GatewayState, canServe } from '../state.js';
+import { canAnswerBeforeStop, deadlineBeforeStop } from '../stop/time-left.js';
 import { type CallerIdentity, identifyCaller } from '../tenants/caller-identity.js';
 import { answerMarginMs } from './answer-delays.js';
 import { giveUpRequest, refuseCall } from './finish.js';
 import { pausedUntil } from './guard.js';
 import { holdUntilConfirmed, holdRequest } from './hold-request.js';
-import { retryAfterUnrouted } from './retry-after.js';
+import { retryAfterStopping, retryAfterUnrouted } from './retry-after.js';
 import { sendLegs } from './send-legs.js';
 import { type ActiveRequest, createActiveRequest, createLeg, type Leg } from './request-state.js';
 import { createRouteLatency, hedgeDelay } from './route-latency.js';
@@ -49,6 +50,16 @@
   }
 };
 
+/** When the final answer is due without regard to a stop, in milliseconds on the clock. */
+const ownDeadlineOf = (
+  { budgetMs }: CallerRequest,
+  { timeoutMs }: Route,
+  receivedAt: number,
+): number => {
+  const callerWaitMs = (budgetMs ?? timeoutMs) - DEADLINE_MARGIN_MS;
+  return receivedAt + Math.max(1, Math.min(timeoutMs, callerWaitMs));
+};
+
 const createRequest = (
   state: GatewayState,
   route: Route,
@@ -58,11 +69,11 @@
 ): ActiveRequest => {
   const tenant = tenantOf(identity);
   const legs = createLegs(state, route);
-  const callerWaitMs = (request.budgetMs ?? route.timeoutMs) - DEADLINE_MARGIN_MS;
   const isFirst = request.isFirstOnConnection === true;
   const margin = answerMarginMs(state.answerDelays, route, isFirst);
   const latency = state.latencies.get(route.name) ?? createRouteLatency(route);
   const objectiveAt = receivedAt + route.objectiveMs - margin;
+  const ownDeadlineAt = ownDeadlineOf(request, route, receivedAt);
   return createActiveRequest({
     call,
     origin: 'caller',
@@ -70,7 +81,8 @@
     route,
     legs,
     receivedAt,
-    deadlineAt: receivedAt + Math.max(1, Math.min(route.timeoutMs, callerWaitMs)),
+    deadlineAt: deadlineBeforeStop(state, ownDeadlineAt),
+    ownDeadlineAt,
     objectiveAt,
     hedgeAt: at + hedgeDelay(latency, route, objectiveAt - at),
     acknowledgeAt: undefined,
@@ -163,7 +175,7 @@
   if (tenant === undefined) {
     return [
       ...setCaller(event.call, identity),
-      ...sendUnlessCrashing(state, route, event, identity, at),
+      ...sendUnlessHopeless(state, route, event, identity, at),
     ];
   }
   const token = takeToken(state, tenant, route, event, at);
@@ -179,7 +191,7 @@
       return [
         ...token.effects,
         ...setCaller(event.call, identity),
-        ...sendUnlessCrashing(state, withRegionsOf(route, tenant), event, identity, at),
+        ...sendUnlessHopeless(state, withRegionsOf(route, tenant), event, identity, at),
       ];
   }
 };
@@ -215,8 +227,8 @@
     : authorizeRequest(state, inForce, route, event, at);
 };
 
-/** Sends a request, unless it is known to crash replicas. */
-const sendUnlessCrashing = (
+/** Sends a request, unless it is known to crash replicas or this process ends before it can be answered. */
+const sendUnlessHopeless = (
   state: GatewayState,
   route: Route,
   event: RequestReceived,
@@ -230,6 +242,10 @@
     returnToken(state, unrun, at);
     return refuseBlocked(state, event, at);
   }
+  if (!canAnswerBeforeStop(state, route, ownDeadlineOf(event.request, route, event.at), at)) {
+    returnToken(state, unrun, at);
+    return refuseCall(state, event, 'stopping', retryAfterStopping(state), at);
+  }
   const created = createRequest(state, route, event, identity, at);
   const untilAt = pausedUntil(state, created);
   if (verdict === 'suspected' && untilAt >= created.deadlineAt) {
--- a/src/gateway/requests/accept-subquery.ts
+++ b/src/gateway/requests/accept-subquery.ts
@@ -7,6 +7,7 @@
 import type { Subquery } from '../model/subquery.js';
 import { classRank } from '../scheduling/class-rank.js';
 import type { GatewayState } from '../state.js';
+import { deadlineBeforeStop } from '../stop/time-left.js';
 import { giveUpAttempts } from './give-up-attempts.js';
 import { progressRequest } from './progress.js';
 import { type ActiveRequest, createActiveRequest, createLeg } from './request-state.js';
@@ -56,7 +57,8 @@
     route,
     legs: subquery.shards.map(createLeg),
     receivedAt: at,
-    deadlineAt: at + subquery.deadlineMs,
+    deadlineAt: deadlineBeforeStop(state, at + subquery.deadlineMs),
+    ownDeadlineAt: at + subquery.deadlineMs,
     objectiveAt: at + subquery.partsWithinMs,
     hedgeAt: at + hedgeDelay(latency, route, subquery.partsWithinMs),
     acknowledgeAt: at + ACKNOWLEDGE_AFTER_MS,
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -18,6 +18,7 @@
 import { hasRoom } from '../scheduling/replica-room.js';
 import { isScheduled, waitingUpTo } from '../scheduling/wait-for-room.js';
 import { budgetOf, type GatewayState } from '../state.js';
+import { canAnswerBeforeStop } from '../stop/time-left.js';
 import { guardOf } from './guard.js';
 import type { ActiveRequest, Leg } from './request-state.js';
 import { latencyOf } from './route-latency.js';
@@ -129,6 +130,13 @@
   return leg.runs < maxRuns && leg.attemptedReplicas.size < maxAttempts + EXTRA_ATTEMPTS;
 };
 
+/** Whether an attempt that is sent now can still be answered. */
+const hasTimeLeft = (
+  state: GatewayState,
+  { route, deadlineAt, ownDeadlineAt }: ActiveRequest,
+  at: number,
+): boolean => deadlineAt - at >= 1 && canAnswerBeforeStop(state, route, ownDeadlineAt, at);
+
 /** Whether the leg has attempts left and a replica that it has not tried. */
 export const canAttempt = (state: GatewayState, request: ActiveRequest, leg: Leg): boolean =>
   hasAttemptsLeft(request, leg) &&
@@ -171,8 +179,8 @@
 
 /**
  * Sends one more attempt for a leg. Returns `no-room` when it should wait for room at the replicas, and undefined when none
- * may be sent: no replica is left or accepted, the deadline has passed, or the route's attempts or the retry budget are
- * exhausted.
+ * may be sent: no replica is left or accepted, the deadline has passed, this process ends too soon, or the route's attempts or
+ * the retry budget are exhausted.
  *
  * @param accepts - decides whether the selected replica is worth an attempt
  */
@@ -184,7 +192,7 @@
   at: number,
   accepts = acceptAnyRatio,
 ): SendAttempt | 'no-room' | undefined => {
-  if (!hasAttemptsLeft(request, leg) || request.deadlineAt - at < 1) {
+  if (!hasAttemptsLeft(request, leg) || !hasTimeLeft(state, request, at)) {
     return undefined;
   }
   const shared = sharedReplicas(state, request, leg);
--- a/src/gateway/requests/finish.ts
+++ b/src/gateway/requests/finish.ts
@@ -4,12 +4,14 @@
 import { requiredTiming } from '../authorization/key-admission.js';
 import type { GatewayEffect } from '../effect.js';
 import type { RequestReceived } from '../event.js';
-import type { Decision, LimitRefusal } from '../log/log-event.js';
+import type { Decision, LimitRefusal, StopInputs } from '../log/log-event.js';
 import { recordDecision, writeTrace } from '../log/trace.js';
 import type { Handover } from '../model/answer-timing.js';
 import type { CallerResponse, CallId, MergedAnswer, RefusalReason } from '../model/request.js';
+import type { Route } from '../model/route.js';
 import { returnToken } from '../quotas/take-token.js';
 import type { GatewayState } from '../state.js';
+import { describeTimeLeft } from '../stop/time-left.js';
 import { FIRST_FAILURE_STATUS } from './usable-answer.js';
 import { giveUpAttempts, LINGER_MS } from './give-up-attempts.js';
 import { mergeRecords } from './merge-records.js';
@@ -43,7 +45,20 @@
 const missingShards = ({ legs }: ActiveRequest): readonly string[] =>
   legs.filter((leg) => !isAnswered(leg)).map(({ service }) => service);
 
+/** The inputs of a refusal for this reason that are those of a stop. */
+const describeStop = (
+  state: GatewayState,
+  reason: RefusalReason,
+  route: Route | undefined,
+  at: number,
+): { readonly stop?: StopInputs } => {
+  const isStopping = reason === 'stopping' && route !== undefined;
+  const stop = isStopping ? describeTimeLeft(state, route, at) : undefined;
+  return stop === undefined ? {} : { stop };
+};
+
 const describeAnswer = (
+  state: GatewayState,
   request: ActiveRequest,
   response: CallerResponse,
   at: number,
@@ -63,7 +78,8 @@
       return { ...common, outcome: 'passed-on', status: response.answer.status };
     case 'refusal': {
       const { reason, mayHaveRun } = response;
-      return { ...common, outcome: 'refused', reason, mayHaveRun };
+      const stop = describeStop(state, reason, request.route, at);
+      return { ...common, outcome: 'refused', reason, mayHaveRun, ...stop };
     }
   }
 };
@@ -97,7 +113,7 @@
   at: number,
 ): GatewayEffect[] => {
   state.requests.delete(request.call);
-  const decision = describeAnswer(request, response, at);
+  const decision = describeAnswer(state, request, response, at);
   recordDecision(request.decisions, at, decision);
   countAnswer(state, request, decision);
   const failed = !isSuccessful(decision) || at > request.objectiveAt + LATE_MS;
@@ -181,6 +197,7 @@
     ...(isKeyRefusal(reason) && { refusedKey: describeRefusedKey(state, request, at) }),
     ...(reason === 'crashes-replicas' && { blocked: describeBlock(state, request, at) }),
     ...(reason === 'keys-unconfirmed' && { unconfirmed: describeUnconfirmed(state, at) }),
+    ...describeStop(state, reason, state.inForce?.table.find(request.host, request.path), at),
     ...(limit !== undefined && { limit }),
     missing: [],
     objectiveMs: 0,
--- a/src/gateway/requests/progress.ts
+++ b/src/gateway/requests/progress.ts
@@ -3,6 +3,7 @@
 import type { RefusalReason } from '../model/request.js';
 import { type GatherTarget, minShards } from '../model/route.js';
 import type { GatewayState } from '../state.js';
+import { canAnswerBeforeStop } from '../stop/time-left.js';
 import { decideAnswer, recordMissing } from './answer-timing.js';
 import { checkSubqueries } from './check-subqueries.js';
 import { hedgeLegs } from './hedge-legs.js';
@@ -25,7 +26,7 @@
 ): GatewayEffect[] => {
   const needed = minShards(target);
   if (!canComplete(request, needed)) {
-    return giveUpRequest(state, request, refusalReasonOf(request), at);
+    return giveUpRequest(state, request, refusalReasonOf(state, request, at), at);
   }
   const isEnough = request.answeredLegs >= needed;
   if (!isEnough) {
@@ -42,10 +43,27 @@
 
 type UnansweredReason = Extract<
   RefusalReason,
-  'too-few-shards' | 'no-room' | 'no-replica' | 'replicas-full' | 'answer-lost' | 'replicas-crashed'
+  | 'too-few-shards'
+  | 'no-room'
+  | 'no-replica'
+  | 'replicas-full'
+  | 'answer-lost'
+  | 'replicas-crashed'
+  | 'stopping'
 >;
 
-const refusalReasonOf = (request: ActiveRequest): UnansweredReason => {
+/** Whether no further attempt was sent because the process ends too soon. */
+const isStopTooNear = (
+  state: GatewayState,
+  { route, ownDeadlineAt }: ActiveRequest,
+  at: number,
+): boolean => !canAnswerBeforeStop(state, route, ownDeadlineAt, at);
+
+const refusalReasonOf = (
+  state: GatewayState,
+  request: ActiveRequest,
+  at: number,
+): UnansweredReason => {
   if (request.crashes > 0 || request.isStopped) {
     return 'replicas-crashed';
   }
@@ -55,6 +73,9 @@
   if (request.legs.some((leg) => leg.refusedAsFull)) {
     return 'replicas-full';
   }
+  if (isStopTooNear(state, request, at)) {
+    return 'stopping';
+  }
   return request.legs.every((leg) => leg.attemptedReplicas.size === 0)
     ? 'no-replica'
     : 'too-few-shards';
@@ -74,20 +95,28 @@
   }
   if (leg.outcome?.type === 'unanswered') {
     return leg.failure === undefined
-      ? giveUpRequest(state, request, refusalReasonOfLeg(request, leg), at)
+      ? giveUpRequest(state, request, refusalReasonOfLeg(state, request, leg, at), at)
       : finishRequest(state, request, { type: 'pass-through', answer: leg.failure }, at);
   }
   return waitOrHedge(state, request, at, request.objectiveAt);
 };
 
-const refusalReasonOfLeg = ({ crashes, isStopped }: ActiveRequest, leg: Leg): UnansweredReason => {
-  if (crashes > 0 || isStopped) {
+const refusalReasonOfLeg = (
+  state: GatewayState,
+  request: ActiveRequest,
+  leg: Leg,
+  at: number,
+): UnansweredReason => {
+  if (request.crashes > 0 || request.isStopped) {
     return 'replicas-crashed';
   }
   if (leg.runs > 0 || leg.mayHaveRun) {
     return 'answer-lost';
   }
-  return leg.refusedAsFull ? 'replicas-full' : 'no-replica';
+  if (leg.refusedAsFull) {
+    return 'replicas-full';
+  }
+  return isStopTooNear(state, request, at) ? 'stopping' : 'no-replica';
 };
 
 /** Resumes legs whose pause is over; they may use all replicas again. */
@@ -101,6 +130,10 @@
     return retryLeg(state, request, leg, 'retry', at);
   });
 
+/** Whether the process ends before the deadline that the request would have otherwise. */
+const isCutShort = ({ deadlineAt, ownDeadlineAt }: ActiveRequest): boolean =>
+  deadlineAt < ownDeadlineAt;
+
 const waitOrHedge = (
   state: GatewayState,
   request: ActiveRequest,
@@ -108,7 +141,7 @@
   answerAt: number,
 ): GatewayEffect[] => {
   if (at >= request.deadlineAt) {
-    return giveUpRequest(state, request, 'deadline', at);
+    return giveUpRequest(state, request, isCutShort(request) ? 'stopping' : 'deadline', at);
   }
   const moved = checkSubqueries(state, request, at);
   const resumed = resumeLegs(state, request, at);
--- a/src/gateway/requests/request-state.ts
+++ b/src/gateway/requests/request-state.ts
@@ -110,8 +110,10 @@
   readonly isCallerReplaced: boolean;
   readonly legs: readonly Leg[];
   readonly receivedAt: number;
-  /** When the final answer is due, complete or not. */
-  readonly deadlineAt: number;
+  /** When the final answer is due, complete or not: at `ownDeadlineAt`, or before the process ends. */
+  deadlineAt: number;
+  /** When the final answer is due without regard to a stop. */
+  readonly ownDeadlineAt: number;
   /** When an answer must be sent to meet the objective. */
   readonly objectiveAt: number;
   /** When legs without an answer are hedged. */
@@ -212,6 +214,7 @@
   | 'legs'
   | 'receivedAt'
   | 'deadlineAt'
+  | 'ownDeadlineAt'
   | 'objectiveAt'
   | 'hedgeAt'
   | 'acknowledgeAt'
--- a/src/gateway/requests/retry-after.ts
+++ b/src/gateway/requests/retry-after.ts
@@ -66,6 +66,9 @@
 export const retryAfterUnrouted = (state: GatewayState): number =>
   withJitter(state, STORE_RETRY_MS);
 
+/** Retry delay for a request that this process cannot answer before it ends, in milliseconds: another gateway can. */
+export const retryAfterStopping = (state: GatewayState): number => withJitter(state, 0);
+
 /** Retry delay for a request that was given up, in milliseconds. */
 export const retryAfter = (
   state: GatewayState,
--- a/src/gateway/requests/retry-leg.ts
+++ b/src/gateway/requests/retry-leg.ts
@@ -4,6 +4,7 @@
 import { recordDecision } from '../log/trace.js';
 import { eligibleReplicas } from '../replicas/eligible-replicas.js';
 import { type GatewayState, legPauseOutcomesOf } from '../state.js';
+import { canAnswerBeforeStop } from '../stop/time-left.js';
 import { hasWaiting, waitForRoom, waitingUpTo } from '../scheduling/wait-for-room.js';
 import { canAttempt, sendAttempt } from './attempts.js';
 import { isLegPauseWorthwhile, recordLegPauseOutcome } from './leg-pause-outcomes.js';
@@ -56,7 +57,10 @@
   const hasReplicas = eligibleReplicas(state, leg.service, allowedRegions).length > 0;
   const mayRunAgain = leg.runs === 0 || (repeatable && leg.runs < maxAttempts);
   const isWorthwhile = hasReplicas && mayRunAgain && leg.pauses < MAX_PAUSES;
-  const isTooLate = resumeAt >= latestResumeAt(request);
+  const { route, ownDeadlineAt } = request;
+  const isTooLate =
+    resumeAt >= latestResumeAt(request) ||
+    !canAnswerBeforeStop(state, route, ownDeadlineAt, resumeAt);
   if (!isWorthwhile || isTooLate || !isPauseWorthwhile(state, request, leg)) {
     return false;
   }
--- a/src/gateway/requests/route-latency.ts
+++ b/src/gateway/requests/route-latency.ts
@@ -5,6 +5,12 @@
   type LatencyHistogram,
   hedgeThreshold,
 } from '../../core/query/latency-histogram.js';
+import {
+  createDelayEstimateFrom,
+  type DelayEstimate,
+  overdueAfterMs,
+  recordDelay,
+} from '../delay-estimate.js';
 import type { Route } from '../model/route.js';
 
 /** Initial median as a share of the objective, used before the first sample. */
@@ -35,6 +41,8 @@
   median: number;
   samples: number;
   readonly histogram: LatencyHistogram;
+  /** Durations of the attempts; undefined before the first sample. */
+  durations: DelayEstimate | undefined;
 }
 
 /** Creates latency statistics without samples. */
@@ -42,6 +50,7 @@
   median: route.objectiveMs * INITIAL_MEDIAN_SHARE,
   samples: 0,
   histogram: createLatencyHistogram(),
+  durations: undefined,
 });
 
 /** Latency statistics of the request's route; created when the route has none. */
@@ -65,8 +74,17 @@
   const factor = elapsedMs > latency.median ? 1 + step : 1 / (1 + step);
   latency.median = Math.max(0.1, latency.median * factor);
   addRatio(latency.histogram, elapsedMs / latency.median);
+  if (latency.durations === undefined) {
+    latency.durations = createDelayEstimateFrom(elapsedMs);
+  } else {
+    recordDelay(latency.durations, elapsedMs);
+  }
 };
 
+/** Time within which nearly all attempts end, in milliseconds; the route's objective before the first sample. */
+export const slowAttemptMs = ({ durations }: RouteLatency, { objectiveMs }: Route): number =>
+  durations === undefined ? objectiveMs : overdueAfterMs(durations);
+
 /**
  * Latest time at which a second attempt can usually still be answered in time, in milliseconds since the request arrived. Not
  * before an attempt of usual latency is answered: with so little time, most second attempts would be wasted.
--- a/src/gateway/runtime/format-response.ts
+++ b/src/gateway/runtime/format-response.ts
@@ -39,6 +39,12 @@
   'over-limit': 429,
 };
 
+/** Reasons for which a request that a replica may still be running is given up. */
+const TIMEOUT_REASONS: ReadonlySet<RefusalReason> = new Set<RefusalReason>([
+  'deadline',
+  'stopping',
+]);
+
 /** Status 503 guarantees that the request has not run and will not run; 502 and 504 guarantee nothing. */
 const statusOf = ({ reason, mayHaveRun }: Refusal): number => {
   const callerStatus = CALLER_STATUSES[reason];
@@ -48,7 +54,7 @@
   if (!mayHaveRun) {
     return UNAVAILABLE_STATUS;
   }
-  return reason === 'deadline' ? TIMEOUT_STATUS : BAD_GATEWAY_STATUS;
+  return TIMEOUT_REASONS.has(reason) ? TIMEOUT_STATUS : BAD_GATEWAY_STATUS;
 };
 
 const formatRefusal = (refusal: Refusal): WireResponse => {
--- a/src/gateway/runtime/replica-client.ts
+++ b/src/gateway/runtime/replica-client.ts
@@ -1,6 +1,12 @@
 /** Sends attempts to replicas, with a small pool of connections for each replica. */
 import type { MonotonicClock } from '../../runtime/monotonic-clock.js';
-import type { CheckReplica, OpenConnection, SendAttempt, WatchReplica } from '../effect.js';
+import type {
+  CheckReplica,
+  OpenConnection,
+  RecallAttempt,
+  SendAttempt,
+  WatchReplica,
+} from '../effect.js';
 import type { ReplicaRecord } from '../model/replica-record.js';
 import type { AttemptId, AttemptProblem, AttemptResult } from '../model/request.js';
 import type { GatewayProtocol, HeaderNames } from '../protocol/protocol.js';
@@ -38,8 +44,8 @@
 };
 
 /**
- * Executes the effects about replicas: `send-attempt`, `abort-attempt`, `open-connection`, `check-replica`,
- * `watch-replica` and `close-replica`. Emits `attempt-ended` and `replica-checked`.
+ * Executes the effects about replicas: `send-attempt`, `abort-attempt`, `recall-attempt`, `open-connection`,
+ * `check-replica`, `watch-replica` and `close-replica`. Emits `attempt-ended` and `replica-checked`.
  */
 export class ReplicaClient implements PoolListener {
   private readonly pools = new Map<string, ReplicaPool>();
@@ -55,7 +61,7 @@
   abort(attempt: AttemptId, withinMs: number): void {
     const running = this.running.get(attempt);
     if (running === undefined) {
-      this.abortWaiting(attempt);
+      this.recall({ attempt });
       return;
     }
     clearTimeout(running.timer);
@@ -66,6 +72,19 @@
     }
   }
 
+  /** Ends an attempt that waits for a connection. */
+  recall({ attempt }: Pick<RecallAttempt, 'attempt'>): void {
+    if (this.running.has(attempt)) {
+      return;
+    }
+    for (const pool of this.pools.values()) {
+      if (pool.removeWaiting(attempt)) {
+        this.emitEnded(attempt, { type: 'failed', problem: 'aborted', mayHaveRun: false });
+        return;
+      }
+    }
+  }
+
   /** Opens a connection to a replica ahead of the first attempt. */
   preconnect({ replica }: OpenConnection): void {
     this.findOrCreatePool(replica).preconnect();
@@ -114,15 +133,6 @@
     this.emitEnded(attempt, { type: 'failed', problem, mayHaveRun: false });
   }
 
-  private abortWaiting(attempt: AttemptId): void {
-    for (const pool of this.pools.values()) {
-      if (pool.removeWaiting(attempt)) {
-        this.emitEnded(attempt, { type: 'failed', problem: 'aborted', mayHaveRun: false });
-        return;
-      }
-    }
-  }
-
   private findOrCreatePool(replica: ReplicaRecord): ReplicaPool {
     const known = this.pools.get(replica.id);
     if (known !== undefined) {
--- a/src/gateway/runtime/start-gateway.ts
+++ b/src/gateway/runtime/start-gateway.ts
@@ -177,6 +177,7 @@
       .with({ type: 'open-peer' }, ({ peer }) => this.peerClient.preconnect(peer))
       .with({ type: 'check-peer' }, ({ peer }) => this.peerClient.check(peer))
       .with({ type: 'announce-stop' }, () => this.peerPort.announceStop())
+      .with({ type: 'recall-attempt' }, (recall) => this.replicas.recall(recall))
       .with({ type: 'open-connection' }, (open) => this.replicas.preconnect(open))
       .with({ type: 'check-replica' }, (check) => this.replicas.check(check))
       .with({ type: 'watch-replica' }, (watch) => this.replicas.watch(watch))
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -34,6 +34,7 @@
 import type { KeysHash } from './tenants/keys-hash.js';
 import type { TenantDirectory } from './tenants/tenant-directory.js';
 import { type CollectionProgress, createCollectionProgress } from './store/follow-collection.js';
+import type { StopSchedule } from './stop/stop-schedule.js';
 import type { StoreEra } from './store/store-position.js';
 
 /** Gateways that are assumed to run until others are known. */
@@ -132,8 +133,8 @@
   /** Unconfirmed objects and recent departures, for restores of the store from a backup. */
   readonly storeRestores: RestoreState;
   phase: LifecyclePhase;
-  /** When the request to stop arrived. */
-  stoppingSince: number;
+  /** Schedule of the stop; undefined unless one was requested. */
+  stop: StopSchedule | undefined;
   /** No further connections of callers are accepted, since the process is about to end. */
   isCallerPortClosed: boolean;
   /** Readiness that was last reported to the load balancer. */
@@ -207,7 +208,7 @@
   },
   storeRestores: createRestoreState(),
   phase: 'starting',
-  stoppingSince: Number.POSITIVE_INFINITY,
+  stop: undefined,
   isCallerPortClosed: false,
   ready: false,
   servesPeers: false,
--- a/test/gateway/explain.test.ts
+++ b/test/gateway/explain.test.ts
@@ -64,6 +64,14 @@
     expect(explain([sent(1, 'a'), denied, refused])).toContain('denied by the retry budget');
   });
 
+  it('names the time that a stopping gateway had left', () => {
+    const stop = { sinceMs: 4_900, leftMs: 600, neededMs: 1_250 };
+    const refused = answered({ outcome: 'refused', reason: 'stopping', stop });
+    expect(explain([refused])).toBe(
+      'refused: the gateway had been stopping for 4900 ms and had 600 ms left, too little for a route whose requests may take 1250 ms',
+    );
+  });
+
   it.each([
     [
       0,
--- a/test/gateway/format-response.test.ts
+++ b/test/gateway/format-response.test.ts
@@ -14,6 +14,7 @@
   'keys-unconfirmed': 503,
   'limit-unavailable': 503,
   'no-room': 503,
+  stopping: 503,
   'body-too-large': 413,
   'headers-too-large': 431,
   'no-configuration': 503,
@@ -42,5 +43,6 @@
   it('has status 502 or 504 if the request may have run', () => {
     expect(statusOf('answer-lost', true)).toBe(502);
     expect(statusOf('deadline', true)).toBe(504);
+    expect(statusOf('stopping', true)).toBe(504);
   });
 });
--- a/test/gateway/planned-stop.test.ts
+++ b/test/gateway/planned-stop.test.ts
@@ -1,5 +1,11 @@
 import { describe, expect, it } from 'vitest';
-import { gatheringGateway, success, type VirtualGateway } from './virtual-gateway.js';
+import {
+  GATEWAY_BOUNDS,
+  gatheringGateway,
+  routeTo,
+  success,
+  VirtualGateway,
+} from './virtual-gateway.js';
 
 /** Time from the request to stop until the callers' port is closed, and between two checks, in milliseconds. */
 const ACCEPTING_MS = 3_200;
@@ -12,6 +18,24 @@
   return gateway.effects.slice(before).map(({ type }) => type);
 };
 
+/** Work of each request at its replica, and when the stop is requested, in milliseconds. */
+const WORK_MS = 1_200;
+const STOP_MS = 20_000;
+
+/** A gateway that has observed a route whose requests run only once, and take `WORK_MS`. */
+const slowGateway = (): VirtualGateway => {
+  const gateway = new VirtualGateway();
+  const fields = { repeatable: false, timeoutMs: 15_000, objectiveMs: 2_000 };
+  gateway.configure(1, [routeTo({ type: 'service', service: 'desk' }, fields)]);
+  gateway.listReplicas(['desk']);
+  for (let index = 0; index < 12; index += 1) {
+    gateway.request(15_000);
+    gateway.now += WORK_MS;
+    gateway.sent.splice(0).forEach((attempt) => gateway.end(attempt, success('signature')));
+  }
+  return gateway;
+};
+
 describe('a planned stop', () => {
   // A gateway that had not run for 0.2 s ended with requests in its sockets that it had not read, and cut them off.
   it('reads what callers sent before the port was closed, and answers it before the process ends', () => {
@@ -26,4 +50,85 @@
     expect(gateway.answers.has(call)).toBe(true);
     expect(checkStop(gateway, ACCEPTING_MS + 3 * CHECK_MS)).toContain('end-process');
   });
+
+  // Replicas began requests that the process could not wait for; callers lost them without an answer.
+  it('refuses a request that cannot be answered before the process ends, and serves one that can', () => {
+    const gateway = slowGateway();
+    gateway.now = STOP_MS;
+    gateway.emit({ type: 'stop-requested', at: STOP_MS });
+    gateway.now = STOP_MS + 3_500;
+    const served = gateway.request(15_000);
+    gateway.now += WORK_MS;
+    gateway.sent.splice(0).forEach((attempt) => gateway.end(attempt, success('signature')));
+    expect(gateway.answers.get(served)).toMatchObject({ type: 'pass-through' });
+    gateway.now = STOP_MS + 4_900;
+    const refused = gateway.request(15_000);
+    expect(gateway.sent).toEqual([]);
+    expect(gateway.answers.get(refused)).toMatchObject({ reason: 'stopping', mayHaveRun: false });
+  });
+
+  // A request whose own deadline comes before the end was refused although a replica could still answer it.
+  it('serves a request that its caller gives up before the process ends anyway', () => {
+    const gateway = slowGateway();
+    gateway.now = STOP_MS;
+    gateway.emit({ type: 'stop-requested', at: STOP_MS });
+    gateway.now = STOP_MS + 4_900;
+    gateway.request(200);
+    expect(gateway.sent).toHaveLength(1);
+  });
+
+  // Requests at a replica that had become slow or silent were cut off without an answer.
+  it('answers what replicas still run before it closes the connections', () => {
+    const gateway = slowGateway();
+    gateway.now = STOP_MS;
+    const call = gateway.request(15_000);
+    gateway.emit({ type: 'stop-requested', at: STOP_MS });
+    gateway.advanceTo(STOP_MS + GATEWAY_BOUNDS.graceMs - 600);
+    expect(gateway.answers.has(call)).toBe(false);
+    const effects = checkStop(gateway, STOP_MS + GATEWAY_BOUNDS.graceMs - 400);
+    expect(effects).not.toContain('end-process');
+    expect(gateway.answers.get(call)).toMatchObject({ reason: 'stopping', mayHaveRun: true });
+  });
+
+  // A request that waited for a connection was answered as if a replica might have run it.
+  it('takes back what waits for a connection, and tells the caller that it has not run', () => {
+    const gateway = slowGateway();
+    gateway.now = STOP_MS;
+    const call = gateway.request(15_000);
+    gateway.emit({ type: 'stop-requested', at: STOP_MS });
+    checkStop(gateway, STOP_MS + 4_900);
+    expect(gateway.effects).toContainEqual({
+      type: 'recall-attempt',
+      attempt: gateway.sent[0]?.attempt,
+    });
+    gateway.sent
+      .splice(0)
+      .forEach((attempt) =>
+        gateway.end(attempt, { type: 'failed', problem: 'aborted', mayHaveRun: false }),
+      );
+    expect(gateway.answers.get(call)).toMatchObject({ reason: 'stopping', mayHaveRun: false });
+  });
+
+  // A gather was cut off although enough of its parts had arrived.
+  it('answers a gather with the parts that have arrived', () => {
+    const gateway = gatheringGateway(2);
+    gateway.emit({ type: 'stop-requested', at: 0 });
+    gateway.now = GATEWAY_BOUNDS.graceMs - 610;
+    const call = gateway.request();
+    gateway.sent.slice(0, 1).forEach((attempt) => gateway.end(attempt, success('signature')));
+    checkStop(gateway, GATEWAY_BOUNDS.graceMs - 400);
+    expect(gateway.answers.get(call)).toMatchObject({ type: 'merged', missingShards: 1 });
+  });
+
+  // A process that was paused until its grace period was nearly over ended without answering what it had read.
+  it('answers everything before it ends, even if it was not scheduled in time', () => {
+    const gateway = slowGateway();
+    gateway.now = STOP_MS;
+    const call = gateway.request(15_000);
+    gateway.emit({ type: 'stop-requested', at: STOP_MS });
+    const late = STOP_MS + GATEWAY_BOUNDS.graceMs - 50;
+    expect(checkStop(gateway, late)).not.toContain('end-process');
+    expect(gateway.answers.has(call)).toBe(true);
+    expect(checkStop(gateway, late)).toContain('end-process');
+  });
 });
--- a/test/gateway/waiting-queue.test.ts
+++ b/test/gateway/waiting-queue.test.ts
@@ -31,6 +31,7 @@
     legs,
     receivedAt: since,
     deadlineAt,
+    ownDeadlineAt: deadlineAt,
     objectiveAt,
     hedgeAt: deadlineAt,
     acknowledgeAt: undefined,
