Wait at a planned stop for bodies and answers on their way

Cause: a request counted as in progress from its last byte until its answer was handed to the connection. What was before and after that moment did not keep the process from ending.

Change: the callers' port counts an exchange from the head of its request until its answer has left, and the check of the stop is given the number. When answers are due, requests that are still being received are refused with 503 and a retry delay; answers are sent until 0.2 s before the kill.

Tests, each failed before: 'refuses a request whose body is still being received when it ends', 'sends a long answer to its end' (over sockets), 'waits for answers that are still being sent, but not until it is killed'.

--- a/src/gateway/effect.ts
+++ b/src/gateway/effect.ts
@@ -12,7 +12,7 @@
   PeerRequestId,
 } from './model/peer-request.js';
 import type { ReplicaRecord } from './model/replica-record.js';
-import type { AttemptId, CallerResponse, CallId } from './model/request.js';
+import type { AttemptId, CallerResponse, CallId, Refusal } from './model/request.js';
 import type { FollowerId, KnownPositions, ReaderUpdate } from './readers/reader-update.js';
 import type { CollectionName, StoreCall } from './store/collection.js';
 
@@ -188,6 +188,12 @@
   readonly peer: PeerRecord;
 }
 
+/** Refuses the requests of callers that have not been received completely; their connections are closed. */
+export interface RefuseIncomplete {
+  readonly type: 'refuse-incomplete';
+  readonly refusal: Refusal;
+}
+
 /** Announces to all peers that this gateway is stopping. */
 export interface AnnounceStop {
   readonly type: 'announce-stop';
@@ -356,6 +362,7 @@
   | SetReadiness
   | ApplyLimits
   | CloseCallerPort
+  | RefuseIncomplete
   | EndProcess
   | WriteLog
   | WriteTrace;
--- a/src/gateway/event.ts
+++ b/src/gateway/event.ts
@@ -332,6 +332,8 @@
 export interface StopDue {
   readonly type: 'stop-due';
   readonly at: number;
+  /** Requests of callers that are being received, or whose answers have not been sent completely. */
+  readonly openExchanges: number;
 }
 
 /** All events of the gateway. */
--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -260,6 +260,8 @@
   | {
       readonly event: 'ended';
       readonly requests: number;
+      /** Requests of callers that were being received, and answers that were being sent. */
+      readonly openExchanges: number;
       readonly stopMs: number;
     }
   | { readonly event: 'settings-reloaded' }
--- a/src/gateway/runtime/caller-port.ts
+++ b/src/gateway/runtime/caller-port.ts
@@ -10,7 +10,7 @@
 import type { HostPort } from '../../settings/node-settings.js';
 import type { AnswerCaller } from '../effect.js';
 import type { CallerLimits } from '../model/route.js';
-import type { CallerRequest, CallId } from '../model/request.js';
+import type { CallerRequest, CallId, Refusal } from '../model/request.js';
 import type { GatewayProtocol } from '../protocol/protocol.js';
 import type { CallerRequests } from './caller-requests.js';
 import type { EarlyPort } from './early-port.js';
@@ -61,6 +61,8 @@
 export class CallerPort {
   private readonly server: Server;
   private readonly pendingResponses = new Map<CallId, ServerResponse>();
+  /** Exchanges whose request is being received, or whose answer has not been sent completely. */
+  private readonly exchanges = new Set<ServerResponse>();
   /** Connections on which a request has been received. */
   private readonly usedConnections = new WeakSet<Socket>();
   /** Connections on which malformed input has been received. */
@@ -107,6 +109,11 @@
     this.server.keepAliveTimeout = limits.idleTimeoutMs;
   }
 
+  /** Number of exchanges whose request is being received, or whose answer has not been sent completely. */
+  get openExchanges(): number {
+    return this.exchanges.size;
+  }
+
   /** Sends the final answer of a call. */
   answer({ call, response, closeConnection }: AnswerCaller): void {
     const outgoing = this.pendingResponses.get(call);
@@ -134,6 +141,17 @@
     }
   }
 
+  /** Refuses the requests whose bodies are still being received, as the process cannot wait for the rest. */
+  refuseIncomplete(refusal: Refusal): void {
+    const pending = new Set(this.pendingResponses.values());
+    const response = formatResponse(refusal, this.context.protocol.headers);
+    for (const outgoing of this.exchanges) {
+      if (!pending.has(outgoing) && !outgoing.headersSent) {
+        this.send(outgoing, response, true);
+      }
+    }
+  }
+
   /** Closes every connection at once. */
   destroy(): void {
     this.closePort();
@@ -141,6 +159,8 @@
   }
 
   private handleRequest(incoming: IncomingMessage, outgoing: ServerResponse): void {
+    this.exchanges.add(outgoing);
+    outgoing.once('close', () => this.exchanges.delete(outgoing));
     const { maxHeaderBytes } = this.limits;
     if (headerBytes(incoming) > Math.max(maxHeaderBytes, TOLERATED_HEADER_BYTES)) {
       incoming.resume();
--- a/src/gateway/runtime/gateway-timers.ts
+++ b/src/gateway/runtime/gateway-timers.ts
@@ -25,6 +25,7 @@
   constructor(
     private readonly clock: MonotonicClock,
     private readonly sink: GatewayEventSink,
+    private readonly onStopDue: () => void,
   ) {
     this.deadlines = new DeadlineQueue(clock, (key) => this.fire(key));
   }
@@ -59,7 +60,7 @@
     const at = this.clock.now();
     switch (key) {
       case 'stop':
-        return this.sink.emit({ type: 'stop-due', at });
+        return this.onStopDue();
       case 'probe':
         return this.sink.emit({ type: 'probe-due', at });
       case 'reading':
--- a/src/gateway/runtime/start-gateway.ts
+++ b/src/gateway/runtime/start-gateway.ts
@@ -86,7 +86,7 @@
     const requests = new CallerRequests(protocol.headers);
     this.loop = sink;
     this.requests = requests;
-    this.timers = new GatewayTimers(clock, sink);
+    this.timers = new GatewayTimers(clock, sink, () => this.checkStop());
     this.callers = new CallerPort({ protocol, requests, clock, sink });
     this.readiness = new ReadinessPort(protocol.readinessPath);
     this.metrics = new MetricsPort(() =>
@@ -138,6 +138,11 @@
     this.loop.emit({ type: 'stood-still', at: this.clock.now(), ...pause });
   }
 
+  private checkStop(): void {
+    const { openExchanges } = this.callers;
+    this.loop.emit({ type: 'stop-due', at: this.clock.now(), openExchanges });
+  }
+
   private executeEffect(effect: GatewayEffect): void {
     switch (effect.type) {
       case 'send-attempt':
@@ -205,6 +210,7 @@
       })
       .with({ type: 'apply-limits' }, ({ limits }) => this.callers.applyLimits(limits))
       .with({ type: 'close-caller-port' }, () => this.callers.closePort())
+      .with({ type: 'refuse-incomplete' }, ({ refusal }) => this.callers.refuseIncomplete(refusal))
       .with({ type: 'end-process' }, () => this.end())
       .with({ type: 'write-log' }, (line) => this.log.write(line))
       .with({ type: 'write-trace' }, (trace) => this.log.writeTrace(trace))
--- a/src/gateway/stop/handle-stop.ts
+++ b/src/gateway/stop/handle-stop.ts
@@ -6,6 +6,7 @@
 import type { RequestReceived, StopDue, StopRequested } from '../event.js';
 import { updateReadiness } from '../lifecycle.js';
 import type { StateChange } from '../log/log-event.js';
+import type { Refusal } from '../model/request.js';
 import { waitingForTokens } from '../quotas/take-token.js';
 import { refuseCall } from '../requests/finish.js';
 import { progressRequest } from '../requests/progress.js';
@@ -72,23 +73,32 @@
   return events;
 };
 
+const refusalOfIncomplete = (state: GatewayState): Refusal => ({
+  type: 'refusal',
+  reason: 'stopping',
+  mayHaveRun: false,
+  retryAfterMs: retryAfterStopping(state),
+});
+
 /** Answers every request: with what has arrived, or with a refusal. */
 const answerAll = (state: GatewayState, at: number): GatewayEffect[] => [
   ...[...state.requests.values()].flatMap((request) => progressRequest(state, request, at)),
   ...takeHeldCalls(state).flatMap((event) =>
     refuseCall(state, event, 'stopping', retryAfterStopping(state), at),
   ),
+  { type: 'refuse-incomplete', refusal: refusalOfIncomplete(state) },
 ];
 
 const endProcess = (
   state: GatewayState,
   { since }: StopSchedule,
-  { at }: StopDue,
+  { at, openExchanges }: StopDue,
 ): GatewayEffect[] => {
   state.phase = 'ended';
   const change: StateChange = {
     event: 'ended',
     requests: requestsInProgress(state),
+    openExchanges,
     stopMs: Math.round(at - since),
   };
   return [{ type: 'write-log', level: 'info', part: 'lifecycle', change }, { type: 'end-process' }];
@@ -104,9 +114,9 @@
   if (stop === undefined || state.phase !== 'stopping') {
     return [];
   }
-  const { at } = due;
+  const { at, openExchanges } = due;
   const inProgress = requestsInProgress(state);
-  const isIdle = state.isCallerPortClosed && inProgress === 0;
+  const isIdle = state.isCallerPortClosed && inProgress === 0 && openExchanges === 0;
   const isTimeOver = at >= stop.endAt && inProgress === 0;
   if (isIdle || isTimeOver) {
     return endProcess(state, stop, due);
--- a/test/gateway/planned-stop.test.ts
+++ b/test/gateway/planned-stop.test.ts
@@ -11,10 +11,10 @@
 const ACCEPTING_MS = 3_200;
 const CHECK_MS = 100;
 
-const checkStop = (gateway: VirtualGateway, at: number): readonly string[] => {
+const checkStop = (gateway: VirtualGateway, at: number, openExchanges = 0): readonly string[] => {
   const before = gateway.effects.length;
   gateway.now = at;
-  gateway.emit({ type: 'stop-due', at });
+  gateway.emit({ type: 'stop-due', at, openExchanges });
   return gateway.effects.slice(before).map(({ type }) => type);
 };
 
@@ -120,6 +120,16 @@
     expect(gateway.answers.get(call)).toMatchObject({ type: 'merged', missingShards: 1 });
   });
 
+  // The process ended while it was still sending answers, which callers got in part.
+  it('waits for answers that are still being sent, but not until it is killed', () => {
+    const gateway = gatheringGateway(1);
+    gateway.emit({ type: 'stop-requested', at: 0 });
+    checkStop(gateway, ACCEPTING_MS + CHECK_MS);
+    expect(checkStop(gateway, ACCEPTING_MS + 2 * CHECK_MS, 1)).not.toContain('end-process');
+    expect(checkStop(gateway, GATEWAY_BOUNDS.graceMs - 400, 1)).not.toContain('end-process');
+    expect(checkStop(gateway, GATEWAY_BOUNDS.graceMs - 150, 1)).toContain('end-process');
+  });
+
   // A process that was paused until its grace period was nearly over ended without answering what it had read.
   it('answers everything before it ends, even if it was not scheduled in time', () => {
     const gateway = slowGateway();
--- a/test/gateway/quotas.test.ts
+++ b/test/gateway/quotas.test.ts
@@ -315,7 +315,9 @@
     const at = 20_000;
     step(state, { type: 'stop-requested', at });
     const ended = (): boolean =>
-      step(state, { type: 'stop-due', at: at + 4_000 }).some(({ type }) => type === 'end-process');
+      step(state, { type: 'stop-due', at: at + 4_000, openExchanges: 0 }).some(
+        ({ type }) => type === 'end-process',
+      );
     expect(ended()).toBe(false);
     state.quotas.waiting.clear();
     expect(ended()).toBe(true);
--- a/test/platform/planned-stop.test.ts
+++ b/test/platform/planned-stop.test.ts
@@ -1,3 +1,6 @@
+import { once } from 'node:events';
+import { connect, type Socket } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { GatewayFixture, until } from './gateway-fixture.js';
 import { routeSpec } from './operator-spec.js';
@@ -8,6 +11,9 @@
 /** A stop with this grace period answers all requests after a second. */
 const SHORT_GRACE_MS = 1_500;
 
+/** Length of an answer that does not fit into the buffers of the kernel, in bytes. */
+const LONG_ANSWER_BYTES = 15 * 1024 * 1024;
+
 let fixture: GatewayFixture;
 
 beforeEach(async () => {
@@ -28,6 +34,21 @@
 
 const arrivals = (): number => fixture.replicas.get('desk-1')?.arrived.length ?? 0;
 
+/** Opens a connection and reads nothing from it yet. */
+const openUnread = async (): Promise<Socket> => {
+  const socket = connect({ ...fixture.settings.callers, noDelay: true });
+  await once(socket, 'connect');
+  return socket;
+};
+
+/** Reads from a connection until it closes; returns the number of bytes. */
+const readToEnd = async (socket: Socket): Promise<number> => {
+  let bytes = 0;
+  socket.on('data', (chunk: Buffer) => (bytes += chunk.length)).resume();
+  await once(socket, 'close');
+  return bytes;
+};
+
 describe('a planned stop over sockets', { timeout: TEST_TIMEOUT_MS }, () => {
   // Connections of callers whose requests replicas had begun were closed without an answer.
   it('answers a request that a silent replica still runs', async () => {
@@ -64,4 +85,30 @@
     expect(statuses.flat().filter((status) => status === 503)).toHaveLength(3 - begun);
     expect(arrivals()).toBe(begun);
   });
+
+  // A caller that was still sending its request when the process ended found its connection closed.
+  it('refuses a request whose body is still being received when it ends', async () => {
+    await serveWith(SHORT_GRACE_MS, {});
+    const caller = await RawCaller.open(fixture.settings.callers);
+    caller.send(`${requestHead('POST /one/', ['Content-Length: 10'])}half`);
+    fixture.gateway.stop();
+    expect(await caller.statuses(1)).toEqual([503]);
+    expect(caller.answers[0]?.head).toMatch(/connection: close/i);
+    await fixture.gateway.ended;
+    expect(arrivals()).toBe(0);
+  });
+
+  // Callers that read slowly got a part of a long answer, since a request was finished once its answer was handed over.
+  it('sends a long answer to its end', async () => {
+    await serveWith(6_000, { body: Buffer.alloc(LONG_ANSWER_BYTES) });
+    const socket = await openUnread();
+    socket.write(requestHead('POST /one/', ['Content-Length: 0']));
+    socket.pause();
+    await until(() => fixture.gateway.state.attempts.size === 1, 'the request has been sent');
+    await until(() => fixture.gateway.state.attempts.size === 0, 'the answer is in');
+    fixture.gateway.stop();
+    await delay(4_000);
+    expect(await readToEnd(socket)).toBeGreaterThan(LONG_ANSWER_BYTES);
+    await fixture.gateway.ended;
+  });
 });
