Close a connection with the answer to its last request only

What callers saw: of two requests on one connection, the second lost its answer if a stop was requested while both were in progress.

Cause: from the request to stop on, every answer carries `Connection: close`, after which Node's server drops later answers on the connection, also those to requests that a replica has begun.

Change: the answer to the last request on the connection carries it.

Test, failed before ([200] instead of [200, 200]): 'answers all requests of one connection'.

--- a/src/gateway/runtime/caller-port.ts
+++ b/src/gateway/runtime/caller-port.ts
@@ -122,7 +122,7 @@
       this.send(
         outgoing,
         formatResponse(response, this.context.protocol.headers),
-        closeConnection || !this.isOpen,
+        (closeConnection || !this.isOpen) && this.isLastExchange(outgoing),
       );
     }
   }
@@ -252,6 +252,15 @@
     return [...this.pendingResponses.values()].filter(({ req }) => req.socket === socket).at(-1);
   }
 
+  /**
+   * Whether no request follows on the connection of an exchange. An earlier answer must not close the connection, since that
+   * would drop the answers to later requests.
+   */
+  private isLastExchange(outgoing: ServerResponse): boolean {
+    const { socket } = outgoing.req;
+    return [...this.exchanges].findLast((each) => each.req.socket === socket) === outgoing;
+  }
+
   private handleClose(call: CallId, outgoing: ServerResponse): void {
     if (!outgoing.writableFinished && this.pendingResponses.has(call)) {
       const { sink, clock } = this.context;
--- a/test/platform/planned-stop.test.ts
+++ b/test/platform/planned-stop.test.ts
@@ -111,4 +111,19 @@
     expect(await readToEnd(socket)).toBeGreaterThan(LONG_ANSWER_BYTES);
     await fixture.gateway.ended;
   });
+
+  // The first answer after a stop closed the connection, on which later requests were in progress.
+  it('answers all requests of one connection', async () => {
+    await serveWith(6_000, { workOf: (path) => (path === '/one/slow' ? 500 : 100) });
+    const caller = await RawCaller.open(fixture.settings.callers);
+    caller.send(requestHead('POST /one/fast', ['Content-Length: 0']));
+    caller.send(requestHead('POST /one/slow', ['Content-Length: 0']));
+    await until(() => arrivals() === 2, 'both requests have arrived');
+    fixture.gateway.stop();
+    expect(await caller.statuses(2)).toEqual([200, 200]);
+    expect(caller.answers.map(({ head }) => /connection: close/i.test(head))).toEqual([
+      false,
+      true,
+    ]);
+  });
 });
