Read the sockets before a stop decides that nothing is in progress

What callers saw: requests sent to a stopping gateway that was not scheduled for some 100 ms were reset.

Cause: the check of the stop ran as a timer.

Change: the check follows the next read of the sockets.

Test, failed before (ECONNRESET): 'reads what callers sent while it was not scheduled'.

--- a/src/gateway/runtime/start-gateway.ts
+++ b/src/gateway/runtime/start-gateway.ts
@@ -138,9 +138,15 @@
     this.loop.emit({ type: 'stood-still', at: this.clock.now(), ...pause });
   }
 
+  /**
+   * Checks the progress of a stop after the sockets have been read: a process that was not scheduled for a while has not read
+   * yet what callers sent meanwhile.
+   */
   private checkStop(): void {
-    const { openExchanges } = this.callers;
-    this.loop.emit({ type: 'stop-due', at: this.clock.now(), openExchanges });
+    setImmediate(() => {
+      const { openExchanges } = this.callers;
+      this.loop.emit({ type: 'stop-due', at: this.clock.now(), openExchanges });
+    });
   }
 
   private executeEffect(effect: GatewayEffect): void {
--- a/test/platform/planned-stop.test.ts
+++ b/test/platform/planned-stop.test.ts
@@ -1,6 +1,7 @@
 import { once } from 'node:events';
 import { connect, type Socket } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
+import { Worker } from 'node:worker_threads';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { GatewayFixture, until } from './gateway-fixture.js';
 import { routeSpec } from './operator-spec.js';
@@ -49,6 +50,15 @@
   return bytes;
 };
 
+/** Blocks the process for `forMs` milliseconds; afterwards the event loop runs its timers before it reads its sockets. */
+const blockBeforeTimers = async (forMs: number): Promise<void> => {
+  await new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+  const end = performance.now() + forMs;
+  while (performance.now() < end);
+};
+
 describe('a planned stop over sockets', { timeout: TEST_TIMEOUT_MS }, () => {
   // Connections of callers whose requests replicas had begun were closed without an answer.
   it('answers a request that a silent replica still runs', async () => {
@@ -126,4 +136,28 @@
       true,
     ]);
   });
+
+  // A process that was not scheduled for some 100 ms ended without reading what callers had sent meanwhile.
+  it('reads what callers sent while it was not scheduled', async () => {
+    await serveWith(6_000, {});
+    const source = `
+      const { workerData, parentPort } = require('node:worker_threads');
+      const socket = require('node:net').connect({ ...workerData.address, noDelay: true });
+      let text = '';
+      socket.on('data', (chunk) => (text += chunk));
+      socket.on('error', (error) => (text += error.code));
+      socket.on('close', () => parentPort.postMessage(text));
+      socket.on('connect', () => parentPort.postMessage('open'));
+      parentPort.on('message', () => setTimeout(() => socket.write(workerData.request), 100));`;
+    const request = requestHead('POST /one/', ['Content-Length: 0', 'Connection: close']);
+    const workerData = { address: fixture.settings.callers, request };
+    const worker = new Worker(source, { eval: true, workerData });
+    await once(worker, 'message');
+    fixture.gateway.stop();
+    await until(() => fixture.gateway.state.isCallerPortClosed, 'the port is closed');
+    worker.postMessage('send');
+    await blockBeforeTimers(300);
+    const [answer] = (await once(worker, 'message')) as [string];
+    expect(answer).toMatch(/^HTTP\/1.1 200/);
+  });
 });
