--- a/src/gateway/event.ts
+++ b/src/gateway/event.ts
@@ -46,6 +46,8 @@
 export interface StopRequested {
   readonly type: 'stop-requested';
   readonly at: number;
+  /** Time since the process received the signal, in milliseconds: one that arrives during the start is handled later. */
+  readonly signalledMsAgo: number;
 }
 
 /** The settings were reloaded. */
--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -253,6 +253,8 @@
   | {
       readonly event: 'stopping';
       readonly requests: number;
+      /** Time since the process received the signal. */
+      readonly signalledMsAgo: number;
       /** Time until all requests are answered, and until the process ends at the latest. */
       readonly answersDueInMs: number;
       readonly endInMs: number;
--- a/src/gateway/runtime/early-signals.ts
+++ b/src/gateway/runtime/early-signals.ts
@@ -12,23 +12,36 @@
   SIGHUP: 'reload',
 };
 
+/**
+ * Handles what a signal requests.
+ *
+ * @param receivedMsAgo - time since the process received the signal, in milliseconds
+ */
+export type SignalHandler = (action: SignalAction, receivedMsAgo: number) => void;
+
 /** Signals of this process, queued until a handler is set. */
 export interface EarlySignals {
   /** Passes the queued actions to `handle`, and from then on each action at once. */
-  setHandler(handle: (action: SignalAction) => void): void;
+  setHandler(handle: SignalHandler): void;
 }
 
 /** Starts to listen for signals. */
 export const listenForSignals = (): EarlySignals => {
-  const kept = new Set<SignalAction>();
-  let handle = (action: SignalAction): void => void kept.add(action);
+  /** When each action was first requested, in milliseconds. */
+  const kept = new Map<SignalAction, number>();
+  let handle: SignalHandler = (action) => {
+    if (!kept.has(action)) {
+      kept.set(action, performance.now());
+    }
+  };
   for (const [signal, action] of Object.entries(SIGNAL_ACTIONS)) {
-    process.on(signal, () => handle(action));
+    process.on(signal, () => handle(action, 0));
   }
   return {
     setHandler(next) {
       handle = next;
-      kept.forEach(next);
+      const now = performance.now();
+      kept.forEach((receivedAt, action) => next(action, now - receivedAt));
       kept.clear();
     },
   };
--- a/src/gateway/runtime/run-gateway.ts
+++ b/src/gateway/runtime/run-gateway.ts
@@ -86,7 +86,9 @@
   const gateway = await startGateway(settings, protocol, log, earlyPort);
   const reload = watchSettings(gateway, file, log);
   log.write({ level: 'info', part: 'lifecycle', change: { event: 'started' } });
-  signals.setHandler((action) => (action === 'stop' ? gateway.stop() : reload()));
+  signals.setHandler((action, receivedMsAgo) =>
+    action === 'stop' ? gateway.stop(receivedMsAgo) : reload(),
+  );
   await gateway.ended;
   await sink.end();
   return ExitCode.done;
--- a/src/gateway/runtime/start-gateway.ts
+++ b/src/gateway/runtime/start-gateway.ts
@@ -45,8 +45,12 @@
   readonly state: GatewayState;
   /** Resolves when the process may end. */
   readonly ended: Promise<void>;
-  /** Finishes the requests in progress, then ends. */
-  stop(): void;
+  /**
+   * Finishes the requests in progress, then ends.
+   *
+   * @param signalledMsAgo - time since the stop was requested, in milliseconds
+   */
+  stop(signalledMsAgo?: number): void;
   /** Ends at once. */
   kill(): void;
   /** Applies settings that were read again. */
@@ -120,8 +124,8 @@
     this.loop.emit({ type: 'started', at: this.clock.now() });
   }
 
-  stop(): void {
-    this.loop.emit({ type: 'stop-requested', at: this.clock.now() });
+  stop(signalledMsAgo = 0): void {
+    this.loop.emit({ type: 'stop-requested', at: this.clock.now(), signalledMsAgo });
   }
 
   kill(): void {
--- a/src/gateway/stop/handle-stop.ts
+++ b/src/gateway/stop/handle-stop.ts
@@ -32,13 +32,13 @@
 /** Handles `stop-requested`. */
 export const handleStopRequested = (
   state: GatewayState,
-  { at }: StopRequested,
+  { at, signalledMsAgo }: StopRequested,
 ): GatewayEffect[] => {
   if (state.phase === 'stopping' || state.phase === 'ended') {
     return [];
   }
   state.phase = 'stopping';
-  const stop = scheduleStop(at, state.settings.bounds.graceMs);
+  const stop = scheduleStop(at - signalledMsAgo, state.settings.bounds.graceMs);
   state.stop = stop;
   for (const request of state.requests.values()) {
     request.deadlineAt = deadlineBeforeStop(state, request.deadlineAt);
@@ -46,6 +46,7 @@
   const change: StateChange = {
     event: 'stopping',
     requests: requestsInProgress(state),
+    signalledMsAgo: Math.round(signalledMsAgo),
     answersDueInMs: Math.round(stop.answersDueAt - at),
     endInMs: Math.round(stop.endAt - at),
   };
--- a/test/gateway/feeders.test.ts
+++ b/test/gateway/feeders.test.ts
@@ -393,7 +393,7 @@
 
   it('refuses subqueries while it stops', () => {
     const gateway = feeder();
-    gateway.emit({ type: 'stop-requested', at: 0 });
+    gateway.emit({ type: 'stop-requested', at: 0, signalledMsAgo: 0 });
     gateway.receiveSubquery({ shards: ['s0'] });
     expect(gateway.sent).toHaveLength(0);
     expect(ofType(gateway, 'refuse-subquery')).toHaveLength(1);
--- a/test/gateway/planned-stop.test.ts
+++ b/test/gateway/planned-stop.test.ts
@@ -40,7 +40,7 @@
   // A gateway that had not run for 0.2 s ended with requests in its sockets that it had not read, and cut them off.
   it('reads what callers sent before the port was closed, and answers it before the process ends', () => {
     const gateway = gatheringGateway(1);
-    gateway.emit({ type: 'stop-requested', at: 0 });
+    gateway.emit({ type: 'stop-requested', at: 0, signalledMsAgo: 0 });
     const first = checkStop(gateway, ACCEPTING_MS + CHECK_MS);
     expect(first).toContain('close-caller-port');
     expect(first).not.toContain('end-process');
@@ -55,7 +55,7 @@
   it('refuses a request that cannot be answered before the process ends, and serves one that can', () => {
     const gateway = slowGateway();
     gateway.now = STOP_MS;
-    gateway.emit({ type: 'stop-requested', at: STOP_MS });
+    gateway.emit({ type: 'stop-requested', at: STOP_MS, signalledMsAgo: 0 });
     gateway.now = STOP_MS + 3_500;
     const served = gateway.request(15_000);
     gateway.now += WORK_MS;
@@ -71,7 +71,7 @@
   it('serves a request that its caller gives up before the process ends anyway', () => {
     const gateway = slowGateway();
     gateway.now = STOP_MS;
-    gateway.emit({ type: 'stop-requested', at: STOP_MS });
+    gateway.emit({ type: 'stop-requested', at: STOP_MS, signalledMsAgo: 0 });
     gateway.now = STOP_MS + 4_900;
     gateway.request(200);
     expect(gateway.sent).toHaveLength(1);
@@ -82,7 +82,7 @@
     const gateway = slowGateway();
     gateway.now = STOP_MS;
     const call = gateway.request(15_000);
-    gateway.emit({ type: 'stop-requested', at: STOP_MS });
+    gateway.emit({ type: 'stop-requested', at: STOP_MS, signalledMsAgo: 0 });
     gateway.advanceTo(STOP_MS + GATEWAY_BOUNDS.graceMs - 600);
     expect(gateway.answers.has(call)).toBe(false);
     const effects = checkStop(gateway, STOP_MS + GATEWAY_BOUNDS.graceMs - 400);
@@ -95,7 +95,7 @@
     const gateway = slowGateway();
     gateway.now = STOP_MS;
     const call = gateway.request(15_000);
-    gateway.emit({ type: 'stop-requested', at: STOP_MS });
+    gateway.emit({ type: 'stop-requested', at: STOP_MS, signalledMsAgo: 0 });
     checkStop(gateway, STOP_MS + 4_900);
     expect(gateway.effects).toContainEqual({
       type: 'recall-attempt',
@@ -112,7 +112,7 @@
   // A gather was cut off although enough of its parts had arrived.
   it('answers a gather with the parts that have arrived', () => {
     const gateway = gatheringGateway(2);
-    gateway.emit({ type: 'stop-requested', at: 0 });
+    gateway.emit({ type: 'stop-requested', at: 0, signalledMsAgo: 0 });
     gateway.now = GATEWAY_BOUNDS.graceMs - 610;
     const call = gateway.request();
     gateway.sent.slice(0, 1).forEach((attempt) => gateway.end(attempt, success('signature')));
@@ -123,19 +123,32 @@
   // The process ended while it was still sending answers, which callers got in part.
   it('waits for answers that are still being sent, but not until it is killed', () => {
     const gateway = gatheringGateway(1);
-    gateway.emit({ type: 'stop-requested', at: 0 });
+    gateway.emit({ type: 'stop-requested', at: 0, signalledMsAgo: 0 });
     checkStop(gateway, ACCEPTING_MS + CHECK_MS);
     expect(checkStop(gateway, ACCEPTING_MS + 2 * CHECK_MS, 1)).not.toContain('end-process');
     expect(checkStop(gateway, GATEWAY_BOUNDS.graceMs - 400, 1)).not.toContain('end-process');
     expect(checkStop(gateway, GATEWAY_BOUNDS.graceMs - 150, 1)).toContain('end-process');
   });
 
+  // A process that read its signal late was killed before it had answered.
+  it('counts the grace period from the signal, and keeps to the one that was in force then', () => {
+    const gateway = slowGateway();
+    gateway.now = STOP_MS;
+    const call = gateway.request(15_000);
+    gateway.emit({ type: 'stop-requested', at: STOP_MS, signalledMsAgo: 1_500 });
+    const bounds = { ...gateway.state.settings.bounds, graceMs: 60_000 };
+    const settings = { ...gateway.state.settings, bounds };
+    gateway.emit({ type: 'settings-reloaded', at: STOP_MS, settings });
+    checkStop(gateway, STOP_MS - 1_500 + GATEWAY_BOUNDS.graceMs - 400);
+    expect(gateway.answers.has(call)).toBe(true);
+  });
+
   // A process that was paused until its grace period was nearly over ended without answering what it had read.
   it('answers everything before it ends, even if it was not scheduled in time', () => {
     const gateway = slowGateway();
     gateway.now = STOP_MS;
     const call = gateway.request(15_000);
-    gateway.emit({ type: 'stop-requested', at: STOP_MS });
+    gateway.emit({ type: 'stop-requested', at: STOP_MS, signalledMsAgo: 0 });
     const late = STOP_MS + GATEWAY_BOUNDS.graceMs - 50;
     expect(checkStop(gateway, late)).not.toContain('end-process');
     expect(gateway.answers.has(call)).toBe(true);
--- a/test/gateway/quotas.test.ts
+++ b/test/gateway/quotas.test.ts
@@ -313,7 +313,7 @@
     const network = new QuotaNetwork(5, [HOT]);
     const { state } = waitingAt(network);
     const at = 20_000;
-    step(state, { type: 'stop-requested', at });
+    step(state, { type: 'stop-requested', at, signalledMsAgo: 0 });
     const ended = (): boolean =>
       step(state, { type: 'stop-due', at: at + 4_000, openExchanges: 0 }).some(
         ({ type }) => type === 'end-process',
--- a/test/gateway/scheduling.test.ts
+++ b/test/gateway/scheduling.test.ts
@@ -348,7 +348,7 @@
     const { gateway, fill, receive } = createFeeder();
     fill();
     const call = receive(ALERT);
-    gateway.emit({ type: 'stop-requested', at: 1 });
+    gateway.emit({ type: 'stop-requested', at: 1, signalledMsAgo: 0 });
     gateway.end(sentAt(gateway, 0), success('s'));
     expect(lastCall(gateway)).toBe(call);
   });
