Soak: long requests over rested connections, and stops that overlap

Why the soak was green: its requests took 40 ms at most and its callers paused for 0.2 s, so that nothing was in progress at the end of a stop, which came after 3.3 s as nothing was left to do; the end of the grace period was never reached.

Smaller seeds draw as before.

--- a/soak/model/plan.ts
+++ b/soak/model/plan.ts
@@ -96,6 +96,8 @@
   readonly hasRegionPerZone: boolean;
   /** Number of requests that a replica of a shard runs concurrently. */
   readonly shardSlots: number;
+  /** Whether some callers send long requests over connections that rest between them. */
+  readonly hasLongRequests: boolean;
   /** Planned work after the faults; times are relative to their end. */
   readonly plannedWork: readonly ScheduledFault[];
 }
@@ -114,7 +116,8 @@
   | 'store-returns'
   | 'entries'
   | 'tenants'
-  | 'tenant-callers';
+  | 'tenant-callers'
+  | 'long-callers';
 
 /** New streams are appended, so that the regression seeds keep theirs. */
 const STREAMS: readonly RandomStream[] = [
@@ -131,6 +134,7 @@
   'entries',
   'tenants',
   'tenant-callers',
+  'long-callers',
 ];
 
 /** Distance between the stream seeds of two runs, so that their streams differ. */
@@ -146,6 +150,17 @@
 /** Time from the end of the faults to the stop of a gateway, which is in contact by then, in milliseconds. */
 const PLANNED_STOP_MS = BOUNDS.contactMs + 200;
 
+/** Runs with smaller seeds have no long requests, so that earlier regression seeds are unchanged. */
+const FIRST_LONG_SEED = 7_000;
+
+/** Time between two planned stops that overlap, in milliseconds. */
+const OVERLAPPING_STOP_MS = 300;
+
+const stopOf = (gateway: number, atMs: number): ScheduledFault => ({
+  atMs,
+  fault: { type: 'stop-in-turn', gateways: [gateway] },
+});
+
 const drawPlannedWork = (
   seed: number,
   gateways: number,
@@ -154,11 +169,14 @@
   const random = streamOf(seed, 'calm');
   const releases = drawReplacements(random, PLANNED_WORK_MS);
   const versions = drawVersions(random, PLANNED_WORK_MS);
-  const stop = { type: 'stop-in-turn', gateways: [random.nextBelow(gateways)] } as const;
+  const stopped = random.nextBelow(gateways);
   return [
     ...releases,
     ...(endsWithoutVersions ? [] : versions),
-    { atMs: PLANNED_STOP_MS, fault: stop },
+    stopOf(stopped, PLANNED_STOP_MS),
+    ...(seed >= FIRST_LONG_SEED && gateways > 1
+      ? [stopOf((stopped + 1) % gateways, PLANNED_STOP_MS + OVERLAPPING_STOP_MS)]
+      : []),
   ];
 };
 
@@ -268,6 +286,7 @@
     hasTenants: false,
     hasRegionPerZone: seed >= FIRST_REGIONS_SEED,
     shardSlots: seed >= FIRST_REGIONS_SEED ? FEW_SLOTS : REPLICA_SLOTS,
+    hasLongRequests: seed >= FIRST_LONG_SEED,
     plannedWork: [
       ...drawPlannedWork(seed, gateways, endsWithoutVersions),
       ...(hasEntryFaults ? drawSpoiltEntries(entries) : []),
--- a/soak/world/callers.ts
+++ b/soak/world/callers.ts
@@ -68,6 +68,8 @@
   readonly path: string;
   readonly body: string;
   readonly leavesAfterMs?: number | undefined;
+  /** Absent for the usual time budget, in milliseconds. */
+  readonly budgetMs?: number;
   /** Absent for the usual identity. */
   readonly identity?: CallerIdentity;
 }
@@ -159,6 +161,19 @@
     await this.sendPath(gateway, { method, path, body: '', identity });
   }
 
+  /** Sends one request over the connection of `agent`, which is kept. */
+  async sendOver(
+    agent: Agent,
+    gateway: GatewayProcess,
+    prefix: string,
+    workMs: number,
+    budgetMs: number,
+  ): Promise<void> {
+    const path = pathOf(prefix, workMs, this.nextId);
+    const method = prefix === PREFIXES.longOnce ? 'POST' : 'GET';
+    await this.sendPath(gateway, { method, path, body: '', budgetMs }, agent);
+  }
+
   /** Stops all callers; resolves when the requests in progress have ended. */
   async stop(): Promise<void> {
     this.running = false;
@@ -213,7 +228,14 @@
 
   private async sendPath(
     gateway: GatewayProcess,
-    { method, path, body, leavesAfterMs, identity = this.context.identity }: PathDraft,
+    {
+      method,
+      path,
+      body,
+      leavesAfterMs,
+      budgetMs = TIME_BUDGET_MS,
+      identity = this.context.identity,
+    }: PathDraft,
     agent?: Agent,
   ): Promise<string> {
     const id = this.nextId;
@@ -225,7 +247,7 @@
       method,
       path,
       body,
-      budgetMs: TIME_BUDGET_MS,
+      budgetMs,
       ...identity,
       ...(leavesAfterMs !== undefined && { leavesAfterMs }),
       ...(agent !== undefined && { agent }),
--- a/soak/world/routes.ts
+++ b/soak/world/routes.ts
@@ -12,6 +12,9 @@
   once: '/book/',
   /** Requests that are served by two services. */
   split: '/either/',
+  /** Requests that take long, which may be repeated, and which may run at most once. */
+  long: '/search/',
+  longOnce: '/plan/',
 } as const;
 
 /** Number of versions after which the gather moves to the other set of shards. */
@@ -23,6 +26,9 @@
 /** Prefix of the marker route added by version `number` and removed two versions later. */
 export const markerPrefix = (number: number): string => `/only-${number}/`;
 
+/** Timeout and objective of the routes whose requests take long, in milliseconds. */
+const LONG_TIMES = { timeoutMs: 15_000, objectiveMs: 3_000 } as const;
+
 const markerRoutes = (number: number): readonly OperatorRoute[] =>
   Array.from({ length: VERSIONS_PER_MARKER }, (_, back) => number - back)
     .filter((each) => each >= 0)
@@ -65,5 +71,21 @@
     maxAttempts: 2,
     services: ['desk', 'annex'],
   },
+  {
+    name: 'search',
+    pathPrefix: PREFIXES.long,
+    repeatable: true,
+    maxAttempts: 2,
+    services: ['annex'],
+    ...LONG_TIMES,
+  },
+  {
+    name: 'plan',
+    pathPrefix: PREFIXES.longOnce,
+    repeatable: false,
+    maxAttempts: 2,
+    services: ['desk'],
+    ...LONG_TIMES,
+  },
   ...markerRoutes(number),
 ];
--- a/soak/world/soak-world.ts
+++ b/soak/world/soak-world.ts
@@ -8,6 +8,7 @@
 import { Operator } from './operator.js';
 import { findConsecutivePorts } from './ports.js';
 import { ReplicaFleet } from './replica-fleet.js';
+import { LongCallers } from './long-callers.js';
 import { LoopbackLink } from './loopback-link.js';
 import { StoreBackups } from './store-backups.js';
 import { TenantCallers } from './tenant-callers.js';
@@ -38,6 +39,7 @@
   readonly operator: Operator;
   readonly callers: Callers;
   readonly tenantCallers: TenantCallers;
+  private readonly longCallers: LongCallers;
 
   private constructor(
     readonly store: StandInStore,
@@ -68,6 +70,7 @@
       identity: plan.hasTenants ? { apiKey: KEYS.main } : {},
     });
     this.tenantCallers = new TenantCallers(this.callers);
+    this.longCallers = new LongCallers(this.callers);
   }
 
   /** Starts everything except the callers. */
@@ -86,6 +89,10 @@
         const random = streamOf(this.plan.seed, 'tenant-callers', gateway.number);
         this.tenantCallers.start(gateway, random);
       }
+      if (this.plan.hasLongRequests) {
+        const random = streamOf(this.plan.seed, 'long-callers', gateway.number);
+        this.longCallers.start(gateway, random);
+      }
     });
   }
 
@@ -97,7 +104,7 @@
 
   /** Stops all callers; resolves when the requests in progress have ended. */
   async stopCallers(): Promise<void> {
-    await this.tenantCallers.stop();
+    await Promise.all([this.tenantCallers.stop(), this.longCallers.stop()]);
     await this.callers.stop();
   }
 
--- a/test/platform/operator-spec.ts
+++ b/test/platform/operator-spec.ts
@@ -65,6 +65,9 @@
   /** Services that get its requests: a single one, the parts of a split with equal weights, or all shards. */
   readonly services: readonly string[];
   readonly gather?: { readonly maxRecords: number; readonly minCoverage: number };
+  /** Timeout and objective, in milliseconds; absent for the defaults. */
+  readonly timeoutMs?: number;
+  readonly objectiveMs?: number;
 }
 
 const targetSpec = ({ services, gather }: OperatorRoute): Readonly<Record<string, unknown>> => {
@@ -84,5 +87,7 @@
     path_prefix: route.pathPrefix,
     kind: route.repeatable ? 'safe' : 'unsafe',
     max_attempts: route.maxAttempts,
+    ...(route.timeoutMs !== undefined && { timeout_ms: route.timeoutMs }),
+    ...(route.objectiveMs !== undefined && { target_ms: route.objectiveMs }),
     ...targetSpec(route),
   });
--- a/test/soak/schedule.test.ts
+++ b/test/soak/schedule.test.ts
@@ -76,6 +76,17 @@
     expect(setupOf(6_000)).toEqual({ hasTenants: true, hasRegionPerZone: true, shardSlots: 12 });
   });
 
+  it('has long requests and a second planned stop for seeds from 7,000 on only', () => {
+    const stopsOf = (seed: number) =>
+      drawPlan(optionsOf(seed)).plannedWork.flatMap(({ fault }) =>
+        fault.type === 'stop-in-turn' ? fault.gateways : [],
+      );
+    expect(drawPlan(optionsOf(6_998)).hasLongRequests).toBe(false);
+    expect(drawPlan(optionsOf(7_000)).hasLongRequests).toBe(true);
+    expect(stopsOf(6_998)).toHaveLength(1);
+    expect(new Set(stopsOf(7_000)).size).toBe(2);
+  });
+
   it('has none of these for smaller seeds', () => {
     const { schedule, hasTenants, bounds } = drawPlan(optionsOf(3_999));
     const types = schedule.map(({ fault }) => fault.type);
