Judge a replica that sends no HTTP as failing

What callers saw: where one of three replicas answered with bytes that are no HTTP, or with a head that is too large, a quarter of the requests ended with 502 although two sound replicas stood by (38 and 62 of 100 in the new test, with a retry budget of 20); a replica that resets cost none.

Cause: such bytes on a new connection counted as `refused-connection`, as if the replica had too many connections. That says nothing about the replica, so it kept its share of the requests; each needed a second attempt, and when the retry budget was spent, requests failed (traces: attempt-ended refused-connection, budget-denied, leg-failed).

Change: errors of the parser, and answers that the client does not accept, are a `bad-answer`: the replica is ejected like one that fails, and used again once it answers.

Tests, failed before: 'is judged as failing, and callers are served by others', with header lines and with no HTTP; the other eight forms passed.

--- a/src/gateway/runtime/answer-reader.ts
+++ b/src/gateway/runtime/answer-reader.ts
@@ -5,6 +5,7 @@
 import type { Dispatcher } from 'undici';
 import type { AttemptProblem, AttemptResult, Header, ReplicaAnswer } from '../model/request.js';
 import type { GatewayProtocol } from '../protocol/protocol.js';
+import { isMalformed } from './answer-limits.js';
 import { findHeader } from './headers.js';
 import type { ReplicaConnection } from './replica-connection.js';
 
@@ -91,14 +92,17 @@
     this.end(this.readExchangeEnd());
   }
 
-  onResponseError(): void {
-    this.end({ result: this.failure(this.problemOfError()), reusable: false });
+  onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    this.end({ result: this.failure(this.problemOfError(error)), reusable: false });
   }
 
-  private problemOfError(): AttemptProblem {
+  private problemOfError(error: Error): AttemptProblem {
     if (this.abortReason !== undefined) {
       return this.abortReason;
     }
+    if (isMalformed(error)) {
+      return 'bad-answer';
+    }
     if (this.status > 0) {
       return 'cut-off';
     }
