Limit what is read of an answer around its body

What callers saw: an answer without end, such as interim answers, empty lines, a status text or chunks of one byte, lasted until the deadline (504 after 3 s in the new test), and the process hardly did anything else; with chunks of one byte the heap of the deployment's process ran full and the process ended.

Cause: the parser limits the size of one head and nothing else, and the reader kept an object for each chunk.

Change: an answer is given up (`endless-answer`, which counts against the replica) after 16 interim answers, when more than 64 KB and the size of its body were received beside the body, and at once when its length is over the 16 MiB that an answer may have. Small chunks are copied into common blocks.

Tests, failed before: 'is given up long before the deadline, and the truth is told' for a status line, empty lines, chunks of one byte, a chunk extension and interim answers.

--- a/src/gateway/model/request.ts
+++ b/src/gateway/model/request.ts
@@ -134,7 +134,7 @@
 /**
  * How an attempt failed without an answer. `refused-connection`: a new connection was accepted and
  * reset before any byte arrived over it. `unsigned-answer`: a redirection or a client error without the
- * replica's signature.
+ * replica's signature. `endless-answer`: it exceeds a limit on its size.
  */
 export type AttemptProblem =
   | 'connect-refused'
@@ -143,6 +143,7 @@
   | 'reset'
   | 'timed-out'
   | 'bad-answer'
+  | 'endless-answer'
   | 'unsigned-answer'
   | 'foreign-answer'
   | 'cut-off'
--- a/src/gateway/runtime/answer-limits.ts
+++ b/src/gateway/runtime/answer-limits.ts
@@ -1,4 +1,23 @@
-/** Tells answers that are malformed from connections that failed. */
+/** Limits on what is read of an answer before its body, around it and in its place. */
+
+/** Maximum size of an answer's body, in bytes. */
+export const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+
+/** Most interim answers (1xx) before the final one. */
+export const MAX_INTERIM_ANSWERS = 16;
+
+/** Bytes of heads and framing that are read in addition to as many as the body has, in bytes; the parser allows heads of 16 KB. */
+const MAX_OVERHEAD_BYTES = 65_536;
+
+/**
+ * Whether an answer has too many bytes outside of its body. The parser limits the size of a head, but not the number of interim
+ * answers and empty lines, the length of a status text, or that of chunk extensions.
+ *
+ * @param receivedBytes - bytes received since the request was sent
+ * @param bodyBytes - bytes of the body among them
+ */
+export const exceedsOverhead = (receivedBytes: number, bodyBytes: number): boolean =>
+  receivedBytes - bodyBytes > MAX_OVERHEAD_BYTES + bodyBytes;
 
 /** Name of the parser's errors, and its reason when a connection ends in the middle of an answer. */
 const PARSER_ERROR = 'HTTPParserError';
--- a/src/gateway/runtime/answer-reader.ts
+++ b/src/gateway/runtime/answer-reader.ts
@@ -5,12 +5,18 @@
 import type { Dispatcher } from 'undici';
 import type { AttemptProblem, AttemptResult, Header, ReplicaAnswer } from '../model/request.js';
 import type { GatewayProtocol } from '../protocol/protocol.js';
-import { isMalformed } from './answer-limits.js';
+import { BodyBuffer } from './body-buffer.js';
 import { findHeader } from './headers.js';
+import {
+  exceedsOverhead,
+  isMalformed,
+  MAX_ANSWER_BYTES,
+  MAX_INTERIM_ANSWERS,
+} from './answer-limits.js';
 import type { ReplicaConnection } from './replica-connection.js';
 
-/** Maximum size of an answer's body, in bytes. */
-const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+/** Answers with a lower status are interim ones. */
+const FIRST_FINAL_STATUS = 200;
 
 /** Status of a replica that is not the requested instance. */
 const MISDIRECTED_STATUS = 421;
@@ -40,8 +46,8 @@
 export class AnswerReader implements Dispatcher.DispatchHandler {
   private status = 0;
   private headers: Header[] = [];
-  private readonly chunks: Buffer[] = [];
-  private size = 0;
+  private readonly body = new BodyBuffer();
+  private interimAnswers = 0;
   private isEnded = false;
   private abortReason: AttemptProblem | undefined;
 
@@ -66,7 +72,9 @@
   onRequestStart(controller: Dispatcher.DispatchController): void {
     if (this.isEnded) {
       controller.abort(new Error('the attempt was aborted before it was sent'));
+      return;
     }
+    this.connection.received.observe((receivedBytes) => this.checkOverhead(receivedBytes));
   }
 
   onResponseStart(
@@ -77,15 +85,22 @@
     this.status = status;
     this.connection.hasAnswered = true;
     this.headers = toHeaders(headers);
+    this.interimAnswers += Number(status < FIRST_FINAL_STATUS);
+    const length = Number(findHeader(this.headers, 'content-length') ?? 0);
+    if (this.interimAnswers > MAX_INTERIM_ANSWERS || length > MAX_ANSWER_BYTES) {
+      this.abort('endless-answer');
+    }
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    this.size += chunk.length;
-    if (this.size > MAX_ANSWER_BYTES) {
-      this.abort('bad-answer');
+    if (this.isEnded) {
+      return;
+    }
+    if (this.body.size + chunk.length > MAX_ANSWER_BYTES) {
+      this.abort('endless-answer');
       return;
     }
-    this.chunks.push(chunk);
+    this.body.append(chunk);
   }
 
   onResponseEnd(): void {
@@ -96,6 +111,13 @@
     this.end({ result: this.failure(this.problemOfError(error)), reusable: false });
   }
 
+  /** Ends an answer that consists of too little but heads, interim answers and framing. */
+  private checkOverhead(receivedBytes: number): void {
+    if (!this.isEnded && exceedsOverhead(receivedBytes, this.body.size)) {
+      this.abort('endless-answer');
+    }
+  }
+
   private problemOfError(error: Error): AttemptProblem {
     if (this.abortReason !== undefined) {
       return this.abortReason;
@@ -116,6 +138,7 @@
   private end(end: ExchangeEnd): void {
     if (!this.isEnded) {
       this.isEnded = true;
+      this.body.clear();
       this.onEnd(end);
     }
   }
@@ -195,12 +218,10 @@
 
   private readAnswer(): ReplicaAnswer {
     const signature = this.signature();
-    const [first] = this.chunks;
-    const body = this.chunks.length === 1 && first ? first : Buffer.concat(this.chunks);
     return {
       status: this.status,
       headers: this.headers,
-      body,
+      body: this.body.toBuffer(),
       ...(signature !== undefined && { signature }),
     };
   }
--- a/src/gateway/runtime/replica-connection.ts
+++ b/src/gateway/runtime/replica-connection.ts
@@ -4,6 +4,7 @@
 import type { HostPort } from '../../settings/node-settings.js';
 import { formatHostPort } from '../../settings/parse-host-port.js';
 import type { AttemptProblem } from '../model/request.js';
+import { ReceivedBytes } from './received-bytes.js';
 import { ConnectTimeoutError, openConnection, wasReset } from './sockets.js';
 import { Client } from './undici-client.js';
 
@@ -41,6 +42,7 @@
   isBroken = false;
   /** At least one answer was received over the connection. */
   hasAnswered = false;
+  readonly received: ReceivedBytes;
 
   constructor(
     address: HostPort,
@@ -51,6 +53,7 @@
       this.handleConnectResult(error),
     );
     this.socket.once('close', () => this.handleClosed());
+    this.received = new ReceivedBytes(this.socket);
     this.client = new Client(`http://${formatHostPort(address)}`, {
       pipelining: 1,
       headersTimeout: 0,
--- a/test/platform/endless-answers.test.ts
+++ b/test/platform/endless-answers.test.ts
@@ -35,8 +35,8 @@
   await Promise.all(endless.splice(0).map((replica) => replica.stop()));
 });
 
-const configure = (): void => {
-  const route = { path_prefix: '/one/', service: 'desk', timeout_ms: BUDGET_MS };
+const configure = (kind = 'safe'): void => {
+  const route = { path_prefix: '/one/', service: 'desk', timeout_ms: BUDGET_MS, kind };
   fixture.configure([routeSpec(route)], ['desk']);
 };
 
@@ -82,6 +82,25 @@
     expect(bad.requests.length).toBeLessThan(REQUESTS / 10);
   });
 
+  // An attempt lasted until the deadline while its replica sent as fast as it could.
+  it.each(NAMES)(
+    'is given up long before the deadline, and the truth is told: %s',
+    async (name) => {
+      configure('unsafe');
+      const bad = await addEndless('desk-1', name);
+      await fixture.serve();
+      const { status, elapsedMs } = await fixture.request({
+        id: 'r-1',
+        path: '/one/',
+        method: 'POST',
+        budgetMs: BUDGET_MS,
+      });
+      expect(status).toBe(502);
+      expect(elapsedMs).toBeLessThan(BUDGET_MS / 2);
+      expect(bad.requests).toHaveLength(1);
+    },
+  );
+
   it('is used again once it is sound', async () => {
     configure();
     let isSound = false;
