Bound the memory of all answers that are being read at once

What callers and the platform saw: with three of three replicas that send a body without end, a gateway took 381 MB of 350 in the new test (100 requests a second) and 587 MB in a trial with 200; it would have been killed.

Cause: each answer had a limit of 16 MiB, all together had none.

Change: answers that are being read may hold an eighth of the memory that the settings allow (`memoryMb`, from the platform's `memory_mb`; 64 MB without). While they need more, the answers that hold more than an equal share are given up: those of the least urgent class first, and the largest among them (`no-memory`, which counts against the replica).

--- a/src/gateway/effect.ts
+++ b/src/gateway/effect.ts
@@ -14,6 +14,7 @@
 import type { ReplicaRecord } from './model/replica-record.js';
 import type { AttemptId, CallerResponse, CallId, Refusal } from './model/request.js';
 import type { FollowerId, KnownPositions, ReaderUpdate } from './readers/reader-update.js';
+import type { ClassRank } from './scheduling/class-rank.js';
 import type { CollectionName, StoreCall } from './store/collection.js';
 
 /** Sends a request to a replica; always results in `attempt-ended`, also if it is aborted. */
@@ -28,6 +29,8 @@
   readonly maxConnections: number;
   /** Whether the request may run more than once. */
   readonly repeatable: boolean;
+  /** Class of the request. */
+  readonly rank: ClassRank;
 }
 
 /**
--- a/src/gateway/model/request.ts
+++ b/src/gateway/model/request.ts
@@ -134,7 +134,8 @@
 /**
  * How an attempt failed without an answer. `refused-connection`: a new connection was accepted and
  * reset before any byte arrived over it. `unsigned-answer`: a redirection or a client error without the
- * replica's signature. `endless-answer`: it exceeds a limit on its size.
+ * replica's signature. `endless-answer`: it exceeds a limit on its size. `no-memory`: it was given up because all answers that
+ * are being read need too much memory.
  */
 export type AttemptProblem =
   | 'connect-refused'
@@ -144,6 +145,7 @@
   | 'timed-out'
   | 'bad-answer'
   | 'endless-answer'
+  | 'no-memory'
   | 'unsigned-answer'
   | 'foreign-answer'
   | 'cut-off'
--- a/src/gateway/read-settings.ts
+++ b/src/gateway/read-settings.ts
@@ -66,6 +66,7 @@
   node: fields.text('node'),
   zone: fields.text('zone'),
   capacity: fields.number('processorShare', 0, 1) * fields.number('processorSpeed', 0, 1),
+  ...(fields.has('memoryMb') && { memoryMb: fields.number('memoryMb', 1) }),
   firstStart: fields.flag('firstStart', false),
   zoneRegions: readZoneRegions(fields),
   callers: readAddressField(fields, 'callers'),
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -254,5 +254,6 @@
     deadlineAt,
     maxConnections,
     repeatable: route.repeatable,
+    rank: request.rank,
   };
 };
--- a/src/gateway/runtime/answer-reader.ts
+++ b/src/gateway/runtime/answer-reader.ts
@@ -5,6 +5,7 @@
 import type { Dispatcher } from 'undici';
 import type { AttemptProblem, AttemptResult, Header, ReplicaAnswer } from '../model/request.js';
 import type { GatewayProtocol } from '../protocol/protocol.js';
+import type { AnswerMemory, HeldAnswer } from './answer-memory.js';
 import { BodyBuffer } from './body-buffer.js';
 import { findHeader } from './headers.js';
 import {
@@ -42,8 +43,18 @@
   readonly reusable: boolean;
 }
 
+/** Options of a reader. */
+export interface AnswerReaderOptions {
+  /** Identifier of the request, which the answer must echo if it names one. */
+  readonly requestId: string;
+  /** Class of the request. */
+  readonly rank: number;
+  readonly protocol: GatewayProtocol;
+  readonly memory: AnswerMemory;
+}
+
 /** Handles the answer of one request. */
-export class AnswerReader implements Dispatcher.DispatchHandler {
+export class AnswerReader implements Dispatcher.DispatchHandler, HeldAnswer {
   private status = 0;
   private headers: Header[] = [];
   private readonly body = new BodyBuffer();
@@ -53,11 +64,19 @@
 
   constructor(
     private readonly connection: ReplicaConnection,
-    private readonly protocol: GatewayProtocol,
-    private readonly requestId: string,
+    private readonly options: AnswerReaderOptions,
     private readonly onEnd: (end: ExchangeEnd) => void,
   ) {}
 
+  get rank(): number {
+    return this.options.rank;
+  }
+
+  /** Gives the answer up, since the answers that are being read need too much memory. */
+  giveUp(): void {
+    this.abort('no-memory');
+  }
+
   /**
    * Ends the exchange; the receiver of `onEnd` closes the connection. The HTTP client's own abort is not used once the
    * request has been sent: if an answer without a length is aborted, the client completes it a second time when the
@@ -101,6 +120,7 @@
       return;
     }
     this.body.append(chunk);
+    this.options.memory.add(this, chunk.length);
   }
 
   onResponseEnd(): void {
@@ -138,6 +158,7 @@
   private end(end: ExchangeEnd): void {
     if (!this.isEnded) {
       this.isEnded = true;
+      this.options.memory.release(this);
       this.body.clear();
       this.onEnd(end);
     }
@@ -164,12 +185,12 @@
 
   /** Returns why an answer is unusable. An answer that ends with its connection is truncated if that was reset. */
   private problemOfAnswer(): AttemptProblem | undefined {
-    const { headers } = this.protocol;
+    const { headers } = this.options.protocol;
     if (this.connection.isBroken) {
       return 'cut-off';
     }
     const echoed = findHeader(this.headers, headers.requestId);
-    if (echoed !== undefined && echoed !== this.requestId) {
+    if (echoed !== undefined && echoed !== this.options.requestId) {
       return 'foreign-answer';
     }
     const encoding = findHeader(this.headers, 'content-encoding');
@@ -196,16 +217,16 @@
 
   /** Whether the replica reports that it has not run the request. */
   private hasNotRun(): boolean {
-    const { notExecuted } = this.protocol.headers;
+    const { notExecuted } = this.options.protocol.headers;
     return this.isWrongInstance() || findHeader(this.headers, notExecuted) !== undefined;
   }
 
   private signature(): string | undefined {
-    return findHeader(this.headers, this.protocol.headers.signature);
+    return findHeader(this.headers, this.options.protocol.headers.signature);
   }
 
   private readResult(closing: boolean): AttemptResult {
-    const { headers, readLoad } = this.protocol;
+    const { headers, readLoad } = this.options.protocol;
     const loadText = findHeader(this.headers, headers.load);
     const load = loadText === undefined ? undefined : readLoad(loadText);
     const loadField = load === undefined ? {} : { load };
--- a/src/gateway/runtime/replica-client.ts
+++ b/src/gateway/runtime/replica-client.ts
@@ -10,6 +10,7 @@
 import type { ReplicaRecord } from '../model/replica-record.js';
 import type { AttemptId, AttemptProblem, AttemptResult } from '../model/request.js';
 import type { GatewayProtocol, HeaderNames } from '../protocol/protocol.js';
+import type { AnswerMemory } from './answer-memory.js';
 import { AnswerReader, type ExchangeEnd } from './answer-reader.js';
 import type { CallerRequests, PendingRequest } from './caller-requests.js';
 import type { GatewayEventSink } from './gateway-loop.js';
@@ -31,6 +32,7 @@
   readonly requests: CallerRequests;
   readonly clock: MonotonicClock;
   readonly sink: GatewayEventSink;
+  readonly memory: AnswerMemory;
 }
 
 const formatRequest = (
@@ -113,7 +115,7 @@
   }
 
   onConnectionFree(effect: SendAttempt, connection: ReplicaConnection, pool: ReplicaPool): void {
-    const { protocol, requests, clock } = this.context;
+    const { protocol, requests, clock, memory } = this.context;
     const caller = requests.find(effect.call);
     const remainingMs = Math.floor(effect.deadlineAt - clock.now());
     if (caller === undefined || remainingMs < 1) {
@@ -121,7 +123,9 @@
       this.emitEnded(effect.attempt, { type: 'failed', problem: 'timed-out', mayHaveRun: false });
       return;
     }
-    const reader = new AnswerReader(connection, protocol, caller.requestId, (end) =>
+    const { requestId } = caller;
+    const options = { requestId, rank: effect.rank, protocol, memory };
+    const reader = new AnswerReader(connection, options, (end) =>
       this.finish(effect.attempt, pool, connection, end),
     );
     const timer = setTimeout(() => reader.abort('timed-out'), remainingMs + DEADLINE_GRACE_MS);
--- a/src/gateway/runtime/start-gateway.ts
+++ b/src/gateway/runtime/start-gateway.ts
@@ -15,6 +15,7 @@
 import type { GatewaySettings } from '../settings.js';
 import { createGatewayState, type GatewayState } from '../state.js';
 import type { StoreCall } from '../store/collection.js';
+import { AnswerMemory } from './answer-memory.js';
 import { CallerPort } from './caller-port.js';
 import { CallerRequests } from './caller-requests.js';
 import type { EarlyPort } from './early-port.js';
@@ -31,6 +32,15 @@
 /** Exclusive upper bound of the random seed. */
 const SEED_RANGE = 0x7fff_ffff;
 
+/** Share of the process's memory that the answers being read may use, and that memory if no limit is set, in MB. */
+const ANSWER_MEMORY_SHARE = 0.125;
+const DEFAULT_MEMORY_MB = 512;
+
+const BYTES_PER_MB = 1_000_000;
+
+const answerMemoryBytes = ({ memoryMb = DEFAULT_MEMORY_MB }: GatewaySettings): number =>
+  memoryMb * BYTES_PER_MB * ANSWER_MEMORY_SHARE;
+
 /** Writes the log. */
 export interface GatewayLog {
   write(line: Omit<WriteLog, 'type'>): void;
@@ -100,7 +110,8 @@
         () => process.memoryUsage.rss(),
       ),
     );
-    this.replicas = new ReplicaClient({ protocol, requests, clock, sink });
+    const memory = new AnswerMemory(answerMemoryBytes(settings));
+    this.replicas = new ReplicaClient({ protocol, requests, clock, sink, memory });
     this.peerClient = new PeerClient({ requests, clock, sink, node: settings.node });
     this.peerPort = new PeerPort({ requests, clock, sink });
     this.store = new StoreClient({
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -47,6 +47,8 @@
   readonly zone: string;
   /** Processor capacity of this machine, in cores of the usual speed. */
   readonly capacity: number;
+  /** Memory after which the process is killed, in MB; absent if unknown. */
+  readonly memoryMb?: number;
   /** The whole tier starts for the first time; no effects of earlier processes remain. */
   readonly firstStart: boolean;
   /** The region of each zone. */
--- a/test/gateway/answer-reader.test.ts
+++ b/test/gateway/answer-reader.test.ts
@@ -3,7 +3,12 @@
 import { Worker } from 'node:worker_threads';
 import { afterEach, describe, expect, it } from 'vitest';
 import { platformProtocol } from '../../platform/protocol.js';
-import { AnswerReader, type ExchangeEnd } from '../../src/gateway/runtime/answer-reader.js';
+import { AnswerMemory } from '../../src/gateway/runtime/answer-memory.js';
+import {
+  AnswerReader,
+  type AnswerReaderOptions,
+  type ExchangeEnd,
+} from '../../src/gateway/runtime/answer-reader.js';
 import { ReplicaConnection } from '../../src/gateway/runtime/replica-connection.js';
 import type { AttemptProblem } from '../../src/gateway/model/request.js';
 import type { HostPort } from '../../src/settings/node-settings.js';
@@ -20,9 +25,18 @@
   await worker?.terminate();
 });
 
+const MEMORY_BYTES = 64_000_000;
+
+const optionsOf = (requestId: string): AnswerReaderOptions => ({
+  requestId,
+  rank: 0,
+  protocol: platformProtocol,
+  memory: new AnswerMemory(MEMORY_BYTES),
+});
+
 const exchange = (over: ReplicaConnection, requestId = 'r-1'): Promise<ExchangeEnd> =>
   new Promise((resolve) => {
-    const reader = new AnswerReader(over, platformProtocol, requestId, resolve);
+    const reader = new AnswerReader(over, optionsOf(requestId), resolve);
     over.send(
       { method: 'GET', path: '/a/', headers: ['x-request-id', requestId], body: null },
       reader,
@@ -217,7 +231,7 @@
       connection = await open(replica.address);
       const over = connection;
       const ends: ExchangeEnd[] = [];
-      const reader = new AnswerReader(over, platformProtocol, 'r-1', (end) => {
+      const reader = new AnswerReader(over, optionsOf('r-1'), (end) => {
         ends.push(end);
         over.destroy();
       });
--- a/test/gateway/replica-pool.test.ts
+++ b/test/gateway/replica-pool.test.ts
@@ -27,6 +27,7 @@
   deadlineAt: 10_000,
   maxConnections: 1,
   repeatable,
+  rank: 0,
 });
 
 /** Gets a connection for an attempt, and releases it as if the attempt had been answered. */
--- a/test/platform/endless-answers.test.ts
+++ b/test/platform/endless-answers.test.ts
@@ -1,16 +1,24 @@
+import { type ChildProcess, spawn } from 'node:child_process';
+import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
 import type { Socket } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
+import type { Worker } from 'node:worker_threads';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { RawReplica } from '../gateway/raw-replica.js';
+import { bundlePlatform } from '../runtime/compiled-source.js';
 import {
   addEndlessReplica,
+  addEndlessThread,
   type EndlessAnswer,
   ENDLESS_ANSWERS,
   listReplica,
   sendWithoutEnd,
 } from './endless-replica.js';
-import { type CallerAnswer, GatewayFixture } from './gateway-fixture.js';
+import { type CallerAnswer, GatewayFixture, until } from './gateway-fixture.js';
 import { routeSpec } from './operator-spec.js';
+import { SETTINGS_VARIABLE, settingsFileOf } from './settings-file.js';
 
 const TEST_TIMEOUT_MS = 30_000;
 
@@ -23,16 +31,28 @@
 
 const BUDGET_MS = 3_000;
 
+/** Memory of a gateway on the users' machines, in MB. */
+const MEMORY_MB = 350;
+
+/** Longest time for an answer to a readiness check, in milliseconds, and how late an answer to a caller may be. */
+const MAX_READINESS_MS = 500;
+const MAX_LATE_MS = 500;
+
 let fixture: GatewayFixture;
 const endless: RawReplica[] = [];
+const threads: Worker[] = [];
+let child: ChildProcess | undefined;
 
 beforeEach(async () => {
   fixture = await GatewayFixture.create();
 });
 
 afterEach(async () => {
+  child?.kill('SIGKILL');
+  child = undefined;
   await fixture.stop();
   await Promise.all(endless.splice(0).map((replica) => replica.stop()));
+  await Promise.all(threads.splice(0).map((thread) => thread.terminate()));
 });
 
 const configure = (kind = 'safe'): void => {
@@ -126,3 +146,67 @@
     expect(replica.requests.length - before).toBeGreaterThan(REQUESTS / 10);
   });
 });
+
+/** Starts a gateway as a process, with the flags of the deployment. */
+const startProcess = async (folder: string, program: string): Promise<void> => {
+  const file = join(folder, 'settings.json');
+  await writeFile(file, settingsFileOf({ ...fixture.settings, memoryMb: MEMORY_MB }));
+  const deployment = await readFile('deploy/system.toml', 'utf8');
+  const flags = /^run = "node (.*) target\/gateway\.cjs"$/m.exec(deployment)?.[1]?.split(' ') ?? [];
+  child = spawn(process.execPath, [...flags, program], {
+    stdio: 'ignore',
+    env: { ...process.env, [SETTINGS_VARIABLE]: file },
+  });
+  let isReady = false;
+  void (async () => {
+    while (!isReady) {
+      isReady = (await readinessMs()) !== undefined;
+    }
+  })();
+  await until(() => isReady, 'the process is ready');
+};
+
+/** Time of one readiness check in milliseconds; undefined unless it was answered with 200. */
+const readinessMs = async (): Promise<number | undefined> => {
+  const { host, port } = fixture.settings.readiness;
+  const began = performance.now();
+  const answer = await fetch(`http://${host}:${port}/v1/ready`).catch(() => undefined);
+  await delay(50);
+  return answer?.status === 200 ? performance.now() - began - 50 : undefined;
+};
+
+/** Largest resident memory of a process so far, in MB. */
+const peakMemoryMb = async (pid: number): Promise<number> => {
+  const status = await readFile(`/proc/${pid}/status`, 'utf8');
+  return Number(/^VmHWM:\s+(\d+) kB$/m.exec(status)?.[1] ?? Number.NaN) / 1_000;
+};
+
+describe('all replicas send bytes without end', { timeout: TEST_TIMEOUT_MS }, () => {
+  // A gateway used 587 MB of 350, answered callers seconds after their deadlines and did not answer readiness checks.
+  it.each(['a body without a length', 'chunks of one byte', 'interim answers'])(
+    'the gateway keeps to its memory, its deadlines and its readiness: %s',
+    async (name) => {
+      configure();
+      for (const id of ['desk-1', 'desk-2', 'desk-3']) {
+        threads.push(await addEndlessThread(fixture, id, 'desk', answerNamed(name)));
+      }
+      const source = await bundlePlatform();
+      const folder = await mkdtemp(join(tmpdir(), 'crossroad-'));
+      await startProcess(folder, source.main);
+      const sending = sendAll(300, 10);
+      const checks: (number | undefined)[] = [];
+      let isSending = true;
+      void sending.finally(() => (isSending = false));
+      while (isSending) {
+        checks.push(await readinessMs());
+      }
+      const answers = await sending;
+      expect(await peakMemoryMb(child?.pid ?? 0)).toBeLessThan(MEMORY_MB);
+      expect(Math.max(...checks.map((each) => each ?? Infinity))).toBeLessThan(MAX_READINESS_MS);
+      const latest = Math.max(...answers.map(({ elapsedMs }) => elapsedMs));
+      expect(latest).toBeLessThan(BUDGET_MS + MAX_LATE_MS);
+      await source.remove();
+      await rm(folder, { recursive: true, force: true });
+    },
+  );
+});
--- a/test/platform/endless-replica.ts
+++ b/test/platform/endless-replica.ts
@@ -1,5 +1,7 @@
 /** Replicas that send bytes without end, until the gateway closes the connection. */
+import { once } from 'node:events';
 import type { Socket } from 'node:net';
+import { Worker } from 'node:worker_threads';
 import type { HostPort } from '../../src/settings/node-settings.js';
 import { RawReplica } from '../gateway/raw-replica.js';
 import type { GatewayFixture } from './gateway-fixture.js';
@@ -67,3 +69,28 @@
   listReplica(fixture, id, service, replica.address);
   return replica;
 };
+
+const WORKER_SOURCE = `
+  const { workerData, parentPort } = require('node:worker_threads');
+  const start = Buffer.from(workerData.start, 'latin1');
+  const block = Buffer.from(workerData.block, 'latin1');
+  const server = require('node:net').createServer((socket) => {
+    const fill = () => { while (!socket.destroyed && socket.write(block)); };
+    socket.on('error', () => undefined);
+    socket.on('drain', fill);
+    socket.once('data', () => { socket.write(start); fill(); });
+  });
+  server.listen(0, '127.0.0.1', () => parentPort.postMessage(server.address().port));`;
+
+/** The same as a thread of its own, which sends as fast as it can without delaying the test. */
+export const addEndlessThread = async (
+  fixture: GatewayFixture,
+  id: string,
+  service: string,
+  answer: EndlessAnswer,
+): Promise<Worker> => {
+  const worker = new Worker(WORKER_SOURCE, { eval: true, workerData: answer });
+  const [port] = (await once(worker, 'message')) as [number];
+  listReplica(fixture, id, service, { host: '127.0.0.1', port });
+  return worker;
+};
