Limit what is read of an answer of the store

What happened: a call to the store whose answer has no end was read until it timed out, up to 30 s for a watch, and all of it was kept.

Change: the limits of replicas' answers apply. The call fails, its connection is closed, and the next call opens another one.

--- a/src/gateway/runtime/read-text.ts
+++ b/src/gateway/runtime/read-text.ts
@@ -2,6 +2,9 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Dispatcher } from 'undici';
 import type { StoreRequest } from '../protocol/protocol.js';
+import { exceedsOverhead, MAX_ANSWER_BYTES, MAX_INTERIM_ANSWERS } from './answer-limits.js';
+import { BodyBuffer } from './body-buffer.js';
+import type { ReceivedBytes } from './received-bytes.js';
 import type { Client } from './undici-client.js';
 
 /** A complete answer. */
@@ -17,13 +20,23 @@
   override readonly name = 'CallTimeoutError';
 }
 
+/** The answer exceeds a limit on its size. */
+export class EndlessAnswerError extends Error {
+  override readonly name = 'EndlessAnswerError';
+}
+
+/** Answers with a lower status are interim ones. */
+const FIRST_FINAL_STATUS = 200;
+
 /** Collects an answer and resolves when it is complete. */
 class TextReader implements Dispatcher.DispatchHandler {
   private status = 0;
   private headers: IncomingHttpHeaders = {};
-  private readonly chunks: Buffer[] = [];
+  private readonly body = new BodyBuffer();
+  private interimAnswers = 0;
 
   constructor(
+    private readonly received: () => ReceivedBytes | undefined,
     private readonly resolve: (answer: TextAnswer) => void,
     private readonly reject: (error: Error) => void,
   ) {}
@@ -31,6 +44,11 @@
   /** The client recognizes handlers of the current interface by this method. */
   onRequestStart(): void {
     this.status = 0;
+    this.received()?.observe((receivedBytes) => {
+      if (exceedsOverhead(receivedBytes, this.body.size)) {
+        this.refuse();
+      }
+    });
   }
 
   onResponseStart(
@@ -40,32 +58,47 @@
   ): void {
     this.status = status;
     this.headers = headers;
+    this.interimAnswers += Number(status < FIRST_FINAL_STATUS);
+    if (this.interimAnswers > MAX_INTERIM_ANSWERS) {
+      this.refuse();
+    }
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    this.chunks.push(chunk);
+    if (this.body.size + chunk.length > MAX_ANSWER_BYTES) {
+      this.refuse();
+    } else {
+      this.body.append(chunk);
+    }
   }
 
   onResponseEnd(): void {
-    const body = Buffer.concat(this.chunks).toString('utf8');
+    const body = this.body.toBuffer().toString('utf8');
     this.resolve({ status: this.status, headers: this.headers, body });
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
     this.reject(error);
   }
+
+  /** Rejects the answer; the caller closes the connection. */
+  private refuse(): void {
+    this.reject(new EndlessAnswerError('the answer exceeds the limit on its size'));
+  }
 }
 
 /**
  * Sends a request and resolves to its answer.
  *
  * @param timeoutMs - time for the complete answer, in milliseconds
- * @throws {@link CallTimeoutError} after that time; otherwise the client's error if there is no complete answer.
+ * @param received - returns the bytes received over the client's connection; undefined if it has none
+ * @throws {@link EndlessAnswerError} if the answer is too large; {@link CallTimeoutError} after that time; otherwise the client's error if there is no complete answer.
  */
 export const readText = (
   client: Client,
   { method, path, body }: StoreRequest,
   timeoutMs: number,
+  received: () => ReceivedBytes | undefined,
 ): Promise<TextAnswer> =>
   new Promise((resolve, reject) => {
     const timer = setTimeout(
@@ -84,6 +117,6 @@
     const request = { method, path, headers, body: body ?? null };
     client.dispatch(
       request,
-      new TextReader(afterClearingTimer(resolve), afterClearingTimer(reject)),
+      new TextReader(received, afterClearingTimer(resolve), afterClearingTimer(reject)),
     );
   });
--- a/src/gateway/runtime/store-client.ts
+++ b/src/gateway/runtime/store-client.ts
@@ -18,6 +18,7 @@
 import { readText, type TextAnswer } from './read-text.js';
 import type { ShownConfiguration } from '../store/store-objects.js';
 import type { StoreEra } from '../store/store-position.js';
+import { ReceivedBytes } from './received-bytes.js';
 import { openConnection } from './sockets.js';
 import { Client } from './undici-client.js';
 
@@ -76,6 +77,7 @@
 /** Executes `call-store` and `abort-store-call`. */
 export class StoreClient {
   private readonly clients = new Map<Purpose, Client>();
+  private readonly received = new WeakMap<Client, ReceivedBytes>();
   /** The latest call of each collection; it replaces earlier ones, whose answers are ignored. */
   private readonly newest = new Map<CollectionName, CollectionCall>();
   private closed = false;
@@ -242,7 +244,8 @@
   private async sendCall(purpose: Purpose, call: StoreCall): Promise<TextAnswer> {
     const client = this.clientOf(purpose);
     try {
-      return await readText(client, this.context.format.formatCall(call), call.timeoutMs);
+      const request = this.context.format.formatCall(call);
+      return await readText(client, request, call.timeoutMs, () => this.received.get(client));
     } catch (error) {
       if (this.clients.get(purpose) === client) {
         this.closeClient(purpose);
@@ -257,7 +260,7 @@
       return known;
     }
     const { address } = this.context;
-    const client = new Client(`http://${formatHostPort(address)}`, {
+    const client: Client = new Client(`http://${formatHostPort(address)}`, {
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: KEEP_ALIVE_MS,
@@ -265,6 +268,7 @@
         const socket = openConnection(address, CONNECT_TIMEOUT_MS, (error) =>
           error === null ? callback(null, socket) : callback(error, null),
         );
+        this.received.set(client, new ReceivedBytes(socket));
       },
     });
     this.clients.set(purpose, client);
