Keep no object for each small chunk of a caller's body

A body of 262,144 chunks of one byte, within the usual limits, takes 28 MB of the heap, which is 96 MB in the deployment (measured with an array of slices; a process was not run out of memory this way). Bodies of callers are collected like those of answers.

--- a/src/gateway/runtime/read-body.ts
+++ b/src/gateway/runtime/read-body.ts
@@ -1,5 +1,6 @@
 /** Reads the body of a caller's request within the limit on its size. */
 import type { IncomingMessage } from 'node:http';
+import { BodyBuffer } from './body-buffer.js';
 
 /** Returns whether a request has no body. */
 export const isBodyless = ({ headers }: IncomingMessage): boolean =>
@@ -17,25 +18,24 @@
   onEnd: (body: Buffer | undefined) => void,
 ): void => {
   const initialLimit = currentLimit();
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const body = new BodyBuffer();
   let isTooLarge = false;
   incoming.on('data', (chunk: Buffer) => {
     if (isTooLarge) {
       return;
     }
-    size += chunk.length;
     // A body that was allowed when it was sent stays allowed if the limit shrinks meanwhile.
-    isTooLarge = size > Math.max(initialLimit, currentLimit());
+    isTooLarge = body.size + chunk.length > Math.max(initialLimit, currentLimit());
     if (isTooLarge) {
+      body.clear();
       onEnd(undefined);
     } else {
-      chunks.push(chunk);
+      body.append(chunk);
     }
   });
   incoming.on('end', () => {
     if (!isTooLarge) {
-      onEnd(Buffer.concat(chunks));
+      onEnd(body.toBuffer());
     }
   });
 };
