--- a/soak/faults/fault-runner.ts
+++ b/soak/faults/fault-runner.ts
@@ -80,6 +80,11 @@
       .with({ type: 'replica-loses-answers' }, ({ service, forMs }) =>
         this.disturbService(service, 'loses answers', () => replicas.loseAnswers(service, forMs)),
       )
+      .with({ type: 'replica-sends-without-end' }, ({ service, form, forMs }) =>
+        this.disturbService(service, 'sends without end', () =>
+          replicas.sendWithoutEnd(service, form, forMs),
+        ),
+      )
       .with({ type: 'replica-restarts' }, ({ service, downMs }) =>
         this.disturbService(service, 'restarts', () => replicas.restart(service, downMs)),
       )
--- a/soak/model/plan.ts
+++ b/soak/model/plan.ts
@@ -4,6 +4,7 @@
 import { PREFIXES } from '../world/routes.js';
 import { FEW_SLOTS, REPLICA_SLOTS } from '../world/topology.js';
 import {
+  drawEndlessAnswers,
   drawEntryFaults,
   drawLastVersion,
   drawPeerLinkFaults,
@@ -117,7 +118,8 @@
   | 'entries'
   | 'tenants'
   | 'tenant-callers'
-  | 'long-callers';
+  | 'long-callers'
+  | 'endless-answers';
 
 /** New streams are appended, so that the regression seeds keep theirs. */
 const STREAMS: readonly RandomStream[] = [
@@ -135,6 +137,7 @@
   'tenants',
   'tenant-callers',
   'long-callers',
+  'endless-answers',
 ];
 
 /** Distance between the stream seeds of two runs, so that their streams differ. */
@@ -153,6 +156,9 @@
 /** Runs with smaller seeds have no long requests, so that earlier regression seeds are unchanged. */
 const FIRST_LONG_SEED = 7_000;
 
+/** Runs with smaller seeds have no answers without end, so that earlier regression seeds are unchanged. */
+const FIRST_ENDLESS_SEED = 8_000;
+
 /** Time between two planned stops that overlap, in milliseconds. */
 const OVERLAPPING_STOP_MS = 300;
 
@@ -279,6 +285,9 @@
         ? drawStoreRestores(streamOf(seed, 'store-returns'), faultsMs)
         : []),
       ...(hasEntryFaults ? drawEntryFaults(entries, faultsMs) : []),
+      ...(seed >= FIRST_ENDLESS_SEED
+        ? drawEndlessAnswers(streamOf(seed, 'endless-answers'), faultsMs)
+        : []),
     ],
     poisonRequests: hasEntryFaults ? drawAbandonment(entries, poisonRequests) : poisonRequests,
     poisonCrashDelayMs: hasEntryFaults ? entries.nextBelow(MAX_POISON_RUN_MS) : 0,
--- a/soak/model/schedule.ts
+++ b/soak/model/schedule.ts
@@ -1,5 +1,6 @@
 /** Faults and their start times. All are drawn before the run, so that a seed reproduces the same schedule. */
 import type { Random } from '../../src/core/random.js';
+import { ENDLESS_ANSWERS } from '../../test/platform/endless-answer.js';
 import { SERVICES } from '../world/topology.js';
 import type { TenantFault } from './tenant-schedule.js';
 
@@ -46,6 +47,13 @@
       readonly how: 'drain' | 'vanish' | 'crash';
     }
   | { readonly type: 'replica-loses-answers'; readonly service: string; readonly forMs: number }
+  /** A replica sends bytes of this form without end in place of answers. */
+  | {
+      readonly type: 'replica-sends-without-end';
+      readonly service: string;
+      readonly form: string;
+      readonly forMs: number;
+    }
   /** A replica stops and starts again with the same identifier. */
   | { readonly type: 'replica-restarts'; readonly service: string; readonly downMs: number }
   /** Another writer overwrites the entry of a replica, which later restores its own. */
@@ -292,6 +300,27 @@
   return schedule;
 };
 
+/** Minimum and maximum gap between two replicas that send bytes without end, in milliseconds. */
+const MIN_ENDLESS_GAP_MS = 500;
+const MAX_ENDLESS_GAP_MS = 4_000;
+
+/** Draws replicas that send bytes without end, in addition to the other faults. */
+export const drawEndlessAnswers = (
+  random: Random,
+  durationMs: number,
+): readonly ScheduledFault[] => {
+  const forms = Object.keys(ENDLESS_ANSWERS);
+  const schedule: ScheduledFault[] = [];
+  for (let atMs = 0; atMs < durationMs - QUIET_END_MS;) {
+    const form = forms[random.nextBelow(forms.length)] ?? '';
+    const service = drawService(random);
+    const type = 'replica-sends-without-end';
+    schedule.push({ atMs, fault: { type, service, form, forMs: drawFaultMs(random) } });
+    atMs += drawBetween(random, MIN_ENDLESS_GAP_MS, MAX_ENDLESS_GAP_MS);
+  }
+  return schedule;
+};
+
 /** Draws the faults of a run for `durationMs` milliseconds; some overlap, and others have quiet periods between them. */
 export const drawSchedule = (
   random: Random,
--- a/soak/world/replica-fleet.ts
+++ b/soak/world/replica-fleet.ts
@@ -2,6 +2,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { platformProtocol } from '../../platform/protocol.js';
 import type { Random } from '../../src/core/random.js';
+import { ENDLESS_ANSWERS } from '../../test/platform/endless-answer.js';
 import { REPLICA_KIND } from '../../test/platform/operator-spec.js';
 import {
   type ArrivedRequest,
@@ -196,6 +197,18 @@
     member.replica.behaviour.losesAnswers = false;
   }
 
+  /** Makes a replica of the service send bytes without end in place of answers, for some time. */
+  async sendWithoutEnd(service: string, form: string, forMs: number): Promise<void> {
+    const member = this.findActive(service);
+    const endless = ENDLESS_ANSWERS[form];
+    if (member === undefined || endless === undefined) {
+      return;
+    }
+    member.replica.behaviour.endless = endless;
+    await pause(forMs);
+    delete member.replica.behaviour.endless;
+  }
+
   /**
    * Repairs the entries after a restore of the store: replicas write theirs again, each at a random time, and the
    * entries of those that have left expire. Resolves when all entries are correct.
--- a/test/gateway/read-text.test.ts
+++ b/test/gateway/read-text.test.ts
@@ -3,7 +3,7 @@
 import { ReceivedBytes } from '../../src/gateway/runtime/received-bytes.js';
 import { openConnection } from '../../src/gateway/runtime/sockets.js';
 import { Client } from '../../src/gateway/runtime/undici-client.js';
-import { ENDLESS_ANSWERS, sendWithoutEnd } from '../platform/endless-replica.js';
+import { ENDLESS_ANSWERS, sendWithoutEnd } from '../platform/endless-answer.js';
 import { RawReplica } from './raw-replica.js';
 
 const TIMEOUT_MS = 10_000;
--- a/test/platform/endless-answers.test.ts
+++ b/test/platform/endless-answers.test.ts
@@ -8,14 +8,8 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { RawReplica } from '../gateway/raw-replica.js';
 import { bundlePlatform } from '../runtime/compiled-source.js';
-import {
-  addEndlessReplica,
-  addEndlessThread,
-  type EndlessAnswer,
-  ENDLESS_ANSWERS,
-  listReplica,
-  sendWithoutEnd,
-} from './endless-replica.js';
+import { type EndlessAnswer, ENDLESS_ANSWERS, sendWithoutEnd } from './endless-answer.js';
+import { addEndlessReplica, addEndlessThread, listReplica } from './endless-replica.js';
 import { type CallerAnswer, GatewayFixture, until } from './gateway-fixture.js';
 import { routeSpec } from './operator-spec.js';
 import { SETTINGS_VARIABLE, settingsFileOf } from './settings-file.js';
--- a/test/platform/stand-in-replica.ts
+++ b/test/platform/stand-in-replica.ts
@@ -1,6 +1,7 @@
 /** A stand-in for the platform's replicas, implemented from the description of its protocol. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { type EndlessAnswer, sendWithoutEnd } from './endless-answer.js';
 
 /** Header limit far above what tests send, since the gateway is the one to enforce limits. */
 const MAX_HEADER_BYTES = 1_048_576;
@@ -26,6 +27,8 @@
   workOf?: (path: string) => number;
   /** Runs requests and closes the connection in place of an answer. */
   losesAnswers: boolean;
+  /** Runs requests and sends this without end in place of an answer; absent for none. */
+  endless?: EndlessAnswer;
 }
 
 /** Observes the requests of a replica. */
@@ -143,10 +146,16 @@
 
   private answer(request: ArrivedRequest, outgoing: ServerResponse): void {
     this.running -= 1;
-    const { silent, status, signed, losesAnswers } = this.behaviour;
+    const { silent, status, signed, losesAnswers, endless } = this.behaviour;
     if (silent || outgoing.destroyed) {
       return;
     }
+    if (endless !== undefined) {
+      if (outgoing.socket !== null) {
+        sendWithoutEnd(outgoing.socket, endless);
+      }
+      return;
+    }
     if (losesAnswers) {
       outgoing.socket?.resetAndDestroy();
       return;
