Read through: HEAD answers, names, one copy of the limit on interim answers

A HEAD answer with the length of a large body was refused for that length, which it was not before these limits; a test of it. `lifecycle.ts` holds only the readiness since the stop has a folder, and is named so.

--- a/src/gateway/process-pause.ts
+++ b/src/gateway/process-pause.ts
@@ -5,7 +5,7 @@
  */
 import type { GatewayEffect } from './effect.js';
 import type { ProcessPaused } from './event.js';
-import { updateReadiness } from './lifecycle.js';
+import { updateReadiness } from './readiness.js';
 import type { StateChange } from './log/log-event.js';
 import { routeHeldRequests } from './requests/accept-request.js';
 import type { GatewayState } from './state.js';
--- a/src/gateway/reducer.ts
+++ b/src/gateway/reducer.ts
@@ -14,7 +14,7 @@
 import { handleCrashUpdates, handleCrashUpdatesDue } from './crashes/publish-crashes.js';
 import type { GatewayEffect } from './effect.js';
 import type { GatewayEvent, PeerRequestAnswered, PeerRequestReceived, Started } from './event.js';
-import { updateReadiness } from './lifecycle.js';
+import { updateReadiness } from './readiness.js';
 import { handleRegistrationDue } from './peers/follow-gateways.js';
 import { handleTokenAnswer } from './quotas/admit-waiting.js';
 import { handleTokenRequest, updateOwners } from './quotas/keep-quota.js';
--- a/src/gateway/requests/attempt-result.ts
+++ b/src/gateway/requests/attempt-result.ts
@@ -17,8 +17,8 @@
 import { progressRequest } from './progress.js';
 import { type ActiveAttempt, type ActiveRequest, isGather, type Leg } from './request-state.js';
 import { endLeg, recordLegPauses, retryLeg } from './retry-leg.js';
-import { recordUnreadableAnswer } from './unreadable-answers.js';
 import { settleAttempt } from './settle-attempt.js';
+import { recordUnreadableAnswer } from './unreadable-answers.js';
 
 const MS_PER_SECOND = 1_000;
 
--- a/src/gateway/requests/finish.ts
+++ b/src/gateway/requests/finish.ts
@@ -45,8 +45,8 @@
 const missingShards = ({ legs }: ActiveRequest): readonly string[] =>
   legs.filter((leg) => !isAnswered(leg)).map(({ service }) => service);
 
-/** The inputs of a refusal for this reason that are those of a stop. */
-const describeStop = (
+/** Inputs of a refusal if its reason is that the process stops. */
+const describeStopRefusal = (
   state: GatewayState,
   reason: RefusalReason,
   route: Route | undefined,
@@ -78,7 +78,7 @@
       return { ...common, outcome: 'passed-on', status: response.answer.status };
     case 'refusal': {
       const { reason, mayHaveRun } = response;
-      const stop = describeStop(state, reason, request.route, at);
+      const stop = describeStopRefusal(state, reason, request.route, at);
       return { ...common, outcome: 'refused', reason, mayHaveRun, ...stop };
     }
   }
@@ -197,7 +197,12 @@
     ...(isKeyRefusal(reason) && { refusedKey: describeRefusedKey(state, request, at) }),
     ...(reason === 'crashes-replicas' && { blocked: describeBlock(state, request, at) }),
     ...(reason === 'keys-unconfirmed' && { unconfirmed: describeUnconfirmed(state, at) }),
-    ...describeStop(state, reason, state.inForce?.table.find(request.host, request.path), at),
+    ...describeStopRefusal(
+      state,
+      reason,
+      state.inForce?.table.find(request.host, request.path),
+      at,
+    ),
     ...(limit !== undefined && { limit }),
     missing: [],
     objectiveMs: 0,
--- a/src/gateway/runtime/answer-limits.ts
+++ b/src/gateway/runtime/answer-limits.ts
@@ -3,8 +3,22 @@
 /** Maximum size of an answer's body, in bytes. */
 export const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 
-/** Most interim answers (1xx) before the final one. */
-export const MAX_INTERIM_ANSWERS = 16;
+/** Answers with a lower status are interim ones. */
+const FIRST_FINAL_STATUS = 200;
+
+/** Most interim answers before the final one. */
+const MAX_INTERIM_ANSWERS = 16;
+
+/** Counts the interim answers (1xx) before the final one. */
+export class InterimAnswers {
+  private count = 0;
+
+  /** Counts an answer if it is an interim one; returns whether there are too many. */
+  exceedsWith(status: number): boolean {
+    this.count += Number(status < FIRST_FINAL_STATUS);
+    return this.count > MAX_INTERIM_ANSWERS;
+  }
+}
 
 /** Bytes of heads and framing that are read in addition to as many as the body has, in bytes; the parser allows heads of 16 KB. */
 const MAX_OVERHEAD_BYTES = 65_536;
--- a/src/gateway/runtime/answer-reader.ts
+++ b/src/gateway/runtime/answer-reader.ts
@@ -8,17 +8,9 @@
 import type { AnswerMemory, HeldAnswer } from './answer-memory.js';
 import { BodyBuffer } from './body-buffer.js';
 import { findHeader } from './headers.js';
-import {
-  exceedsOverhead,
-  isMalformed,
-  MAX_ANSWER_BYTES,
-  MAX_INTERIM_ANSWERS,
-} from './answer-limits.js';
+import { exceedsOverhead, InterimAnswers, isMalformed, MAX_ANSWER_BYTES } from './answer-limits.js';
 import type { ReplicaConnection } from './replica-connection.js';
 
-/** Answers with a lower status are interim ones. */
-const FIRST_FINAL_STATUS = 200;
-
 /** Status of a replica that is not the requested instance. */
 const MISDIRECTED_STATUS = 421;
 
@@ -49,6 +41,8 @@
   readonly requestId: string;
   /** Class of the request. */
   readonly rank: number;
+  /** False for HEAD, whose answers have the length of a body that they do not have. */
+  readonly expectsBody: boolean;
   readonly protocol: GatewayProtocol;
   readonly memory: AnswerMemory;
 }
@@ -58,7 +52,7 @@
   private status = 0;
   private headers: Header[] = [];
   private readonly body = new BodyBuffer();
-  private interimAnswers = 0;
+  private readonly interimAnswers = new InterimAnswers();
   private isEnded = false;
   private abortReason: AttemptProblem | undefined;
 
@@ -104,9 +98,9 @@
     this.status = status;
     this.connection.hasAnswered = true;
     this.headers = toHeaders(headers);
-    this.interimAnswers += Number(status < FIRST_FINAL_STATUS);
     const length = Number(findHeader(this.headers, 'content-length') ?? 0);
-    if (this.interimAnswers > MAX_INTERIM_ANSWERS || length > MAX_ANSWER_BYTES) {
+    const isTooLong = this.options.expectsBody && length > MAX_ANSWER_BYTES;
+    if (this.interimAnswers.exceedsWith(status) || isTooLong) {
       this.abort('endless-answer');
     }
   }
--- a/src/gateway/runtime/read-text.ts
+++ b/src/gateway/runtime/read-text.ts
@@ -2,7 +2,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Dispatcher } from 'undici';
 import type { StoreRequest } from '../protocol/protocol.js';
-import { exceedsOverhead, MAX_ANSWER_BYTES, MAX_INTERIM_ANSWERS } from './answer-limits.js';
+import { exceedsOverhead, InterimAnswers, MAX_ANSWER_BYTES } from './answer-limits.js';
 import { BodyBuffer } from './body-buffer.js';
 import type { ReceivedBytes } from './received-bytes.js';
 import type { Client } from './undici-client.js';
@@ -25,15 +25,12 @@
   override readonly name = 'EndlessAnswerError';
 }
 
-/** Answers with a lower status are interim ones. */
-const FIRST_FINAL_STATUS = 200;
-
 /** Collects an answer and resolves when it is complete. */
 class TextReader implements Dispatcher.DispatchHandler {
   private status = 0;
   private headers: IncomingHttpHeaders = {};
   private readonly body = new BodyBuffer();
-  private interimAnswers = 0;
+  private readonly interimAnswers = new InterimAnswers();
 
   constructor(
     private readonly received: () => ReceivedBytes | undefined,
@@ -58,8 +55,7 @@
   ): void {
     this.status = status;
     this.headers = headers;
-    this.interimAnswers += Number(status < FIRST_FINAL_STATUS);
-    if (this.interimAnswers > MAX_INTERIM_ANSWERS) {
+    if (this.interimAnswers.exceedsWith(status)) {
       this.refuse();
     }
   }
--- a/src/gateway/runtime/replica-client.ts
+++ b/src/gateway/runtime/replica-client.ts
@@ -123,8 +123,9 @@
       this.emitEnded(effect.attempt, { type: 'failed', problem: 'timed-out', mayHaveRun: false });
       return;
     }
-    const { requestId } = caller;
-    const options = { requestId, rank: effect.rank, protocol, memory };
+    const { requestId, method } = caller;
+    const expectsBody = method !== 'HEAD';
+    const options = { requestId, rank: effect.rank, expectsBody, protocol, memory };
     const reader = new AnswerReader(connection, options, (end) =>
       this.finish(effect.attempt, pool, connection, end),
     );
--- a/src/gateway/stop/handle-stop.ts
+++ b/src/gateway/stop/handle-stop.ts
@@ -4,7 +4,7 @@
  */
 import type { GatewayEffect } from '../effect.js';
 import type { RequestReceived, StopDue, StopRequested } from '../event.js';
-import { updateReadiness } from '../lifecycle.js';
+import { updateReadiness } from '../readiness.js';
 import type { StateChange } from '../log/log-event.js';
 import type { Refusal } from '../model/request.js';
 import { waitingForTokens } from '../quotas/take-token.js';
--- a/test/gateway/answer-reader.test.ts
+++ b/test/gateway/answer-reader.test.ts
@@ -30,6 +30,7 @@
 const optionsOf = (requestId: string): AnswerReaderOptions => ({
   requestId,
   rank: 0,
+  expectsBody: true,
   protocol: platformProtocol,
   memory: new AnswerMemory(MEMORY_BYTES),
 });
--- a/test/platform/endless-answers.test.ts
+++ b/test/platform/endless-answers.test.ts
@@ -118,6 +118,17 @@
     },
   );
 
+  it('is not one that answers HEAD with the length of a large body', async () => {
+    configure();
+    const head = 'HTTP/1.1 200 OK\r\nx-server-stamp: s-1\r\ncontent-length: 99000000\r\n\r\n';
+    const replica = await RawReplica.start((socket) => socket.write(head));
+    endless.push(replica);
+    listReplica(fixture, 'desk-1', 'desk', replica.address);
+    await fixture.serve();
+    const answer = await fixture.request({ id: 'r-1', path: '/one/', method: 'HEAD' });
+    expect(answer.status).toBe(200);
+  });
+
   it('is used again once it is sound', async () => {
     configure();
     let isSound = false;
