Limit the number of small chunks of an answer

Beside other work (load 12 to 20) the process test of chunks of one byte failed in 3 of 3 runs: answers came up to 7.9 s after the deadline. Up to 16,000 chunks were parsed of each answer.

--- a/src/gateway/runtime/answer-limits.ts
+++ b/src/gateway/runtime/answer-limits.ts
@@ -33,6 +33,14 @@
 export const exceedsOverhead = (receivedBytes: number, bodyBytes: number): boolean =>
   receivedBytes - bodyBytes > MAX_OVERHEAD_BYTES + bodyBytes;
 
+/** Number of chunks from which their mean size is limited, and the smallest mean size, in bytes. */
+const MIN_LIMITED_CHUNKS = 1_024;
+const MIN_MEAN_CHUNK_BYTES = 8;
+
+/** Whether a body arrives in so small chunks that parsing it would take too much time. */
+export const isFragmented = (chunks: number, bytes: number): boolean =>
+  chunks >= MIN_LIMITED_CHUNKS && bytes < chunks * MIN_MEAN_CHUNK_BYTES;
+
 /** Name of the parser's errors, and its reason when a connection ends in the middle of an answer. */
 const PARSER_ERROR = 'HTTPParserError';
 const CUT_OFF_REASON = 'Invalid EOF state';
--- a/src/gateway/runtime/answer-reader.ts
+++ b/src/gateway/runtime/answer-reader.ts
@@ -8,7 +8,13 @@
 import type { AnswerMemory, HeldAnswer } from './answer-memory.js';
 import { BodyBuffer } from './body-buffer.js';
 import { findHeader } from './headers.js';
-import { exceedsOverhead, InterimAnswers, isMalformed, MAX_ANSWER_BYTES } from './answer-limits.js';
+import {
+  exceedsOverhead,
+  InterimAnswers,
+  isFragmented,
+  isMalformed,
+  MAX_ANSWER_BYTES,
+} from './answer-limits.js';
 import type { ReplicaConnection } from './replica-connection.js';
 
 /** Status of a replica that is not the requested instance. */
@@ -114,6 +120,10 @@
       return;
     }
     this.body.append(chunk);
+    if (isFragmented(this.body.chunks, this.body.size)) {
+      this.abort('endless-answer');
+      return;
+    }
     this.options.memory.add(this, chunk.length);
   }
 
--- a/src/gateway/runtime/body-buffer.ts
+++ b/src/gateway/runtime/body-buffer.ts
@@ -17,14 +17,21 @@
   private block: Buffer | undefined;
   private used = 0;
   private length = 0;
+  private count = 0;
 
-  /** Number of bytes received, in bytes. */
+  /** Number of bytes received. */
   get size(): number {
     return this.length;
   }
 
+  /** Number of chunks received. */
+  get chunks(): number {
+    return this.count;
+  }
+
   append(chunk: Buffer): void {
     const isOnly = this.length === 0;
+    this.count += 1;
     this.length += chunk.length;
     if (isOnly || chunk.length >= MIN_KEPT_CHUNK_BYTES) {
       this.closeBlock();
@@ -47,6 +54,7 @@
     this.block = undefined;
     this.used = 0;
     this.length = 0;
+    this.count = 0;
   }
 
   private copy(chunk: Buffer): void {
--- a/src/gateway/runtime/read-text.ts
+++ b/src/gateway/runtime/read-text.ts
@@ -2,7 +2,12 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Dispatcher } from 'undici';
 import type { StoreRequest } from '../protocol/protocol.js';
-import { exceedsOverhead, InterimAnswers, MAX_ANSWER_BYTES } from './answer-limits.js';
+import {
+  exceedsOverhead,
+  InterimAnswers,
+  isFragmented,
+  MAX_ANSWER_BYTES,
+} from './answer-limits.js';
 import { BodyBuffer } from './body-buffer.js';
 import type { ReceivedBytes } from './received-bytes.js';
 import type { Client } from './undici-client.js';
@@ -61,7 +66,8 @@
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    if (this.body.size + chunk.length > MAX_ANSWER_BYTES) {
+    const { size, chunks } = this.body;
+    if (size + chunk.length > MAX_ANSWER_BYTES || isFragmented(chunks, size)) {
       this.refuse();
     } else {
       this.body.append(chunk);
