Read less of a replica whose answer had no end

Beside 14 busy processes the process test of bodies without a length failed in 1 of 1 run: an answer came 0.7 s after its deadline. While no sound replica is left, each attempt read up to 16 MiB from a replica that had just sent an answer without end. For 5 s after such an answer, 1 MiB of an answer of the same replica is read.

--- a/src/gateway/runtime/answer-reader.ts
+++ b/src/gateway/runtime/answer-reader.ts
@@ -8,13 +8,7 @@
 import type { AnswerMemory, HeldAnswer } from './answer-memory.js';
 import { BodyBuffer } from './body-buffer.js';
 import { findHeader } from './headers.js';
-import {
-  exceedsOverhead,
-  InterimAnswers,
-  isFragmented,
-  isMalformed,
-  MAX_ANSWER_BYTES,
-} from './answer-limits.js';
+import { exceedsOverhead, InterimAnswers, isFragmented, isMalformed } from './answer-limits.js';
 import type { ReplicaConnection } from './replica-connection.js';
 
 /** Status of a replica that is not the requested instance. */
@@ -49,6 +43,8 @@
   readonly rank: number;
   /** False for HEAD, whose answers have the length of a body that they do not have. */
   readonly expectsBody: boolean;
+  /** Maximum size of the body, in bytes. */
+  readonly maxAnswerBytes: number;
   readonly protocol: GatewayProtocol;
   readonly memory: AnswerMemory;
 }
@@ -105,7 +101,7 @@
     this.connection.hasAnswered = true;
     this.headers = toHeaders(headers);
     const length = Number(findHeader(this.headers, 'content-length') ?? 0);
-    const isTooLong = this.options.expectsBody && length > MAX_ANSWER_BYTES;
+    const isTooLong = this.options.expectsBody && length > this.options.maxAnswerBytes;
     if (this.interimAnswers.exceedsWith(status) || isTooLong) {
       this.abort('endless-answer');
     }
@@ -115,7 +111,7 @@
     if (this.isEnded) {
       return;
     }
-    if (this.body.size + chunk.length > MAX_ANSWER_BYTES) {
+    if (this.body.size + chunk.length > this.options.maxAnswerBytes) {
       this.abort('endless-answer');
       return;
     }
--- a/src/gateway/runtime/replica-client.ts
+++ b/src/gateway/runtime/replica-client.ts
@@ -125,7 +125,9 @@
     }
     const { requestId, method } = caller;
     const expectsBody = method !== 'HEAD';
-    const options = { requestId, rank: effect.rank, expectsBody, protocol, memory };
+    const { maxAnswerBytes } = pool;
+    const { rank } = effect;
+    const options = { requestId, rank, expectsBody, maxAnswerBytes, protocol, memory };
     const reader = new AnswerReader(connection, options, (end) =>
       this.finish(effect.attempt, pool, connection, end),
     );
@@ -161,6 +163,9 @@
   ): void {
     clearTimeout(this.running.get(attempt)?.timer);
     this.running.delete(attempt);
+    if (result.type === 'failed' && result.problem === 'endless-answer') {
+      pool.recordEndlessAnswer();
+    }
     if (reusable) {
       pool.releaseConnection(connection);
     } else {
--- a/src/gateway/runtime/replica-pool.ts
+++ b/src/gateway/runtime/replica-pool.ts
@@ -3,6 +3,7 @@
 import type { HostPort } from '../../settings/node-settings.js';
 import type { SendAttempt } from '../effect.js';
 import type { AttemptId, AttemptProblem } from '../model/request.js';
+import { MAX_ANSWER_BYTES } from './answer-limits.js';
 import type { ConnectTimeout } from './connect-timeout.js';
 import { ReplicaConnection } from './replica-connection.js';
 
@@ -13,6 +14,13 @@
  */
 const MAX_TRUSTED_IDLE_MS = 1_000;
 
+/**
+ * After an answer that exceeded a limit, the answers of the replica are limited to this size for some time, in bytes and
+ * milliseconds: each further answer without end would take as much processor time as the first one.
+ */
+const REDUCED_ANSWER_BYTES = 1024 * 1024;
+const REDUCED_FOR_MS = 5_000;
+
 /** A connection without a request in progress. */
 interface IdleConnection {
   readonly connection: ReplicaConnection;
@@ -45,6 +53,8 @@
   private openCount = 0;
   private openingCount = 0;
   private maxConnections = 1;
+  /** Until then, the size of answers is limited more strictly. */
+  private reducedUntil = Number.NEGATIVE_INFINITY;
   private isClosed = false;
 
   constructor(
@@ -54,6 +64,16 @@
     private readonly listener: PoolListener,
   ) {}
 
+  /** Maximum size of an answer's body, in bytes. */
+  get maxAnswerBytes(): number {
+    return this.clock.now() < this.reducedUntil ? REDUCED_ANSWER_BYTES : MAX_ANSWER_BYTES;
+  }
+
+  /** Records that an answer of the replica has exceeded a limit. */
+  recordEndlessAnswer(): void {
+    this.reducedUntil = this.clock.now() + REDUCED_FOR_MS;
+  }
+
   submit(attempt: SendAttempt): void {
     this.maxConnections = attempt.maxConnections;
     this.waiting.push(attempt);
--- a/test/gateway/answer-reader.test.ts
+++ b/test/gateway/answer-reader.test.ts
@@ -3,6 +3,7 @@
 import { Worker } from 'node:worker_threads';
 import { afterEach, describe, expect, it } from 'vitest';
 import { platformProtocol } from '../../platform/protocol.js';
+import { MAX_ANSWER_BYTES } from '../../src/gateway/runtime/answer-limits.js';
 import { AnswerMemory } from '../../src/gateway/runtime/answer-memory.js';
 import {
   AnswerReader,
@@ -31,6 +32,7 @@
   requestId,
   rank: 0,
   expectsBody: true,
+  maxAnswerBytes: MAX_ANSWER_BYTES,
   protocol: platformProtocol,
   memory: new AnswerMemory(MEMORY_BYTES),
 });
