--- a/src/gateway/effect.ts
+++ b/src/gateway/effect.ts
@@ -119,7 +119,7 @@
   readonly withinMs: number;
 }
 
-/** Ends an attempt if it still waits for a connection; otherwise it goes on. */
+/** Cancels an attempt that still waits for a connection; has no effect on an attempt that has been sent. */
 export interface RecallAttempt {
   readonly type: 'recall-attempt';
   readonly attempt: AttemptId;
--- a/src/gateway/stop/handle-stop.ts
+++ b/src/gateway/stop/handle-stop.ts
@@ -58,7 +58,7 @@
   ];
 };
 
-/** Takes back the attempts that wait for a connection and can no longer be answered, so that their callers are told. */
+/** Cancels the attempts that wait for a connection and cannot be answered before the process ends: they have not run. */
 const recallAttempts = (state: GatewayState, at: number): GatewayEffect[] => {
   const isTooLate = ({ route, ownDeadlineAt }: ActiveRequest): boolean =>
     !canAnswerBeforeStop(state, route, ownDeadlineAt, at);
