Log and count the attempts that take from retry budgets

Operators could not tell who sent repeats to a service: a log had denials of single requests only, and no counter told extra attempts from first ones. Change: a line of at most one a second and gateway, retry-budget-used, gives by service the extra attempts by reason (retry, hedge, resend), denials, the requests and extras in the window, the share and the number of gateways; a counter crossroad_gateway_extra_attempts_total. No decision changes.

--- a/src/gateway/budget/retry-budget.ts
+++ b/src/gateway/budget/retry-budget.ts
@@ -61,6 +61,16 @@
     this.extras = new SlidingCount(slotMs);
   }
 
+  /** Requests in the window, as of the last change. */
+  get requestCount(): number {
+    return this.requests.total;
+  }
+
+  /** Extra arrivals in the window, as of the last change. */
+  get extraCount(): number {
+    return this.extras.total;
+  }
+
   /** Counts a request for the service; extra arrivals are not requests. */
   countRequest(at: number): void {
     this.requests.add(at);
--- a/src/gateway/log/log-descriptions.ts
+++ b/src/gateway/log/log-descriptions.ts
@@ -96,6 +96,8 @@
   'tenant-over-limit':
     'The owner of a tenant has no token left: the tenant exceeds its quota. Logged once until it is within it again.',
   'tenant-within-limit': 'The owner has refused no request of the tenant for 10 s.',
+  'retry-budget-used':
+    'Attempts beyond the first that took from retry budgets since the last such line, and those denied; at most one line a second.',
   'lines-dropped':
     'Log lines were left out: the rate limit was exceeded, or standard output could not accept them.',
 };
--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -229,6 +229,20 @@
     }
   | { readonly event: 'caller-left'; readonly elapsedMs: number };
 
+/** Use of the retry budget of one service in a log interval, and the state of the budget after the last attempt. */
+export interface BudgetUse {
+  /** Attempts that took from the budget, by reason; `resend`: another feeder may have sent the leg before. */
+  readonly retry: number;
+  readonly hedge: number;
+  readonly resend: number;
+  readonly denied: number;
+  /** Requests and extra attempts that this process has counted in the window. */
+  readonly requests: number;
+  readonly extras: number;
+  /** This gateway's share of the slack, 0 to 1. */
+  readonly share: number;
+}
+
 /** A decision with its time on the monotonic clock, in milliseconds. */
 export interface TracedDecision {
   readonly at: number;
@@ -452,4 +466,11 @@
       /** Requests for tokens that the owner refused; other gateways refuse further requests without asking. */
       readonly refused: number;
     }
+  | {
+      readonly event: 'retry-budget-used';
+      readonly gateways: number;
+      readonly services: Readonly<Record<string, BudgetUse>>;
+      /** Extra attempts at services for which the line has no room. */
+      readonly unnamed: number;
+    }
   | { readonly event: 'lines-dropped'; readonly lines: number };
--- a/src/gateway/metrics/gateway-counters.ts
+++ b/src/gateway/metrics/gateway-counters.ts
@@ -52,6 +52,11 @@
     },
     LATENCY_BOUNDS_SECONDS,
   ),
+  extraAttempts: new CounterMetric({
+    name: 'crossroad_gateway_extra_attempts_total',
+    help: 'Attempts that took from the retry budget of a service, by reason; resend: another feeder may have sent the leg before.',
+    labelNames: ['service', 'reason'],
+  }),
   budgetDenials: new CounterMetric({
     name: 'crossroad_gateway_budget_denials_total',
     help: 'Further attempts that the retry budget of a service did not allow.',
--- a/src/gateway/reducer.ts
+++ b/src/gateway/reducer.ts
@@ -3,6 +3,7 @@
  * order in which the driver must execute them.
  */
 import { match } from 'ts-pattern';
+import { logExtraAttempts } from './budget/extra-attempts.js';
 import {
   confirmAfterPause,
   handleConfirmationAnswer,
@@ -235,7 +236,9 @@
 /** Handles one event, then starts the waiting attempts for which it made room. */
 export const step = (state: GatewayState, event: GatewayEvent): GatewayEffect[] => {
   const effects = handleEvent(state, event);
-  return state.scheduling.changed.size === 0
-    ? effects
-    : [...effects, ...startWaiting(state, event.at)];
+  if (state.scheduling.changed.size > 0) {
+    effects.push(...startWaiting(state, event.at));
+  }
+  effects.push(...logExtraAttempts(state, event.at));
+  return effects;
 };
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -1,4 +1,5 @@
 /** Sends attempts to replicas. */
+import { type ExtraReason, recordExtraAttempt } from '../budget/extra-attempts.js';
 import type { SendAttempt } from '../effect.js';
 import type { AttemptId } from '../model/request.js';
 import type { AttemptReason } from '../log/log-event.js';
@@ -77,27 +78,41 @@
   preferred: preferredReplicas(leg, shared),
 });
 
+const extraReasonOf = ({ wasSent }: Leg, reason: AttemptReason): ExtraReason => {
+  if (!wasSent) {
+    return 'resend';
+  }
+  return reason === 'hedge' ? 'hedge' : 'retry';
+};
+
 /** Consumes one arrival of the retry budget; false when it is exhausted. The first arrival of a leg is free. */
 const consumeBudget = (
   state: GatewayState,
   request: ActiveRequest,
   leg: Leg,
+  reason: AttemptReason,
   at: number,
 ): boolean => {
+  const { service } = leg;
   if (leg.arrivals === 0) {
     return true;
   }
   const { retryRatio, retryWindowMs, retrySlack } = state.settings.bounds;
-  const slack = Math.floor(retrySlack * SLACK_SHARE * shareOf(state, leg.service));
+  const share = shareOf(state, service);
+  const slack = Math.floor(retrySlack * SLACK_SHARE * share);
   const policy = { ratio: retryRatio, windowMs: retryWindowMs, slack };
-  const budget = budgetOf(state, leg.service);
-  const taken = budget.consume(policy, at);
-  if (!taken) {
+  const budget = budgetOf(state, service);
+  const isTaken = budget.consume(policy, at);
+  recordExtraAttempt(state, service, isTaken ? extraReasonOf(leg, reason) : 'denied', {
+    requests: budget.requestCount,
+    extras: budget.extraCount,
+    share,
+  });
+  if (!isTaken) {
     const left = budget.left(policy, at);
-    state.counters.budgetDenials.add(leg.service);
-    recordDecision(request.decisions, at, { event: 'budget-denied', service: leg.service, left });
+    recordDecision(request.decisions, at, { event: 'budget-denied', service, left });
   }
-  return taken;
+  return isTaken;
 };
 
 const traceAttempt = (
@@ -204,7 +219,7 @@
   if (replica === undefined || !accepts(expectedRatio(replica, place.maxConnections, at))) {
     return undefined;
   }
-  if (!consumeBudget(state, request, leg, at)) {
+  if (!consumeBudget(state, request, leg, reason, at)) {
     return undefined;
   }
   if (shared?.has(replica.record.id) === false) {
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -1,6 +1,7 @@
 /** The state of a gateway; the reducer owns it and updates it in place. */
 import { createRandom, type Random } from '../core/random.js';
 import { createKeyConfirmation, type KeyConfirmation } from './authorization/confirmation-state.js';
+import { createExtraAttempts, type ExtraAttempts } from './budget/extra-attempts.js';
 import { RetryBudget } from './budget/retry-budget.js';
 import type { BrokenAttempt } from './crashes/broken-attempt.js';
 import { type CrashState, createCrashState } from './crashes/crash-state.js';
@@ -163,6 +164,8 @@
   readonly crashes: CrashState;
   readonly scheduling: SchedulingState;
   readonly budgets: Map<string, RetryBudget>;
+  /** Use of the retry budgets that has not been logged. */
+  readonly extraAttempts: ExtraAttempts;
   readonly latencies: Map<string, RouteLatency>;
   /** Recent log lines about unreadable requests, by problem. */
   readonly unreadableLogs: Map<UnreadableProblem, UnreadableLog>;
@@ -234,6 +237,7 @@
   crashes: createCrashState(),
   scheduling: createSchedulingState(),
   budgets: new Map(),
+  extraAttempts: createExtraAttempts(),
   latencies: new Map(),
   unreadableLogs: new Map(),
   unreadableAnswerLogs: new Map(),
