--- a/src/gateway/budget/extra-attempts.ts
+++ b/src/gateway/budget/extra-attempts.ts
@@ -4,7 +4,6 @@
  */
 import type { GatewayEffect } from '../effect.js';
 import type { BudgetUse } from '../log/log-event.js';
-import type { GatewayState } from '../state.js';
 
 /** Least time between two log lines, in milliseconds. */
 const LOG_INTERVAL_MS = 1_000;
@@ -37,16 +36,11 @@
  * @param inputs - state of the budget after it
  */
 export const recordExtraAttempt = (
-  { counters, extraAttempts: { uses } }: GatewayState,
+  { uses }: ExtraAttempts,
   service: string,
   outcome: ExtraReason | 'denied',
   inputs: Omit<BudgetUse, keyof Counts>,
 ): void => {
-  if (outcome === 'denied') {
-    counters.budgetDenials.add(service);
-  } else {
-    counters.extraAttempts.add(service, outcome);
-  }
   const before: Counts = uses.get(service) ?? NO_COUNTS;
   const { retry, hedge, resend, denied } = before;
   const counts = { retry, hedge, resend, denied, [outcome]: before[outcome] + 1 };
@@ -58,7 +52,8 @@
 
 /** Logs the use of the budgets since the last line, if there was any and the last line is old enough. */
 export const logExtraAttempts = (
-  { extraAttempts, gateways }: GatewayState,
+  extraAttempts: ExtraAttempts,
+  gateways: number,
   at: number,
 ): GatewayEffect[] => {
   const { loggedAt, uses } = extraAttempts;
--- a/src/gateway/reducer.ts
+++ b/src/gateway/reducer.ts
@@ -239,6 +239,6 @@
   if (state.scheduling.changed.size > 0) {
     effects.push(...startWaiting(state, event.at));
   }
-  effects.push(...logExtraAttempts(state, event.at));
+  effects.push(...logExtraAttempts(state.extraAttempts, state.gateways, event.at));
   return effects;
 };
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -103,13 +103,17 @@
   const policy = { ratio: retryRatio, windowMs: retryWindowMs, slack };
   const budget = budgetOf(state, service);
   const isTaken = budget.consume(policy, at);
-  recordExtraAttempt(state, service, isTaken ? extraReasonOf(leg, reason) : 'denied', {
+  const extraReason = extraReasonOf(leg, reason);
+  recordExtraAttempt(state.extraAttempts, service, isTaken ? extraReason : 'denied', {
     requests: budget.requestCount,
     extras: budget.extraCount,
     share,
   });
-  if (!isTaken) {
+  if (isTaken) {
+    state.counters.extraAttempts.add(service, extraReason);
+  } else {
     const left = budget.left(policy, at);
+    state.counters.budgetDenials.add(service);
     recordDecision(request.decisions, at, { event: 'budget-denied', service, left });
   }
   return isTaken;
