Failing test: repeats exceed the retry budget when gateways are killed twice

Callers lose nothing at once, but replicas of a failing service receive more repeats than the budget allows.

--- a/test/gateway/crash-network.ts
+++ b/test/gateway/crash-network.ts
@@ -56,6 +56,7 @@
   readonly gateway: string;
   /** Since when that gateway has run with all its links up; infinite while one is cut. */
   readonly connectedSince: number;
+  readonly service: string;
   readonly requestId: string;
   readonly fingerprint: string;
 }
@@ -169,6 +170,8 @@
   /** When replicas crashed while running a lethal request, and its fingerprint. */
   readonly crashes: { readonly at: number; readonly fingerprint: string }[] = [];
   readonly asked: SentRequest[] = [];
+  /** Every try of a caller. */
+  readonly tries: { readonly at: number; readonly path: string }[] = [];
   /** Requests with these fingerprints crash the replicas that run them. */
   readonly lethal = new Set<string>();
   /**
@@ -334,6 +337,7 @@
     this.nextCall += 1;
     const { fingerprint, path = '/all/x', budgetMs = 1_500 } = asked;
     const requestId = `r-${call}`;
+    this.tries.push({ at: this.now, path });
     this.pendingRequests.set(call, { node, asked, retries, sentAt: this.now });
     this.requests.set(call, { requestId, fingerprint });
     const request = { requestId, fingerprint, host: 'shop.example', path, budgetMs };
@@ -454,7 +458,7 @@
         mayHaveRun: false,
       });
     }
-    const fingerprint = this.recordArrival(node, effect);
+    const fingerprint = this.recordArrival(node, effect, place.record.service);
     if (place.record.id !== effect.replica.id) {
       return this.endAttempt(attempt, { type: 'refused', reason: 'wrong-instance' });
     }
@@ -468,7 +472,7 @@
     }
   }
 
-  private recordArrival(node: CrashNode, { call }: SendAttempt): string {
+  private recordArrival(node: CrashNode, { call }: SendAttempt, service: string): string {
     const { requestId, fingerprint } = this.requests.get(call) ?? {
       requestId: '',
       fingerprint: '',
@@ -482,6 +486,7 @@
       at: this.now,
       gateway,
       connectedSince,
+      service,
       requestId,
       fingerprint,
     });
