Count a share of a retry budget only once it was held for a whole window

Callers saw nothing at once; replicas of a failing service received more repeats than the budget allows. Cause: shares of the budget add up to 1 at each moment, but the bound is on a sliding window, and a share that moved was used twice in it: by a process and the one started after it, by the feeders of a shard before and after a change, by a process that assumed 8 gateways. The ratio had the same fault: a process used what its requests of the last window allow, and the next one what its own do. Change: three quarters of a share count once it was held for a whole window; of one held for less, a quarter in proportion to that time; the same parts of what own requests allow. A gateway that the list lacks has no share. The bound follows from the shares alone, without messages, for any number of starts. The test fixtures register their gateways, and the first start of a network of gateways is the first start of the tier, as on the platform.

--- a/src/gateway/budget/retry-budget.ts
+++ b/src/gateway/budget/retry-budget.ts
@@ -6,9 +6,6 @@
 /** Number of time slots in a window. */
 const WINDOW_SLOTS = 50;
 
-/** Share of the ratio that is used; the rest covers requests that end in another window. */
-const RATIO_SAFETY = 0.9;
-
 /** Number of events in the last window, counted by time slot. */
 class SlidingCount {
   private readonly counts = new Float64Array(WINDOW_SLOTS + 1);
@@ -44,6 +41,7 @@
 
 /** Limits of one gateway's retry budget for one service. */
 export interface RetryBudgetPolicy {
+  /** Extra arrivals that each request counted by this gateway allows it. */
   readonly ratio: number;
   readonly windowMs: number;
   /** This gateway's share of the slack, in arrivals. */
@@ -80,7 +78,7 @@
   left(policy: RetryBudgetPolicy, at: number): number {
     this.requests.advance(at);
     this.extras.advance(at);
-    const allowed = policy.ratio * RATIO_SAFETY * this.requests.total + policy.slack;
+    const allowed = policy.ratio * this.requests.total + policy.slack;
     return Math.floor(allowed - this.extras.total);
   }
 
--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -239,7 +239,7 @@
   /** Requests and extra attempts that this process has counted in the window. */
   readonly requests: number;
   readonly extras: number;
-  /** This gateway's share of the slack, 0 to 1. */
+  /** The share of the slack that this gateway may use in the window, 0 to 1. */
   readonly share: number;
 }
 
--- a/src/gateway/reducer.ts
+++ b/src/gateway/reducer.ts
@@ -4,6 +4,7 @@
  */
 import { match } from 'ts-pattern';
 import { logExtraAttempts } from './budget/extra-attempts.js';
+import { recordShares } from './budget/usable-share.js';
 import {
   confirmAfterPause,
   handleConfirmationAnswer,
@@ -113,6 +114,7 @@
 /** Runs what depends on the state of the store, after an update from the store or a reader. */
 const resumeAfterStoreUpdate = (state: GatewayState, at: number): GatewayEffect[] => {
   updateOwners(state, at);
+  recordShares(state, at);
   return [
     ...updateKeyConfirmation(state, at),
     ...routeHeldRequests(state, at),
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -3,9 +3,10 @@
 import type { SendAttempt } from '../effect.js';
 import type { AttemptId } from '../model/request.js';
 import type { AttemptReason } from '../log/log-event.js';
+import { usableShareOf } from '../budget/usable-share.js';
 import { recordDecision } from '../log/trace.js';
 import { type Replica, currentSlowdown } from '../replicas/replica.js';
-import { isFed, shareOf } from '../peers/service-share.js';
+import { isFed } from '../peers/service-share.js';
 import { hasColdRateLeft, recordColdSend } from '../replicas/cold-rate.js';
 import { eligibleReplicas } from '../replicas/eligible-replicas.js';
 import { drawReplicas, listedReplicas } from '../replicas/shared-replicas.js';
@@ -27,9 +28,6 @@
 /** Share of the drain time during which a leaving replica may still be used, as a last resort. */
 const LEAVING_SHARE = 0.3;
 
-/** Share of a retry budget's slack that all gateways together use. */
-const SLACK_SHARE = 0.75;
-
 /** Attempts that a leg may make beyond its runs, for refusals and failed connections. */
 const EXTRA_ATTEMPTS = 2;
 
@@ -98,9 +96,12 @@
     return true;
   }
   const { retryRatio, retryWindowMs, retrySlack } = state.settings.bounds;
-  const share = shareOf(state, service);
-  const slack = Math.floor(retrySlack * SLACK_SHARE * share);
-  const policy = { ratio: retryRatio, windowMs: retryWindowMs, slack };
+  const { ofLimit: share, ofOwnRequests } = usableShareOf(state, service, at);
+  const policy = {
+    ratio: retryRatio * ofOwnRequests,
+    windowMs: retryWindowMs,
+    slack: retrySlack * share,
+  };
   const budget = budgetOf(state, service);
   const isTaken = budget.consume(policy, at);
   const extraReason = extraReasonOf(leg, reason);
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -3,6 +3,7 @@
 import { createKeyConfirmation, type KeyConfirmation } from './authorization/confirmation-state.js';
 import { createExtraAttempts, type ExtraAttempts } from './budget/extra-attempts.js';
 import { RetryBudget } from './budget/retry-budget.js';
+import { createShareRecords, type ShareRecords } from './budget/share-records.js';
 import type { BrokenAttempt } from './crashes/broken-attempt.js';
 import { type CrashState, createCrashState } from './crashes/crash-state.js';
 import { UnawaitedRuns } from './crashes/unawaited-runs.js';
@@ -164,6 +165,8 @@
   readonly crashes: CrashState;
   readonly scheduling: SchedulingState;
   readonly budgets: Map<string, RetryBudget>;
+  /** Shares of the retry budgets. */
+  readonly budgetShares: ShareRecords;
   /** Use of the retry budgets that has not been logged. */
   readonly extraAttempts: ExtraAttempts;
   readonly latencies: Map<string, RouteLatency>;
@@ -237,6 +240,7 @@
   crashes: createCrashState(),
   scheduling: createSchedulingState(),
   budgets: new Map(),
+  budgetShares: createShareRecords(),
   extraAttempts: createExtraAttempts(),
   latencies: new Map(),
   unreadableLogs: new Map(),
--- a/test/gateway/crash-network.ts
+++ b/test/gateway/crash-network.ts
@@ -96,6 +96,8 @@
   state: GatewayState;
   alive = true;
   incarnation = 0;
+  /** Number of times that it was started. */
+  starts = 0;
   startedAt = 0;
   /** Gateways from which it is cut off, and when one of its links was last cut or healed. */
   readonly cutFrom = new Set<string>();
@@ -114,15 +116,15 @@
     seed: number,
   ) {
     this.stored = record;
-    this.state = createGatewayState(settingsOf(record), seed);
+    this.state = createGatewayState(settingsOf(record, true), seed);
   }
 }
 
-const settingsOf = ({ name, zone, capacity }: PeerRecord) => ({
+const settingsOf = ({ name, zone, capacity }: PeerRecord, firstStart: boolean) => ({
   node: name,
   zone,
   capacity,
-  firstStart: false,
+  firstStart,
   zoneRegions: Object.fromEntries(ZONES.map((each) => [each, 'addis'])),
   callers: HOST,
   readiness: HOST,
@@ -232,7 +234,12 @@
     node.alive = true;
     node.incarnation += 1;
     node.startedAt = this.now;
-    node.state = createGatewayState(settingsOf(node.record), this.seed + node.incarnation * 97);
+    const isFirstStart = node.starts === 0;
+    node.starts += 1;
+    node.state = createGatewayState(
+      settingsOf(node.record, isFirstStart),
+      this.seed + node.incarnation * 97,
+    );
     node.timers.clear();
     node.coordinators.clear();
     this.emit(node, { type: 'started', at: this.now });
--- a/test/gateway/virtual-gateway.ts
+++ b/test/gateway/virtual-gateway.ts
@@ -105,6 +105,7 @@
       7,
     );
     this.state.gateways = 1;
+    this.state.peers.put({ name: node, zone: 'bole', address: HOST, capacity });
     this.emit({ type: 'started', at: 0 });
   }
 
