Keep legs marked as repeats when they move to a third feeder

Callers: none refused; replicas got arrivals that no budget allowed, and a request could run on more replicas than its route allows. Cause: a coordinator that moved legs from a feeder that may have run them to one that had not (it refused, or could not be reached) sent them to the third one as new requests: their first attempts took nothing from the budget, and were counted as requests that allow more. Change: what one feeder may have run stays a repeat at every later one. Result: the new test in feeders.test.ts failed before (expected true, was false), and passes now; the other 32 pass.

--- a/src/gateway/requests/check-subqueries.ts
+++ b/src/gateway/requests/check-subqueries.ts
@@ -57,7 +57,7 @@
   return wasSuspect ? check : [log, ...check];
 };
 
-/** Cancels a subquery and sends its open legs elsewhere. */
+/** Cancels a subquery and sends its open legs elsewhere, as repeats if this feeder or an earlier one may have run them. */
 export const moveLegs = (
   state: GatewayState,
   request: ActiveRequest,
@@ -65,7 +65,7 @@
   mayHaveRun: boolean,
   at: number,
 ): GatewayEffect[] => {
-  const { id, peer, sentAt } = subquery;
+  const { id, peer, sentAt, isRepeat } = subquery;
   request.subqueries.delete(id);
   state.subqueries.delete(id);
   request.failedFeeders.add(peer);
@@ -84,7 +84,7 @@
   });
   return [
     { type: 'cancel-subquery', id, withinMs: 0 },
-    ...sendLegs(state, request, open, mayHaveRun, at),
+    ...sendLegs(state, request, open, mayHaveRun || isRepeat, at),
   ];
 };
 
--- a/test/gateway/feeders.test.ts
+++ b/test/gateway/feeders.test.ts
@@ -193,6 +193,22 @@
     expect(moved.some(({ subquery }) => subquery.isRepeat)).toBe(false);
   });
 
+  // A second move forgot the first: the third feeder sent the shards as new requests, outside of every budget.
+  it('moves shards as repeats also when the feeder that took them over has not run them', () => {
+    const gateway = coordinator();
+    gateway.request();
+    /** Fails a subquery; returns those that replace it. */
+    const fail = ({ id: subquery }: SendSubquery, mayHaveRun: boolean): readonly SendSubquery[] => {
+      const before = gateway.subqueries.length;
+      gateway.emit({ type: 'subquery-failed', at: 0, subquery, mayHaveRun });
+      return gateway.subqueries.slice(before);
+    };
+    const moved = fail(firstOf(gateway.subqueries), true);
+    const movedAgain = fail(firstOf(moved), false);
+    expect(movedAgain.length).toBeGreaterThan(0);
+    expect(movedAgain.every(({ subquery }) => subquery.isRepeat)).toBe(true);
+  });
+
   it('requests unsent shards from the next feeder, and not as repeats', () => {
     const gateway = coordinator();
     const call = gateway.request();
