Count a request for the retry budget when its first attempt is sent

Callers: none affected at once; a service could get more repeats than its requests allow. Cause: a feeder that knew no replica of a shard counted the request although it reported the leg as unsent, and the next feeder counted it again; both could send repeats for it. Evidence: a feeder that had sent 1 request of 101 sent a hedge with no slack (new test in feeders.test.ts). Change: the first arrival of a leg is free and is what is counted, once. What waits and is dropped no longer allows repeats.

--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -83,7 +83,10 @@
   return reason === 'hedge' ? 'hedge' : 'retry';
 };
 
-/** Consumes one arrival of the retry budget; false when it is exhausted. The first arrival of a leg is free. */
+/**
+ * Consumes one arrival of the retry budget; false when it is exhausted. The first arrival of a leg is free and counts as a
+ * request, once, so that no two gateways count the same one.
+ */
 const consumeBudget = (
   state: GatewayState,
   request: ActiveRequest,
@@ -92,7 +95,12 @@
   at: number,
 ): boolean => {
   const { service } = leg;
+  const budget = budgetOf(state, service);
   if (leg.arrivals === 0) {
+    if (!leg.isCounted) {
+      leg.isCounted = true;
+      budget.countRequest(at);
+    }
     return true;
   }
   const { retryRatio, retryWindowMs, retrySlack } = state.settings.bounds;
@@ -102,7 +110,6 @@
     windowMs: retryWindowMs,
     slack: retrySlack * share,
   };
-  const budget = budgetOf(state, service);
   const isTaken = budget.consume(policy, at);
   const extraReason = extraReasonOf(leg, reason);
   recordExtraAttempt(state.extraAttempts, service, isTaken ? extraReason : 'denied', {
--- a/src/gateway/requests/send-legs.ts
+++ b/src/gateway/requests/send-legs.ts
@@ -10,7 +10,7 @@
 import type { Subquery } from '../model/subquery.js';
 import { overdueAfterMs } from '../delay-estimate.js';
 import { feederPlan, isFed } from '../peers/service-share.js';
-import { budgetOf, type GatewayState } from '../state.js';
+import type { GatewayState } from '../state.js';
 import { claimProbe } from './claim-probe.js';
 import { guardOf, holdLeg, maySendNext } from './guard.js';
 import { partsMarginMs } from './parts-timing.js';
@@ -50,22 +50,6 @@
   return feeder?.name === state.settings.node ? undefined : feeder;
 };
 
-/**
- * Counts a leg for the retry budget, once: a leg that waited for room may be held and sent again. A repeat counts as an extra
- * arrival, since another feeder may have sent the leg before.
- */
-const countLeg = (state: GatewayState, leg: Leg, isRepeat: boolean, at: number): void => {
-  if (isRepeat) {
-    if (leg.arrivals === 0) {
-      leg.arrivals += 1;
-      leg.runs += 1;
-    }
-  } else if (!leg.isCounted) {
-    leg.isCounted = true;
-    budgetOf(state, leg.service).countRequest(at);
-  }
-};
-
 /** Sends a leg to a replica. */
 const sendDirect = (
   state: GatewayState,
@@ -74,7 +58,11 @@
   isRepeat: boolean,
   at: number,
 ): GatewayEffect[] => {
-  countLeg(state, leg, isRepeat, at);
+  if (isRepeat && leg.arrivals === 0) {
+    // Another feeder may have sent the leg before.
+    leg.arrivals += 1;
+    leg.runs += 1;
+  }
   leg.isRepeat ||= isRepeat;
   return retryLeg(state, request, leg, isRepeat ? 'retry' : 'first', at);
 };
--- a/test/gateway/feeders.test.ts
+++ b/test/gateway/feeders.test.ts
@@ -428,6 +428,23 @@
   });
 });
 
+describe('a feeder that knew no replica of a shard', () => {
+  // The next feeder counts the request as well, so that each one would allow repeats twice.
+  it('does not count requests that it has not sent', () => {
+    const gateway = new VirtualGateway(0);
+    gateway.configure(1, [routeTo(gatherOf(SHARDS, 0.9))], 54);
+    gateway.listReplicas(NAMES.slice(1));
+    gateway.listGateways(gatewaysWith(FEEDER));
+    for (let count = 0; count < 100; count += 1) {
+      gateway.receiveSubquery({ shards: ['s0'] });
+    }
+    gateway.listReplicas(['s0']);
+    gateway.receiveSubquery({ shards: ['s0'] });
+    gateway.advanceTo(gateway.now + 60);
+    expect(gateway.sent).toHaveLength(1);
+  });
+});
+
 describe('feeders that send the same request in turn', () => {
   /** Sends `requestId` through a feeder with latency statistics of its own; returns the replicas that it used. */
   const replicasUsed = (feeder: VirtualGateway, requestId: string, isRepeat: boolean): string[] => {
