Give a process no share of limits before it knows the list of gateways

Callers: none refused by this; replicas could get more connections and repeats than their limits allow. Change: the share is 0 until the list contains this gateway, which leaves one connection to each replica.

--- a/src/gateway/budget/usable-share.ts
+++ b/src/gateway/budget/usable-share.ts
@@ -1,12 +1,9 @@
 /** This gateway's usable share of the retry budgets. */
-import { feederPlan, shareOf } from '../peers/service-share.js';
+import { feederPlan, isListed, shareOf } from '../peers/service-share.js';
 import type { GatewayState } from '../state.js';
 import { NO_SHARE, ShareHistory, type UsableShare } from './share-history.js';
 import type { ShareInputs } from './share-records.js';
 
-const isListed = ({ peers, settings }: GatewayState): boolean =>
-  peers.find(settings.node) !== undefined;
-
 const isSame = (known: ShareInputs | undefined, inputs: ShareInputs): boolean =>
   known?.plan === inputs.plan &&
   known.gateways === inputs.gateways &&
@@ -27,9 +24,8 @@
 ): ShareHistory | undefined => {
   const { histories } = state.budgetShares;
   const known = histories.get(service);
-  if (!isListed(state)) {
-    known?.record(0, at);
-    return known;
+  if (known === undefined && !isListed(state)) {
+    return undefined;
   }
   const share = shareOf(state, service);
   const history = known ?? createHistory(state, share);
--- a/src/gateway/peers/service-share.ts
+++ b/src/gateway/peers/service-share.ts
@@ -97,9 +97,19 @@
 export const isFedShard = (state: GatewayState, service: string): boolean =>
   isShard(state, service) && isFed(state, service);
 
-/** This gateway's share of the limits of a service, 0 to 1; the shares of all gateways add up to at most 1. */
+/** Whether the known list of gateways contains this one, so that the others leave it a share. */
+export const isListed = ({ peers, settings }: GatewayState): boolean =>
+  peers.find(settings.node) !== undefined;
+
+/**
+ * This gateway's share of the limits of a service, 0 to 1; the shares of all gateways that know the same list add up to at
+ * most 1. A process that has just started and does not know the list, or is not in it, has none.
+ */
 export const shareOf = (state: GatewayState, service: string): number => {
   const { gateways, settings } = state;
+  if (!isListed(state)) {
+    return 0;
+  }
   if (!isFedShard(state, service)) {
     return 1 / gateways;
   }
--- a/test/gateway/feeders.test.ts
+++ b/test/gateway/feeders.test.ts
@@ -556,6 +556,16 @@
     expect(shares.filter((share) => share > 1)).toHaveLength(4);
   });
 
+  // A starting process took an eighth of the connections to each replica, however many gateways there were.
+  it('contain none for a process that does not know the list of gateways', () => {
+    const gateway = new VirtualGateway();
+    gateway.configure(1, [routeTo(gatherOf(SHARDS, 0.9))], 54);
+    gateway.state.peers.remove('front-1');
+    gateway.state.gateways = 8;
+    expect(shareOf(gateway.state, 's0')).toBe(0);
+    expect(connectionShare(gateway.state, 's0', 0)).toBe(1);
+  });
+
   it('leave slack to the third and fourth feeders of a shard, which replace the others', () => {
     const slack = fleet.map(({ state }) => Math.floor(168 * shareOf(state, 's0')));
     expect(slack.filter((each) => each >= 10)).toHaveLength(4);
