Read the list of gateways by all its entries for shares; keep effects unshared

Callers: none affected. Cause: an entry of this gateway that another writer had spoilt counted as absent here, though others still count it, so that a gateway would have given up its share and regained it only after a window; and the reducer appended to a list that a handler returned. Change: a readable or unreadable entry counts as listed, as it does in the number of gateways; effects are joined into a new list.

--- a/src/gateway/budget/share-history.ts
+++ b/src/gateway/budget/share-history.ts
@@ -8,6 +8,9 @@
  * Invariant: the usable shares of all processes in any window, those that have ended included, add up to at most 1 if the
  * shares do at each moment. A share that counts fully was held for a whole window in the last two. Let those be `f` in sum:
  * the others were held for at most `2 - f` windows, and the usable sum is `HELD_PART * f + GAINED_PART * (2 - f)`.
+ *
+ * What a gateway's own requests allow is divided in the same parts: the previous holder may have sent at once what the
+ * requests of its last window allowed.
  */
 
 /** Part of a share that may be used if it was held for a whole window. */
--- a/src/gateway/peers/peer-directory.ts
+++ b/src/gateway/peers/peer-directory.ts
@@ -27,6 +27,11 @@
     return this.records.get(name);
   }
 
+  /** Whether the peer has an entry, which may be unreadable. */
+  has(name: string): boolean {
+    return this.records.has(name) || this.unreadable.has(name);
+  }
+
   all(): IterableIterator<PeerRecord> {
     return this.records.values();
   }
--- a/src/gateway/peers/service-share.ts
+++ b/src/gateway/peers/service-share.ts
@@ -98,8 +98,7 @@
   isShard(state, service) && isFed(state, service);
 
 /** Whether the known list of gateways contains this one, so that the others leave it a share. */
-export const isListed = ({ peers, settings }: GatewayState): boolean =>
-  peers.find(settings.node) !== undefined;
+export const isListed = ({ peers, settings }: GatewayState): boolean => peers.has(settings.node);
 
 /**
  * This gateway's share of the limits of a service, 0 to 1; the shares of all gateways that know the same list add up to at
--- a/src/gateway/reducer.ts
+++ b/src/gateway/reducer.ts
@@ -235,12 +235,10 @@
     : [...effects, ...finishPauseRecovery(state, event.at)];
 };
 
-/** Handles one event, then starts the waiting attempts for which it made room. */
+/** Handles one event, then starts the waiting attempts for which it made room, and logs the use of retry budgets when due. */
 export const step = (state: GatewayState, event: GatewayEvent): GatewayEffect[] => {
   const effects = handleEvent(state, event);
-  if (state.scheduling.changed.size > 0) {
-    effects.push(...startWaiting(state, event.at));
-  }
-  effects.push(...logExtraAttempts(state.extraAttempts, state.gateways, event.at));
-  return effects;
+  const started = state.scheduling.changed.size === 0 ? [] : startWaiting(state, event.at);
+  const logged = logExtraAttempts(state.extraAttempts, state.gateways, event.at);
+  return started.length + logged.length === 0 ? effects : [...effects, ...started, ...logged];
 };
