--- a/soak/faults/fault-runner.ts
+++ b/soak/faults/fault-runner.ts
@@ -85,6 +85,9 @@
           replicas.sendWithoutEnd(service, form, forMs),
         ),
       )
+      .with({ type: 'service-fails' }, ({ service, forMs }) =>
+        this.disturbService(service, 'fails', () => replicas.failService(service, forMs)),
+      )
       .with({ type: 'replica-restarts' }, ({ service, downMs }) =>
         this.disturbService(service, 'restarts', () => replicas.restart(service, downMs)),
       )
--- a/soak/model/plan.ts
+++ b/soak/model/plan.ts
@@ -3,6 +3,7 @@
 import type { GatewayBounds } from '../../src/gateway/settings.js';
 import { PREFIXES } from '../world/routes.js';
 import { FEW_SLOTS, REPLICA_SLOTS } from '../world/topology.js';
+import { drawFailingServices } from './failing-services.js';
 import {
   drawEndlessAnswers,
   drawEntryFaults,
@@ -99,6 +100,8 @@
   readonly shardSlots: number;
   /** Whether some callers send long requests over connections that rest between them. */
   readonly hasLongRequests: boolean;
+  /** Whether services fail while gateways are killed, and some callers send requests in quick succession. */
+  readonly hasFailingServices: boolean;
   /** Planned work after the faults; times are relative to their end. */
   readonly plannedWork: readonly ScheduledFault[];
 }
@@ -119,7 +122,8 @@
   | 'tenants'
   | 'tenant-callers'
   | 'long-callers'
-  | 'endless-answers';
+  | 'endless-answers'
+  | 'failing-services';
 
 /** New streams are appended, so that the regression seeds keep theirs. */
 const STREAMS: readonly RandomStream[] = [
@@ -138,6 +142,7 @@
   'tenant-callers',
   'long-callers',
   'endless-answers',
+  'failing-services',
 ];
 
 /** Distance between the stream seeds of two runs, so that their streams differ. */
@@ -159,6 +164,9 @@
 /** Runs with smaller seeds have no answers without end, so that earlier regression seeds are unchanged. */
 const FIRST_ENDLESS_SEED = 8_000;
 
+/** Runs with smaller seeds have no failing services, so that earlier regression seeds are unchanged. */
+const FIRST_FAILING_SEED = 9_000;
+
 /** Time between two planned stops that overlap, in milliseconds. */
 const OVERLAPPING_STOP_MS = 300;
 
@@ -288,6 +296,9 @@
       ...(seed >= FIRST_ENDLESS_SEED
         ? drawEndlessAnswers(streamOf(seed, 'endless-answers'), faultsMs)
         : []),
+      ...(seed >= FIRST_FAILING_SEED
+        ? drawFailingServices(streamOf(seed, 'failing-services'), faultsMs, gateways)
+        : []),
     ],
     poisonRequests: hasEntryFaults ? drawAbandonment(entries, poisonRequests) : poisonRequests,
     poisonCrashDelayMs: hasEntryFaults ? entries.nextBelow(MAX_POISON_RUN_MS) : 0,
@@ -296,6 +307,7 @@
     hasRegionPerZone: seed >= FIRST_REGIONS_SEED,
     shardSlots: seed >= FIRST_REGIONS_SEED ? FEW_SLOTS : REPLICA_SLOTS,
     hasLongRequests: seed >= FIRST_LONG_SEED,
+    hasFailingServices: seed >= FIRST_FAILING_SEED,
     plannedWork: [
       ...drawPlannedWork(seed, gateways, endsWithoutVersions),
       ...(hasEntryFaults ? drawSpoiltEntries(entries) : []),
--- a/soak/model/schedule.ts
+++ b/soak/model/schedule.ts
@@ -54,6 +54,8 @@
       readonly form: string;
       readonly forMs: number;
     }
+  /** All replicas of a service answer every request with a failure. */
+  | { readonly type: 'service-fails'; readonly service: string; readonly forMs: number }
   /** A replica stops and starts again with the same identifier. */
   | { readonly type: 'replica-restarts'; readonly service: string; readonly downMs: number }
   /** Another writer overwrites the entry of a replica, which later restores its own. */
@@ -67,7 +69,7 @@
 }
 
 /** Time at the end of the schedule in which no fault starts, in milliseconds, so that the last ones can end. */
-const QUIET_END_MS = 4_000;
+export const QUIET_END_MS = 4_000;
 
 /** Maximum gap between two faults, in milliseconds; one in three starts almost together with the previous one. */
 const MAX_GAP_MS = 5_000;
@@ -81,7 +83,8 @@
 const pick = <Value>(random: Random, values: readonly [Value, ...Value[]]): Value =>
   values[random.nextBelow(values.length)] ?? values[0];
 
-const drawBetween = (random: Random, least: number, most: number): number =>
+/** Draws an integer from `least` to `most`. */
+export const drawBetween = (random: Random, least: number, most: number): number =>
   least + random.nextBelow(most - least + 1);
 
 /** Draws `count` different gateways, in random order. */
--- a/soak/world/callers.ts
+++ b/soak/world/callers.ts
@@ -17,6 +17,9 @@
 const MIN_PAUSE_MS = 40;
 const MAX_PAUSE_MS = 220;
 
+/** Number of callers of each gateway that send requests in quick succession. */
+const FREQUENT_CALLERS = 10;
+
 /** Pause of a caller after it failed to connect, in milliseconds. */
 const UNREACHABLE_PAUSE_MS = 100;
 
@@ -122,6 +125,13 @@
     this.ended.push(this.pollMarkerRoutes(gateway), this.pollReadiness(gateway));
   }
 
+  /** Starts callers that send repeatable requests in quick succession, over kept connections. */
+  startFrequentCallers(gateway: GatewayProcess): void {
+    for (let index = 0; index < FREQUENT_CALLERS; index += 1) {
+      this.ended.push(this.runFrequentCaller(gateway));
+    }
+  }
+
   /** Starts callers of a poison request, which send it twice in a row, each time to a random gateway. */
   startPoisonCallers(
     gateways: readonly GatewayProcess[],
@@ -194,6 +204,16 @@
     agent?.destroy();
   }
 
+  private async runFrequentCaller(gateway: GatewayProcess): Promise<void> {
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    const draft = { method: 'GET', prefix: PREFIXES.moving, workMs: MIN_WORK_MS, body: '' };
+    while (this.running) {
+      const outcome = await this.send(gateway, draft, agent);
+      await pause(outcome === 'unreachable' ? UNREACHABLE_PAUSE_MS : MIN_PAUSE_MS);
+    }
+    agent.destroy();
+  }
+
   /** Requests in turn the marker routes added last, removed last, and still in force from before. */
   private async pollMarkerRoutes(gateway: GatewayProcess): Promise<void> {
     const offsets = [0, -2, -1] as const;
--- a/soak/world/replica-fleet.ts
+++ b/soak/world/replica-fleet.ts
@@ -46,6 +46,10 @@
   readonly shardSlots: number;
 }
 
+/** Statuses of a replica that serves and of one that fails. */
+const SUCCESS_STATUS = 200;
+const FAILURE_STATUS = 500;
+
 /** Time after which the store removes the entry of a crashed replica, in milliseconds. */
 const ENTRY_EXPIRY_MS = 3_600;
 
@@ -64,6 +68,7 @@
   private readonly members = new Set<FleetMember>();
   /** Current entries of the replicas, as last written by them. */
   private readonly entries = new Map<string, unknown>();
+  private readonly failingServices = new Set<string>();
   private started = 0;
   private stopped = false;
 
@@ -197,6 +202,29 @@
     member.replica.behaviour.losesAnswers = false;
   }
 
+  /** Makes all replicas of the service, also those that start meanwhile, answer with a failure for some time. */
+  async failService(service: string, forMs: number): Promise<void> {
+    this.setFailing(service, true);
+    await pause(forMs);
+    this.setFailing(service, false);
+  }
+
+  private setFailing(service: string, isFailing: boolean): void {
+    if (isFailing) {
+      this.failingServices.add(service);
+    } else {
+      this.failingServices.delete(service);
+    }
+    const replicas = [...this.members].filter((member) => member.service === service);
+    replicas.forEach(({ replica }) => {
+      replica.behaviour.status = this.statusOf(service);
+    });
+  }
+
+  private statusOf(service: string): number {
+    return this.failingServices.has(service) ? FAILURE_STATUS : SUCCESS_STATUS;
+  }
+
   /** Makes a replica of the service send bytes without end in place of answers, for some time. */
   async sendWithoutEnd(service: string, form: string, forMs: number): Promise<void> {
     const member = this.findActive(service);
@@ -260,6 +288,7 @@
       bodyOf,
       workOf: (path) => this.workOf(path),
       start: bornAt,
+      status: this.statusOf(service),
     });
     replica.observer = this.createObserver(replica, service);
     const member = { replica, service, zone, bornAt, leaving: false };
--- a/soak/world/soak-world.ts
+++ b/soak/world/soak-world.ts
@@ -89,6 +89,9 @@
         const random = streamOf(this.plan.seed, 'tenant-callers', gateway.number);
         this.tenantCallers.start(gateway, random);
       }
+      if (this.plan.hasFailingServices) {
+        this.callers.startFrequentCallers(gateway);
+      }
       if (this.plan.hasLongRequests) {
         const random = streamOf(this.plan.seed, 'long-callers', gateway.number);
         this.longCallers.start(gateway, random);
--- a/test/soak/schedule.test.ts
+++ b/test/soak/schedule.test.ts
@@ -123,4 +123,16 @@
     const gateways = faults.flatMap(({ fault }) => ('gateways' in fault ? fault.gateways : []));
     expect(Math.max(...gateways)).toBeLessThan(6);
   });
+
+  it('has failing services and two kills of all gateways meanwhile for seeds from 9,000 on', () => {
+    const { schedule, hasFailingServices } = drawPlan(optionsOf(9_000));
+    const failing = schedule.find(({ fault }) => fault.type === 'service-fails');
+    const killsOfAll = schedule.filter(
+      ({ atMs, fault }) =>
+        fault.type === 'kill' && fault.gateways.length === 6 && atMs > (failing?.atMs ?? Infinity),
+    );
+    expect(hasFailingServices).toBe(true);
+    expect(killsOfAll.length).toBeGreaterThanOrEqual(2);
+    expect(drawPlan(optionsOf(8_999)).hasFailingServices).toBe(false);
+  });
 });
