--- a/test/gateway/retry-budget-fuzz.test.ts
+++ b/test/gateway/retry-budget-fuzz.test.ts
@@ -1,6 +1,6 @@
 /**
- * Several gateways over replicas that fail or refuse requests, in virtual time, while gateways are killed, suspended and cut
- * off. Invariant, counted where requests arrive: in every window, the arrivals at a service beyond the first of each request
+ * Several gateways over replicas that fail or refuse requests, in virtual time, while gateways are killed and cut off from
+ * each other. Invariant, counted where requests arrive: in every window, the arrivals at a service beyond the first of each request
  * are at most the ratio of its requests plus the slack.
  *
  * `CROSSROAD_FUZZ_RUNS` sets the number of random runs, and `CROSSROAD_FUZZ_SEED` the first seed.
