Let the first start of a tier use assumed shares before the list is known

Cause: my change that gives a process no share before the list contains it also held at the first start of the whole tier, where no earlier process has used anything. Change: there the assumed number of gateways counts as before; its shares are not kept in the history, since the list may replace them.

--- a/src/gateway/budget/usable-share.ts
+++ b/src/gateway/budget/usable-share.ts
@@ -1,7 +1,7 @@
 /** This gateway's usable share of the retry budgets. */
 import { feederPlan, isListed, shareOf } from '../peers/service-share.js';
 import type { GatewayState } from '../state.js';
-import { NO_SHARE, ShareHistory, type UsableShare } from './share-history.js';
+import { ShareHistory, type UsableShare } from './share-history.js';
 import type { ShareInputs } from './share-records.js';
 
 const isSame = (known: ShareInputs | undefined, inputs: ShareInputs): boolean =>
@@ -16,20 +16,14 @@
   return new ShareHistory(settings.bounds.retryWindowMs, share, since);
 };
 
-/** Records the present share of a service; returns undefined as long as this gateway has had none. */
-const recordShare = (
-  state: GatewayState,
-  service: string,
-  at: number,
-): ShareHistory | undefined => {
+/** Records the present share of a service; kept only once the list of gateways contains this one. */
+const recordShare = (state: GatewayState, service: string, at: number): ShareHistory => {
   const { histories } = state.budgetShares;
-  const known = histories.get(service);
-  if (known === undefined && !isListed(state)) {
-    return undefined;
-  }
   const share = shareOf(state, service);
-  const history = known ?? createHistory(state, share);
-  histories.set(service, history);
+  const history = histories.get(service) ?? createHistory(state, share);
+  if (isListed(state)) {
+    histories.set(service, history);
+  }
   history.record(share, at);
   return history;
 };
@@ -56,4 +50,4 @@
 
 /** What this gateway may use of the retry budget of a service in the window that ends now. */
 export const usableShareOf = (state: GatewayState, service: string, at: number): UsableShare =>
-  recordShare(state, service, at)?.usable(at) ?? NO_SHARE;
+  recordShare(state, service, at).usable(at);
--- a/src/gateway/peers/service-share.ts
+++ b/src/gateway/peers/service-share.ts
@@ -102,11 +102,12 @@
 
 /**
  * This gateway's share of the limits of a service, 0 to 1; the shares of all gateways that know the same list add up to at
- * most 1. A process that has just started and does not know the list, or is not in it, has none.
+ * most 1. A process that has just started and does not know the list, or is not in it, has none, except at the first start of
+ * the whole tier: no earlier process has used anything then, and a number of gateways is assumed.
  */
 export const shareOf = (state: GatewayState, service: string): number => {
   const { gateways, settings } = state;
-  if (!isListed(state)) {
+  if (!isListed(state) && !settings.firstStart) {
     return 0;
   }
   if (!isFedShard(state, service)) {
