Estimate at a planned stop how long an attempt takes without the wait for a slot

What callers saw: before a stop 24 requests that may run once came at once to 18 slots. After the SIGTERM the stopping gateway refused nearly all further ones with 503, also those sent with 5.5 s left: 1 of 14 served with work of 2.5 s (13 of 24 on, where the other 11 were begun and cut), 18 of 21 with work of 0.8 s (20 of 24).

Cause: whether a request can be answered before the end was judged by the mean and four deviations of all attempts of its route, which contain the time that some of them waited for a slot of a replica behind others of this gateway. The wait of a burst that is over says nothing about replicas that are idle now.

Change: durations are also kept of the attempts that were sent to a replica with room, as far as the gateway knew. The time that a request needs is that of such an attempt and the longest wait at the replica with the shortest queue, of which this gateway knows what it has sent and what the replica reports. Waits behind other gateways' requests stay in the observed times. An attempt that waits for a connection is taken back only when it could not be answered even if it got one now. The log of a refusal has the wait apart.

Does it refuse anybody who was served before? One that would wait for a slot, if that and nearly the longest work do not fit.

--- a/src/gateway/explain/describe-refusal.ts
+++ b/src/gateway/explain/describe-refusal.ts
@@ -63,8 +63,10 @@
     : `refused: the owner of the quota of tenant ${quota} did not grant tokens, and the last backup had none: ${inputs}`;
 };
 
-const describeStop = ({ sinceMs, leftMs, neededMs }: StopInputs): string =>
-  `refused: the gateway had been stopping for ${sinceMs} ms and had ${Math.max(0, leftMs)} ms left, too little for a route whose requests may take ${neededMs} ms`;
+const describeStop = ({ sinceMs, leftMs, neededMs, waitMs }: StopInputs): string => {
+  const wait = waitMs === undefined ? '' : ` after a wait of ${waitMs} ms for a slot`;
+  return `refused: the gateway had been stopping for ${sinceMs} ms and had ${Math.max(0, leftMs)} ms left, too little for a route whose requests may take ${neededMs} ms${wait}`;
+};
 
 /** Describes a refusal whose line names its reason; undefined for other refusals. */
 export const describeRefusal = (answer: AnswerLine): string | undefined => {
--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -35,8 +35,10 @@
   readonly sinceMs: number;
   /** Time until all requests are answered. */
   readonly leftMs: number;
-  /** Time in which nearly all requests of the route are answered. */
+  /** Time in which nearly all attempts of the route end at a replica with room. */
   readonly neededMs: number;
+  /** Time that such an attempt may wait for a slot; absent if a replica has room. */
+  readonly waitMs?: number;
 }
 
 /** A decision about one request. Times are in milliseconds. */
--- a/src/gateway/replicas/select-replica.ts
+++ b/src/gateway/replicas/select-replica.ts
@@ -57,16 +57,29 @@
   return ratio > STALL_RATIO ? ratio : 0;
 };
 
-const loadCost = (replica: Replica, maxConnections: number, at: number): number => {
-  const { pending } = replica;
-  const slots = slotsOf(replica);
+/** Requests that the replica runs or queues, as far as this gateway knows. */
+const busyCount = (replica: Replica, at: number): number => {
   const load = freshLoad(replica, at);
   const others = load === undefined ? 0 : Math.max(0, load.running + load.waiting - 1);
-  const busy = Math.max(pending.size, others);
-  const waiting = Math.max(0, busy + 1 - slots);
-  const waitingHere = Math.max(0, pending.size + 1 - maxConnections);
-  const partial = (PARTIAL_LOAD_COST * Math.min(busy, slots)) / slots;
-  return partial + Math.max(waiting / slots, waitingHere / maxConnections);
+  return Math.max(replica.pending.size, others);
+};
+
+/**
+ * Expected wait of one more attempt for a slot of a replica, or for a connection to it, in usual latencies.
+ *
+ * @param maxConnections - connections that this gateway may hold to the replica
+ */
+export const expectedWait = (replica: Replica, maxConnections: number, at: number): number => {
+  const slots = slotsOf(replica);
+  const waiting = Math.max(0, busyCount(replica, at) + 1 - slots);
+  const waitingHere = Math.max(0, replica.pending.size + 1 - maxConnections);
+  return Math.max(waiting / slots, waitingHere / maxConnections);
+};
+
+const loadCost = (replica: Replica, maxConnections: number, at: number): number => {
+  const slots = slotsOf(replica);
+  const partial = (PARTIAL_LOAD_COST * Math.min(busyCount(replica, at), slots)) / slots;
+  return partial + expectedWait(replica, maxConnections, at);
 };
 
 /** Expected duration of one more attempt at a replica, in usual latencies. */
--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -13,6 +13,7 @@
 import { connectionShare } from '../replicas/connection-share.js';
 import {
   expectedRatio,
+  expectedWait,
   selectReplica,
   type SelectionContext,
   selectReplicaWithRoom,
@@ -260,6 +261,7 @@
   leg.running.add(attempt);
   leg.arrivals += 1;
   leg.runs += 1;
+  const isPrompt = expectedWait(replica, maxConnections, at) === 0;
   replica.pending.set(attempt, { sentAt: at, expectedMs: latencyOf(state, request).median });
   state.attempts.set(attempt, {
     id: attempt,
@@ -270,6 +272,7 @@
     route: route.name,
     repeatable: route.repeatable,
     sentAt: at,
+    isPrompt,
     isProbe: guardOf(state, request, at) !== 'free',
     knownRounds: state.crashes.histories.find(request.request.fingerprint, at).rounds,
   });
--- a/src/gateway/requests/request-state.ts
+++ b/src/gateway/requests/request-state.ts
@@ -163,6 +163,8 @@
   readonly route: string;
   readonly repeatable: boolean;
   readonly sentAt: number;
+  /** Whether the replica had room for it when it was sent, as far as this gateway knew. */
+  readonly isPrompt: boolean;
   /** It was sent while the request may have crashed replicas, and shows whether it does. */
   readonly isProbe: boolean;
   /** Crash rounds of the request that were known when the attempt was sent. */
--- a/src/gateway/requests/route-latency.ts
+++ b/src/gateway/requests/route-latency.ts
@@ -43,6 +43,8 @@
   readonly histogram: LatencyHistogram;
   /** Durations of the attempts; undefined before the first sample. */
   durations: DelayEstimate | undefined;
+  /** Durations of the attempts that this gateway did not send to a full replica; undefined before the first sample. */
+  promptDurations: DelayEstimate | undefined;
 }
 
 /** Creates latency statistics without samples. */
@@ -51,6 +53,7 @@
   samples: 0,
   histogram: createLatencyHistogram(),
   durations: undefined,
+  promptDurations: undefined,
 });
 
 /** Latency statistics of the request's route; created when the route has none. */
@@ -67,23 +70,51 @@
   return latency;
 };
 
-/** Records the latency of an answered attempt, in milliseconds. */
-export const addLatency = (latency: RouteLatency, elapsedMs: number): void => {
+const withSample = (known: DelayEstimate | undefined, elapsedMs: number): DelayEstimate => {
+  if (known === undefined) {
+    return createDelayEstimateFrom(elapsedMs);
+  }
+  recordDelay(known, elapsedMs);
+  return known;
+};
+
+/**
+ * Records the latency of an answered attempt.
+ *
+ * @param elapsedMs - time from sending to the answer, in milliseconds
+ * @param isPrompt - whether the replica had room when the attempt was sent, as far as this gateway knew
+ */
+export const addLatency = (latency: RouteLatency, elapsedMs: number, isPrompt: boolean): void => {
   latency.samples += 1;
   const step = Math.max(MEDIAN_STEP, 1 / latency.samples);
   const factor = elapsedMs > latency.median ? 1 + step : 1 / (1 + step);
   latency.median = Math.max(0.1, latency.median * factor);
   addRatio(latency.histogram, elapsedMs / latency.median);
-  if (latency.durations === undefined) {
-    latency.durations = createDelayEstimateFrom(elapsedMs);
-  } else {
-    recordDelay(latency.durations, elapsedMs);
+  latency.durations = withSample(latency.durations, elapsedMs);
+  if (isPrompt) {
+    latency.promptDurations = withSample(latency.promptDurations, elapsedMs);
   }
 };
 
-/** Time within which nearly all attempts end, in milliseconds; the route's objective before the first sample. */
-export const slowAttemptMs = ({ durations }: RouteLatency, { objectiveMs }: Route): number =>
-  durations === undefined ? objectiveMs : overdueAfterMs(durations);
+/** Mean duration of an attempt and the time within which nearly all end, in milliseconds. */
+export interface AttemptTimes {
+  readonly meanMs: number;
+  readonly slowMs: number;
+}
+
+/**
+ * Durations of attempts at replicas with room, without the wait for other attempts of this gateway. All attempts count as long
+ * as none had room; the route's objective is assumed before the first sample.
+ */
+export const attemptTimes = (
+  { durations, promptDurations }: RouteLatency,
+  { objectiveMs }: Route,
+): AttemptTimes => {
+  const known = promptDurations ?? durations;
+  return known === undefined
+    ? { meanMs: objectiveMs, slowMs: objectiveMs }
+    : { meanMs: known.mean, slowMs: overdueAfterMs(known) };
+};
 
 /**
  * Latest time at which a second attempt can usually still be answered in time, in milliseconds since the request arrived. Not
--- a/src/gateway/requests/settle-attempt.ts
+++ b/src/gateway/requests/settle-attempt.ts
@@ -75,7 +75,7 @@
   if (latency !== undefined) {
     const elapsedMs = at - attempt.sentAt;
     recordLatency(replica, elapsedMs / latency.median, at);
-    addLatency(latency, elapsedMs);
+    addLatency(latency, elapsedMs, attempt.isPrompt);
   }
 };
 
--- a/src/gateway/stop/handle-stop.ts
+++ b/src/gateway/stop/handle-stop.ts
@@ -14,7 +14,7 @@
 import { retryAfterStopping } from '../requests/retry-after.js';
 import type { GatewayState } from '../state.js';
 import { scheduleStop, type StopSchedule } from './stop-schedule.js';
-import { canAnswerBeforeStop, deadlineBeforeStop } from './time-left.js';
+import { canAnswerWaiting, deadlineBeforeStop } from './time-left.js';
 
 /**
  * Time after the request to stop in which connections of callers are still accepted, in milliseconds: the load balancer
@@ -61,7 +61,7 @@
 /** Cancels the attempts that wait for a connection and cannot be answered before the process ends: they have not run. */
 const recallAttempts = (state: GatewayState, at: number): GatewayEffect[] => {
   const isTooLate = ({ route, ownDeadlineAt }: ActiveRequest): boolean =>
-    !canAnswerBeforeStop(state, route, ownDeadlineAt, at);
+    !canAnswerWaiting(state, route, ownDeadlineAt, at);
   return [...state.attempts.values()]
     .filter(({ owner }) => isTooLate(owner))
     .map(({ id }) => ({ type: 'recall-attempt', attempt: id }));
--- a/src/gateway/stop/time-left.ts
+++ b/src/gateway/stop/time-left.ts
@@ -1,28 +1,63 @@
 /** Whether requests can still be answered before the process ends. */
 import type { StopInputs } from '../log/log-event.js';
-import type { Route } from '../model/route.js';
-import { type RouteLatency, slowAttemptMs } from '../requests/route-latency.js';
-import type { StopSchedule } from './stop-schedule.js';
-
-/** What the decision depends on. */
-interface StopState {
-  /** Undefined unless the process is stopping. */
-  readonly stop: StopSchedule | undefined;
-  readonly latencies: ReadonlyMap<string, RouteLatency>;
-}
+import { type Route, servicesOf } from '../model/route.js';
+import { connectionShare } from '../replicas/connection-share.js';
+import { eligibleReplicas } from '../replicas/eligible-replicas.js';
+import { expectedWait, isExcluded } from '../replicas/select-replica.js';
+import { type AttemptTimes, attemptTimes } from '../requests/route-latency.js';
+import type { GatewayState } from '../state.js';
 
 /** The deadline of a request: its own, or the end of the process if that is earlier. */
-export const deadlineBeforeStop = ({ stop }: StopState, deadlineAt: number): number =>
-  Math.min(deadlineAt, stop?.answersDueAt ?? Number.POSITIVE_INFINITY);
-
-/** Time in which nearly all requests of the route are answered, in milliseconds. A gather is answered at its objective. */
-const answerTimeMs = ({ latencies }: StopState, route: Route): number => {
-  const known = latencies.get(route.name);
-  return route.target.type === 'gather' || known === undefined
-    ? route.objectiveMs
-    : slowAttemptMs(known, route);
+export const deadlineBeforeStop = (
+  { stop }: Pick<GatewayState, 'stop'>,
+  deadlineAt: number,
+): number => Math.min(deadlineAt, stop?.answersDueAt ?? Number.POSITIVE_INFINITY);
+
+/** Durations of attempts for the route. A gather is answered at its objective. */
+const timesOf = ({ latencies }: GatewayState, route: Route): AttemptTimes => {
+  const { target, objectiveMs, name } = route;
+  const known = latencies.get(name);
+  return target.type === 'gather' || known === undefined
+    ? { meanMs: objectiveMs, slowMs: objectiveMs }
+    : attemptTimes(known, route);
 };
 
+/**
+ * Longest time that an attempt waits for a slot at the replica with the shortest queue, in usual latencies: all slots may just
+ * have been taken, so that the first one in the queue waits for a whole latency. 0 if there is no usable replica.
+ */
+const shortestWait = (state: GatewayState, route: Route, service: string, at: number): number => {
+  const connections = connectionShare(state, service, at);
+  const waits = eligibleReplicas(state, service, route.allowedRegions)
+    .filter((replica) => !isExcluded(replica, at))
+    .map((replica) => Math.ceil(expectedWait(replica, connections, at)));
+  return waits.length === 0 ? 0 : Math.min(...waits);
+};
+
+/** Longest wait of a request for a slot, in usual latencies; a gather is answered at its objective whatever waits. */
+const waitOf = (state: GatewayState, route: Route, at: number): number =>
+  route.target.type === 'gather'
+    ? 0
+    : Math.max(
+        0,
+        ...servicesOf(route.target).map((service) => shortestWait(state, route, service, at)),
+      );
+
+/** Time in which nearly all requests of the route that arrive at `at` are answered, in milliseconds. */
+const answerTimeMs = (state: GatewayState, route: Route, at: number): number => {
+  const { meanMs, slowMs } = timesOf(state, route);
+  return waitOf(state, route, at) * meanMs + slowMs;
+};
+
+/** Whether something that takes `neededMs` from `at` on is unaffected by the stop, or ends before it. */
+const endsBeforeStop = (
+  { stop }: GatewayState,
+  deadlineAt: number,
+  at: number,
+  neededMs: () => number,
+): boolean =>
+  stop === undefined || deadlineAt < stop.answersDueAt || at + neededMs() <= stop.answersDueAt;
+
 /**
  * Whether an attempt that is sent at `at` can be expected to end before the process does. A request that its caller gives up
  * sooner loses nothing by the stop.
@@ -30,27 +65,36 @@
  * @param deadlineAt - deadline of the request without regard to the stop, in milliseconds on the clock
  */
 export const canAnswerBeforeStop = (
-  state: StopState,
+  state: GatewayState,
   route: Route,
   deadlineAt: number,
   at: number,
-): boolean => {
-  const { stop } = state;
-  return (
-    stop === undefined ||
-    deadlineAt < stop.answersDueAt ||
-    at + answerTimeMs(state, route) <= stop.answersDueAt
-  );
-};
+): boolean => endsBeforeStop(state, deadlineAt, at, () => answerTimeMs(state, route, at));
+
+/** The same for an attempt that waits for a connection and whose wait ends at `at`. */
+export const canAnswerWaiting = (
+  state: GatewayState,
+  route: Route,
+  deadlineAt: number,
+  at: number,
+): boolean => endsBeforeStop(state, deadlineAt, at, () => timesOf(state, route).slowMs);
 
 /** The inputs of a refusal because the process stops; undefined unless it does. */
 export const describeTimeLeft = (
-  state: StopState,
+  state: GatewayState,
   route: Route,
   at: number,
-): StopInputs | undefined =>
-  state.stop && {
-    sinceMs: Math.round(at - state.stop.since),
-    leftMs: Math.round(state.stop.answersDueAt - at),
-    neededMs: Math.round(answerTimeMs(state, route)),
+): StopInputs | undefined => {
+  const { stop } = state;
+  if (stop === undefined) {
+    return undefined;
+  }
+  const { meanMs, slowMs } = timesOf(state, route);
+  const waitMs = Math.round(waitOf(state, route, at) * meanMs);
+  return {
+    sinceMs: Math.round(at - stop.since),
+    leftMs: Math.round(stop.answersDueAt - at),
+    neededMs: Math.round(slowMs),
+    ...(waitMs > 0 && { waitMs }),
   };
+};
--- a/test/gateway/hedge-timing.test.ts
+++ b/test/gateway/hedge-timing.test.ts
@@ -20,7 +20,7 @@
 const latencyWith = (medianMs: number): ReturnType<typeof createRouteLatency> => {
   const latency = createRouteLatency(ALERT);
   for (let sample = 0; sample < 200; sample += 1) {
-    addLatency(latency, medianMs);
+    addLatency(latency, medianMs, true);
   }
   return latency;
 };
--- a/test/gateway/planned-stop.test.ts
+++ b/test/gateway/planned-stop.test.ts
@@ -36,6 +36,20 @@
   return gateway;
 };
 
+/** Slots of all replicas of the route. */
+const SLOTS = 4;
+
+/** Sends requests at once, of which the replicas run as many at a time as they have slots. */
+const serveBurst = (gateway: VirtualGateway, count: number): void => {
+  for (let index = 0; index < count; index += 1) {
+    gateway.request(15_000);
+  }
+  while (gateway.sent.length > 0) {
+    gateway.now += WORK_MS;
+    gateway.sent.splice(0, SLOTS).forEach((attempt) => gateway.end(attempt, success('signature')));
+  }
+};
+
 describe('a planned stop', () => {
   // A gateway that had not run for 0.2 s ended with requests in its sockets that it had not read, and cut them off.
   it('reads what callers sent before the port was closed, and answers it before the process ends', () => {
@@ -67,6 +81,28 @@
     expect(gateway.answers.get(refused)).toMatchObject({ reason: 'stopping', mayHaveRun: false });
   });
 
+  // A burst before the stop that had to wait for slots made the gateway refuse requests that idle replicas could serve.
+  it('serves a request at an idle replica although earlier ones had to wait for a slot', () => {
+    const gateway = slowGateway();
+    serveBurst(gateway, 12);
+    gateway.emit({ type: 'stop-requested', at: gateway.now, signalledMsAgo: 0 });
+    gateway.now += 3_500;
+    const served = gateway.request(15_000);
+    expect(gateway.sent).toHaveLength(1);
+    expect(gateway.answers.has(served)).toBe(false);
+  });
+
+  // A request that had to wait for a slot until the process ended was begun too late to be answered.
+  it('refuses a request that would wait for a slot until the process ends', () => {
+    const gateway = slowGateway();
+    gateway.emit({ type: 'stop-requested', at: gateway.now, signalledMsAgo: 0 });
+    gateway.now += 3_500;
+    const calls = Array.from({ length: 12 }, () => gateway.request(15_000));
+    const refused = calls.filter((call) => gateway.answers.has(call));
+    expect(gateway.sent).toHaveLength(SLOTS);
+    expect(refused).toHaveLength(calls.length - gateway.sent.length);
+  });
+
   // A request whose own deadline comes before the end was refused although a replica could still answer it.
   it('serves a request that its caller gives up before the process ends anyway', () => {
     const gateway = slowGateway();
