Close a caller's connection only behind its last request

What callers saw: around a planned stop, a caller that sends requests before the answers to earlier ones loses some of them. A replica runs the request, and the connection closes without its answer.

Cause: whether an answer closes the connection was decided when the answer was handed to Node's HTTP server, and Node closes the connection when that answer has been sent. Between the two, further requests were read, passed on and run. The time between them was long in three cases: an answer that waits for an earlier, slower one; an answer that is sent to a slow reader; and a refusal, which is given while the requests behind it in the same segment are not parsed yet. Also without a load there was a window, as requests that are read in the same turn of the event loop follow the decision.

Change: a connection keeps its exchanges in order. An answer that may close it waits until it is the only one, and for one turn of the event loop, so that what has arrived is read. If another request begins, the answer is sent without closing. Once the closing answer is being sent, the connection is not read, and requests that are parsed nevertheless are neither run nor answered (RFC 9112, section 9.6: a server must not process requests after the one whose answer says `close`).

Why it works: the decision and the end of reading are one step, so no request can be passed on between them.

Does it refuse or delay anybody? A closing answer is sent one turn of the event loop later; an answer to the last request that arrives before an earlier answer was queued by Node before and waits here now. A request that arrives behind a closing answer was run and lost; now it does not run.

The same pattern elsewhere: the refusal of malformed input waited for the last unanswered request; it now waits for all answers, as one may be queued here. Metrics and readiness port answer at once and never close by themselves; the peer port has its own framing with identifiers. The standalone node (src/runtime/http-listener.ts) has it in one form: while it stops, each answer to a new request closes the connection, also with others behind it. It refuses all new requests then, so that none of them runs; not changed here.

Why tests and soak missed it: the only test with two requests on a connection has both at the replica before the stop and gets their answers in order; callers of the soak send one at a time.

--- a/src/gateway/runtime/caller-port.ts
+++ b/src/gateway/runtime/caller-port.ts
@@ -12,11 +12,12 @@
 import type { CallerLimits } from '../model/route.js';
 import type { CallerRequest, CallId, Refusal } from '../model/request.js';
 import type { GatewayProtocol } from '../protocol/protocol.js';
+import { CallerConnection } from './caller-connection.js';
 import type { CallerRequests } from './caller-requests.js';
 import type { EarlyPort } from './early-port.js';
-import { formatResponse, type WireResponse } from './format-response.js';
+import { formatResponse } from './format-response.js';
 import type { GatewayEventSink } from './gateway-loop.js';
-import { findHeader, flattenHeaders, pairHeaders } from './headers.js';
+import { findHeader, pairHeaders } from './headers.js';
 import { readKeyDigests } from './key-digest.js';
 import { isBodyless, readBody } from './read-body.js';
 import { readTarget } from './request-target.js';
@@ -63,6 +64,7 @@
   private readonly pendingResponses = new Map<CallId, ServerResponse>();
   /** Exchanges whose request is being received, or whose answer has not been sent completely. */
   private readonly exchanges = new Set<ServerResponse>();
+  private readonly connections = new WeakMap<Socket, CallerConnection>();
   /** Connections on which a request has been received. */
   private readonly usedConnections = new WeakSet<Socket>();
   /** Connections on which malformed input has been received. */
@@ -118,11 +120,11 @@
   answer({ call, response, closeConnection }: AnswerCaller): void {
     const outgoing = this.pendingResponses.get(call);
     this.discard(call);
-    if (outgoing !== undefined && !outgoing.destroyed) {
-      this.send(
+    if (outgoing !== undefined) {
+      this.connectionOf(outgoing).answer(
         outgoing,
         formatResponse(response, this.context.protocol.headers),
-        (closeConnection || !this.isOpen) && this.isLastExchange(outgoing),
+        closeConnection || !this.isOpen,
       );
     }
   }
@@ -146,8 +148,9 @@
     const pending = new Set(this.pendingResponses.values());
     const response = formatResponse(refusal, this.context.protocol.headers);
     for (const outgoing of this.exchanges) {
-      if (!pending.has(outgoing) && !outgoing.headersSent) {
-        this.send(outgoing, response, true);
+      const connection = this.connectionOf(outgoing);
+      if (!pending.has(outgoing) && !connection.isAnswered(outgoing)) {
+        connection.answer(outgoing, response, true);
       }
     }
   }
@@ -158,9 +161,25 @@
     this.server.closeAllConnections();
   }
 
+  private connectionOf({ req: { socket } }: ServerResponse): CallerConnection {
+    return this.connectionOn(socket);
+  }
+
+  private connectionOn(socket: Socket): CallerConnection {
+    const connection = this.connections.get(socket) ?? new CallerConnection(socket);
+    this.connections.set(socket, connection);
+    return connection;
+  }
+
   private handleRequest(incoming: IncomingMessage, outgoing: ServerResponse): void {
+    const connection = this.connectionOf(outgoing);
+    if (connection.isClosed) {
+      incoming.resume();
+      return;
+    }
     this.exchanges.add(outgoing);
-    outgoing.once('close', () => this.exchanges.delete(outgoing));
+    connection.begin(outgoing);
+    connection.onceEnded(outgoing, () => this.exchanges.delete(outgoing));
     const { maxHeaderBytes } = this.limits;
     if (headerBytes(incoming) > Math.max(maxHeaderBytes, TOLERATED_HEADER_BYTES)) {
       incoming.resume();
@@ -199,7 +218,7 @@
     const method = incoming.method ?? 'GET';
     const { call, fingerprint } = requests.add({ method, path, requestId, headers, body });
     this.pendingResponses.set(call, outgoing);
-    outgoing.once('close', () => this.handleClose(call, outgoing));
+    this.connectionOf(outgoing).onceEnded(outgoing, () => this.handleEnd(call, outgoing));
     const isFirstOnConnection = !this.usedConnections.has(incoming.socket);
     this.usedConnections.add(incoming.socket);
     const budgetMs = Number(findHeader(headers, protocol.headers.timeBudget));
@@ -224,15 +243,14 @@
   /** Handles malformed input or a broken connection. */
   private handleClientError(error: NodeJS.ErrnoException, socket: Socket): void {
     const unreadable = describeUnreadable(error.code);
-    const pendingResponse = this.lastPendingOn(socket);
-    const isAborted = unreadable?.problem === 'cut-off' && pendingResponse !== undefined;
+    const connection = this.connectionOn(socket);
+    const isAborted = unreadable?.problem === 'cut-off' && connection.isAnswerDue;
     if (unreadable === undefined || isAborted) {
       socket.destroy();
-    } else if (!this.unreadableConnections.has(socket)) {
+    } else if (!connection.isClosed && !this.unreadableConnections.has(socket)) {
       this.unreadableConnections.add(socket);
       // Sent first, the refusal would be taken for the answer to an earlier valid request on the connection.
-      const refuse = (): void => this.refuseUnreadable(unreadable, socket);
-      void (pendingResponse === undefined ? refuse() : pendingResponse.once('finish', refuse));
+      connection.refuseAfterAnswers(() => this.refuseUnreadable(unreadable, socket));
     }
   }
 
@@ -247,33 +265,10 @@
     sink.emit({ type: 'unreadable-refused', at: clock.now(), from, ...unreadable });
   }
 
-  /** Returns the response to the last unanswered request on a connection. */
-  private lastPendingOn(socket: Socket): ServerResponse | undefined {
-    return [...this.pendingResponses.values()].filter(({ req }) => req.socket === socket).at(-1);
-  }
-
-  /**
-   * Whether no request follows on the connection of an exchange. An earlier answer must not close the connection, since that
-   * would drop the answers to later requests.
-   */
-  private isLastExchange(outgoing: ServerResponse): boolean {
-    const { socket } = outgoing.req;
-    return [...this.exchanges].findLast((each) => each.req.socket === socket) === outgoing;
-  }
-
-  private handleClose(call: CallId, outgoing: ServerResponse): void {
+  private handleEnd(call: CallId, outgoing: ServerResponse): void {
     if (!outgoing.writableFinished && this.pendingResponses.has(call)) {
       const { sink, clock } = this.context;
       sink.emit({ type: 'caller-left', at: clock.now(), call });
     }
   }
-
-  private send(outgoing: ServerResponse, response: WireResponse, close: boolean): void {
-    const { status, headers, body } = response;
-    const connection = close ? ['connection', 'close'] : [];
-    const length = ['content-length', String(body.length)];
-    outgoing.sendDate = false;
-    outgoing.writeHead(status, [...flattenHeaders(headers), ...length, ...connection]);
-    outgoing.end(body);
-  }
 }
