Give up all requests of a caller that leaves

What was seen: of several requests that a caller has sent on one connection, only the first is given up when the connection closes.

Cause: the port took the end of an exchange from the `close` of Node's response. Node emits it only for the response that is assigned to the connection, which is the first one.

Change: all exchanges of a connection end when its socket closes.

The pattern elsewhere: the peer port takes the end of its requests from the link. The standalone node (src/runtime) passes a signal of the server adapter, which depends on the same event; not looked into.

Why tests and soak missed it: no caller of theirs leaves with more than one request outstanding.

--- a/src/gateway/runtime/caller-connection.ts
+++ b/src/gateway/runtime/caller-connection.ts
@@ -34,7 +34,10 @@
   private refuse: (() => void) | undefined;
   private isClosing = false;
 
-  constructor(private readonly socket: Socket) {}
+  constructor(private readonly socket: Socket) {
+    // Node reports the end of a response only if it was the first of its connection.
+    socket.once('close', () => [...this.exchanges.keys()].forEach((each) => this.end(each)));
+  }
 
   /** Whether the last answer has been sent: later requests are neither run nor answered. */
   get isClosed(): boolean {
--- a/test/platform/pipelined-requests.test.ts
+++ b/test/platform/pipelined-requests.test.ts
@@ -85,4 +85,15 @@
     expect(arrivals()).toBe(1);
     expect(bytes).toBeGreaterThan(LONG_ANSWER_BYTES);
   });
+
+  // Only the first request of a connection that closed was given up: replicas continued to work on the others, and a later stop
+  // waited for their answers until the end of the grace period.
+  it('are all given up when the caller leaves', async () => {
+    await serveWith({ silent: true });
+    const caller = await RawCaller.open(fixture.settings.callers);
+    caller.send(post('/one/first') + post('/one/second'));
+    await until(() => arrivals() === 2, 'both requests have arrived');
+    caller.close();
+    await until(() => fixture.gateway.state.requests.size === 0, 'no request is in progress');
+  });
 });
