--- a/test/platform/pipelined-requests.test.ts
+++ b/test/platform/pipelined-requests.test.ts
@@ -11,6 +11,9 @@
 /** Length of an answer that does not fit into the buffers of the kernel, in bytes. */
 const LONG_ANSWER_BYTES = 15 * 1024 * 1024;
 
+/** Length of an answer that fits into the buffers of the kernel, but not into those of the caller, in bytes. */
+const BUFFERED_ANSWER_BYTES = 1024 * 1024;
+
 const SLOW_WORK_MS = 600;
 const FAST_WORK_MS = 100;
 
@@ -40,6 +43,26 @@
 const closesConnection = (caller: RawCaller): readonly boolean[] =>
   caller.answers.map(({ head }) => /connection: close/i.test(head));
 
+/** Sends further requests while the closing answer is on its way, and only then reads; returns the number of bytes received. */
+const readLateAfterStop = async (): Promise<number> => {
+  const socket = connect({ ...fixture.settings.callers, noDelay: true });
+  await once(socket, 'connect');
+  socket.write(post('/one/long'));
+  await until(() => arrivals() === 1, 'the request has arrived');
+  fixture.gateway.stop();
+  await until(() => fixture.gateway.state.requests.size === 0, 'the answer is being sent');
+  await delay(50);
+  socket.write(post('/one/late') + post('/one/late'));
+  await delay(500);
+  let bytes = 0;
+  socket.on('data', (chunk: Buffer) => (bytes += chunk.length));
+  socket.on('error', () => undefined);
+  await new Promise((resolve) => {
+    socket.once('close', resolve);
+  });
+  return bytes;
+};
+
 describe('requests that follow on a connection before the answer', () => {
   // The answer to the second request was prepared to close the connection while the first was still in progress, so the answer
   // to a third one that arrived meanwhile was lost.
@@ -69,21 +92,14 @@
   // A request that arrived while the closing answer was being sent ran, and its answer was lost.
   it('do not run if they arrive after an answer that closes the connection has begun', async () => {
     await serveWith({ workMs: FAST_WORK_MS, body: Buffer.alloc(LONG_ANSWER_BYTES) });
-    const socket = connect({ ...fixture.settings.callers, noDelay: true });
-    await once(socket, 'connect');
-    socket.write(post('/one/long'));
-    await until(() => arrivals() === 1, 'the request has arrived');
-    fixture.gateway.stop();
-    await until(() => fixture.gateway.state.requests.size === 0, 'the answer is being sent');
-    await delay(50);
-    socket.write(post('/one/late') + post('/one/late'));
-    await delay(500);
-    let bytes = 0;
-    socket.on('data', (chunk: Buffer) => (bytes += chunk.length));
-    socket.on('error', () => undefined);
-    await once(socket, 'close');
+    expect(await readLateAfterStop()).toBeGreaterThan(LONG_ANSWER_BYTES);
     expect(arrivals()).toBe(1);
-    expect(bytes).toBeGreaterThan(LONG_ANSWER_BYTES);
+  });
+
+  // The connection was closed although the caller was still sending; the reset discarded what it had not read yet.
+  it('do not cut off the answer that closes the connection', async () => {
+    await serveWith({ workMs: FAST_WORK_MS, body: Buffer.alloc(BUFFERED_ANSWER_BYTES) });
+    expect(await readLateAfterStop()).toBeGreaterThan(BUFFERED_ANSWER_BYTES);
   });
 
   // Only the first request of a connection that closed was given up: replicas continued to work on the others, and a later stop
