Accept waiting connections before the callers' port is closed

What callers saw: connections that wait when a stopping gateway closes its port are reset, with the requests that they carry, most of all after the process has stood still or was not scheduled.

The port was closed after one turn, and the kernel resets what waits in its queue.

Evidence: the test, 20 connections that arrive while the process is blocked before the port closes: 19 of 20 reset before.

Change: the port is closed after a turn in which no connection was accepted, at the latest after as many turns as connections can wait.

Does it refuse or delay anybody? No; the process never ends in the turn in which it closes the port. The pattern elsewhere: the standalone node (src/runtime/http-listener.ts, `closePort`) closes its port after one turn, too; not changed. The ports for readiness and metrics close with the process.

--- a/src/gateway/runtime/caller-port.ts
+++ b/src/gateway/runtime/caller-port.ts
@@ -5,7 +5,7 @@
  * rebuild answers.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { Server as NetServer, type Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import type { MonotonicClock } from '../../runtime/monotonic-clock.js';
 import type { HostPort } from '../../settings/node-settings.js';
 import type { AnswerCaller } from '../effect.js';
@@ -21,7 +21,7 @@
 import { readKeyDigests } from './key-digest.js';
 import { isBodyless, readBody } from './read-body.js';
 import { readTarget } from './request-target.js';
-import { listenOn, takeOverPort } from './sockets.js';
+import { closeAfterAccepting, listenOn, stopListening, takeOverPort } from './sockets.js';
 import {
   describeUnreadable,
   formatUnreadable,
@@ -135,11 +135,11 @@
     this.context.requests.remove(call);
   }
 
-  /** Accepts no new connections; open ones are served until they are idle. */
+  /** Accepts no new connections except those that wait already; open ones are served until they are idle. */
   closePort(): void {
     if (this.isOpen) {
       this.isOpen = false;
-      NetServer.prototype.close.call(this.server);
+      closeAfterAccepting(this.server);
     }
   }
 
@@ -157,7 +157,8 @@
 
   /** Closes every connection at once. */
   destroy(): void {
-    this.closePort();
+    this.isOpen = false;
+    stopListening(this.server);
     this.server.closeAllConnections();
   }
 
--- a/src/gateway/runtime/sockets.ts
+++ b/src/gateway/runtime/sockets.ts
@@ -1,6 +1,6 @@
 /** Opens connections and ports; each call has exactly one outcome. */
 import { readSync } from 'node:fs';
-import { connect, type Server, type Socket } from 'node:net';
+import { connect, Server, type Socket } from 'node:net';
 import type { HostPort } from '../../settings/node-settings.js';
 
 /** The connection did not open in time. */
@@ -65,6 +65,36 @@
     });
   });
 
+/** Closes a port and no connection; `close` of an HTTP server would close idle connections, too. */
+export const stopListening = (server: Server): void => {
+  if (server.listening) {
+    Server.prototype.close.call(server);
+  }
+};
+
+/** Turns of the event loop for which waiting connections are accepted at most; by default, as many connections may wait. */
+const MAX_ACCEPT_TURNS = 511;
+
+/**
+ * Closes a port when the connections that wait have been accepted; the kernel would reset them. Node accepts one in each turn of
+ * the event loop.
+ */
+export const closeAfterAccepting = (server: Server, turnsLeft = MAX_ACCEPT_TURNS): void => {
+  let hasAccepted = false;
+  const recordAccepted = (): void => {
+    hasAccepted = true;
+  };
+  server.once('connection', recordAccepted);
+  setImmediate(() => {
+    server.off('connection', recordAccepted);
+    if (hasAccepted && turnsLeft > 0) {
+      closeAfterAccepting(server, turnsLeft - 1);
+    } else {
+      stopListening(server);
+    }
+  });
+};
+
 /** The part of a socket's handle that gives access to its file descriptor. */
 interface SocketWithHandle {
   readonly _handle?: { readonly fd: number } | null;
--- a/test/platform/planned-stop.test.ts
+++ b/test/platform/planned-stop.test.ts
@@ -160,4 +160,34 @@
     const [answer] = (await once(worker, 'message')) as [string];
     expect(answer).toMatch(/^HTTP\/1.1 200/);
   });
+
+  // Of the connections that waited when the port was closed, one had been accepted and the others were reset.
+  it('accepts what waits for a connection before it closes the port', async () => {
+    await serveWith(6_000, {});
+    const source = `
+      const { workerData, parentPort } = require('node:worker_threads');
+      const { connect } = require('node:net');
+      const ask = () => new Promise((resolve) => {
+        const socket = connect({ ...workerData.address, noDelay: true });
+        let text = '';
+        socket.on('connect', () => socket.write(workerData.request));
+        socket.on('data', (chunk) => (text += chunk));
+        socket.on('error', (error) => (text += error.code));
+        socket.on('close', () => resolve(text.split(String.fromCharCode(13))[0]));
+      });
+      parentPort.on('message', (count) =>
+        Promise.all(Array.from({ length: count }, ask)).then((all) => parentPort.postMessage(all)));
+      parentPort.postMessage('ready');`;
+    const request = requestHead('POST /one/', ['Content-Length: 0', 'Connection: close']);
+    const workerData = { address: fixture.settings.callers, request };
+    const worker = new Worker(source, { eval: true, workerData });
+    await once(worker, 'message');
+    fixture.gateway.stop();
+    await delay(3_000);
+    worker.postMessage(20);
+    await blockBeforeTimers(500);
+    const [answers] = (await once(worker, 'message')) as [string[]];
+    expect(answers).toEqual(Array.from({ length: 20 }, () => 'HTTP/1.1 200 OK'));
+    await worker.terminate();
+  });
 });
