Log which exchanges the end of a process cuts off

What on-call could not see: `ended` counts the open exchanges at the end of a process, but nothing names them; and a request that follows an answer with `Connection: close` left no trace.

Change: `exchange-cut-off` names up to 20 of them at the end, with whether the request had arrived completely and how many bytes of answers were unsent.

No caller is refused or delayed.

--- a/src/gateway/event.ts
+++ b/src/gateway/event.ts
@@ -18,6 +18,7 @@
   CallerRequest,
   CallId,
   Fingerprint,
+  OpenExchange,
   UnreadableProblem,
 } from './model/request.js';
 import type { FollowerId, KnownPositions, ReaderUpdate } from './readers/reader-update.js';
@@ -77,6 +78,13 @@
   readonly from: string;
 }
 
+/** A request followed an answer that closed its connection; it is neither run nor answered. */
+export interface RequestIgnored {
+  readonly type: 'request-ignored';
+  readonly at: number;
+  readonly requestId: string;
+}
+
 /** The caller closed its connection before the answer. */
 export interface CallerLeft {
   readonly type: 'caller-left';
@@ -336,6 +344,8 @@
   readonly at: number;
   /** Requests of callers that are being received, or whose answers have not been sent completely. */
   readonly openExchanges: number;
+  /** The first of them, for the log. */
+  readonly listedExchanges?: readonly OpenExchange[];
 }
 
 /** All events of the gateway. */
@@ -346,6 +356,7 @@
   | SettingsReloaded
   | RequestReceived
   | UnreadableRefused
+  | RequestIgnored
   | CallerLeft
   | AnswerSent
   | AttemptEnded
--- a/src/gateway/log/log-descriptions.ts
+++ b/src/gateway/log/log-descriptions.ts
@@ -47,6 +47,10 @@
   stopping:
     'The process was requested to stop. Requests that it can answer in time are finished, others are refused.',
   ended: 'The process ends.',
+  'exchange-cut-off':
+    'The end of the process closed a connection before a request had arrived completely, or before its answer had been sent. At most 20 are logged.',
+  'request-ignored':
+    'A caller sent a request behind the answer that closed its connection. It did not run and is not answered. At most ten lines a second are logged.',
   'settings-reloaded': 'Changed settings were applied.',
   'settings-refused': 'Changed settings are invalid; the last valid ones stay in force.',
   'configuration-in-force':
--- a/src/gateway/log/log-event.ts
+++ b/src/gateway/log/log-event.ts
@@ -7,6 +7,7 @@
   AttemptProblem,
   AttemptId,
   Fingerprint,
+  OpenExchange,
   RefusalReason,
   UnreadableProblem,
 } from '../model/request.js';
@@ -280,6 +281,13 @@
       readonly openExchanges: number;
       readonly stopMs: number;
     }
+  | ({ readonly event: 'exchange-cut-off' } & OpenExchange)
+  | {
+      readonly event: 'request-ignored';
+      readonly requestId: string;
+      /** Number of ignored requests since the last line. */
+      readonly unlogged: number;
+    }
   | { readonly event: 'settings-reloaded' }
   | { readonly event: 'settings-refused'; readonly findings: readonly string[] }
   | {
--- a/src/gateway/model/request.ts
+++ b/src/gateway/model/request.ts
@@ -90,6 +90,15 @@
 /** The final answer to a caller. */
 export type CallerResponse = PassThrough | MergedAnswer | Refusal;
 
+/** A request that is being received, or whose answer has not been sent completely. */
+export interface OpenExchange {
+  readonly requestId: string;
+  /** Whether the request has been received completely. */
+  readonly isReceived: boolean;
+  /** Bytes of answers that wait on its connection, without those that were passed to the kernel. */
+  readonly unsentBytes: number;
+}
+
 /** A header as received. */
 export interface Header {
   readonly name: string;
--- a/src/gateway/reducer.ts
+++ b/src/gateway/reducer.ts
@@ -41,7 +41,7 @@
   handleSubqueryFailed,
 } from './requests/subquery-result.js';
 import { handleReplicaChecked, progressHeldRequests } from './requests/broken-attempts.js';
-import { handleUnreadableRefused } from './requests/unreadable-requests.js';
+import { handleRequestIgnored, handleUnreadableRefused } from './requests/unreadable-requests.js';
 import { refuseAllHeldRequests } from './requests/hold-request.js';
 import {
   handleCallerLeft,
@@ -139,6 +139,7 @@
     })
     .with({ type: 'request-received' }, (received) => handleRequestReceived(state, received))
     .with({ type: 'unreadable-refused' }, (refused) => handleUnreadableRefused(state, refused))
+    .with({ type: 'request-ignored' }, (ignored) => handleRequestIgnored(state, ignored))
     .with({ type: 'caller-left' }, (left) => handleCallerLeft(state, left))
     .with({ type: 'answer-sent' }, ({ handover, at }) => {
       recordHandover(state.answerDelays, handover.route, at - handover.decidedAt);
--- a/src/gateway/requests/unreadable-requests.ts
+++ b/src/gateway/requests/unreadable-requests.ts
@@ -1,6 +1,6 @@
-/** Counts and logs input from callers that could not be parsed as a request and was refused by the callers' port. */
+/** Counts and logs input from callers that the callers' port has refused as it is no request, or ignored. */
 import type { GatewayEffect } from '../effect.js';
-import type { UnreadableRefused } from '../event.js';
+import type { RequestIgnored, UnreadableRefused } from '../event.js';
 import type { StateChange } from '../log/log-event.js';
 import type { GatewayState } from '../state.js';
 import { mayLog, NOTHING_LOGGED } from './unreadable-log.js';
@@ -28,3 +28,18 @@
   };
   return [{ type: 'write-log', level: 'warn', part: 'caller', change }];
 };
+
+/** Handles `request-ignored`. */
+export const handleRequestIgnored = (
+  state: GatewayState,
+  { requestId, at }: RequestIgnored,
+): GatewayEffect[] => {
+  const { unlogged } = state.ignoredRequestLog;
+  if (!mayLog(state.ignoredRequestLog, at)) {
+    state.ignoredRequestLog = { ...state.ignoredRequestLog, unlogged: unlogged + 1 };
+    return [];
+  }
+  state.ignoredRequestLog = { loggedAt: at, unlogged: 0 };
+  const change: StateChange = { event: 'request-ignored', requestId, unlogged };
+  return [{ type: 'write-log', level: 'info', part: 'caller', change }];
+};
--- a/src/gateway/runtime/caller-port.ts
+++ b/src/gateway/runtime/caller-port.ts
@@ -10,7 +10,7 @@
 import type { HostPort } from '../../settings/node-settings.js';
 import type { AnswerCaller } from '../effect.js';
 import type { CallerLimits } from '../model/route.js';
-import type { CallerRequest, CallId, Refusal } from '../model/request.js';
+import type { CallerRequest, CallId, OpenExchange, Refusal } from '../model/request.js';
 import type { GatewayProtocol } from '../protocol/protocol.js';
 import { CallerConnection } from './caller-connection.js';
 import type { CallerRequests } from './caller-requests.js';
@@ -38,6 +38,9 @@
 /** Headers up to this size are accepted even if the configuration allows less; far above what clients send. */
 const TOLERATED_HEADER_BYTES = 65_536;
 
+/** Maximum number of exchanges that are listed for the log. */
+const MAX_LISTED_EXCHANGES = 20;
+
 /** Limits in force until the first configuration. */
 const DEFAULT_LIMITS: CallerLimits = {
   maxHeaderBytes: PARSER_HEADER_BYTES,
@@ -116,6 +119,15 @@
     return this.exchanges.size;
   }
 
+  /** The first of them. */
+  get listedExchanges(): readonly OpenExchange[] {
+    return [...this.exchanges].slice(0, MAX_LISTED_EXCHANGES).map(({ req }) => ({
+      requestId: this.requestIdOf(req),
+      isReceived: req.complete,
+      unsentBytes: req.socket.writableLength,
+    }));
+  }
+
   /** Sends the final answer of a call. */
   answer({ call, response, closeConnection }: AnswerCaller): void {
     const outgoing = this.pendingResponses.get(call);
@@ -162,6 +174,10 @@
     this.server.closeAllConnections();
   }
 
+  private requestIdOf({ rawHeaders }: IncomingMessage): string {
+    return findHeader(pairHeaders(rawHeaders), this.context.protocol.headers.requestId) ?? '';
+  }
+
   private connectionOf({ req: { socket } }: ServerResponse): CallerConnection {
     return this.connectionOn(socket);
   }
@@ -176,6 +192,9 @@
     const connection = this.connectionOf(outgoing);
     if (connection.isClosed) {
       incoming.resume();
+      const { sink, clock } = this.context;
+      const requestId = this.requestIdOf(incoming);
+      sink.emit({ type: 'request-ignored', at: clock.now(), requestId });
       return;
     }
     this.exchanges.add(outgoing);
--- a/src/gateway/runtime/start-gateway.ts
+++ b/src/gateway/runtime/start-gateway.ts
@@ -159,8 +159,8 @@
    */
   private checkStop(): void {
     setImmediate(() => {
-      const { openExchanges } = this.callers;
-      this.loop.emit({ type: 'stop-due', at: this.clock.now(), openExchanges });
+      const { openExchanges, listedExchanges } = this.callers;
+      this.loop.emit({ type: 'stop-due', at: this.clock.now(), openExchanges, listedExchanges });
     });
   }
 
--- a/src/gateway/state.ts
+++ b/src/gateway/state.ts
@@ -27,7 +27,7 @@
 import { createDelayHistogram, type DelayHistogram } from './requests/delay-histogram.js';
 import type { PartArrivals } from './requests/part-arrivals.js';
 import type { RouteLatency } from './requests/route-latency.js';
-import type { UnreadableLog } from './requests/unreadable-log.js';
+import { NOTHING_LOGGED, type UnreadableLog } from './requests/unreadable-log.js';
 import type { RouteTable } from './routing/route-table.js';
 import type { SplitCursor } from './routing/split-cursor.js';
 import { createSchedulingState, type SchedulingState } from './scheduling/scheduling-state.js';
@@ -172,6 +172,8 @@
   readonly latencies: Map<string, RouteLatency>;
   /** Recent log lines about unreadable requests, by problem. */
   readonly unreadableLogs: Map<UnreadableProblem, UnreadableLog>;
+  /** Recent log line about ignored requests. */
+  ignoredRequestLog: UnreadableLog;
   /** Recent log lines about unreadable answers, by problem. */
   readonly unreadableAnswerLogs: Map<AttemptProblem, UnreadableLog>;
   /** Outcomes of the pauses of legs, by service. */
@@ -244,6 +246,7 @@
   extraAttempts: createExtraAttempts(),
   latencies: new Map(),
   unreadableLogs: new Map(),
+  ignoredRequestLog: NOTHING_LOGGED,
   unreadableAnswerLogs: new Map(),
   legPauseOutcomes: new Map(),
   splits: new Map(),
--- a/src/gateway/stop/handle-stop.ts
+++ b/src/gateway/stop/handle-stop.ts
@@ -93,7 +93,7 @@
 const endProcess = (
   state: GatewayState,
   { since }: StopSchedule,
-  { at, openExchanges }: StopDue,
+  { at, openExchanges, listedExchanges = [] }: StopDue,
 ): GatewayEffect[] => {
   state.phase = 'ended';
   const change: StateChange = {
@@ -102,7 +102,15 @@
     openExchanges,
     stopMs: Math.round(at - since),
   };
-  return [{ type: 'write-log', level: 'info', part: 'lifecycle', change }, { type: 'end-process' }];
+  const cutOff = listedExchanges.map((exchange): GatewayEffect => {
+    const lost: StateChange = { event: 'exchange-cut-off', ...exchange };
+    return { type: 'write-log', level: 'warn', part: 'caller', change: lost };
+  });
+  return [
+    { type: 'write-log', level: 'info', part: 'lifecycle', change },
+    ...cutOff,
+    { type: 'end-process' },
+  ];
 };
 
 /**
--- a/test/gateway/planned-stop.test.ts
+++ b/test/gateway/planned-stop.test.ts
@@ -154,4 +154,19 @@
     expect(gateway.answers.has(call)).toBe(true);
     expect(checkStop(gateway, late)).toContain('end-process');
   });
+
+  // The log did not say which requests the end of the process had cut off.
+  it('logs which exchanges its end cuts off', () => {
+    const gateway = gatheringGateway(1);
+    gateway.emit({ type: 'stop-requested', at: 0, signalledMsAgo: 0 });
+    const exchange = { requestId: 'r-1', isReceived: true, unsentBytes: 1_000 };
+    const at = GATEWAY_BOUNDS.graceMs - 150;
+    gateway.emit({ type: 'stop-due', at, openExchanges: 1, listedExchanges: [exchange] });
+    expect(gateway.effects).toContainEqual({
+      type: 'write-log',
+      level: 'warn',
+      part: 'caller',
+      change: { event: 'exchange-cut-off', ...exchange },
+    });
+  });
 });
--- a/test/platform/pipelined-requests.test.ts
+++ b/test/platform/pipelined-requests.test.ts
@@ -94,6 +94,12 @@
     await serveWith({ workMs: FAST_WORK_MS, body: Buffer.alloc(LONG_ANSWER_BYTES) });
     expect(await readLateAfterStop()).toBeGreaterThan(LONG_ANSWER_BYTES);
     expect(arrivals()).toBe(1);
+    expect(fixture.log.lines).toContainEqual({
+      level: 'info',
+      part: 'caller',
+      change: { event: 'request-ignored', requestId: 'r-1', unlogged: 0 },
+      type: 'write-log',
+    });
   });
 
   // The connection was closed although the caller was still sending; the reset discarded what it had not read yet.
