Don't handle a request again whose rest arrives after its refusal

Evidence: the test fails before (a second decision about the request). Change: a body that ends after its request was answered is dropped. Nobody is refused or delayed.

--- a/src/gateway/runtime/caller-port.ts
+++ b/src/gateway/runtime/caller-port.ts
@@ -214,11 +214,12 @@
 
   private handleBody(incoming: IncomingMessage, outgoing: ServerResponse): void {
     const currentLimit = (): number => this.limits.maxBodyBytes;
-    readBody(incoming, currentLimit, (body) =>
-      body === undefined
-        ? this.emitRequest(incoming, outgoing, null, 'body')
-        : this.emitRequest(incoming, outgoing, body),
-    );
+    readBody(incoming, currentLimit, (body) => {
+      // A request that was refused before its end must not run, although the rest of it is read.
+      if (!this.connectionOf(outgoing).isAnswered(outgoing)) {
+        this.emitRequest(incoming, outgoing, body ?? null, body === undefined ? 'body' : undefined);
+      }
+    });
   }
 
   private emitRequest(
--- a/test/platform/planned-stop.test.ts
+++ b/test/platform/planned-stop.test.ts
@@ -108,6 +108,19 @@
     expect(arrivals()).toBe(0);
   });
 
+  // The rest of a request that had been refused was read as its end, and the request was handled again.
+  it('does not handle a request whose rest arrives after its refusal', async () => {
+    await serveWith(SHORT_GRACE_MS, {});
+    const socket = connect({ ...fixture.settings.callers, noDelay: true, allowHalfOpen: true });
+    socket.write(`${requestHead('POST /one/', ['Content-Length: 10'])}half`);
+    fixture.gateway.stop();
+    await once(socket, 'data');
+    socket.write('second');
+    await fixture.gateway.ended;
+    expect(fixture.log.traces).toEqual([]);
+    socket.destroy();
+  });
+
   // Callers that read slowly got a part of a long answer, since a request was finished once its answer was handed over.
   it('sends a long answer to its end', async () => {
     await serveWith(6_000, { body: Buffer.alloc(LONG_ANSWER_BYTES) });
