--- a/src/gateway/runtime/caller-port.ts
+++ b/src/gateway/runtime/caller-port.ts
@@ -5,22 +5,23 @@
  * rebuild answers.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { Server as NetServer, type Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import type { MonotonicClock } from '../../runtime/monotonic-clock.js';
 import type { HostPort } from '../../settings/node-settings.js';
 import type { AnswerCaller } from '../effect.js';
 import type { CallerLimits } from '../model/route.js';
-import type { CallerRequest, CallId, Refusal } from '../model/request.js';
+import type { CallerRequest, CallId, OpenExchange, Refusal } from '../model/request.js';
 import type { GatewayProtocol } from '../protocol/protocol.js';
+import { CallerConnection } from './caller-connection.js';
 import type { CallerRequests } from './caller-requests.js';
 import type { EarlyPort } from './early-port.js';
-import { formatResponse, type WireResponse } from './format-response.js';
+import { formatResponse } from './format-response.js';
 import type { GatewayEventSink } from './gateway-loop.js';
-import { findHeader, flattenHeaders, pairHeaders } from './headers.js';
+import { findHeader, pairHeaders } from './headers.js';
 import { readKeyDigests } from './key-digest.js';
 import { isBodyless, readBody } from './read-body.js';
 import { readTarget } from './request-target.js';
-import { listenOn, takeOverPort } from './sockets.js';
+import { closeAfterAccepting, listenOn, stopListening, takeOverPort } from './sockets.js';
 import {
   describeUnreadable,
   formatUnreadable,
@@ -37,6 +38,9 @@
 /** Headers up to this size are accepted even if the configuration allows less; far above what clients send. */
 const TOLERATED_HEADER_BYTES = 65_536;
 
+/** Maximum number of exchanges that are listed for the log. */
+const MAX_LISTED_EXCHANGES = 20;
+
 /** Limits in force until the first configuration. */
 const DEFAULT_LIMITS: CallerLimits = {
   maxHeaderBytes: PARSER_HEADER_BYTES,
@@ -63,6 +67,7 @@
   private readonly pendingResponses = new Map<CallId, ServerResponse>();
   /** Exchanges whose request is being received, or whose answer has not been sent completely. */
   private readonly exchanges = new Set<ServerResponse>();
+  private readonly connections = new WeakMap<Socket, CallerConnection>();
   /** Connections on which a request has been received. */
   private readonly usedConnections = new WeakSet<Socket>();
   /** Connections on which malformed input has been received. */
@@ -114,15 +119,24 @@
     return this.exchanges.size;
   }
 
+  /** The first of them. */
+  get listedExchanges(): readonly OpenExchange[] {
+    return [...this.exchanges].slice(0, MAX_LISTED_EXCHANGES).map(({ req }) => ({
+      requestId: this.requestIdOf(req),
+      isReceived: req.complete,
+      unsentBytes: req.socket.writableLength,
+    }));
+  }
+
   /** Sends the final answer of a call. */
   answer({ call, response, closeConnection }: AnswerCaller): void {
     const outgoing = this.pendingResponses.get(call);
     this.discard(call);
-    if (outgoing !== undefined && !outgoing.destroyed) {
-      this.send(
+    if (outgoing !== undefined) {
+      this.connectionOf(outgoing).answer(
         outgoing,
         formatResponse(response, this.context.protocol.headers),
-        (closeConnection || !this.isOpen) && this.isLastExchange(outgoing),
+        closeConnection || !this.isOpen,
       );
     }
   }
@@ -133,11 +147,11 @@
     this.context.requests.remove(call);
   }
 
-  /** Accepts no new connections; open ones are served until they are idle. */
+  /** Accepts no new connections except those that wait already; open ones are served until they are idle. */
   closePort(): void {
     if (this.isOpen) {
       this.isOpen = false;
-      NetServer.prototype.close.call(this.server);
+      closeAfterAccepting(this.server);
     }
   }
 
@@ -146,21 +160,46 @@
     const pending = new Set(this.pendingResponses.values());
     const response = formatResponse(refusal, this.context.protocol.headers);
     for (const outgoing of this.exchanges) {
-      if (!pending.has(outgoing) && !outgoing.headersSent) {
-        this.send(outgoing, response, true);
+      const connection = this.connectionOf(outgoing);
+      if (!pending.has(outgoing) && !connection.isAnswered(outgoing)) {
+        connection.answer(outgoing, response, true);
       }
     }
   }
 
   /** Closes every connection at once. */
   destroy(): void {
-    this.closePort();
+    this.isOpen = false;
+    stopListening(this.server);
     this.server.closeAllConnections();
   }
 
+  private requestIdOf({ rawHeaders }: IncomingMessage): string {
+    return findHeader(pairHeaders(rawHeaders), this.context.protocol.headers.requestId) ?? '';
+  }
+
+  private connectionOf({ req: { socket } }: ServerResponse): CallerConnection {
+    return this.connectionOn(socket);
+  }
+
+  private connectionOn(socket: Socket): CallerConnection {
+    const connection = this.connections.get(socket) ?? new CallerConnection(socket);
+    this.connections.set(socket, connection);
+    return connection;
+  }
+
   private handleRequest(incoming: IncomingMessage, outgoing: ServerResponse): void {
+    const connection = this.connectionOf(outgoing);
+    if (connection.isClosed) {
+      incoming.resume();
+      const { sink, clock } = this.context;
+      const requestId = this.requestIdOf(incoming);
+      sink.emit({ type: 'request-ignored', at: clock.now(), requestId });
+      return;
+    }
     this.exchanges.add(outgoing);
-    outgoing.once('close', () => this.exchanges.delete(outgoing));
+    connection.begin(outgoing);
+    connection.onceEnded(outgoing, () => this.exchanges.delete(outgoing));
     const { maxHeaderBytes } = this.limits;
     if (headerBytes(incoming) > Math.max(maxHeaderBytes, TOLERATED_HEADER_BYTES)) {
       incoming.resume();
@@ -175,11 +214,12 @@
 
   private handleBody(incoming: IncomingMessage, outgoing: ServerResponse): void {
     const currentLimit = (): number => this.limits.maxBodyBytes;
-    readBody(incoming, currentLimit, (body) =>
-      body === undefined
-        ? this.emitRequest(incoming, outgoing, null, 'body')
-        : this.emitRequest(incoming, outgoing, body),
-    );
+    readBody(incoming, currentLimit, (body) => {
+      // A request that was refused before its end must not run, although the rest of it is read.
+      if (!this.connectionOf(outgoing).isAnswered(outgoing)) {
+        this.emitRequest(incoming, outgoing, body ?? null, body === undefined ? 'body' : undefined);
+      }
+    });
   }
 
   private emitRequest(
@@ -199,7 +239,7 @@
     const method = incoming.method ?? 'GET';
     const { call, fingerprint } = requests.add({ method, path, requestId, headers, body });
     this.pendingResponses.set(call, outgoing);
-    outgoing.once('close', () => this.handleClose(call, outgoing));
+    this.connectionOf(outgoing).onceEnded(outgoing, () => this.handleEnd(call, outgoing));
     const isFirstOnConnection = !this.usedConnections.has(incoming.socket);
     this.usedConnections.add(incoming.socket);
     const budgetMs = Number(findHeader(headers, protocol.headers.timeBudget));
@@ -224,15 +264,14 @@
   /** Handles malformed input or a broken connection. */
   private handleClientError(error: NodeJS.ErrnoException, socket: Socket): void {
     const unreadable = describeUnreadable(error.code);
-    const pendingResponse = this.lastPendingOn(socket);
-    const isAborted = unreadable?.problem === 'cut-off' && pendingResponse !== undefined;
+    const connection = this.connectionOn(socket);
+    const isAborted = unreadable?.problem === 'cut-off' && connection.isAnswerDue;
     if (unreadable === undefined || isAborted) {
       socket.destroy();
-    } else if (!this.unreadableConnections.has(socket)) {
+    } else if (!connection.isClosed && !this.unreadableConnections.has(socket)) {
       this.unreadableConnections.add(socket);
       // Sent first, the refusal would be taken for the answer to an earlier valid request on the connection.
-      const refuse = (): void => this.refuseUnreadable(unreadable, socket);
-      void (pendingResponse === undefined ? refuse() : pendingResponse.once('finish', refuse));
+      connection.refuseAfterAnswers(() => this.refuseUnreadable(unreadable, socket));
     }
   }
 
@@ -247,33 +286,10 @@
     sink.emit({ type: 'unreadable-refused', at: clock.now(), from, ...unreadable });
   }
 
-  /** Returns the response to the last unanswered request on a connection. */
-  private lastPendingOn(socket: Socket): ServerResponse | undefined {
-    return [...this.pendingResponses.values()].filter(({ req }) => req.socket === socket).at(-1);
-  }
-
-  /**
-   * Whether no request follows on the connection of an exchange. An earlier answer must not close the connection, since that
-   * would drop the answers to later requests.
-   */
-  private isLastExchange(outgoing: ServerResponse): boolean {
-    const { socket } = outgoing.req;
-    return [...this.exchanges].findLast((each) => each.req.socket === socket) === outgoing;
-  }
-
-  private handleClose(call: CallId, outgoing: ServerResponse): void {
+  private handleEnd(call: CallId, outgoing: ServerResponse): void {
     if (!outgoing.writableFinished && this.pendingResponses.has(call)) {
       const { sink, clock } = this.context;
       sink.emit({ type: 'caller-left', at: clock.now(), call });
     }
   }
-
-  private send(outgoing: ServerResponse, response: WireResponse, close: boolean): void {
-    const { status, headers, body } = response;
-    const connection = close ? ['connection', 'close'] : [];
-    const length = ['content-length', String(body.length)];
-    outgoing.sendDate = false;
-    outgoing.writeHead(status, [...flattenHeaders(headers), ...length, ...connection]);
-    outgoing.end(body);
-  }
 }
