Close callers' connections without a reset

What callers saw: an answer that closes the connection ends in its middle with a reset, if the caller has sent something behind its last request: a further request, malformed input, or bytes after a request with `Connection: close`. Around a planned stop every answer closes its connection.

Cause: the socket was closed as soon as the kernel had the answer. When a socket is closed while input is unread, or when input arrives later, the kernel resets the connection and discards what the other side has not received (RFC 9112, section 9.6). The input was unread since the port stopped reading with the closing answer; `pause` does stop Node's parser, which reads the handle.

Change: the last answer of a connection is followed by the end of the sending side only. A planned stop waits for these connections, until its end.

Why it works: while input is read, the kernel sends no reset, and the caller's close shows that it has the answer.

--- a/src/gateway/runtime/caller-connection.ts
+++ b/src/gateway/runtime/caller-connection.ts
@@ -6,6 +6,7 @@
 import type { Socket } from 'node:net';
 import type { WireResponse } from './format-response.js';
 import { flattenHeaders } from './headers.js';
+import { discardInput, type LingeringConnections } from './lingering-close.js';
 
 /** An answer that closes the connection unless another request arrives before it is sent. */
 interface ClosingAnswer {
@@ -34,7 +35,12 @@
   private refuse: (() => void) | undefined;
   private isClosing = false;
 
-  constructor(private readonly socket: Socket) {
+  constructor(
+    private readonly socket: Socket,
+    lingering: LingeringConnections,
+  ) {
+    // Node calls this after an answer that closes the connection.
+    socket.destroySoon = () => lingering.close(socket);
     // Node reports the end of a response only if it was the first of its connection.
     socket.once('close', () => [...this.exchanges.keys()].forEach((each) => this.end(each)));
   }
@@ -126,9 +132,7 @@
     }
     this.closingAnswer = undefined;
     this.isClosing = true;
-    if (outgoing.req.complete) {
-      this.socket.pause();
-    }
+    discardInput(this.socket);
     sendResponse(outgoing, answer.response, ['connection', 'close']);
   }
 }
--- a/src/gateway/runtime/caller-port.ts
+++ b/src/gateway/runtime/caller-port.ts
@@ -19,6 +19,7 @@
 import type { GatewayEventSink } from './gateway-loop.js';
 import { findHeader, pairHeaders } from './headers.js';
 import { readKeyDigests } from './key-digest.js';
+import { LingeringConnections } from './lingering-close.js';
 import { isBodyless, readBody } from './read-body.js';
 import { readTarget } from './request-target.js';
 import { listenOn, takeOverPort } from './sockets.js';
@@ -65,6 +66,7 @@
   /** Exchanges whose request is being received, or whose answer has not been sent completely. */
   private readonly exchanges = new Set<ServerResponse>();
   private readonly connections = new WeakMap<Socket, CallerConnection>();
+  private readonly lingering = new LingeringConnections();
   /** Connections on which a request has been received. */
   private readonly usedConnections = new WeakSet<Socket>();
   /** Connections on which malformed input has been received. */
@@ -111,9 +113,9 @@
     this.server.keepAliveTimeout = limits.idleTimeoutMs;
   }
 
-  /** Number of exchanges whose request is being received, or whose answer has not been sent completely. */
+  /** Number of exchanges as above, and of connections that the caller has not closed after their last answer. */
   get openExchanges(): number {
-    return this.exchanges.size;
+    return this.exchanges.size + this.lingering.size;
   }
 
   /** Sends the final answer of a call. */
@@ -166,7 +168,7 @@
   }
 
   private connectionOn(socket: Socket): CallerConnection {
-    const connection = this.connections.get(socket) ?? new CallerConnection(socket);
+    const connection = this.connections.get(socket) ?? new CallerConnection(socket, this.lingering);
     this.connections.set(socket, connection);
     return connection;
   }
