Refuse a request for a tunnel behind the answers to earlier requests

What callers saw: a connection on which CONNECT arrives is closed at once and without an answer, also while earlier requests of it are at a replica: these were run and got no answer.

Cause: Node's HTTP server destroys the connection of a CONNECT request if nobody listens for it.

Evidence: the test failed (no answer in place of 200 and 501); the same with one gateway as a process.

Change: the request is refused with 501 after all earlier answers, as malformed input is.

Measured: the test passes, and the process answers 200 and 501.

Does it refuse or delay anybody who was served before? No; such a request never had an answer.

--- a/src/gateway/runtime/caller-port.ts
+++ b/src/gateway/runtime/caller-port.ts
@@ -19,11 +19,12 @@
 import type { GatewayEventSink } from './gateway-loop.js';
 import { findHeader, pairHeaders } from './headers.js';
 import { readKeyDigests } from './key-digest.js';
-import { LingeringConnections } from './lingering-close.js';
+import { discardInput, LingeringConnections } from './lingering-close.js';
 import { isBodyless, readBody } from './read-body.js';
 import { readTarget } from './request-target.js';
 import { listenOn, takeOverPort } from './sockets.js';
 import {
+  CONNECT_REQUEST,
   describeUnreadable,
   formatUnreadable,
   type UnreadableRequest,
@@ -85,6 +86,7 @@
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) =>
       this.handleClientError(error, socket),
     );
+    this.server.on('connect', (incoming: IncomingMessage) => this.refuseConnect(incoming.socket));
     // By default, Node drops headers beyond a maximum count, possibly the host or the request identifier. Their total
     // size is limited already.
     this.server.maxHeadersCount = 0;
@@ -256,6 +258,15 @@
     }
   }
 
+  /** Refuses a request for a tunnel, after which Node passes the connection on with neither parser nor listeners. */
+  private refuseConnect(socket: Socket): void {
+    socket.on('error', () => socket.destroy());
+    discardInput(socket);
+    this.connectionOn(socket).refuseAfterAnswers(() =>
+      this.refuseUnreadable(CONNECT_REQUEST, socket),
+    );
+  }
+
   private refuseUnreadable(unreadable: UnreadableRequest, socket: Socket): void {
     if (!socket.writable) {
       return;
--- a/src/gateway/runtime/unreadable-request.ts
+++ b/src/gateway/runtime/unreadable-request.ts
@@ -14,6 +14,13 @@
 
 const MALFORMED: ProblemAndStatus = { problem: 'malformed', status: 400 };
 
+/** A request for a tunnel (RFC 9110, section 9.3.6). */
+export const CONNECT_REQUEST: UnreadableRequest = {
+  ...MALFORMED,
+  status: 501,
+  detail: 'CONNECT',
+};
+
 /** Error codes of Node's HTTP server (`clientError`) that identify a specific problem. */
 const BY_CODE: Readonly<Record<string, ProblemAndStatus>> = {
   HPE_INVALID_EOF_STATE: { problem: 'cut-off', status: 400 },
