Read a caller's further requests only as earlier ones are answered

What callers saw: one caller that sends thousands of requests on one connection without waiting ends the gateway, and with it all requests of other callers; before that, others wait for seconds.

Cause: the port read whatever arrived on a connection, so that all its requests were in progress at once.

Change: a connection with 100 exchanges is not read until one ends. What had been read by then, at most one segment of 64 KB, is still parsed. Node resumes the socket whenever the body of a request is read, so the pause is repeated whenever the socket resumes.

Why it works: the kernel's buffers fill, and the caller's sending waits.

Does it refuse or delay anybody? No: answers on a connection come in the order of the requests, so that later ones wait in any case.

--- a/src/gateway/runtime/caller-connection.ts
+++ b/src/gateway/runtime/caller-connection.ts
@@ -8,6 +8,9 @@
 import { flattenHeaders } from './headers.js';
 import { discardInput, type LingeringConnections } from './lingering-close.js';
 
+/** Number of exchanges from which on no further request is read, except those in the bytes that have been read already. */
+const MAX_EXCHANGES = 100;
+
 /** An answer that closes the connection unless another request arrives before it is sent. */
 interface ClosingAnswer {
   readonly outgoing: ServerResponse;
@@ -41,6 +44,8 @@
   ) {
     // Node calls this after an answer that closes the connection.
     socket.destroySoon = () => lingering.close(socket);
+    // Node resumes the socket whenever a request is read.
+    socket.on('resume', () => this.pauseIfFull());
     // Node reports the end of a response only if it was the first of its connection.
     socket.once('close', () => [...this.exchanges.keys()].forEach((each) => this.end(each)));
   }
@@ -65,6 +70,7 @@
     this.closingAnswer = undefined;
     this.exchanges.set(outgoing, []);
     outgoing.once('close', () => this.end(outgoing));
+    this.pauseIfFull();
     if (previous !== undefined) {
       sendResponse(previous.outgoing, previous.response);
     }
@@ -98,6 +104,12 @@
     this.proceed();
   }
 
+  private pauseIfFull(): void {
+    if (this.exchanges.size >= MAX_EXCHANGES) {
+      this.socket.pause();
+    }
+  }
+
   private isLast(outgoing: ServerResponse): boolean {
     return this.refuse === undefined && [...this.exchanges.keys()].at(-1) === outgoing;
   }
@@ -105,6 +117,9 @@
   private end(outgoing: ServerResponse): void {
     const callbacks = this.exchanges.get(outgoing) ?? [];
     this.exchanges.delete(outgoing);
+    if (this.exchanges.size === MAX_EXCHANGES - 1) {
+      this.socket.resume();
+    }
     if (this.closingAnswer?.outgoing === outgoing) {
       this.closingAnswer = undefined;
     }
