Judge a request of a split at a planned stop by the service it goes to

What callers saw: during a planned stop all requests of a route that is split among services are refused with 503 while one of the services has no slot free, also those that go to an idle one.

Cause: the time that a request needs contains the wait for a slot, which was taken as the longest of all services of the route.

Evidence: the test failed: of four requests, two of them for the service with free slots, none was sent.

Change: before the service is chosen, the shortest wait counts; an attempt is judged by the service that it is sent to.

Measured: the test passes: two are sent, two are refused at once.

Does it refuse or delay anybody who was served before? No; it serves more.

--- a/src/gateway/requests/attempts.ts
+++ b/src/gateway/requests/attempts.ts
@@ -162,8 +162,9 @@
 const hasTimeLeft = (
   state: GatewayState,
   { route, deadlineAt, ownDeadlineAt }: ActiveRequest,
+  { service }: Leg,
   at: number,
-): boolean => deadlineAt - at >= 1 && canAnswerBeforeStop(state, route, ownDeadlineAt, at);
+): boolean => deadlineAt - at >= 1 && canAnswerBeforeStop(state, route, ownDeadlineAt, at, service);
 
 /** Whether the leg has attempts left and a replica that it has not tried. */
 export const canAttempt = (state: GatewayState, request: ActiveRequest, leg: Leg): boolean =>
@@ -220,7 +221,7 @@
   at: number,
   accepts = acceptAnyRatio,
 ): SendAttempt | 'no-room' | undefined => {
-  if (!hasAttemptsLeft(request, leg) || !hasTimeLeft(state, request, at)) {
+  if (!hasAttemptsLeft(request, leg) || !hasTimeLeft(state, request, leg, at)) {
     return undefined;
   }
   const shared = sharedReplicas(state, request, leg);
--- a/src/gateway/requests/progress.ts
+++ b/src/gateway/requests/progress.ts
@@ -55,9 +55,9 @@
 /** Whether no further attempt was sent because the process ends too soon. */
 const isStopTooNear = (
   state: GatewayState,
-  { route, ownDeadlineAt }: ActiveRequest,
+  { route, ownDeadlineAt, legs }: ActiveRequest,
   at: number,
-): boolean => !canAnswerBeforeStop(state, route, ownDeadlineAt, at);
+): boolean => !canAnswerBeforeStop(state, route, ownDeadlineAt, at, legs[0]?.service);
 
 const refusalReasonOf = (
   state: GatewayState,
--- a/src/gateway/requests/retry-leg.ts
+++ b/src/gateway/requests/retry-leg.ts
@@ -60,7 +60,7 @@
   const { route, ownDeadlineAt } = request;
   const isTooLate =
     resumeAt >= latestResumeAt(request) ||
-    !canAnswerBeforeStop(state, route, ownDeadlineAt, resumeAt);
+    !canAnswerBeforeStop(state, route, ownDeadlineAt, resumeAt, leg.service);
   if (!isWorthwhile || isTooLate || !isPauseWorthwhile(state, request, leg)) {
     return false;
   }
--- a/src/gateway/stop/time-left.ts
+++ b/src/gateway/stop/time-left.ts
@@ -34,19 +34,34 @@
   return waits.length === 0 ? 0 : Math.min(...waits);
 };
 
-/** Longest wait of a request for a slot, in usual latencies; a gather is answered at its objective whatever waits. */
-const waitOf = (state: GatewayState, route: Route, at: number): number =>
-  route.target.type === 'gather'
-    ? 0
-    : Math.max(
-        0,
-        ...servicesOf(route.target).map((service) => shortestWait(state, route, service, at)),
-      );
+/**
+ * Longest wait of a request for a slot, in usual latencies; a gather is answered at its objective whatever waits.
+ *
+ * @param service - where the request goes; undefined if not chosen yet, which counts as the one with the shortest wait
+ */
+const waitOf = (
+  state: GatewayState,
+  route: Route,
+  service: string | undefined,
+  at: number,
+): number => {
+  if (route.target.type === 'gather') {
+    return 0;
+  }
+  const services = service === undefined ? servicesOf(route.target) : [service];
+  const waits = services.map((each) => shortestWait(state, route, each, at));
+  return waits.length === 0 ? 0 : Math.min(...waits);
+};
 
 /** Time in which nearly all requests of the route that arrive at `at` are answered, in milliseconds. */
-const answerTimeMs = (state: GatewayState, route: Route, at: number): number => {
+const answerTimeMs = (
+  state: GatewayState,
+  route: Route,
+  service: string | undefined,
+  at: number,
+): number => {
   const { meanMs, slowMs } = timesOf(state, route);
-  return waitOf(state, route, at) * meanMs + slowMs;
+  return waitOf(state, route, service, at) * meanMs + slowMs;
 };
 
 /** Whether something that takes `neededMs` from `at` on is unaffected by the stop, or ends before it. */
@@ -63,13 +78,15 @@
  * sooner loses nothing by the stop.
  *
  * @param deadlineAt - deadline of the request without regard to the stop, in milliseconds on the clock
+ * @param service - where the request goes; absent if that is not chosen yet
  */
 export const canAnswerBeforeStop = (
   state: GatewayState,
   route: Route,
   deadlineAt: number,
   at: number,
-): boolean => endsBeforeStop(state, deadlineAt, at, () => answerTimeMs(state, route, at));
+  service?: string,
+): boolean => endsBeforeStop(state, deadlineAt, at, () => answerTimeMs(state, route, service, at));
 
 /** The same for an attempt that waits for a connection and whose wait ends at `at`. */
 export const canAnswerWaiting = (
@@ -90,7 +107,7 @@
     return undefined;
   }
   const { meanMs, slowMs } = timesOf(state, route);
-  const waitMs = Math.round(waitOf(state, route, at) * meanMs);
+  const waitMs = Math.round(waitOf(state, route, undefined, at) * meanMs);
   return {
     sinceMs: Math.round(at - stop.since),
     leftMs: Math.round(stop.answersDueAt - at),
--- a/test/gateway/planned-stop.test.ts
+++ b/test/gateway/planned-stop.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest';
+import { type RouteTarget, servicesOf } from '../../src/gateway/model/route.js';
 import {
   GATEWAY_BOUNDS,
   gatheringGateway,
@@ -23,11 +24,13 @@
 const STOP_MS = 20_000;
 
 /** A gateway that has observed a route whose requests run only once, and take `WORK_MS`. */
-const slowGateway = (): VirtualGateway => {
+const slowGateway = (
+  target: RouteTarget = { type: 'service', service: 'desk' },
+): VirtualGateway => {
   const gateway = new VirtualGateway();
   const fields = { repeatable: false, timeoutMs: 15_000, objectiveMs: 2_000 };
-  gateway.configure(1, [routeTo({ type: 'service', service: 'desk' }, fields)]);
-  gateway.listReplicas(['desk']);
+  gateway.configure(1, [routeTo(target, fields)]);
+  gateway.listReplicas(servicesOf(target));
   for (let index = 0; index < 12; index += 1) {
     gateway.request(15_000);
     gateway.now += WORK_MS;
@@ -103,6 +106,24 @@
     expect(refused).toHaveLength(calls.length - gateway.sent.length);
   });
 
+  // All requests of a split were refused while one of its services had no slot free, also those that another one serves.
+  it('serves the requests of a split whose service has a slot free', () => {
+    const parts = ['desk', 'spare'].map((service) => ({ service, weight: 1 }));
+    const gateway = slowGateway({ type: 'split', parts });
+    const calls = Array.from({ length: 2 * SLOTS }, () => gateway.request(15_000));
+    const isAtDesk = ({ replica }: { readonly replica: { readonly service: string } }): boolean =>
+      replica.service === 'desk';
+    gateway.now += WORK_MS;
+    gateway.sent.filter(isAtDesk).forEach((attempt) => gateway.end(attempt, success('signature')));
+    gateway.sent.length = 0;
+    gateway.emit({ type: 'stop-requested', at: gateway.now, signalledMsAgo: 0 });
+    gateway.now += 3_500;
+    const later = Array.from({ length: 4 }, () => gateway.request(15_000));
+    expect(calls.filter((call) => gateway.answers.has(call))).toHaveLength(SLOTS);
+    expect(gateway.sent.map(isAtDesk)).toEqual([true, true]);
+    expect(later.filter((call) => gateway.answers.has(call))).toHaveLength(2);
+  });
+
   // A request whose own deadline comes before the end was refused although a replica could still answer it.
   it('serves a request that its caller gives up before the process ends anyway', () => {
     const gateway = slowGateway();
