--- a/src/gateway/runtime/caller-connection.ts
+++ b/src/gateway/runtime/caller-connection.ts
@@ -6,6 +6,10 @@
 import type { Socket } from 'node:net';
 import type { WireResponse } from './format-response.js';
 import { flattenHeaders } from './headers.js';
+import { discardInput, type LingeringConnections } from './lingering-close.js';
+
+/** Number of exchanges from which on no further request is read, except those in the bytes that have been read already. */
+const MAX_EXCHANGES = 100;
 
 /** Time for which input is read after the last answer while the caller has not closed the connection, in milliseconds. */
 const LINGER_MS = 2_000;
@@ -37,7 +41,14 @@
   private refuse: (() => void) | undefined;
   private isClosing = false;
 
-  constructor(private readonly socket: Socket) {
+  constructor(
+    private readonly socket: Socket,
+    lingering: LingeringConnections,
+  ) {
+    // Node calls this after an answer that closes the connection.
+    socket.destroySoon = () => lingering.close(socket);
+    // Node resumes the socket whenever a request is read.
+    socket.on('resume', () => this.pauseIfFull());
     // Node reports the end of a response only if it was the first of its connection.
     socket.once('close', () => [...this.exchanges.keys()].forEach((each) => this.end(each)));
     // Node's HTTP server calls this after the last answer, and would close the connection.
@@ -64,6 +75,7 @@
     this.closingAnswer = undefined;
     this.exchanges.set(outgoing, []);
     outgoing.once('close', () => this.end(outgoing));
+    this.pauseIfFull();
     if (previous !== undefined) {
       sendResponse(previous.outgoing, previous.response);
     }
@@ -97,6 +109,12 @@
     this.proceed();
   }
 
+  private pauseIfFull(): void {
+    if (this.exchanges.size >= MAX_EXCHANGES) {
+      this.socket.pause();
+    }
+  }
+
   private isLast(outgoing: ServerResponse): boolean {
     return this.refuse === undefined && [...this.exchanges.keys()].at(-1) === outgoing;
   }
@@ -104,6 +122,9 @@
   private end(outgoing: ServerResponse): void {
     const callbacks = this.exchanges.get(outgoing) ?? [];
     this.exchanges.delete(outgoing);
+    if (this.exchanges.size === MAX_EXCHANGES - 1) {
+      this.socket.resume();
+    }
     if (this.closingAnswer?.outgoing === outgoing) {
       this.closingAnswer = undefined;
     }
@@ -131,9 +152,7 @@
     }
     this.closingAnswer = undefined;
     this.isClosing = true;
-    if (outgoing.req.complete) {
-      this.socket.pause();
-    }
+    discardInput(this.socket);
     sendResponse(outgoing, answer.response, ['connection', 'close']);
   }
 
--- a/src/gateway/runtime/caller-port.ts
+++ b/src/gateway/runtime/caller-port.ts
@@ -19,10 +19,12 @@
 import type { GatewayEventSink } from './gateway-loop.js';
 import { findHeader, pairHeaders } from './headers.js';
 import { readKeyDigests } from './key-digest.js';
+import { discardInput, LingeringConnections } from './lingering-close.js';
 import { isBodyless, readBody } from './read-body.js';
 import { readTarget } from './request-target.js';
 import { closeAfterAccepting, listenOn, stopListening, takeOverPort } from './sockets.js';
 import {
+  CONNECT_REQUEST,
   describeUnreadable,
   formatUnreadable,
   type UnreadableRequest,
@@ -68,6 +70,7 @@
   /** Exchanges whose request is being received, or whose answer has not been sent completely. */
   private readonly exchanges = new Set<ServerResponse>();
   private readonly connections = new WeakMap<Socket, CallerConnection>();
+  private readonly lingering = new LingeringConnections();
   /** Connections on which a request has been received. */
   private readonly usedConnections = new WeakSet<Socket>();
   /** Connections on which malformed input has been received. */
@@ -86,6 +89,7 @@
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) =>
       this.handleClientError(error, socket),
     );
+    this.server.on('connect', (incoming: IncomingMessage) => this.refuseConnect(incoming.socket));
     // By default, Node drops headers beyond a maximum count, possibly the host or the request identifier. Their total
     // size is limited already.
     this.server.maxHeadersCount = 0;
@@ -114,9 +118,9 @@
     this.server.keepAliveTimeout = limits.idleTimeoutMs;
   }
 
-  /** Number of exchanges whose request is being received, or whose answer has not been sent completely. */
+  /** Number of exchanges as above, and of connections that the caller has not closed after their last answer. */
   get openExchanges(): number {
-    return this.exchanges.size;
+    return this.exchanges.size + this.lingering.size;
   }
 
   /** The first of them. */
@@ -183,7 +187,7 @@
   }
 
   private connectionOn(socket: Socket): CallerConnection {
-    const connection = this.connections.get(socket) ?? new CallerConnection(socket);
+    const connection = this.connections.get(socket) ?? new CallerConnection(socket, this.lingering);
     this.connections.set(socket, connection);
     return connection;
   }
@@ -275,6 +279,15 @@
     }
   }
 
+  /** Refuses a request for a tunnel, after which Node passes the connection on with neither parser nor listeners. */
+  private refuseConnect(socket: Socket): void {
+    socket.on('error', () => socket.destroy());
+    discardInput(socket);
+    this.connectionOn(socket).refuseAfterAnswers(() =>
+      this.refuseUnreadable(CONNECT_REQUEST, socket),
+    );
+  }
+
   private refuseUnreadable(unreadable: UnreadableRequest, socket: Socket): void {
     if (!socket.writable) {
       return;
