--- a/src/gateway/runtime/caller-connection.ts
+++ b/src/gateway/runtime/caller-connection.ts
@@ -6,14 +6,11 @@
 import type { Socket } from 'node:net';
 import type { WireResponse } from './format-response.js';
 import { flattenHeaders } from './headers.js';
-import { discardInput, type LingeringConnections } from './lingering-close.js';
+import type { LingeringConnections } from './lingering-close.js';
 
 /** Number of exchanges from which on no further request is read, except those in the bytes that have been read already. */
 const MAX_EXCHANGES = 100;
 
-/** Time for which input is read after the last answer while the caller has not closed the connection, in milliseconds. */
-const LINGER_MS = 2_000;
-
 /** An answer that closes the connection unless another request arrives before it is sent. */
 interface ClosingAnswer {
   readonly outgoing: ServerResponse;
@@ -45,14 +42,15 @@
     private readonly socket: Socket,
     lingering: LingeringConnections,
   ) {
-    // Node calls this after an answer that closes the connection.
-    socket.destroySoon = () => lingering.close(socket);
+    // Node's HTTP server calls this after the last answer, and would close the connection.
+    socket.destroySoon = () => {
+      this.isClosing = true;
+      lingering.close(socket);
+    };
     // Node resumes the socket whenever a request is read.
     socket.on('resume', () => this.pauseIfFull());
     // Node reports the end of a response only if it was the first of its connection.
     socket.once('close', () => [...this.exchanges.keys()].forEach((each) => this.end(each)));
-    // Node's HTTP server calls this after the last answer, and would close the connection.
-    socket.destroySoon = () => this.endSending();
   }
 
   /** Whether the last answer has been sent: later requests are neither run nor answered. */
@@ -152,19 +150,6 @@
     }
     this.closingAnswer = undefined;
     this.isClosing = true;
-    discardInput(this.socket);
     sendResponse(outgoing, answer.response, ['connection', 'close']);
   }
-
-  /**
-   * Ends the connection in stages (RFC 9112, section 9.6). Closing it at once would reset it if the caller is still sending, and
-   * the reset would discard the part of the answer that the caller has not read yet.
-   */
-  private endSending(): void {
-    this.isClosing = true;
-    this.socket.end();
-    this.socket.resume();
-    const timer = setTimeout(() => this.socket.destroy(), LINGER_MS).unref();
-    this.socket.once('close', () => clearTimeout(timer));
-  }
 }
