--- a/soak/checker/planned-stops.ts
+++ b/soak/checker/planned-stops.ts
@@ -65,6 +65,15 @@
 const wasUnread = (evidence: Evidence, { id, sentAt, endedAt }: CallerRequest): boolean =>
   evidence.arrivalsOf(id).length === 0 && endedAt - sentAt <= evidence.run.bounds.lossSlackMs;
 
+/** Describes how long after SIGTERM a request ended; empty if its gateway was not stopping. */
+const describeStop = (evidence: Evidence, { gateway, endedAt }: CallerRequest): string => {
+  const { graceMs } = evidence.run.bounds;
+  const stop = evidence.observations.stops.find(
+    (each) => each.gateway === gateway && each.at <= endedAt && endedAt <= each.at + graceMs,
+  );
+  return stop === undefined ? '' : `, ${Math.round(endedAt - stop.at)} ms after SIGTERM`;
+};
+
 const checkCutOff = (evidence: Evidence, request: CallerRequest): readonly Violation[] => {
   if (request.outcome.type !== 'cut' || wasUnread(evidence, request)) {
     return [];
@@ -73,7 +82,8 @@
   const isUndisturbed =
     hadOnlyPlannedWork(evidence, evidence.gatewaysOf(request), sentAt, endedAt) &&
     hadUndisturbedReplicas(evidence, request);
-  const text = `${path} was cut off ${Math.round(endedAt - sentAt)} ms after it was sent`;
+  const afterMs = Math.round(endedAt - sentAt);
+  const text = `${path} was cut off ${afterMs} ms after it was sent${describeStop(evidence, request)}`;
   return isUndisturbed
     ? [{ promise: 'planned-stops', at: endedAt, gateway, requestId: id, text }]
     : [];
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -15,7 +15,7 @@
 
 const CALLERS_PER_GATEWAY = 4;
 
-const USAGE = `usage: npm run soak -- [--minutes N] [--seed S] [--seeds COUNT] [--gateways N]
+const USAGE = `usage: npm run soak -- [--minutes N] [--seed S] [--seeds COUNT] [--gateways N] [--program FILE]
        npm run soak -- --regressions
 
 Runs gateways as processes on loopback under faults drawn from the seed, and checks them from outside.
@@ -23,6 +23,7 @@
   --seed      first seed; default: drawn from the clock, and printed
   --seeds     number of seeds, run one after the other; default 1
   --gateways  default 6, at most ${MAX_GATEWAYS}
+  --program   bundled gateway program to run; default: built from the sources
   --regressions  repeats every run that has ever failed
 Exit codes: 0 every promise held, 1 one was broken, 2 usage.`;
 
@@ -30,6 +31,8 @@
   readonly minutes: number;
   readonly seed: number;
   readonly gateways: number;
+  /** Absent if the program is built from the sources. */
+  readonly program?: string;
 }
 
 const readCommandLine = (): readonly Run[] | undefined => {
@@ -39,6 +42,7 @@
       seed: { type: 'string', default: String(Date.now() % 1_000_000) },
       seeds: { type: 'string', default: '1' },
       gateways: { type: 'string', default: '6' },
+      program: { type: 'string' },
       regressions: { type: 'boolean', default: false },
       help: { type: 'boolean', default: false },
     },
@@ -48,6 +52,7 @@
     seed: Number(values.seed),
     seeds: Number(values.seeds),
     gateways: Number(values.gateways),
+    ...(values.program !== undefined && { program: values.program }),
   };
   const areWhole = [read.seed, read.seeds, read.gateways].every(Number.isInteger);
   const isPossible = read.minutes >= MIN_MINUTES && read.seeds >= 1 && read.gateways >= 1;
@@ -59,10 +64,10 @@
     : Array.from({ length: read.seeds }, (_, index) => ({ ...read, seed: read.seed + index }));
 };
 
-const runSeed = async ({ seed, gateways, minutes }: Run): Promise<boolean> => {
+const runSeed = async ({ seed, gateways, minutes, program }: Run): Promise<boolean> => {
   const durationMs = minutes * MS_PER_MINUTE;
   const callersPerGateway = CALLERS_PER_GATEWAY;
-  const result = await runSoak({ seed, gateways, durationMs, callersPerGateway });
+  const result = await runSoak({ seed, gateways, durationMs, callersPerGateway }, program);
   const lines = await formatReport(result);
   process.stdout.write(`${lines.join('\n')}\n`);
   const held = result.violations.length === 0;
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -2,7 +2,7 @@
 import { mkdir, readFile } from 'node:fs/promises';
 import { join, resolve } from 'node:path';
 import { setTimeout as pause } from 'node:timers/promises';
-import { bundlePlatform } from '../test/runtime/compiled-source.js';
+import { bundlePlatform, type CompiledSource } from '../test/runtime/compiled-source.js';
 import { checkRun } from './checker/check-run.js';
 import type { CheckedRun } from './checker/evidence.js';
 import type { PromiseName, Violation } from './checker/violation.js';
@@ -45,6 +45,12 @@
   return run.split(' ');
 };
 
+/** Builds the program from the sources, unless another one is given, which is kept. */
+const prepareProgram = async (program: string | undefined): Promise<CompiledSource> =>
+  program === undefined
+    ? bundlePlatform()
+    : { main: resolve(program), remove: () => Promise.resolve() };
+
 const waitUntilAllReady = async ({ observations, gateways }: SoakWorld): Promise<void> => {
   const giveUpAt = performance.now() + READY_TIMEOUT_MS;
   const isReady = (number: number): boolean =>
@@ -80,14 +86,19 @@
   return faults.executed;
 };
 
-/** Executes a run. Rejects if the gateways do not become ready or a process cannot be started. */
-export const runSoak = async (options: SoakOptions): Promise<SoakResult> => {
+/**
+ * Executes a run. Rejects if the gateways do not become ready or a process cannot be started.
+ *
+ * @param program - path of the bundled gateway program; absent if the program is built from the sources
+ */
+export const runSoak = async (options: SoakOptions, program?: string): Promise<SoakResult> => {
   const plan = drawPlan(options);
   const folder = join(ROOT, `out/soak/seed-${options.seed}-${process.pid}`);
   await mkdir(folder, { recursive: true });
-  const bundle = await bundlePlatform();
+  const bundle = await prepareProgram(program);
   const runtimeFlags = await readRuntimeFlags();
-  const world = await SoakWorld.start(plan, { program: bundle.main, runtimeFlags, folder });
+  const files = { program: bundle.main, runtimeFlags, folder };
+  const world = await SoakWorld.start(plan, files);
   const { observations } = world;
   const stopStallWatch = watchForStalls(observations);
   const startedAt = performance.now();
