Soak: random streams and drafts of requests in modules of their own

The streams of a seed and the requests of ordinary callers stand in their own modules now, and callers take the function that sends a request, so that other kinds of connections can be used.

--- a/soak/model/plan.ts
+++ b/soak/model/plan.ts
@@ -1,9 +1,10 @@
 /** The plan of one run, drawn from its seed. */
-import { createRandom, type Random } from '../../src/core/random.js';
+import type { Random } from '../../src/core/random.js';
 import type { GatewayBounds } from '../../src/gateway/settings.js';
 import { PREFIXES } from '../world/routes.js';
 import { FEW_SLOTS, REPLICA_SLOTS } from '../world/topology.js';
 import { drawFailingServices } from './failing-services.js';
+import { streamOf } from './random-streams.js';
 import {
   drawEndlessAnswers,
   drawEntryFaults,
@@ -106,52 +107,6 @@
   readonly plannedWork: readonly ScheduledFault[];
 }
 
-/** Random streams of one seed. */
-export type RandomStream =
-  | 'plan'
-  | 'schedule'
-  | 'callers'
-  | 'operator'
-  | 'versions'
-  | 'peer-links'
-  | 'calm'
-  | 'last-version'
-  | 'lethal'
-  | 'store-returns'
-  | 'entries'
-  | 'tenants'
-  | 'tenant-callers'
-  | 'long-callers'
-  | 'endless-answers'
-  | 'failing-services';
-
-/** New streams are appended, so that the regression seeds keep theirs. */
-const STREAMS: readonly RandomStream[] = [
-  'plan',
-  'schedule',
-  'callers',
-  'operator',
-  'versions',
-  'peer-links',
-  'calm',
-  'last-version',
-  'lethal',
-  'store-returns',
-  'entries',
-  'tenants',
-  'tenant-callers',
-  'long-callers',
-  'endless-answers',
-  'failing-services',
-];
-
-/** Distance between the stream seeds of two runs, so that their streams differ. */
-const STREAM_STRIDE = 1_000_003;
-
-/** Creates the random stream for one purpose. */
-export const streamOf = (seed: number, stream: RandomStream, index = 0) =>
-  createRandom(seed * STREAM_STRIDE + STREAMS.indexOf(stream) * 10_007 + index);
-
 /** Time after the faults during which replicas are replaced and versions are written, in milliseconds. */
 const PLANNED_WORK_MS = 9_000;
 
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -8,7 +8,8 @@
 import type { PromiseName, Violation } from './checker/violation.js';
 import { FaultRunner, type ExecutedFault } from './faults/fault-runner.js';
 import type { Observations } from './model/observations.js';
-import { drawPlan, type SoakOptions, type SoakPlan, streamOf } from './model/plan.js';
+import { drawPlan, type SoakOptions, type SoakPlan } from './model/plan.js';
+import { streamOf } from './model/random-streams.js';
 import { watchForStalls } from './world/recorder.js';
 import { SoakWorld } from './world/soak-world.js';
 
--- a/soak/world/caller-connection.ts
+++ b/soak/world/caller-connection.ts
@@ -57,6 +57,9 @@
   };
 };
 
+/** Sends a request to the host of a route. */
+export type SendQuery = (host: string, query: CallerQuery) => Promise<CallerResult>;
+
 /** Sends a request to a gateway on loopback. Never rejects: failures are outcomes. */
 export const sendQuery = (host: string, query: CallerQuery): Promise<CallerResult> =>
   new Promise((resolve) => {
--- a/soak/world/callers.ts
+++ b/soak/world/callers.ts
@@ -4,13 +4,15 @@
 import type { Random } from '../../src/core/random.js';
 import { HOST } from '../../test/platform/operator-spec.js';
 import { type Observations, UNKNOWN_INCARNATION } from '../model/observations.js';
-import { type PoisonRequest, streamOf } from '../model/plan.js';
+import type { PoisonRequest } from '../model/plan.js';
+import { streamOf } from '../model/random-streams.js';
 import { digestOf } from './answer-body.js';
-import { type CallerQuery, sendQuery } from './caller-connection.js';
+import { type CallerQuery, type SendQuery, sendQuery } from './caller-connection.js';
 import type { GatewayProcess } from './gateway-process.js';
 import type { Operator } from './operator.js';
 import { poisonPathOf, pathOf } from './paths.js';
 import { isReady } from './readiness.js';
+import { drawRequest, MIN_WORK_MS, type RequestDraft } from './request-draft.js';
 import { markerPrefix, PREFIXES } from './routes.js';
 
 /** Minimum and maximum pause of a caller between two requests, in milliseconds. */
@@ -32,32 +34,8 @@
 /** Time budget of each request, in milliseconds. */
 const TIME_BUDGET_MS = 2_000;
 
-/** One in this many requests is abandoned by its caller. */
-const ABANDONED_ONE_IN = 12;
-
-/** Processing times of ordinary and of abandoned requests, in milliseconds. */
-const MIN_WORK_MS = 1;
-const MAX_WORK_MS = 40;
-const ABANDONED_WORK_MS = 1_400;
-
-/** Range of the time after which a caller abandons a request, in milliseconds, from 20 ms on. */
-const MAX_WAIT_MS = 400;
-
-const MAX_BODY_LETTERS = 2_000;
-
-interface RequestDraft {
-  readonly method: string;
-  readonly prefix: string;
-  readonly workMs: number;
-  readonly body: string;
-  readonly leavesAfterMs?: number;
-}
-
-const drawWork = (random: Random): number =>
-  MIN_WORK_MS + random.nextBelow(MAX_WORK_MS - MIN_WORK_MS);
-
-const drawBody = (random: Random): string =>
-  'b'.repeat(1 + random.nextBelow(MAX_BODY_LETTERS)) + String(random.nextBelow(1_000));
+/** Prefixes of requests that may run at most once, and are sent with POST. */
+const ONCE_PREFIXES: ReadonlySet<string> = new Set([PREFIXES.once, PREFIXES.longOnce]);
 
 /** How a caller identifies itself. */
 export interface CallerIdentity {
@@ -80,25 +58,6 @@
 /** Number of attempts of one caller for a poison request. */
 const POISON_ATTEMPTS = 2;
 
-/** Draws the next request of a caller. */
-const drawRequest = (random: Random): RequestDraft => {
-  const workMs = drawWork(random);
-  const kind = random.nextBelow(10);
-  if (random.nextBelow(ABANDONED_ONE_IN) === 0) {
-    const prefix = kind < 5 ? PREFIXES.gather : PREFIXES.moving;
-    const leavesAfterMs = 20 + random.nextBelow(MAX_WAIT_MS);
-    return { method: 'GET', prefix, workMs: ABANDONED_WORK_MS, body: '', leavesAfterMs };
-  }
-  if (kind < 3) {
-    return { method: 'GET', prefix: PREFIXES.gather, workMs, body: '' };
-  }
-  if (kind < 6) {
-    return { method: 'POST', prefix: PREFIXES.once, workMs, body: drawBody(random) };
-  }
-  const prefix = kind < 8 ? PREFIXES.moving : PREFIXES.split;
-  return { method: 'GET', prefix, workMs, body: '' };
-};
-
 /** Context shared by all callers. */
 export interface CallerContext {
   readonly seed: number;
@@ -167,21 +126,33 @@
     workMs: number,
   ): Promise<void> {
     const path = pathOf(prefix, workMs, this.nextId);
-    const method = prefix === PREFIXES.once ? 'POST' : 'GET';
+    const method = ONCE_PREFIXES.has(prefix) ? 'POST' : 'GET';
     await this.sendPath(gateway, { method, path, body: '', identity });
   }
 
   /** Sends one request over the connection of `agent`, which is kept. */
-  async sendOver(
+  sendOver(
     agent: Agent,
     gateway: GatewayProcess,
     prefix: string,
     workMs: number,
     budgetMs: number,
+  ): Promise<void> {
+    const send: SendQuery = (host, query) => sendQuery(host, { ...query, agent });
+    return this.sendWith(send, gateway, prefix, workMs, budgetMs);
+  }
+
+  /** Sends one request through `send`. */
+  async sendWith(
+    send: SendQuery,
+    gateway: GatewayProcess,
+    prefix: string,
+    workMs: number,
+    budgetMs: number,
   ): Promise<void> {
     const path = pathOf(prefix, workMs, this.nextId);
-    const method = prefix === PREFIXES.longOnce ? 'POST' : 'GET';
-    await this.sendPath(gateway, { method, path, body: '', budgetMs }, agent);
+    const method = ONCE_PREFIXES.has(prefix) ? 'POST' : 'GET';
+    await this.sendPath(gateway, { method, path, body: '', budgetMs }, send);
   }
 
   /** Stops all callers; resolves when the requests in progress have ended. */
@@ -239,7 +210,9 @@
   private send(gateway: GatewayProcess, draft: RequestDraft, agent?: Agent): Promise<string> {
     const { method, prefix, workMs, body, leavesAfterMs } = draft;
     const path = pathOf(prefix, workMs, this.nextId);
-    return this.sendPath(gateway, { method, path, body, leavesAfterMs }, agent);
+    const sendOnAgent: SendQuery = (host, query) =>
+      sendQuery(host, { ...query, ...(agent !== undefined && { agent }) });
+    return this.sendPath(gateway, { method, path, body, leavesAfterMs }, sendOnAgent);
   }
 
   private get nextId(): string {
@@ -256,7 +229,7 @@
       budgetMs = TIME_BUDGET_MS,
       identity = this.context.identity,
     }: PathDraft,
-    agent?: Agent,
+    send: SendQuery = sendQuery,
   ): Promise<string> {
     const id = this.nextId;
     this.sent += 1;
@@ -270,9 +243,8 @@
       budgetMs,
       ...identity,
       ...(leavesAfterMs !== undefined && { leavesAfterMs }),
-      ...(agent !== undefined && { agent }),
     };
-    const result = await sendQuery(HOST, query);
+    const result = await send(HOST, query);
     const bodyDigest = digestOf(Buffer.from(body));
     // If the process was replaced meanwhile, it is not known which of the two received the request.
     const knownIncarnation =
--- a/soak/world/soak-world.ts
+++ b/soak/world/soak-world.ts
@@ -2,7 +2,8 @@
 import type { GatewaySettings } from '../../src/gateway/settings.js';
 import { StandInStore } from '../../test/platform/stand-in-store.js';
 import { createObservations, type Observations } from '../model/observations.js';
-import { type SoakPlan, streamOf } from '../model/plan.js';
+import type { SoakPlan } from '../model/plan.js';
+import { streamOf } from '../model/random-streams.js';
 import { Callers } from './callers.js';
 import { type GatewayContext, GatewayProcess } from './gateway-process.js';
 import { Operator } from './operator.js';
