Soak: callers that do not wait for answers to earlier requests on their connection

What callers saw: around a planned stop their connection closed, and requests that a replica had begun got no answer. The soak could not see it: its callers sent one request at a time on a connection, and none had a link with a delay.

An answer that is ready before the answer to an earlier request gets `connection: close` while it is the last; requests that arrive until it can be sent are read, passed on, and dropped with the connection. Besides, Node emits `close` only for the response that is being sent: when a caller leaves, its other requests run on, and the stop waits for them until 5.8 s.

--- a/soak/model/plan.ts
+++ b/soak/model/plan.ts
@@ -3,6 +3,11 @@
 import type { GatewayBounds } from '../../src/gateway/settings.js';
 import { PREFIXES } from '../world/routes.js';
 import { FEW_SLOTS, REPLICA_SLOTS } from '../world/topology.js';
+import {
+  addConcurrentCallers,
+  type ConcurrentCallersPlan,
+  FIRST_CONCURRENT_SEED,
+} from './concurrent-callers.js';
 import { drawFailingServices } from './failing-services.js';
 import { streamOf } from './random-streams.js';
 import {
@@ -103,6 +108,8 @@
   readonly hasLongRequests: boolean;
   /** Whether services fail while gateways are killed, and some callers send requests in quick succession. */
   readonly hasFailingServices: boolean;
+  /** Callers that send requests while earlier ones are in progress on their connection; absent if there are none. */
+  readonly concurrentCallers?: ConcurrentCallersPlan;
   /** Planned work after the faults; times are relative to their end. */
   readonly plannedWork: readonly ScheduledFault[];
 }
@@ -270,11 +277,19 @@
   };
 };
 
-/** Draws the plan of a run. */
-export const drawPlan = (options: SoakOptions): SoakPlan => {
+const drawPlanWithoutConcurrentCallers = (options: SoakOptions): SoakPlan => {
   const plan = drawPlanWithoutTenants(options);
   const { seed } = options;
   return seed >= FIRST_TENANT_SEED
     ? addTenants(plan, streamOf(seed, 'tenants'), faultsMsOf(options))
     : plan;
 };
+
+/** Draws the plan of a run. */
+export const drawPlan = (options: SoakOptions): SoakPlan => {
+  const plan = drawPlanWithoutConcurrentCallers(options);
+  const { seed } = options;
+  return seed >= FIRST_CONCURRENT_SEED
+    ? addConcurrentCallers(plan, streamOf(seed, 'concurrent-callers'), faultsMsOf(options))
+    : plan;
+};
--- a/soak/model/random-streams.ts
+++ b/soak/model/random-streams.ts
@@ -18,7 +18,8 @@
   | 'tenant-callers'
   | 'long-callers'
   | 'endless-answers'
-  | 'failing-services';
+  | 'failing-services'
+  | 'concurrent-callers';
 
 /** New streams are appended, so that the regression seeds keep theirs. */
 const STREAMS: readonly RandomStream[] = [
@@ -38,6 +39,7 @@
   'long-callers',
   'endless-answers',
   'failing-services',
+  'concurrent-callers',
 ];
 
 /** Distance between the stream seeds of two runs, so that their streams differ. */
--- a/soak/model/schedule.ts
+++ b/soak/model/schedule.ts
@@ -88,7 +88,11 @@
   least + random.nextBelow(most - least + 1);
 
 /** Draws `count` different gateways, in random order. */
-const pickGateways = (random: Random, gateways: number, count: number): readonly number[] => {
+export const pickGateways = (
+  random: Random,
+  gateways: number,
+  count: number,
+): readonly number[] => {
   const left = Array.from({ length: gateways }, (_, index) => index);
   return Array.from({ length: Math.min(count, gateways) }).flatMap(() =>
     left.splice(random.nextBelow(left.length), 1),
--- a/soak/regression-seeds.ts
+++ b/soak/regression-seeds.ts
@@ -81,4 +81,13 @@
       'a fault of the soak: the entry of one replica was overwritten twice at the same time, the replica wrote its own ' +
       'when the first of these ended, and gateways that used it again broke spoilt-entries until the second ended',
   },
+  {
+    seed: 10_001,
+    gateways: 4,
+    minutes: 0.75,
+    cause:
+      'a stopping gateway announced the end of a connection with an answer that still had to wait for the answers to earlier ' +
+      'requests, and the requests that arrived meanwhile were cut off; of the requests of a caller that left, all but the ' +
+      'first ran on',
+  },
 ];
--- a/soak/world/caller-connection.ts
+++ b/soak/world/caller-connection.ts
@@ -8,7 +8,7 @@
 const HEADERS = platformProtocol.headers;
 
 /** Time after its deadline for which a caller still waits for an answer, in milliseconds. */
-const EXPIRY_SLACK_MS = 1_500;
+export const EXPIRY_SLACK_MS = 1_500;
 
 /** A request to send. */
 export interface CallerQuery {
@@ -43,7 +43,11 @@
   return text === '' ? [] : text.split(',').map((each) => each.trim());
 };
 
-const describeAnswer = ({ statusCode, headers }: IncomingMessage, body: Buffer): Outcome => {
+/** Describes a complete answer as the result of its request. */
+export const describeAnswer = (
+  { statusCode, headers }: Pick<IncomingMessage, 'statusCode' | 'headers'>,
+  body: Buffer,
+): Outcome => {
   const answeredId = textOf(headers[HEADERS.requestId]);
   const signature = textOf(headers[HEADERS.signature]);
   return {
--- a/soak/world/soak-world.ts
+++ b/soak/world/soak-world.ts
@@ -5,6 +5,7 @@
 import type { SoakPlan } from '../model/plan.js';
 import { streamOf } from '../model/random-streams.js';
 import { Callers } from './callers.js';
+import { ConcurrentCallers } from './concurrent-callers.js';
 import { type GatewayContext, GatewayProcess } from './gateway-process.js';
 import { Operator } from './operator.js';
 import { findConsecutivePorts } from './ports.js';
@@ -41,6 +42,7 @@
   readonly callers: Callers;
   readonly tenantCallers: TenantCallers;
   private readonly longCallers: LongCallers;
+  private readonly concurrentCallers: ConcurrentCallers;
 
   private constructor(
     readonly store: StandInStore,
@@ -72,6 +74,7 @@
     });
     this.tenantCallers = new TenantCallers(this.callers);
     this.longCallers = new LongCallers(this.callers);
+    this.concurrentCallers = new ConcurrentCallers(this.callers);
   }
 
   /** Starts everything except the callers. */
@@ -84,20 +87,7 @@
   }
 
   startCallers(): void {
-    this.gateways.forEach((gateway) => {
-      this.callers.startCallers(gateway, this.plan.callersPerGateway);
-      if (this.plan.hasTenants) {
-        const random = streamOf(this.plan.seed, 'tenant-callers', gateway.number);
-        this.tenantCallers.start(gateway, random);
-      }
-      if (this.plan.hasFailingServices) {
-        this.callers.startFrequentCallers(gateway);
-      }
-      if (this.plan.hasLongRequests) {
-        const random = streamOf(this.plan.seed, 'long-callers', gateway.number);
-        this.longCallers.start(gateway, random);
-      }
-    });
+    this.gateways.forEach((gateway) => this.startCallersOf(gateway));
   }
 
   startPoisonCallers(): void {
@@ -108,7 +98,11 @@
 
   /** Stops all callers; resolves when the requests in progress have ended. */
   async stopCallers(): Promise<void> {
-    await Promise.all([this.tenantCallers.stop(), this.longCallers.stop()]);
+    await Promise.all([
+      this.tenantCallers.stop(),
+      this.longCallers.stop(),
+      this.concurrentCallers.stop(),
+    ]);
     await this.callers.stop();
   }
 
@@ -121,6 +115,25 @@
     await this.store.stop();
   }
 
+  private startCallersOf(gateway: GatewayProcess): void {
+    const { seed, callersPerGateway, concurrentCallers, ...plan } = this.plan;
+    this.callers.startCallers(gateway, callersPerGateway);
+    if (plan.hasTenants) {
+      this.tenantCallers.start(gateway, streamOf(seed, 'tenant-callers', gateway.number));
+    }
+    if (plan.hasFailingServices) {
+      this.callers.startFrequentCallers(gateway);
+    }
+    if (plan.hasLongRequests) {
+      this.longCallers.start(gateway, streamOf(seed, 'long-callers', gateway.number));
+    }
+    if (concurrentCallers !== undefined) {
+      // Stream 0 draws the plan.
+      const random = streamOf(seed, 'concurrent-callers', 1 + gateway.number);
+      this.concurrentCallers.start(gateway, concurrentCallers.linkDelayMs, random);
+    }
+  }
+
   private async startGateways(files: ProgramFiles): Promise<void> {
     const { gateways: count } = this.plan;
     const firstPort = await findConsecutivePorts(count * PORTS_PER_GATEWAY);
--- a/test/soak/schedule.test.ts
+++ b/test/soak/schedule.test.ts
@@ -135,4 +135,31 @@
     expect(killsOfAll.length).toBeGreaterThanOrEqual(2);
     expect(drawPlan(optionsOf(8_999)).hasFailingServices).toBe(false);
   });
+
+  it('has callers that send requests while earlier ones are in progress for seeds from 10,000 on only', () => {
+    expect(drawPlan(optionsOf(9_999)).concurrentCallers).toBeUndefined();
+    expect(drawPlan(optionsOf(10_000)).concurrentCallers?.linkDelayMs).toBeGreaterThan(0);
+  });
+
+  it('has only planned work, with pairs of stops, for the second of each four of these seeds', () => {
+    const { schedule, plannedWork, poisonRequests } = drawPlan(optionsOf(10_001));
+    const faults = schedule.map(({ fault }) => fault);
+    const types = new Set(
+      [...faults, ...plannedWork.map(({ fault }) => fault)].map(({ type }) => type),
+    );
+    expect([...types].sort()).toEqual([
+      'configure',
+      'reload',
+      'replica-leaves',
+      'stop-in-turn',
+      'tenant-change',
+    ]);
+    const stopped = faults.flatMap((fault) =>
+      fault.type === 'stop-in-turn' ? fault.gateways : [],
+    );
+    expect(stopped.length).toBeGreaterThanOrEqual(4);
+    expect(stopped[0]).not.toBe(stopped[1]);
+    expect(faults).not.toContainEqual(expect.objectContaining({ how: 'crash' }));
+    expect(poisonRequests).toEqual([]);
+  });
 });
