--- /dev/null
+++ b/test/platform/quick-failures.test.ts
@@ -0,0 +1,100 @@
+import { setTimeout as delay } from 'node:timers/promises';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { RawReplica } from '../gateway/raw-replica.js';
+import { listReplica } from './endless-replica.js';
+import { type CallerAnswer, GatewayFixture } from './gateway-fixture.js';
+import { routeSpec } from './operator-spec.js';
+import { failQuickly, QUICK_FAILURES, type QuickFailure } from './quick-failure.js';
+
+const TEST_TIMEOUT_MS = 20_000;
+
+/** Requests of each kind, and the interval between two of them in milliseconds. */
+const REQUESTS = 100;
+const INTERVAL_MS = 15;
+
+/** Processing time of the sound replicas, in milliseconds. */
+const WORK_MS = 20;
+
+const MAX_ATTEMPTS = 2;
+
+/** Callers may lose this many of the requests that may be repeated. */
+const MAX_LOST = 2;
+
+/** Most requests that may reach the faulty replica: a few at first, then one after each of its ejections. */
+const MAX_REACHED = 6;
+
+/** Statuses for a request that may have run. */
+const TRUTHFUL_FAILURES: ReadonlySet<number> = new Set([500, 502, 504]);
+
+const KINDS = ['safe', 'unsafe'] as const;
+type Kind = (typeof KINDS)[number];
+
+let fixture: GatewayFixture;
+const faulty: RawReplica[] = [];
+
+beforeEach(async () => {
+  fixture = await GatewayFixture.create();
+  const { settings } = fixture;
+  fixture.settings = { ...settings, bounds: { ...settings.bounds, retrySlack: 20 } };
+  const routes = KINDS.map((kind) =>
+    routeSpec({ path_prefix: `/${kind}/`, service: kind, kind, max_attempts: MAX_ATTEMPTS }),
+  );
+  fixture.configure(routes, KINDS);
+});
+
+afterEach(async () => {
+  await fixture.stop();
+  await Promise.all(faulty.splice(0).map((replica) => replica.stop()));
+});
+
+/** Adds two sound replicas and one that fails all requests; returns the latter. */
+const addReplicas = async (kind: Kind, failure: QuickFailure): Promise<RawReplica> => {
+  await fixture.addReplica(`${kind}-1`, kind, { workMs: WORK_MS });
+  await fixture.addReplica(`${kind}-2`, kind, { workMs: WORK_MS });
+  const replica = await RawReplica.start((socket) => failQuickly(socket, failure));
+  faulty.push(replica);
+  listReplica(fixture, `${kind}-3`, kind, replica.address);
+  return replica;
+};
+
+const sendAll = async (kind: Kind): Promise<readonly CallerAnswer[]> => {
+  const method = kind === 'safe' ? 'GET' : 'POST';
+  const sent: Promise<CallerAnswer>[] = [];
+  for (let index = 0; index < REQUESTS; index += 1) {
+    sent.push(fixture.request({ id: `${kind}-${index}`, path: `/${kind}/`, method }));
+    await delay(INTERVAL_MS);
+  }
+  return Promise.all(sent);
+};
+
+const failuresOf = (answers: readonly CallerAnswer[]): readonly number[] =>
+  answers.map(({ status }) => status).filter((status) => status !== 200);
+
+const idOf = (head: string): string => /^x-request-id: (.*)$/im.exec(head)?.[1] ?? '';
+
+/** The largest number of replicas that have run one request. */
+const mostRuns = (kind: Kind, { runs }: QuickFailure, bad: RawReplica): number => {
+  const sound = [1, 2].flatMap((index) => fixture.replicas.get(`${kind}-${index}`)?.arrived ?? []);
+  const ids = [...sound.map(({ id }) => id), ...(runs ? bad.requests.map(idOf) : [])];
+  const counts = new Map<string, number>();
+  ids.forEach((id) => counts.set(id, (counts.get(id) ?? 0) + 1));
+  return Math.max(...counts.values());
+};
+
+describe('a replica that fails at once', { timeout: TEST_TIMEOUT_MS }, () => {
+  it.each(Object.entries(QUICK_FAILURES))('attracts no requests: %s', async (_name, failure) => {
+    const badSafe = await addReplicas('safe', failure);
+    const badUnsafe = await addReplicas('unsafe', failure);
+    await fixture.serve();
+    const [safe, unsafe] = (await Promise.all([sendAll('safe'), sendAll('unsafe')])).map(
+      failuresOf,
+    ) as [number[], number[]];
+    expect(safe.length).toBeLessThanOrEqual(MAX_LOST);
+    expect(badSafe.requests.length).toBeLessThanOrEqual(MAX_REACHED);
+    expect(badUnsafe.requests.length).toBeLessThanOrEqual(MAX_REACHED);
+    expect(unsafe.filter((status) => !TRUTHFUL_FAILURES.has(status))).toEqual([]);
+    expect(unsafe.length).toBeLessThanOrEqual(badUnsafe.requests.length);
+    expect(mostRuns('safe', failure, badSafe)).toBeLessThanOrEqual(MAX_ATTEMPTS);
+    expect(mostRuns('unsafe', failure, badUnsafe)).toBe(1);
+  });
+});
