Name the end of an attempt by what was received of the answer

Cause: an attempt was a refused connection unless a whole head had been parsed. A replica that stops within its head and closes or resets a new connection was never judged as failing, its runs were taken back for repeatable requests, and it drew more than its share, as its attempts are over at once. Change: an exchange whose connection ends is described by whether any byte of the answer was received and whether the connection had answered before (broken-exchange.ts); the word follows from that, and everything else from the word, in one table (attempt-problems.ts), which takes the place of three sets and a condition. Any received byte makes it cut-off. A replica with too many connections sends no byte and is treated as before. Why tests and soak missed it: replicas there broke off within bodies, or reset before any byte; no test counted what a faulty replica draws, and losses of a share of requests break no promise of the soak.

--- a/src/gateway/requests/broken-attempts.ts
+++ b/src/gateway/requests/broken-attempts.ts
@@ -14,20 +14,14 @@
 import type { AttemptEnded, ReplicaChecked } from '../event.js';
 import type { StateChange } from '../log/log-event.js';
 import { recordDecision } from '../log/trace.js';
-import type { AttemptProblem, Fingerprint } from '../model/request.js';
+import type { Fingerprint } from '../model/request.js';
 import type { GatewayState } from '../state.js';
+import { traitsOf } from './attempt-problems.js';
 import { provesReplicaCanRun } from './usable-answer.js';
 import { progressRequest } from './progress.js';
 import { type ActiveAttempt, type ActiveRequest, isGather } from './request-state.js';
 import { recordUnawaited, watchRun } from './unawaited-attempts.js';
 
-/** Problems with which an attempt ends when its replica crashes. */
-const BREAK_PROBLEMS: ReadonlySet<AttemptProblem> = new Set<AttemptProblem>([
-  'reset',
-  'refused-connection',
-  'cut-off',
-]);
-
 /** Most fingerprints listed in one log line. */
 const MAX_LOGGED_FINGERPRINTS = 4;
 
@@ -38,7 +32,7 @@
 const URGENT_CRASHES = 3;
 
 const isBroken = ({ result }: AttemptEnded): boolean =>
-  result.type === 'failed' && result.mayHaveRun && BREAK_PROBLEMS.has(result.problem);
+  result.type === 'failed' && result.mayHaveRun && traitsOf(result.problem).mayBeCrash;
 
 const recordBrokenAttempt = (
   state: GatewayState,
--- a/src/gateway/requests/settle-attempt.ts
+++ b/src/gateway/requests/settle-attempt.ts
@@ -1,6 +1,5 @@
 /** Applies the end of an attempt to its replica and its leg. */
 import type { AttemptEnded } from '../event.js';
-import type { AttemptProblem } from '../model/request.js';
 import {
   type Replica,
   recordLatency,
@@ -10,17 +9,11 @@
 } from '../replicas/replica.js';
 import { hasWaiting } from '../scheduling/wait-for-room.js';
 import type { GatewayState } from '../state.js';
+import { traitsOf } from './attempt-problems.js';
 import { FIRST_FAILURE_STATUS } from './usable-answer.js';
 import type { ActiveAttempt } from './request-state.js';
 import { addLatency } from './route-latency.js';
 
-/** Problems that do not indicate a failure of the replica. */
-const NEUTRAL_PROBLEMS: ReadonlySet<AttemptProblem> = new Set<AttemptProblem>([
-  'aborted',
-  'foreign-answer',
-  'refused-connection',
-]);
-
 const applyToReplica = (
   state: GatewayState,
   attempt: ActiveAttempt,
@@ -41,7 +34,7 @@
       if (result.problem === 'aborted' && result.mayHaveRun) {
         recordAborted(state, attempt, replica, at);
       }
-      if (!NEUTRAL_PROBLEMS.has(result.problem)) {
+      if (traitsOf(result.problem).isReplicaFailure) {
         recordReplicaFailure(replica, at);
       }
   }
@@ -126,7 +119,7 @@
     return;
   }
   leg.mayHaveRun = true;
-  if (result.problem === 'refused-connection' && repeatable) {
+  if (repeatable && !traitsOf(result.problem).countsAsRun) {
     leg.runs -= 1;
   }
 };
--- a/src/gateway/requests/unreadable-answers.ts
+++ b/src/gateway/requests/unreadable-answers.ts
@@ -2,24 +2,18 @@
 import type { GatewayEffect } from '../effect.js';
 import type { AttemptEnded } from '../event.js';
 import type { StateChange } from '../log/log-event.js';
-import type { AttemptProblem } from '../model/request.js';
 import type { GatewayState } from '../state.js';
+import { traitsOf } from './attempt-problems.js';
 import type { ActiveAttempt } from './request-state.js';
 import { mayLog, NOTHING_LOGGED } from './unreadable-log.js';
 
-const LOGGED_PROBLEMS: ReadonlySet<AttemptProblem> = new Set<AttemptProblem>([
-  'bad-answer',
-  'endless-answer',
-  'no-memory',
-]);
-
 /** Counts an answer that cannot be used, and logs it unless another one was logged just before for the same problem. */
 export const recordUnreadableAnswer = (
   { counters, unreadableAnswerLogs }: GatewayState,
   { leg: { service }, replica, sentAt }: ActiveAttempt,
   { result, at }: AttemptEnded,
 ): GatewayEffect[] => {
-  if (result.type !== 'failed' || !LOGGED_PROBLEMS.has(result.problem)) {
+  if (result.type !== 'failed' || !traitsOf(result.problem).isUnreadableAnswer) {
     return [];
   }
   const { problem } = result;
--- a/src/gateway/runtime/answer-reader.ts
+++ b/src/gateway/runtime/answer-reader.ts
@@ -7,6 +7,7 @@
 import type { GatewayProtocol } from '../protocol/protocol.js';
 import type { AnswerMemory, HeldAnswer } from './answer-memory.js';
 import { BodyBuffer } from './body-buffer.js';
+import { problemOfBreak } from './broken-exchange.js';
 import { findHeader } from './headers.js';
 import { exceedsOverhead, InterimAnswers, isFragmented, isMalformed } from './answer-limits.js';
 import type { ReplicaConnection } from './replica-connection.js';
@@ -55,6 +56,7 @@
   private headers: Header[] = [];
   private readonly body = new BodyBuffer();
   private readonly interimAnswers = new InterimAnswers();
+  private isSent = false;
   private isEnded = false;
   private abortReason: AttemptProblem | undefined;
 
@@ -89,6 +91,7 @@
       controller.abort(new Error('the attempt was aborted before it was sent'));
       return;
     }
+    this.isSent = true;
     this.connection.received.observe((receivedBytes) => this.checkOverhead(receivedBytes));
   }
 
@@ -145,10 +148,8 @@
     if (isMalformed(error)) {
       return 'bad-answer';
     }
-    if (this.status > 0) {
-      return 'cut-off';
-    }
-    return this.connection.hasAnswered ? 'reset' : 'refused-connection';
+    const { received, hasAnswered } = this.connection;
+    return problemOfBreak({ hasBegun: this.isSent && received.count > 0, isReused: hasAnswered });
   }
 
   private failure(problem: AttemptProblem): AttemptResult {
--- a/src/gateway/runtime/received-bytes.ts
+++ b/src/gateway/runtime/received-bytes.ts
@@ -11,13 +11,18 @@
 
   constructor(private readonly socket: Socket) {}
 
+  /** Number of bytes received since the current request was sent; also known after the connection has ended. */
+  get count(): number {
+    return this.socket.bytesRead - this.before;
+  }
+
   /**
    * Sets the listener of the current request. To be called once the request is being sent: the HTTP client must be the first
    * to read from the socket.
    */
   observe(listener: ReceivedListener): void {
     if (this.listener === undefined) {
-      this.socket.on('readable', () => this.listener?.(this.socket.bytesRead - this.before));
+      this.socket.on('readable', () => this.listener?.(this.count));
     }
     this.listener = listener;
     this.before = this.socket.bytesRead;
--- a/test/gateway/answer-reader.test.ts
+++ b/test/gateway/answer-reader.test.ts
@@ -157,6 +157,35 @@
     expectFailure(await exchangeWith((socket) => socket.end(head)), 'cut-off');
   });
 
+  // What was received of a head did not count, so that the replica seemed to refuse the connection.
+  it.each(['HTTP/1.1 20', 'HTTP/1.1 102 Processing\r\n\r\n', HEAD, `${HEAD}Content-Length: 1`])(
+    'is truncated if its connection ends or is reset after "%s"',
+    async (text) => {
+      expectFailure(await exchangeWith((socket) => socket.end(text)), 'cut-off');
+      connection?.destroy();
+      await replica?.stop();
+      expectFailure(await exchangeWith((socket) => void writeThenReset(socket, text)), 'cut-off');
+    },
+  );
+
+  it('is truncated within the head over a connection with an earlier answer, but not before its first byte', async () => {
+    const complete = `${HEAD}Content-Length: 0\r\n\r\n`;
+    const answers = [complete, 'HTTP/1.1 20', complete, ''];
+    replica = await RawReplica.start((socket) => {
+      const text = answers.shift() ?? '';
+      if (text === complete) {
+        socket.write(text);
+      } else {
+        socket.end(text);
+      }
+    });
+    for (const problem of ['cut-off', 'reset']) {
+      connection = await open(replica.address);
+      expect((await exchange(connection)).reusable).toBe(true);
+      expectFailure(await exchange(connection), problem);
+    }
+  });
+
   it('fails the attempt if it is malformed', async () => {
     const end = await exchangeWith((socket) =>
       socket.write('\u0000\u0001 no answer at all\r\n\r\n'),
