Policy: eject a replica that ends new connections before any byte of an answer

Hypothesis: such a replica attracts requests, since its attempts are over at once and nothing is held against it; a replica with too many connections is a full one, and is to be treated as one that says so (X-Not-Executed), which is ejected for 250 ms at first and until its next answer. Change: refused-connection is a failure of the replica. It still doesn't count as a run of a repeatable request. Why tests and soak missed it: no test counted what a faulty replica draws.

--- a/src/gateway/requests/attempt-problems.ts
+++ b/src/gateway/requests/attempt-problems.ts
@@ -31,7 +31,7 @@
   'connect-refused': FAILURE,
   'connect-timeout': FAILURE,
   // Usually the replica has too many connections, so that a repeatable request is retried as if it had not run.
-  'refused-connection': { ...BREAK, isReplicaFailure: false, countsAsRun: false },
+  'refused-connection': { ...BREAK, countsAsRun: false },
   reset: BREAK,
   'timed-out': FAILURE,
   'bad-answer': UNREADABLE,
--- a/test/platform/quick-failures.test.ts
+++ b/test/platform/quick-failures.test.ts
@@ -1,6 +1,6 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import { RawReplica } from '../gateway/raw-replica.js';
+import { type RawAnswer, RawReplica } from '../gateway/raw-replica.js';
 import { listReplica } from './endless-replica.js';
 import { type CallerAnswer, GatewayFixture } from './gateway-fixture.js';
 import { routeSpec } from './operator-spec.js';
@@ -47,20 +47,20 @@
   await Promise.all(faulty.splice(0).map((replica) => replica.stop()));
 });
 
-/** Adds two sound replicas and one that fails all requests; returns the latter. */
-const addReplicas = async (kind: Kind, failure: QuickFailure): Promise<RawReplica> => {
+/** Adds two sound replicas and a faulty one; returns the latter. */
+const addFaulty = async (kind: Kind, answer: RawAnswer): Promise<RawReplica> => {
   await fixture.addReplica(`${kind}-1`, kind, { workMs: WORK_MS });
   await fixture.addReplica(`${kind}-2`, kind, { workMs: WORK_MS });
-  const replica = await RawReplica.start((socket) => failQuickly(socket, failure));
+  const replica = await RawReplica.start(answer);
   faulty.push(replica);
   listReplica(fixture, `${kind}-3`, kind, replica.address);
   return replica;
 };
 
-const sendAll = async (kind: Kind): Promise<readonly CallerAnswer[]> => {
+const sendAll = async (kind: Kind, count = REQUESTS): Promise<readonly CallerAnswer[]> => {
   const method = kind === 'safe' ? 'GET' : 'POST';
   const sent: Promise<CallerAnswer>[] = [];
-  for (let index = 0; index < REQUESTS; index += 1) {
+  for (let index = 0; index < count; index += 1) {
     sent.push(fixture.request({ id: `${kind}-${index}`, path: `/${kind}/`, method }));
     await delay(INTERVAL_MS);
   }
@@ -83,8 +83,9 @@
 
 describe('a replica that fails at once', { timeout: TEST_TIMEOUT_MS }, () => {
   it.each(Object.entries(QUICK_FAILURES))('attracts no requests: %s', async (_name, failure) => {
-    const badSafe = await addReplicas('safe', failure);
-    const badUnsafe = await addReplicas('unsafe', failure);
+    const fail: RawAnswer = (socket) => failQuickly(socket, failure);
+    const badSafe = await addFaulty('safe', fail);
+    const badUnsafe = await addFaulty('unsafe', fail);
     await fixture.serve();
     const [safe, unsafe] = (await Promise.all([sendAll('safe'), sendAll('unsafe')])).map(
       failuresOf,
@@ -97,4 +98,21 @@
     expect(mostRuns('safe', failure, badSafe)).toBeLessThanOrEqual(MAX_ATTEMPTS);
     expect(mostRuns('unsafe', failure, badUnsafe)).toBe(1);
   });
+
+  // A replica with too many connections resets new ones, and is sound otherwise.
+  it('is used again once it is sound', async () => {
+    const failure: QuickFailure = { text: '', end: 'reset', runs: true };
+    let isSound = false;
+    const sound = 'HTTP/1.1 200 OK\r\nx-server-stamp: s-1\r\ncontent-length: 0\r\n\r\n';
+    const replica = await addFaulty('safe', (socket) =>
+      isSound ? socket.write(sound) : failQuickly(socket, failure),
+    );
+    await fixture.serve();
+    await sendAll('safe', 20);
+    isSound = true;
+    const before = replica.requests.length;
+    await delay(1_000);
+    await sendAll('safe');
+    expect(replica.requests.length - before).toBeGreaterThan(REQUESTS / 10);
+  });
 });
