Policy: eject a replica that answers other requests

That a connection carries an answer too many is a fault of the replica (PROTOCOL.md), although the connection is closed for it. Change: foreign-answer is a failure of the replica, which is ejected for 250 ms at first and until its next answer. Whom it refuses or delays that was served before: a replica with one answer too many is left out for up to 250 ms. A reset of the same connection did so already. Why tests and soak missed it: late answers were tested one at a time.

--- a/src/gateway/requests/attempt-problems.ts
+++ b/src/gateway/requests/attempt-problems.ts
@@ -25,7 +25,6 @@
 
 const UNREADABLE: ProblemTraits = { ...FAILURE, isUnreadableAnswer: true };
 const BREAK: ProblemTraits = { ...FAILURE, mayBeCrash: true };
-const NEUTRAL: ProblemTraits = { ...FAILURE, isReplicaFailure: false };
 
 const TRAITS: Readonly<Record<AttemptProblem, ProblemTraits>> = {
   'connect-refused': FAILURE,
@@ -38,9 +37,9 @@
   'endless-answer': UNREADABLE,
   'no-memory': UNREADABLE,
   'unsigned-answer': FAILURE,
-  'foreign-answer': NEUTRAL,
+  'foreign-answer': FAILURE,
   'cut-off': BREAK,
-  aborted: NEUTRAL,
+  aborted: { ...FAILURE, isReplicaFailure: false },
 };
 
 /** Returns what follows from a problem. */
