Failing tests: checks of a replica that ends new connections

And a connection that is reset as it opens counted as refused, so that the replica counted as crashed, and what it was running as the cause.

--- a/test/gateway/replica-pool.test.ts
+++ b/test/gateway/replica-pool.test.ts
@@ -1,3 +1,5 @@
+import { once } from 'node:events';
+import { type AddressInfo, createServer, type Socket } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import type { SendAttempt } from '../../src/gateway/effect.js';
@@ -106,6 +108,29 @@
   });
 });
 
+/** Uses a pool for a while whose replica ends each connection at once. */
+const observe = async (
+  endConnection: (socket: Socket) => void,
+  use: (pool: ReplicaPool) => void,
+): Promise<{ connections: number }> => {
+  const seen = { connections: 0 };
+  const server = createServer((socket) => {
+    seen.connections += 1;
+    socket.on('error', () => undefined);
+    endConnection(socket);
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const address = { host: '127.0.0.1', port: (server.address() as AddressInfo).port };
+  const listener = { onConnectionFree: () => undefined, onUnreachable: () => undefined };
+  const closing = new ReplicaPool(address, { now: () => now }, new ConnectTimeout(), listener);
+  use(closing);
+  await delay(350);
+  closing.close();
+  server.close();
+  return seen;
+};
+
 describe('a check of a replica', () => {
   const checkReplica = (): Promise<boolean> => new Promise((resolve) => pool.check(resolve));
 
@@ -135,6 +160,16 @@
     expect(await checkReplica()).toBe(true);
   });
 
+  // A connection that was reset as it opened counted as refused, and so as a crash of the replica.
+  it('finds a replica up that resets new connections', async () => {
+    const seen: boolean[] = [];
+    await observe(
+      (socket) => socket.resetAndDestroy(),
+      (resetting) => resetting.check((isDown) => seen.push(isDown)),
+    );
+    expect(seen).toEqual([false]);
+  });
+
   it('finds that the replica is down', async () => {
     await replica.stop();
     expect(await checkReplica()).toBe(true);
@@ -181,6 +216,16 @@
     expect([replica.connections, seen]).toEqual([2, [false]]);
   });
 
+  // Each connection that was closed led to the next one at once, thousands of them during one watch.
+  it('gets few connections while it accepts and closes them at once', async () => {
+    const { connections } = await observe(
+      (socket) => socket.end(),
+      (closing) => closing.watch(1_000, () => undefined),
+    );
+    expect(connections).toBeGreaterThan(1);
+    expect(connections).toBeLessThan(10);
+  });
+
   it('is not checked after the end of the watch', async () => {
     await use(true);
     const seen = watchReplica(1_000);
