Don't take a connection that is reset as it opens for a crash of the replica

Cause: each error of a connect except a time-out counted as refused, and a refused check as a crash. Where the gateway finds the open connection and its reset in one poll, a replica with too many connections was reported as crashed, and the requests it was running as the cause. Change: a connect that ends with a reset is a refused connection; the replica listens. Whom it refuses or delays that was served before: nobody; the attempt wasn't sent and goes to another replica, as before. Why tests and soak missed it: checks were tested with replicas that listen or don't.

--- a/src/gateway/runtime/broken-exchange.ts
+++ b/src/gateway/runtime/broken-exchange.ts
@@ -1,7 +1,19 @@
-/** How an exchange is described whose connection ended before the whole answer was received. */
+/** Names the problem of an attempt whose connection did not open, or ended before the whole answer was received. */
 import type { AttemptProblem } from '../model/request.js';
+import { ConnectTimeoutError } from './sockets.js';
 
-/** What is known of such an exchange. */
+/** Code of the error of a connection that was accepted and reset before it was reported as open. */
+const RESET_CODE = 'ECONNRESET';
+
+/** The problem of an attempt for which no connection could be opened. */
+export const problemOfConnectError = (error: NodeJS.ErrnoException): AttemptProblem => {
+  if (error instanceof ConnectTimeoutError) {
+    return 'connect-timeout';
+  }
+  return error.code === RESET_CODE ? 'refused-connection' : 'connect-refused';
+};
+
+/** What is known of an exchange whose connection ended before the whole answer was received. */
 export interface BrokenExchange {
   /** Whether any byte was received in answer to the request, be it of an interim answer. */
   readonly hasBegun: boolean;
--- a/src/gateway/runtime/replica-connection.ts
+++ b/src/gateway/runtime/replica-connection.ts
@@ -4,8 +4,9 @@
 import type { HostPort } from '../../settings/node-settings.js';
 import { formatHostPort } from '../../settings/parse-host-port.js';
 import type { AttemptProblem } from '../model/request.js';
+import { problemOfConnectError } from './broken-exchange.js';
 import { ReceivedBytes } from './received-bytes.js';
-import { ConnectTimeoutError, openConnection, wasReset } from './sockets.js';
+import { openConnection, wasReset } from './sockets.js';
 import { Client } from './undici-client.js';
 
 /** Time for which an idle connection is kept unless the replica requests less, in milliseconds. */
@@ -114,7 +115,7 @@
   /** Listens for errors and the end before the client, so that `isBroken` is set when the client ends the answer. */
   private handleConnectResult(error: Error | null): void {
     if (error !== null) {
-      this.problem = error instanceof ConnectTimeoutError ? 'connect-timeout' : 'connect-refused';
+      this.problem = problemOfConnectError(error);
       return;
     }
     this.wasOpened = true;
