Limit the checks of a watched replica that closes new connections

Cause: a watch opens a connection and checks the replica when it breaks, which opens the next one. A replica that accepts and closes them got 299 to 499 in 350 ms on the loopback, for up to 5 s after an attempt that was given up or broken off. Change: after a connection broke a watched replica is checked at once, but at most each 100 ms; the watch is a class of its own. What a caller would have seen: nothing by itself; a replica that holds too many connections, and the gateway's loop, spent their time on them. Whom it refuses or delays that was served before: nobody. A crash within 100 ms after such a check is learnt up to 100 ms later from the watch; attempts that break are checked at once as before. Why tests and soak missed it: closed connections were followed by refused ones in tests of the watch, and nothing counts connections.

--- a/src/gateway/runtime/replica-pool.ts
+++ b/src/gateway/runtime/replica-pool.ts
@@ -6,6 +6,7 @@
 import { MAX_ANSWER_BYTES } from './answer-limits.js';
 import type { ConnectTimeout } from './connect-timeout.js';
 import { ReplicaConnection } from './replica-connection.js';
+import { type CheckListener, ReplicaWatch } from './replica-watch.js';
 
 /**
  * A connection that has been idle for longer may have failed undetected, so that a request which may run only once is
@@ -28,9 +29,6 @@
   readonly idleSince: number;
 }
 
-/** Called with the result of a check: whether the replica refuses connections. */
-type CheckListener = (isDown: boolean) => void;
-
 /** Receives the events of a pool. */
 export interface PoolListener {
   /** A connection is free for the attempt; the receiver computes the time left now. */
@@ -48,8 +46,7 @@
   private readonly waiting: SendAttempt[] = [];
   /** Listeners of the check in progress. */
   private readonly checkListeners: CheckListener[] = [];
-  /** Listener of the checks after a connection breaks, and when the watch ends; undefined while not watched. */
-  private watcher: { readonly untilAt: number; readonly onChecked: CheckListener } | undefined;
+  private readonly watching: ReplicaWatch;
   private openCount = 0;
   private openingCount = 0;
   private maxConnections = 1;
@@ -62,7 +59,9 @@
     private readonly clock: MonotonicClock,
     private readonly connectTimeout: ConnectTimeout,
     private readonly listener: PoolListener,
-  ) {}
+  ) {
+    this.watching = new ReplicaWatch(clock, (onChecked) => this.check(onChecked));
+  }
 
   /** Maximum size of an answer's body, in bytes. */
   get maxAnswerBytes(): number {
@@ -113,8 +112,7 @@
    * @param onChecked - called after each check
    */
   watch(untilAt: number, onChecked: CheckListener): void {
-    const known = this.watcher?.untilAt ?? untilAt;
-    this.watcher = { untilAt: Math.max(known, untilAt), onChecked };
+    this.watching.extend(untilAt, onChecked);
     if (this.openCount === 0) {
       this.check(onChecked);
     }
@@ -147,6 +145,7 @@
   /** Closes idle connections; the others are closed when they are released. */
   close(): void {
     this.isClosed = true;
+    this.watching.end();
     this.idle.splice(0).forEach(({ connection }) => connection.destroy());
     this.waiting.splice(0).forEach((attempt) => {
       this.listener.onUnreachable(attempt, 'aborted');
@@ -230,14 +229,8 @@
 
   /** Checks a watched replica when an idle connection breaks or the last connection is closed. */
   private checkIfWatched(wasIdle: boolean): void {
-    const { watcher } = this;
-    if (watcher === undefined || this.isClosed) {
-      return;
-    }
-    if (this.clock.now() > watcher.untilAt) {
-      this.watcher = undefined;
-    } else if (wasIdle || this.openCount === 0) {
-      this.check(watcher.onChecked);
+    if (!this.isClosed && (wasIdle || this.openCount === 0)) {
+      this.watching.checkAfterBreak();
     }
   }
 
