--- a/test/platform/quick-failures.test.ts
+++ b/test/platform/quick-failures.test.ts
@@ -48,17 +48,18 @@
 });
 
 /** Adds two sound replicas and a faulty one; returns the latter. */
-const addFaulty = async (kind: Kind, answer: RawAnswer): Promise<RawReplica> => {
-  await fixture.addReplica(`${kind}-1`, kind, { workMs: WORK_MS });
-  await fixture.addReplica(`${kind}-2`, kind, { workMs: WORK_MS });
+const addFaulty = async (service: string, answer: RawAnswer): Promise<RawReplica> => {
+  await fixture.addReplica(`${service}-1`, service, { workMs: WORK_MS });
+  await fixture.addReplica(`${service}-2`, service, { workMs: WORK_MS });
   const replica = await RawReplica.start(answer);
   faulty.push(replica);
-  listReplica(fixture, `${kind}-3`, kind, replica.address);
+  listReplica(fixture, `${service}-3`, service, replica.address);
   return replica;
 };
 
-const sendAll = async (kind: Kind, count = REQUESTS): Promise<readonly CallerAnswer[]> => {
-  const method = kind === 'safe' ? 'GET' : 'POST';
+/** Sends requests to the routes with the prefix `kind`. */
+const sendAll = async (kind: Kind | 'all', count = REQUESTS): Promise<readonly CallerAnswer[]> => {
+  const method = kind === 'unsafe' ? 'POST' : 'GET';
   const sent: Promise<CallerAnswer>[] = [];
   for (let index = 0; index < count; index += 1) {
     sent.push(fixture.request({ id: `${kind}-${index}`, path: `/${kind}/`, method }));
@@ -99,6 +100,28 @@
     expect(mostRuns('unsafe', failure, badUnsafe)).toBe(1);
   });
 
+  it.each(['closes before any byte', 'closes in the status line'])(
+    'leaves gathers whole: %s',
+    async (name) => {
+      const route = {
+        path_prefix: '/all/',
+        gather: ['shard', 'other'],
+        top_k: 10,
+        min_coverage: 0.5,
+      };
+      fixture.configure([routeSpec(route)], ['shard', 'other']);
+      await fixture.addReplica('other-1', 'other', { workMs: WORK_MS });
+      const failure = QUICK_FAILURES[name] as QuickFailure;
+      const bad = await addFaulty('shard', (socket) => failQuickly(socket, failure));
+      await fixture.serve();
+      const answers = await sendAll('all');
+      const missing = answers.map(({ headers }) => headers['x-missing-parts'] ?? '0');
+      expect(failuresOf(answers)).toEqual([]);
+      expect(missing.filter((count) => count !== '0').length).toBeLessThanOrEqual(MAX_LOST);
+      expect(bad.requests.length).toBeLessThanOrEqual(MAX_REACHED);
+    },
+  );
+
   // A replica with too many connections resets new ones, and is sound otherwise.
   it('is used again once it is sound', async () => {
     const failure: QuickFailure = { text: '', end: 'reset', runs: true };
