Soak: replicas that break off their answers, for seeds from 11,000 on

The stand-in replica runs the request before it fails it, so that at-most-once, refused-never-ran and whole-answers judge each form. The soak has no promise about what a faulty replica draws: the random runs of test/gateway/failing-replica-fuzz.test.ts check that.

--- a/soak/faults/fault-runner.ts
+++ b/soak/faults/fault-runner.ts
@@ -85,6 +85,11 @@
           replicas.sendWithoutEnd(service, form, forMs),
         ),
       )
+      .with({ type: 'replica-breaks-off' }, ({ service, form, forMs }) =>
+        this.disturbService(service, 'breaks off answers', () =>
+          replicas.breakOff(service, form, forMs),
+        ),
+      )
       .with({ type: 'service-fails' }, ({ service, forMs }) =>
         this.disturbService(service, 'fails', () => replicas.failService(service, forMs)),
       )
--- a/soak/model/plan.ts
+++ b/soak/model/plan.ts
@@ -3,6 +3,7 @@
 import type { GatewayBounds } from '../../src/gateway/settings.js';
 import { PREFIXES } from '../world/routes.js';
 import { FEW_SLOTS, REPLICA_SLOTS } from '../world/topology.js';
+import { drawBrokenOffAnswers, FIRST_BROKEN_OFF_SEED } from './broken-off-answers.js';
 import { drawFailingServices } from './failing-services.js';
 import {
   drawEndlessAnswers,
@@ -123,7 +124,8 @@
   | 'tenant-callers'
   | 'long-callers'
   | 'endless-answers'
-  | 'failing-services';
+  | 'failing-services'
+  | 'broken-off-answers';
 
 /** New streams are appended, so that the regression seeds keep theirs. */
 const STREAMS: readonly RandomStream[] = [
@@ -143,6 +145,7 @@
   'long-callers',
   'endless-answers',
   'failing-services',
+  'broken-off-answers',
 ];
 
 /** Distance between the stream seeds of two runs, so that their streams differ. */
@@ -299,6 +302,9 @@
       ...(seed >= FIRST_FAILING_SEED
         ? drawFailingServices(streamOf(seed, 'failing-services'), faultsMs, gateways)
         : []),
+      ...(seed >= FIRST_BROKEN_OFF_SEED
+        ? drawBrokenOffAnswers(streamOf(seed, 'broken-off-answers'), faultsMs)
+        : []),
     ],
     poisonRequests: hasEntryFaults ? drawAbandonment(entries, poisonRequests) : poisonRequests,
     poisonCrashDelayMs: hasEntryFaults ? entries.nextBelow(MAX_POISON_RUN_MS) : 0,
--- a/soak/model/schedule.ts
+++ b/soak/model/schedule.ts
@@ -54,6 +54,13 @@
       readonly form: string;
       readonly forMs: number;
     }
+  /** A replica breaks off its answers in this form. */
+  | {
+      readonly type: 'replica-breaks-off';
+      readonly service: string;
+      readonly form: string;
+      readonly forMs: number;
+    }
   /** All replicas of a service answer every request with a failure. */
   | { readonly type: 'service-fails'; readonly service: string; readonly forMs: number }
   /** A replica stops and starts again with the same identifier. */
--- a/soak/world/replica-fleet.ts
+++ b/soak/world/replica-fleet.ts
@@ -3,6 +3,7 @@
 import { platformProtocol } from '../../platform/protocol.js';
 import type { Random } from '../../src/core/random.js';
 import { ENDLESS_ANSWERS } from '../../test/platform/endless-answer.js';
+import { BROKEN_OFF_ANSWERS } from '../../test/platform/quick-failure.js';
 import { REPLICA_KIND } from '../../test/platform/operator-spec.js';
 import {
   type ArrivedRequest,
@@ -237,6 +238,18 @@
     delete member.replica.behaviour.endless;
   }
 
+  /** Makes a replica of the service break off its answers in a form, for some time. */
+  async breakOff(service: string, form: string, forMs: number): Promise<void> {
+    const member = this.findActive(service);
+    const failure = BROKEN_OFF_ANSWERS[form];
+    if (member === undefined || failure === undefined) {
+      return;
+    }
+    member.replica.behaviour.quickFailure = failure;
+    await pause(forMs);
+    delete member.replica.behaviour.quickFailure;
+  }
+
   /**
    * Repairs the entries after a restore of the store: replicas write theirs again, each at a random time, and the
    * entries of those that have left expire. Resolves when all entries are correct.
--- a/test/platform/stand-in-replica.ts
+++ b/test/platform/stand-in-replica.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { type EndlessAnswer, sendWithoutEnd } from './endless-answer.js';
+import { failQuickly, type QuickFailure } from './quick-failure.js';
 
 /** Header limit far above what tests send, since the gateway is the one to enforce limits. */
 const MAX_HEADER_BYTES = 1_048_576;
@@ -29,6 +30,8 @@
   losesAnswers: boolean;
   /** Runs requests and sends this without end in place of an answer; absent for none. */
   endless?: EndlessAnswer;
+  /** Runs requests and fails them in this way; absent if it does not. */
+  quickFailure?: QuickFailure;
 }
 
 /** Observes the requests of a replica. */
@@ -146,7 +149,7 @@
 
   private answer(request: ArrivedRequest, outgoing: ServerResponse): void {
     this.running -= 1;
-    const { silent, status, signed, losesAnswers, endless } = this.behaviour;
+    const { silent, status, signed, losesAnswers, endless, quickFailure } = this.behaviour;
     if (silent || outgoing.destroyed) {
       return;
     }
@@ -156,6 +159,12 @@
       }
       return;
     }
+    if (quickFailure !== undefined) {
+      if (outgoing.socket !== null) {
+        failQuickly(outgoing.socket, quickFailure);
+      }
+      return;
+    }
     if (losesAnswers) {
       outgoing.socket?.resetAndDestroy();
       return;
--- a/test/soak/schedule.test.ts
+++ b/test/soak/schedule.test.ts
@@ -124,6 +124,13 @@
     expect(Math.max(...gateways)).toBeLessThan(6);
   });
 
+  it('has replicas that break off their answers for seeds from 11,000 on only', () => {
+    const typesOf = (seed: number) =>
+      drawPlan(optionsOf(seed)).schedule.map(({ fault }) => fault.type);
+    expect(typesOf(11_000)).toContain('replica-breaks-off');
+    expect(typesOf(10_999)).not.toContain('replica-breaks-off');
+  });
+
   it('has failing services and two kills of all gateways meanwhile for seeds from 9,000 on', () => {
     const { schedule, hasFailingServices } = drawPlan(optionsOf(9_000));
     const failing = schedule.find(({ fault }) => fault.type === 'service-fails');
