Count a run whose answer was lost with a new connection

Cause: each new connection that ended before any byte counted as refused for too many connections, so that a repeatable request got another run, up to two beyond max_attempts and all again after a pause. A replica that runs the request and loses the answer ends it in the same way, only later. Change: such an end counts as refused up to 50 ms after a round trip (what it took to connect), as a replica with too many connections resets a new one when it accepts it; later it counts as a run. Not covered: an answer lost within 50 ms still gives another run.

--- a/src/gateway/model/request.ts
+++ b/src/gateway/model/request.ts
@@ -133,10 +133,10 @@
 
 /**
  * How an attempt failed without an answer. `refused-connection`: a new connection was accepted and ended before any byte
- * arrived over it. `reset`: the same, for a connection over which an earlier answer had arrived. `cut-off`: the connection ended
- * after at least one byte of the answer. `unsigned-answer`: a success, a redirection or a client error without
- * the replica's signature. `endless-answer`: it exceeds a limit on its size. `no-memory`: it was given up because all answers that
- * are being read need too much memory.
+ * arrived over it, too soon for a run. `reset`: a connection ended before any byte of the answer for another reason.
+ * `cut-off`: the connection ended after at least one byte of the answer. `unsigned-answer`: a success, a redirection or a
+ * client error without the replica's signature. `endless-answer`: it exceeds a limit on its size. `no-memory`: it was
+ * given up because all answers that are being read need too much memory.
  */
 export type AttemptProblem =
   | 'connect-refused'
--- a/src/gateway/requests/attempt-problems.ts
+++ b/src/gateway/requests/attempt-problems.ts
@@ -29,7 +29,7 @@
 const TRAITS: Readonly<Record<AttemptProblem, ProblemTraits>> = {
   'connect-refused': FAILURE,
   'connect-timeout': FAILURE,
-  // Usually the replica has too many connections, so that a repeatable request is retried as if it had not run.
+  // The replica has too many connections, so that a repeatable request is retried as if it had not run.
   'refused-connection': { ...BREAK, countsAsRun: false },
   reset: BREAK,
   'timed-out': FAILURE,
--- a/src/gateway/runtime/answer-reader.ts
+++ b/src/gateway/runtime/answer-reader.ts
@@ -3,11 +3,12 @@
  * truncated, malformed, encoded or meant for another request counts as a failed attempt.
  */
 import type { Dispatcher } from 'undici';
+import type { MonotonicClock } from '../../runtime/monotonic-clock.js';
 import type { AttemptProblem, AttemptResult, Header, ReplicaAnswer } from '../model/request.js';
 import type { GatewayProtocol } from '../protocol/protocol.js';
 import type { AnswerMemory, HeldAnswer } from './answer-memory.js';
 import { BodyBuffer } from './body-buffer.js';
-import { problemOfBreak } from './broken-exchange.js';
+import { type BrokenExchange, problemOfBreak } from './broken-exchange.js';
 import { findHeader } from './headers.js';
 import { exceedsOverhead, InterimAnswers, isFragmented, isMalformed } from './answer-limits.js';
 import type { ReplicaConnection } from './replica-connection.js';
@@ -47,6 +48,7 @@
   readonly maxAnswerBytes: number;
   readonly protocol: GatewayProtocol;
   readonly memory: AnswerMemory;
+  readonly clock: MonotonicClock;
 }
 
 /** Handles the answer of one request. */
@@ -55,7 +57,7 @@
   private headers: Header[] = [];
   private readonly body = new BodyBuffer();
   private readonly interimAnswers = new InterimAnswers();
-  private isSent = false;
+  private sentAt: number | undefined;
   private isEnded = false;
   private abortReason: AttemptProblem | undefined;
 
@@ -90,7 +92,7 @@
       controller.abort(new Error('the attempt was aborted before it was sent'));
       return;
     }
-    this.isSent = true;
+    this.sentAt = this.options.clock.now();
     this.connection.received.observe((receivedBytes) => this.checkOverhead(receivedBytes));
   }
 
@@ -147,8 +149,20 @@
     if (isMalformed(error)) {
       return 'bad-answer';
     }
-    const { received, hasAnswered } = this.connection;
-    return problemOfBreak({ hasBegun: this.isSent && received.count > 0, isReused: hasAnswered });
+    return problemOfBreak(this.describeBreak());
+  }
+
+  private describeBreak(): BrokenExchange {
+    const { received, hasAnswered: isReused, connectMs } = this.connection;
+    const { sentAt } = this;
+    return sentAt === undefined
+      ? { hasBegun: false, isReused, elapsedMs: 0, connectMs }
+      : {
+          hasBegun: received.count > 0,
+          isReused,
+          elapsedMs: this.options.clock.now() - sentAt,
+          connectMs,
+        };
   }
 
   private failure(problem: AttemptProblem): AttemptResult {
--- a/src/gateway/runtime/broken-exchange.ts
+++ b/src/gateway/runtime/broken-exchange.ts
@@ -19,12 +19,25 @@
   readonly hasBegun: boolean;
   /** Whether an earlier answer was received over the connection. */
   readonly isReused: boolean;
+  /** Time from when the request was sent to the end of the connection, in milliseconds. */
+  readonly elapsedMs: number;
+  /** How long it took to open the connection, in milliseconds. */
+  readonly connectMs: number;
 }
 
+/**
+ * A replica that has too many connections resets a new one when it accepts it: within this time after a round trip, in
+ * milliseconds. One that ends a connection later may have run the request and lost the answer.
+ */
+const MAX_REFUSAL_DELAY_MS = 50;
+
+const isRefusal = ({ isReused, elapsedMs, connectMs }: BrokenExchange): boolean =>
+  !isReused && elapsedMs <= connectMs + MAX_REFUSAL_DELAY_MS;
+
 /** The problem with which the attempt ends; `attempt-problems.ts` has what follows from it. */
-export const problemOfBreak = ({ hasBegun, isReused }: BrokenExchange): AttemptProblem => {
-  if (hasBegun) {
+export const problemOfBreak = (exchange: BrokenExchange): AttemptProblem => {
+  if (exchange.hasBegun) {
     return 'cut-off';
   }
-  return isReused ? 'reset' : 'refused-connection';
+  return isRefusal(exchange) ? 'refused-connection' : 'reset';
 };
--- a/src/gateway/runtime/replica-client.ts
+++ b/src/gateway/runtime/replica-client.ts
@@ -127,7 +127,7 @@
     const expectsBody = method !== 'HEAD';
     const { maxAnswerBytes } = pool;
     const { rank } = effect;
-    const options = { requestId, rank, expectsBody, maxAnswerBytes, protocol, memory };
+    const options = { requestId, rank, expectsBody, maxAnswerBytes, protocol, memory, clock };
     const reader = new AnswerReader(connection, options, (end) =>
       this.finish(effect.attempt, pool, connection, end),
     );
--- a/src/gateway/runtime/replica-connection.ts
+++ b/src/gateway/runtime/replica-connection.ts
@@ -43,6 +43,8 @@
   isBroken = false;
   /** At least one answer was received over the connection. */
   hasAnswered = false;
+  /** How long it took to open, in milliseconds; set by the pool. */
+  connectMs = 0;
   readonly received: ReceivedBytes;
 
   constructor(
--- a/src/gateway/runtime/replica-pool.ts
+++ b/src/gateway/runtime/replica-pool.ts
@@ -201,7 +201,8 @@
     const openingSince = this.clock.now();
     const connection = new ReplicaConnection(this.address, this.connectTimeout.timeoutMs, {
       onOpened: () => {
-        this.connectTimeout.recordConnect(this.clock.now() - openingSince);
+        connection.connectMs = this.clock.now() - openingSince;
+        this.connectTimeout.recordConnect(connection.connectMs);
         this.openingCount -= 1;
         this.addIdle(connection);
         this.assignConnections();
--- a/test/gateway/answer-reader.test.ts
+++ b/test/gateway/answer-reader.test.ts
@@ -35,6 +35,7 @@
   maxAnswerBytes: MAX_ANSWER_BYTES,
   protocol: platformProtocol,
   memory: new AnswerMemory(MEMORY_BYTES),
+  clock: { now: () => performance.now() },
 });
 
 const exchange = (over: ReplicaConnection, requestId = 'r-1'): Promise<ExchangeEnd> =>
@@ -250,6 +251,14 @@
     expect(closedWith).toBe('connect-refused');
   });
 
+  // Such requests were sent to more replicas than their route allows.
+  it('is lost if a new connection is reset after the replica had time to run the request', async () => {
+    const loseAnswer = (socket: Socket): void => {
+      setTimeout(() => socket.resetAndDestroy(), BLOCK_MS);
+    };
+    expectFailure(await exchangeWith(loseAnswer), 'reset');
+  });
+
   it('fails as a refused connection if a new connection is reset', async () => {
     expectFailure(await exchangeWith((socket) => socket.resetAndDestroy()), 'refused-connection');
   });
