--- a/soak/model/plan.ts
+++ b/soak/model/plan.ts
@@ -3,6 +3,7 @@
 import type { GatewayBounds } from '../../src/gateway/settings.js';
 import { PREFIXES } from '../world/routes.js';
 import { FEW_SLOTS, REPLICA_SLOTS } from '../world/topology.js';
+import { drawBrokenOffAnswers, FIRST_BROKEN_OFF_SEED } from './broken-off-answers.js';
 import {
   addConcurrentCallers,
   type ConcurrentCallersPlan,
@@ -261,6 +262,9 @@
       ...(seed >= FIRST_FAILING_SEED
         ? drawFailingServices(streamOf(seed, 'failing-services'), faultsMs, gateways)
         : []),
+      ...(seed >= FIRST_BROKEN_OFF_SEED
+        ? drawBrokenOffAnswers(streamOf(seed, 'broken-off-answers'), faultsMs)
+        : []),
     ],
     poisonRequests: hasEntryFaults ? drawAbandonment(entries, poisonRequests) : poisonRequests,
     poisonCrashDelayMs: hasEntryFaults ? entries.nextBelow(MAX_POISON_RUN_MS) : 0,
--- a/soak/model/random-streams.ts
+++ b/soak/model/random-streams.ts
@@ -19,7 +19,8 @@
   | 'long-callers'
   | 'endless-answers'
   | 'failing-services'
-  | 'concurrent-callers';
+  | 'concurrent-callers'
+  | 'broken-off-answers';
 
 /** New streams are appended, so that the regression seeds keep theirs. */
 const STREAMS: readonly RandomStream[] = [
@@ -40,6 +41,7 @@
   'endless-answers',
   'failing-services',
   'concurrent-callers',
+  'broken-off-answers',
 ];
 
 /** Distance between the stream seeds of two runs, so that their streams differ. */
--- a/src/gateway/runtime/answer-reader.ts
+++ b/src/gateway/runtime/answer-reader.ts
@@ -3,10 +3,12 @@
  * truncated, malformed, encoded or meant for another request counts as a failed attempt.
  */
 import type { Dispatcher } from 'undici';
+import type { MonotonicClock } from '../../runtime/monotonic-clock.js';
 import type { AttemptProblem, AttemptResult, Header, ReplicaAnswer } from '../model/request.js';
 import type { GatewayProtocol } from '../protocol/protocol.js';
 import type { AnswerMemory, HeldAnswer } from './answer-memory.js';
 import { BodyBuffer } from './body-buffer.js';
+import { type BrokenExchange, problemOfBreak } from './broken-exchange.js';
 import { findHeader } from './headers.js';
 import { exceedsOverhead, InterimAnswers, isFragmented, isMalformed } from './answer-limits.js';
 import type { ReplicaConnection } from './replica-connection.js';
@@ -14,8 +16,7 @@
 /** Status of a replica that is not the requested instance. */
 const MISDIRECTED_STATUS = 421;
 
-/** Redirections and client errors have statuses from the first of these up to, but not including, the second. */
-const FIRST_REDIRECTION_STATUS = 300;
+/** Statuses below this one, other than those of interim answers, are signed by the replica. */
 const FIRST_SERVER_ERROR_STATUS = 500;
 
 type AnswerHeaders = Readonly<Record<string, string | string[] | undefined>>;
@@ -47,6 +48,7 @@
   readonly maxAnswerBytes: number;
   readonly protocol: GatewayProtocol;
   readonly memory: AnswerMemory;
+  readonly clock: MonotonicClock;
 }
 
 /** Handles the answer of one request. */
@@ -55,6 +57,7 @@
   private headers: Header[] = [];
   private readonly body = new BodyBuffer();
   private readonly interimAnswers = new InterimAnswers();
+  private sentAt: number | undefined;
   private isEnded = false;
   private abortReason: AttemptProblem | undefined;
 
@@ -89,6 +92,7 @@
       controller.abort(new Error('the attempt was aborted before it was sent'));
       return;
     }
+    this.sentAt = this.options.clock.now();
     this.connection.received.observe((receivedBytes) => this.checkOverhead(receivedBytes));
   }
 
@@ -145,10 +149,20 @@
     if (isMalformed(error)) {
       return 'bad-answer';
     }
-    if (this.status > 0) {
-      return 'cut-off';
-    }
-    return this.connection.hasAnswered ? 'reset' : 'refused-connection';
+    return problemOfBreak(this.describeBreak());
+  }
+
+  private describeBreak(): BrokenExchange {
+    const { received, hasAnswered: isReused, connectMs } = this.connection;
+    const { sentAt } = this;
+    return sentAt === undefined
+      ? { hasBegun: false, isReused, elapsedMs: 0, connectMs }
+      : {
+          hasBegun: received.count > 0,
+          isReused,
+          elapsedMs: this.options.clock.now() - sentAt,
+          connectMs,
+        };
   }
 
   private failure(problem: AttemptProblem): AttemptResult {
@@ -197,18 +211,17 @@
     if (encoding !== undefined && encoding !== 'identity') {
       return 'bad-answer';
     }
-    return this.isUnsignedRefusal() ? 'unsigned-answer' : undefined;
+    return this.lacksSignature() ? 'unsigned-answer' : undefined;
   }
 
   /**
-   * Whether the answer is a redirection or a client error without a signature. Replicas sign the answers of their
-   * service; an unsigned one comes from the replica's HTTP server or from another program at its address. Forwarded to
-   * the caller, it would reject a valid request for good: callers do not retry after most of these statuses.
+   * Whether the answer is a success, a redirection or a client error without a signature. Replicas sign the answers of
+   * their service; an unsigned one comes from the replica's HTTP server or from another program at its address. Forwarded
+   * to the caller, it would be taken for the service's, and a refusal would reject a valid request for good.
    */
-  private isUnsignedRefusal(): boolean {
-    const isRefusal =
-      this.status >= FIRST_REDIRECTION_STATUS && this.status < FIRST_SERVER_ERROR_STATUS;
-    return isRefusal && !this.hasNotRun() && this.signature() === undefined;
+  private lacksSignature(): boolean {
+    const mustBeSigned = this.status < FIRST_SERVER_ERROR_STATUS && !this.hasNotRun();
+    return mustBeSigned && this.signature() === undefined;
   }
 
   private isWrongInstance(): boolean {
--- a/test/gateway/answer-reader.test.ts
+++ b/test/gateway/answer-reader.test.ts
@@ -35,6 +35,7 @@
   maxAnswerBytes: MAX_ANSWER_BYTES,
   protocol: platformProtocol,
   memory: new AnswerMemory(MEMORY_BYTES),
+  clock: { now: () => performance.now() },
 });
 
 const exchange = (over: ReplicaConnection, requestId = 'r-1'): Promise<ExchangeEnd> =>
@@ -157,6 +158,35 @@
     expectFailure(await exchangeWith((socket) => socket.end(head)), 'cut-off');
   });
 
+  // What was received of a head did not count, so that the replica seemed to refuse the connection.
+  it.each(['HTTP/1.1 20', 'HTTP/1.1 102 Processing\r\n\r\n', HEAD, `${HEAD}Content-Length: 1`])(
+    'is truncated if its connection ends or is reset after "%s"',
+    async (text) => {
+      expectFailure(await exchangeWith((socket) => socket.end(text)), 'cut-off');
+      connection?.destroy();
+      await replica?.stop();
+      expectFailure(await exchangeWith((socket) => void writeThenReset(socket, text)), 'cut-off');
+    },
+  );
+
+  it('is truncated within the head over a connection with an earlier answer, but not before its first byte', async () => {
+    const complete = `${HEAD}Content-Length: 0\r\n\r\n`;
+    const answers = [complete, 'HTTP/1.1 20', complete, ''];
+    replica = await RawReplica.start((socket) => {
+      const text = answers.shift() ?? '';
+      if (text === complete) {
+        socket.write(text);
+      } else {
+        socket.end(text);
+      }
+    });
+    for (const problem of ['cut-off', 'reset']) {
+      connection = await open(replica.address);
+      expect((await exchange(connection)).reusable).toBe(true);
+      expectFailure(await exchange(connection), problem);
+    }
+  });
+
   it('fails the attempt if it is malformed', async () => {
     const end = await exchangeWith((socket) =>
       socket.write('\u0000\u0001 no answer at all\r\n\r\n'),
@@ -175,7 +205,7 @@
     expectFailure(await exchangeWith((socket) => socket.write(head)), 'bad-answer');
   });
 
-  it.each([301, 400, 404, 408, 429, 499])(
+  it.each([200, 204, 301, 400, 404, 408, 429, 499])(
     'fails the attempt if its status is %i without a signature',
     async (status) => {
       const head = `HTTP/1.1 ${status} No\r\nX-Request-Id: r-1\r\nContent-Length: 0\r\n\r\n`;
@@ -221,6 +251,14 @@
     expect(closedWith).toBe('connect-refused');
   });
 
+  // Such requests were sent to more replicas than their route allows.
+  it('is lost if a new connection is reset after the replica had time to run the request', async () => {
+    const loseAnswer = (socket: Socket): void => {
+      setTimeout(() => socket.resetAndDestroy(), BLOCK_MS);
+    };
+    expectFailure(await exchangeWith(loseAnswer), 'reset');
+  });
+
   it('fails as a refused connection if a new connection is reset', async () => {
     expectFailure(await exchangeWith((socket) => socket.resetAndDestroy()), 'refused-connection');
   });
