Standalone node: refuse malformed input behind the answers to earlier queries

What callers saw: a caller that sends malformed input behind a query gets 400 at once and the connection closes. It takes the 400, which says `not-run`, for the answer to its query, which runs; the answer to that is lost.

Cause: the HTTP listener wrote the refusal as soon as the parser failed.

Change: the listener keeps the answers that are due on each connection, and refuses once, behind them.

Does it refuse or delay anybody? The refusal of malformed input waits for the answers before it.

--- a/src/runtime/http-listener.ts
+++ b/src/runtime/http-listener.ts
@@ -10,6 +10,7 @@
   PROBLEM_MEDIA_TYPE,
   problemResponse,
 } from './caller/problem.js';
+import { OpenAnswers } from './open-answers.js';
 
 /** Maximum number of connections to one port. */
 const MAX_CONNECTIONS = 10_000;
@@ -94,7 +95,9 @@
       });
     });
     const listener = new HttpListener(server, (server.address() as AddressInfo).port);
+    const answers = new OpenAnswers();
     server.on('request', (incoming, outgoing: ServerResponse) => {
+      answers.add(outgoing);
       if (listener.closesAfterAnswers) {
         outgoing.setHeader('connection', 'close');
       }
@@ -106,7 +109,10 @@
         listener.connections -= 1;
       });
     });
-    server.on('clientError', (_error, socket) => refuseMalformed(socket as Socket));
+    server.on('clientError', (_error, socket) => {
+      // Sent first, the refusal would be taken for the answer to an earlier request on the connection.
+      answers.afterAnswers(socket as Socket, () => refuseMalformed(socket as Socket));
+    });
     return listener;
   }
 
