Standalone node: close a connection only behind its last answer during a stop

What callers saw: of two requests that arrive together on one connection while the node stops, the second has no answer: the connection is closed without a word on whether it has run (it has not).

Cause: each answer to a request that is read during a stop closed the connection, also with others behind it.

Change: when a further request is read before an answer has been sent, that answer no longer closes the connection; the one to the further request does.

Does it refuse or delay anybody? A request that arrives when the closing answer has been sent still has none; it does not run.

--- a/src/runtime/http-listener.ts
+++ b/src/runtime/http-listener.ts
@@ -97,10 +97,7 @@
     const listener = new HttpListener(server, (server.address() as AddressInfo).port);
     const answers = new OpenAnswers();
     server.on('request', (incoming, outgoing: ServerResponse) => {
-      answers.add(outgoing);
-      if (listener.closesAfterAnswers) {
-        outgoing.setHeader('connection', 'close');
-      }
+      answers.add(outgoing, listener.closesAfterAnswers);
       void handle(incoming, outgoing);
     });
     server.on('connection', (socket: Socket) => {
--- a/src/runtime/open-answers.ts
+++ b/src/runtime/open-answers.ts
@@ -10,13 +10,25 @@
   private readonly bySocket = new WeakMap<Socket, Set<ServerResponse>>();
   private readonly ending = new WeakSet<Socket>();
 
-  /** Adds the answer to a request that has just been read. */
-  add(outgoing: ServerResponse): void {
+  /**
+   * Adds the answer to a request that has just been read.
+   *
+   * @param closes - whether it closes the connection, unless another request is read before it is sent
+   */
+  add(outgoing: ServerResponse, closes: boolean): void {
     const { socket } = outgoing.req;
     const answers = this.bySocket.get(socket) ?? new Set<ServerResponse>();
     this.bySocket.set(socket, answers);
+    for (const earlier of answers) {
+      if (!earlier.headersSent) {
+        earlier.removeHeader('connection');
+      }
+    }
     answers.add(outgoing);
     outgoing.once('close', () => answers.delete(outgoing));
+    if (closes) {
+      outgoing.setHeader('connection', 'close');
+    }
   }
 
   /** Calls `send` when all answers that are due on a connection have been sent; without effect if called before for it. */
--- a/test/runtime/pipelined-queries.test.ts
+++ b/test/runtime/pipelined-queries.test.ts
@@ -6,6 +6,7 @@
 import {
   CALLER_SECRET,
   nodeSettings,
+  SHARDS,
   startServingNode,
   storeContents,
   until,
@@ -62,4 +63,14 @@
     await untilClosed();
     expect(statuses()).toEqual([200, 400]);
   });
+
+  // Each answer during a stop closed the connection, also with further requests behind it, which got no answer.
+  it('are all answered if they arrive together while the node stops', async () => {
+    socket.write(QUERY);
+    await until(() => replica.legs.length === SHARDS.length, 'the legs are sent');
+    void node.stop();
+    socket.write(QUERY + QUERY);
+    await untilClosed();
+    expect(statuses()).toEqual([200, 503, 503]);
+  });
 });
