Test a request that follows one refused for its size

The fault of without a stop: the refusal of a request that exceeds a limit closes the connection, and a request behind it in the same segment ran without an answer. The test fails on (431 alone, the second request ran) and passes now.

--- a/test/platform/pipelined-requests.test.ts
+++ b/test/platform/pipelined-requests.test.ts
@@ -89,6 +89,15 @@
     expect(closesConnection(caller)).toEqual([false, true]);
   });
 
+  // The same without a stop: the refusal of a request that exceeds a limit closed the connection.
+  it('are answered behind a request that is refused for its size', async () => {
+    await serveWith({ workMs: FAST_WORK_MS });
+    const caller = await RawCaller.open(fixture.settings.callers);
+    const long = requestHead('GET /one/', [`X-Long: ${'v'.repeat(100_000)}`]);
+    caller.send(long + post('/one/fast'));
+    expect(await caller.statuses(2)).toEqual([431, 200]);
+  });
+
   // A request that arrived while the closing answer was being sent ran, and its answer was lost.
   it('do not run if they arrive after an answer that closes the connection has begun', async () => {
     await serveWith({ workMs: FAST_WORK_MS, body: Buffer.alloc(LONG_ANSWER_BYTES) });
