Treat entries with addresses that no socket accepts as unreadable

A port above 65535 (net.connect throws) and a host such as 999.1.1.1 (the URL of the HTTP client throws) in the entry of a replica or a gateway ended each gateway that opened a connection to it. The entry becomes unreadable, is logged, and all others are followed; a sound write makes it usable again.

A caller saw its connection break, with all others of that gateway, at each selection after each restart. The pattern stands again in settings, which refuse such ports already. Tests and soak had invalid entries, but their addresses had no port at all (nowhere), and the spoilt entries of the soak likewise.

--- a/src/gateway/runtime/peers/peer-codec.ts
+++ b/src/gateway/runtime/peers/peer-codec.ts
@@ -13,6 +13,7 @@
   isOptional,
   isText,
 } from '../../../protocol/codec/shape.js';
+import { withConnectableObjects } from './connectable-objects.js';
 import { isCrashUpdate } from './crash-update-shape.js';
 import { isConfiguration, isReaderUpdate } from './reader-update-shape.js';
 import { packAnswer, packRequest } from './pack-peer-request.js';
@@ -73,6 +74,11 @@
 export const encodePeerMessage = (message: PeerMessage): Buffer =>
   encodeCbor(packIfNeeded(message));
 
+const withConnectable = (message: NamedMessage): NamedMessage =>
+  message.type === 'news'
+    ? { type: message.type, news: withConnectableObjects(message.news) }
+    : message;
+
 const readNamed = (fields: Fields): Either<string, PeerMessage> => {
   const { type } = fields;
   const check =
@@ -80,7 +86,7 @@
       ? SHAPE_CHECKS[type as NamedMessage['type']]
       : undefined;
   return check?.(fields) === true
-    ? Right(fields as unknown as NamedMessage)
+    ? Right(withConnectable(fields as unknown as NamedMessage))
     : Left(`is not a valid ${isText(type) ? type : 'message'}`);
 };
 
--- a/src/settings/parse-host-port.ts
+++ b/src/settings/parse-host-port.ts
@@ -28,6 +28,17 @@
   return Right({ host, port });
 };
 
+/** Characters of a host name. */
+const NAME_PATTERN = /^[\w.-]+$/;
+
+/** Whether a host is an IP address, or a name that may stand in a URL: `999.1.1.1` is neither. */
+const isHost = (host: string): boolean =>
+  isIP(host) !== 0 || (NAME_PATTERN.test(host) && URL.canParse(`http://${host}`));
+
+/** Whether a connection can be opened to an address: sockets and HTTP clients throw for other hosts and ports. */
+export const isConnectable = ({ host, port }: HostPort): boolean =>
+  Number.isInteger(port) && port > 0 && port <= MAX_PORT && isHost(host);
+
 /** Formats an address for a URL or a settings file. */
 export const formatHostPort = (address: HostPort): string =>
   isIP(address.host) === 6
--- a/test/gateway/peer-message.test.ts
+++ b/test/gateway/peer-message.test.ts
@@ -294,3 +294,30 @@
     expect(unpackMessage([...packed, false, [], waits])).toBeUndefined();
   }
 });
+
+// A reader of an earlier build sent addresses that it had not checked, and they ended its followers.
+it.each([
+  ['127.0.0.1', 70_000],
+  ['127.0.0.1', 0],
+  ['999.1.1.1', 80],
+  ['1..2', 80],
+  ['a/b', 80],
+  ['', 80],
+])('decodes reader updates without objects at %s port %d', (host, port) => {
+  const replicas = [replicaOf('sound'), { ...replicaOf('odd'), host, port }];
+  const gateway = { name: 'odd', zone: 'z', address: { host, port }, capacity: 1 };
+  const update = { type: 'changes', after: 8, revision: 9 } as const;
+  const objects = replicas.map((value) => ({ name: value.id, gone: false, value }));
+  const ofReplicas = newsOf({ ...update, collection: 'replicas', objects });
+  const ofGateways = newsOf({
+    ...update,
+    collection: 'gateways',
+    objects: [{ name: 'odd', gone: false, value: gateway }],
+  });
+  const valuesOf = (message: ReaderUpdateMessage): readonly unknown[] => {
+    const { news } = decodePeerMessage(encodePeerMessage(message)).unsafeCoerce() as typeof message;
+    return news.type === 'status' ? [] : news.objects.map(({ value }) => value);
+  };
+  expect(valuesOf(ofReplicas)).toEqual([replicaOf('sound'), undefined]);
+  expect(valuesOf(ofGateways)).toEqual([undefined]);
+});
