Bound what is kept of the problems of one object

Each malformed item of a list gave two to ten findings with their places, all collected before the first one was logged: an entry of 1 MiB of {} as suspects of a gateway, or of 0 as routes, took the heap of 96 MB. At most 64 findings of one value are kept, and the rest of a list is not read after them; items are decoded one after the other in place of a reader for each.

A caller saw its connection break, and so again after each restart, since the first list reads the same entry; no gateway became ready. Nobody is refused who was served: an object with one finding was unreadable before, too. The pattern stands again in the settings file, which is read by the same class. Tests had one malformed field an entry, and the soak's spoilt entries likewise.

--- a/src/gateway/field-reader.ts
+++ b/src/gateway/field-reader.ts
@@ -5,6 +5,12 @@
 import { type Either, Left, Right } from 'purify-ts/Either';
 import type { Finding } from '../table/finding.js';
 
+/**
+ * Maximum number of findings of one value. A list of a million malformed items would otherwise take a hundred times its own
+ * size; once the limit is reached, the rest of a list is not read.
+ */
+const MAX_FINDINGS = 64;
+
 type Fields = Readonly<Record<string, unknown>>;
 
 const isFields = (value: unknown): value is Fields =>
@@ -54,21 +60,24 @@
     return this.missing(name, value, 'true or false', fallback, false);
   }
 
-  texts(name: string): readonly string[] {
-    return this.items(name).flatMap((item, index) => {
-      if (typeof item !== 'string') {
-        this.report(`${name}[${index}]`, 'is not a string');
-        return [];
+  /** Reads a list of strings; `read`, if given, converts each of them. */
+  texts(name: string): readonly string[];
+  texts<Value>(name: string, read: (text: string, index: number) => Value): readonly Value[];
+  texts(name: string, read: (text: string, index: number) => unknown = (text) => text) {
+    return this.readItems(name, (item, index) => {
+      if (typeof item === 'string') {
+        return [read(item, index)];
       }
-      return [item];
+      this.report(`${name}[${index}]`, 'is not a string');
+      return [];
     });
   }
 
-  /** Returns a reader, with its place, for each object of a list. */
-  objects(name: string): readonly FieldReader[] {
-    return this.items(name).map(
-      (item, index) => new FieldReader(item, this.placeOf(`${name}[${index}]`), this.findings),
-    );
+  /** Reads a list of objects; `read` gets a reader, with its place, for each of them. */
+  objects<Value>(name: string, read: (object: FieldReader) => Value): readonly Value[] {
+    return this.readItems(name, (item, index) => [
+      read(new FieldReader(item, this.placeOf(`${name}[${index}]`), this.findings)),
+    ]);
   }
 
   object(name: string): FieldReader {
@@ -80,7 +89,11 @@
     return this.fields[name];
   }
 
+  /** Adds a finding; has no effect if there are too many. */
   report(name: string, problem: string, allowed?: string): void {
+    if (this.hasMaxFindings) {
+      return;
+    }
     this.findings.push({
       severity: 'error',
       place: this.placeOf(name),
@@ -94,6 +107,25 @@
     return this.findings.length === 0 ? Right(value) : Left(this.findings);
   }
 
+  private get hasMaxFindings(): boolean {
+    return this.findings.length >= MAX_FINDINGS;
+  }
+
+  /** Reads the items of a list until there are too many findings. */
+  private readItems<Value>(
+    name: string,
+    read: (item: unknown, index: number) => readonly Value[],
+  ): readonly Value[] {
+    const values: Value[] = [];
+    for (const [index, item] of this.items(name).entries()) {
+      if (this.hasMaxFindings) {
+        break;
+      }
+      values.push(...read(item, index));
+    }
+    return values;
+  }
+
   private items(name: string): readonly unknown[] {
     const value = this.fields[name];
     if (Array.isArray(value)) {
