Limit the length of what is kept of an entry

Names of services and zones and the suspected requests of a gateway were kept whatever their length: 100 entries with zones of 1 MiB, of a service that nobody uses, took the heap.

A caller saw its connection break, and no gateway became ready after it.

--- a/src/gateway/field-reader.ts
+++ b/src/gateway/field-reader.ts
@@ -11,6 +11,9 @@
  */
 const MAX_FINDINGS = 64;
 
+/** Maximum length of a name, in characters. */
+const MAX_NAME_LENGTH = 1_024;
+
 type Fields = Readonly<Record<string, unknown>>;
 
 const isFields = (value: unknown): value is Fields =>
@@ -43,6 +46,15 @@
     return this.missing(name, value, 'a string', fallback, '');
   }
 
+  /** Reads a string that is kept for as long as its object is known, and whose length is therefore limited. */
+  name(name: string): string {
+    const value = this.text(name);
+    if (value.length > MAX_NAME_LENGTH) {
+      this.report(name, 'is too long', `at most ${MAX_NAME_LENGTH} characters`);
+    }
+    return value;
+  }
+
   /** Reads a finite number of at least `minimum`. */
   number(name: string, minimum = 0, fallback?: number): number {
     const value = this.fields[name];
--- a/src/gateway/runtime/store-client.ts
+++ b/src/gateway/runtime/store-client.ts
@@ -28,6 +28,9 @@
 /** Time for which an idle connection is kept, in milliseconds. */
 const KEEP_ALIVE_MS = 10_000;
 
+/** Most findings of a malformed answer that are logged. */
+const MAX_SHOWN_FINDINGS = 8;
+
 const OK_STATUS = 200;
 const GONE_STATUS = 410;
 const THROTTLED_STATUS = 429;
@@ -220,7 +223,8 @@
   }
 
   private emitUnreadable(call: CollectionCall, findings: readonly Finding[], era: StoreEra): void {
-    this.emitFailed(call, 'malformed', findings.map(formatFinding).join('; '), era);
+    const shown = findings.slice(0, MAX_SHOWN_FINDINGS).map(formatFinding);
+    this.emitFailed(call, 'malformed', shown.join('; '), era);
   }
 
   private emitFailed(
--- a/src/gateway/store/log-unreadable.ts
+++ b/src/gateway/store/log-unreadable.ts
@@ -7,6 +7,12 @@
 /** Most lines for the objects of one page, watch answer or reader's update; the last line counts the objects left out. */
 const MAX_LINES = 8;
 
+/** Most characters of a name or a problem in a line. */
+const MAX_TEXT_LENGTH = 256;
+
+const shorten = (text: string): string =>
+  text.length > MAX_TEXT_LENGTH ? `${text.slice(0, MAX_TEXT_LENGTH)}…` : text;
+
 /** Counts and logs the objects that were skipped because this gateway cannot read their content. */
 export const logUnreadable = (
   { counters }: GatewayState,
@@ -20,8 +26,8 @@
     const change: StateChange = {
       event: 'object-unreadable',
       collection,
-      name,
-      ...(problem !== undefined && { problem }),
+      name: shorten(name),
+      ...(problem !== undefined && { problem: shorten(problem) }),
       ...(isLast && unnamed > 0 && { unnamed }),
     };
     return { type: 'write-log', level: 'warn', part: 'store', change };
