Clamp the timers of attempts to what timers of the process can have

A timer of 2^31 ms or more fires at once. A route with a time-out of that length, asked with a budget as long or without one, had each attempt aborted as timed out right after it was sent.

A caller saw 502 at once, while the replica went on with the request. Nobody is refused who was served. The pattern stands again in the time that a cancellation grants, which a peer sends; clamped likewise. Other times go through DeadlineQueue, which clamps, and the sockets of Node, which do so with a warning. Tests and soak have time-outs of seconds.

--- a/src/gateway/runtime/replica-client.ts
+++ b/src/gateway/runtime/replica-client.ts
@@ -1,4 +1,5 @@
 /** Sends attempts to replicas, with a small pool of connections for each replica. */
+import { MAX_DELAY_MS } from '../../runtime/deadline-queue.js';
 import type { MonotonicClock } from '../../runtime/monotonic-clock.js';
 import type {
   CheckReplica,
@@ -70,7 +71,8 @@
     if (withinMs === 0) {
       running.reader.abort('aborted');
     } else {
-      running.timer = setTimeout(() => running.reader.abort('aborted'), withinMs);
+      const abortAfterMs = Math.min(withinMs, MAX_DELAY_MS);
+      running.timer = setTimeout(() => running.reader.abort('aborted'), abortAfterMs);
     }
   }
 
@@ -131,7 +133,8 @@
     const reader = new AnswerReader(connection, options, (end) =>
       this.finish(effect.attempt, pool, connection, end),
     );
-    const timer = setTimeout(() => reader.abort('timed-out'), remainingMs + DEADLINE_GRACE_MS);
+    const abortAfterMs = Math.min(remainingMs + DEADLINE_GRACE_MS, MAX_DELAY_MS);
+    const timer = setTimeout(() => reader.abort('timed-out'), abortAfterMs);
     this.running.set(effect.attempt, { reader, timer });
     connection.send(formatRequest(caller, effect, remainingMs, protocol.headers), reader);
   }
--- a/src/runtime/deadline-queue.ts
+++ b/src/runtime/deadline-queue.ts
@@ -5,8 +5,8 @@
 import { BinaryHeap } from '../core/binary-heap.js';
 import type { MonotonicClock } from './monotonic-clock.js';
 
-/** Maximum delay of a timer of the process, in milliseconds. */
-const MAX_DELAY_MS = 2_147_483_647;
+/** Maximum delay of a timer of the process, in milliseconds; a timer with a longer one fires at once. */
+export const MAX_DELAY_MS = 2_147_483_647;
 
 /** A timer of the process that fires this much late shows that the process did not run meanwhile, in milliseconds. */
 const STALL_MS = 150;
