Parse answers of the store in bounded memory

A watch returns all changes since the last one, each object up to 1 MiB, and its text was parsed as a whole. Values take up to 29 times the size of their text (lists of lists), so that three objects fill a heap of 96 MB.

A caller saw its connection break, at each gateway that watches. Tests had one odd entry at a time, and the soak's spoilt entries are small.

--- a/.ci/summarize-tests.mjs
+++ b/.ci/summarize-tests.mjs
@@ -9,7 +9,7 @@
  */
 import { existsSync, readFileSync, writeFileSync } from 'node:fs';
 
-const MOST_KNOWN_FAILURES = 5;
+const MOST_KNOWN_FAILURES = 4;
 
 const [, , resultsFile, knownRedFile, countsFile] = process.argv;
 
--- a/src/gateway/field-reader.ts
+++ b/src/gateway/field-reader.ts
@@ -3,6 +3,7 @@
  * problems are reported together.
  */
 import { type Either, Left, Right } from 'purify-ts/Either';
+import { JsonList } from '../protocol/codec/json-lists.js';
 import type { Finding } from '../table/finding.js';
 
 /**
@@ -129,21 +130,23 @@
     read: (item: unknown, index: number) => readonly Value[],
   ): readonly Value[] {
     const values: Value[] = [];
-    for (const [index, item] of this.items(name).entries()) {
+    let index = 0;
+    for (const item of this.items(name)) {
       if (this.hasMaxFindings) {
         break;
       }
       values.push(...read(item, index));
+      index += 1;
     }
     return values;
   }
 
-  private items(name: string): readonly unknown[] {
+  private items(name: string): Iterable<unknown> {
     const value = this.fields[name];
-    if (Array.isArray(value)) {
+    if (Array.isArray(value) || value instanceof JsonList) {
       return value;
     }
-    return this.missing(name, value, 'a list', undefined, []);
+    return this.missing<Iterable<unknown>>(name, value, 'a list', undefined, []);
   }
 
   private missing<Value>(
