Limit an answer of the store to what is read in a fraction of a second

An answer of 15 MiB of small values took 0.5 to 1 s to parse item by item, in which the process did nothing else (measured with the flags of the deployment, beside load). A page has 1 MB or one object of 1 MiB, so 4 MiB are enough; a watch with more changes fails as before beyond 16 MiB, and the collection is listed.

A caller saw requests wait for up to a second. Nobody is refused who was served. The pattern stands again at answers of replicas (16 MiB, copied and not parsed) and messages between gateways. Tests had answers without end, whose bytes are not parsed.

--- a/src/gateway/runtime/answer-limits.ts
+++ b/src/gateway/runtime/answer-limits.ts
@@ -3,6 +3,12 @@
 /** Maximum size of an answer's body, in bytes. */
 export const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 
+/**
+ * Maximum size of the body of an answer of the store, in bytes. A page has 1 MB or one object; a watch whose changes are larger
+ * fails, and pages are read in its place. Reading an answer of this size takes a fraction of a second.
+ */
+export const MAX_STORE_ANSWER_BYTES = 4 * 1024 * 1024;
+
 /** Answers with a lower status are interim ones. */
 const FIRST_FINAL_STATUS = 200;
 
--- a/src/gateway/runtime/read-text.ts
+++ b/src/gateway/runtime/read-text.ts
@@ -6,7 +6,7 @@
   exceedsOverhead,
   InterimAnswers,
   isFragmented,
-  MAX_ANSWER_BYTES,
+  MAX_STORE_ANSWER_BYTES,
 } from './answer-limits.js';
 import { BodyBuffer } from './body-buffer.js';
 import type { ReceivedBytes } from './received-bytes.js';
@@ -67,7 +67,7 @@
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
     const { size, chunks } = this.body;
-    if (size + chunk.length > MAX_ANSWER_BYTES || isFragmented(chunks, size)) {
+    if (size + chunk.length > MAX_STORE_ANSWER_BYTES || isFragmented(chunks, size)) {
       this.refuse();
     } else {
       this.body.append(chunk);
--- a/test/gateway/read-text.test.ts
+++ b/test/gateway/read-text.test.ts
@@ -41,3 +41,19 @@
     expect(performance.now() - began).toBeLessThan(TIMEOUT_MS / 2);
   });
 });
+
+describe('an answer of the store with a length', () => {
+  const answerOf = (bytes: number): Buffer =>
+    Buffer.from(`HTTP/1.1 200 OK\r\ncontent-length: ${bytes}\r\n\r\n${' '.repeat(bytes)}`);
+
+  // Parsing 15 MiB of small values stopped all else in the process for a second.
+  it('fails the call if reading it would take too long', async () => {
+    server = await RawReplica.start((socket) => socket.write(answerOf(5 * 1024 * 1024)));
+    expect(await failOf(server)).toBeInstanceOf(EndlessAnswerError);
+  });
+
+  it('is read if it has a page and one object more', async () => {
+    server = await RawReplica.start((socket) => socket.write(answerOf(3 * 1024 * 1024)));
+    expect(await failOf(server)).toHaveProperty('status', 200);
+  });
+});
