--- a/test/platform/gateway-process.ts
+++ b/test/platform/gateway-process.ts
@@ -44,7 +44,12 @@
     const record = (chunk: Buffer): string => (gateway.output += chunk.toString());
     child.stdout.on('data', record);
     child.stderr.on('data', record);
-    await gateway.untilReady();
+    try {
+      await gateway.untilReady();
+    } catch (error) {
+      await gateway.kill();
+      throw error;
+    }
     return gateway;
   }
 
