--- a/src/gateway/field-reader.ts
+++ b/src/gateway/field-reader.ts
@@ -3,8 +3,18 @@
  * problems are reported together.
  */
 import { type Either, Left, Right } from 'purify-ts/Either';
+import { JsonList } from '../protocol/codec/json-lists.js';
 import type { Finding } from '../table/finding.js';
 
+/**
+ * Maximum number of findings of one value. A list of a million malformed items would otherwise take a hundred times its own
+ * size; once the limit is reached, the rest of a list is not read.
+ */
+const MAX_FINDINGS = 64;
+
+/** Maximum length of a name, in characters. */
+const MAX_NAME_LENGTH = 1_024;
+
 type Fields = Readonly<Record<string, unknown>>;
 
 const isFields = (value: unknown): value is Fields =>
@@ -37,6 +47,15 @@
     return this.missing(name, value, 'a string', fallback, '');
   }
 
+  /** Reads a string that is kept for as long as its object is known, and whose length is therefore limited. */
+  name(name: string): string {
+    const value = this.text(name);
+    if (value.length > MAX_NAME_LENGTH) {
+      this.report(name, 'is too long', `at most ${MAX_NAME_LENGTH} characters`);
+    }
+    return value;
+  }
+
   /** Reads a finite number of at least `minimum`. */
   number(name: string, minimum = 0, fallback?: number): number {
     const value = this.fields[name];
@@ -54,21 +73,24 @@
     return this.missing(name, value, 'true or false', fallback, false);
   }
 
-  texts(name: string): readonly string[] {
-    return this.items(name).flatMap((item, index) => {
-      if (typeof item !== 'string') {
-        this.report(`${name}[${index}]`, 'is not a string');
-        return [];
+  /** Reads a list of strings; `read`, if given, converts each of them. */
+  texts(name: string): readonly string[];
+  texts<Value>(name: string, read: (text: string, index: number) => Value): readonly Value[];
+  texts(name: string, read: (text: string, index: number) => unknown = (text) => text) {
+    return this.readItems(name, (item, index) => {
+      if (typeof item === 'string') {
+        return [read(item, index)];
       }
-      return [item];
+      this.report(`${name}[${index}]`, 'is not a string');
+      return [];
     });
   }
 
-  /** Returns a reader, with its place, for each object of a list. */
-  objects(name: string): readonly FieldReader[] {
-    return this.items(name).map(
-      (item, index) => new FieldReader(item, this.placeOf(`${name}[${index}]`), this.findings),
-    );
+  /** Reads a list of objects; `read` gets a reader, with its place, for each of them. */
+  objects<Value>(name: string, read: (object: FieldReader) => Value): readonly Value[] {
+    return this.readItems(name, (item, index) => [
+      read(new FieldReader(item, this.placeOf(`${name}[${index}]`), this.findings)),
+    ]);
   }
 
   object(name: string): FieldReader {
@@ -80,7 +102,11 @@
     return this.fields[name];
   }
 
+  /** Adds a finding; has no effect if there are too many. */
   report(name: string, problem: string, allowed?: string): void {
+    if (this.hasMaxFindings) {
+      return;
+    }
     this.findings.push({
       severity: 'error',
       place: this.placeOf(name),
@@ -94,12 +120,33 @@
     return this.findings.length === 0 ? Right(value) : Left(this.findings);
   }
 
-  private items(name: string): readonly unknown[] {
+  private get hasMaxFindings(): boolean {
+    return this.findings.length >= MAX_FINDINGS;
+  }
+
+  /** Reads the items of a list until there are too many findings. */
+  private readItems<Value>(
+    name: string,
+    read: (item: unknown, index: number) => readonly Value[],
+  ): readonly Value[] {
+    const values: Value[] = [];
+    let index = 0;
+    for (const item of this.items(name)) {
+      if (this.hasMaxFindings) {
+        break;
+      }
+      values.push(...read(item, index));
+      index += 1;
+    }
+    return values;
+  }
+
+  private items(name: string): Iterable<unknown> {
     const value = this.fields[name];
-    if (Array.isArray(value)) {
+    if (Array.isArray(value) || value instanceof JsonList) {
       return value;
     }
-    return this.missing(name, value, 'a list', undefined, []);
+    return this.missing<Iterable<unknown>>(name, value, 'a list', undefined, []);
   }
 
   private missing<Value>(
