Read-through: limits of the callers' port in a module of their own, one spec of a replica in tests

The odd content of the fuzz uses the spec of a replica that the other test of odd objects has. Two comments in plainer words.

--- a/src/gateway/runtime/answer-reader.ts
+++ b/src/gateway/runtime/answer-reader.ts
@@ -217,7 +217,7 @@
   /**
    * Whether the answer is a success, a redirection or a client error without a signature. Replicas sign the answers of
    * their service; an unsigned one comes from the replica's HTTP server or from another program at its address. Forwarded
-   * to the caller, it would be taken for the service's, and a refusal would reject a valid request for good.
+   * to the caller, it would count as the service's, and a refusal would reject a valid request for good.
    */
   private lacksSignature(): boolean {
     const mustBeSigned = this.status < FIRST_SERVER_ERROR_STATUS && !this.hasNotRun();
--- a/src/gateway/runtime/caller-port.ts
+++ b/src/gateway/runtime/caller-port.ts
@@ -13,6 +13,12 @@
 import type { CallerRequest, CallId, OpenExchange, Refusal } from '../model/request.js';
 import type { GatewayProtocol } from '../protocol/protocol.js';
 import { CallerConnection } from './caller-connection.js';
+import {
+  DEFAULT_LIMITS,
+  headerBytes,
+  PARSER_HEADER_BYTES,
+  TOLERATED_HEADER_BYTES,
+} from './caller-limits.js';
 import type { CallerRequests } from './caller-requests.js';
 import type { EarlyPort } from './early-port.js';
 import { formatResponse } from './format-response.js';
@@ -30,27 +36,9 @@
   type UnreadableRequest,
 } from './unreadable-request.js';
 
-/**
- * The parser refuses larger headers, whatever the configuration allows; equal to the limit on bodies before the first
- * configuration. The limit of the parser cannot be changed for an open connection, so it is far above what
- * configurations allow.
- */
-const PARSER_HEADER_BYTES = 1_048_576;
-
-/** Headers up to this size are accepted even if the configuration allows less; far above what clients send. */
-const TOLERATED_HEADER_BYTES = 65_536;
-
 /** Maximum number of exchanges that are listed for the log. */
 const MAX_LISTED_EXCHANGES = 20;
 
-/** Limits in force until the first configuration. */
-const DEFAULT_LIMITS: CallerLimits = {
-  maxHeaderBytes: PARSER_HEADER_BYTES,
-  maxBodyBytes: 1_048_576,
-  headerTimeoutMs: 10_000,
-  idleTimeoutMs: 60_000,
-};
-
 /** Dependencies of the port. */
 export interface CallerPortContext {
   readonly protocol: GatewayProtocol;
@@ -59,10 +47,6 @@
   readonly sink: GatewayEventSink;
 }
 
-/** Size of a request's target and headers without separators. */
-const headerBytes = ({ url = '', rawHeaders }: IncomingMessage): number =>
-  rawHeaders.reduce((sum, { length }) => sum + length, url.length);
-
 /** Listens for callers; executes `answer-caller`, emits `request-received`, `unreadable-refused` and `caller-left`. */
 export class CallerPort {
   private readonly server: Server;
@@ -274,7 +258,7 @@
       socket.destroy();
     } else if (!connection.isClosed && !this.unreadableConnections.has(socket)) {
       this.unreadableConnections.add(socket);
-      // Sent first, the refusal would be taken for the answer to an earlier valid request on the connection.
+      // Sent first, the refusal would count as the answer to an earlier valid request on the connection.
       connection.refuseAfterAnswers(() => this.refuseUnreadable(unreadable, socket));
     }
   }
--- a/src/runtime/http-listener.ts
+++ b/src/runtime/http-listener.ts
@@ -107,7 +107,7 @@
       });
     });
     server.on('clientError', (_error, socket) => {
-      // Sent first, the refusal would be taken for the answer to an earlier request on the connection.
+      // Sent first, the refusal would count as the answer to an earlier request on the connection.
       answers.afterAnswers(socket as Socket, () => refuseMalformed(socket as Socket));
     });
     return listener;
--- a/test/platform/odd-content.ts
+++ b/test/platform/odd-content.ts
@@ -1,5 +1,6 @@
 /** Generates content of the store with odd values in some of its fields. */
 import fc from 'fast-check';
+import { replicaSpec } from './odd-objects.js';
 import { configurationSpec, HOST, routeSpec, tenantSpec } from './operator-spec.js';
 import { RawJson } from './raw-json.js';
 
@@ -56,17 +57,7 @@
     });
   });
 
-const REPLICA = {
-  service: 'odd',
-  address: '127.0.0.1:9',
-  zone: 'bole',
-  version: 'v1',
-  slots: 4,
-  state: 'ready',
-  cold_left_ms: 0,
-  born: 1,
-  seq: 1,
-};
+const REPLICA = replicaSpec({ service: 'odd', born: 1 });
 
 const GATEWAY = {
   zone: 'bole',
